Lay down core types, bounded HTTP, settings, rules and relay frames

Cause: first commit. The traffic path uses hyper rather than rouille: rouille holds streamed bodies back, and tiny_http has no bound on slow heads.

--- /dev/null
+++ b/src/core/cache_salt.rs
@@ -0,0 +1,54 @@
+//! Separation of one client account's cache entries from all others.
+
+use std::fmt;
+
+use serde::Deserialize;
+use serde::Serialize;
+use sha2::Digest;
+use sha2::Sha256;
+
+use super::AccountName;
+
+const SALT_DOMAIN: &[u8] = b"teaseldrum cache salt v1\0";
+
+/// Separates one client account's cache entries from all others: the engine
+/// mixes it into the key of each block.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct CacheSalt(u64);
+
+impl CacheSalt {
+    /// Derives the salt of an account.
+    pub fn of_account(account: &AccountName) -> Self {
+        let mut hasher = Sha256::new();
+        hasher.update(SALT_DOMAIN);
+        hasher.update(account.as_str().as_bytes());
+        let digest = hasher.finalize();
+        let mut head = [0; 8];
+        head.copy_from_slice(&digest[..8]);
+        Self(u64::from_le_bytes(head))
+    }
+
+    /// Returns the bits of the salt.
+    pub fn bits(self) -> u64 {
+        self.0
+    }
+}
+
+impl fmt::Display for CacheSalt {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn of_account_differs_by_account() {
+        let first = CacheSalt::of_account(&AccountName::from("guild"));
+        let second = CacheSalt::of_account(&AccountName::from("sabarmati"));
+        assert_ne!(first, second);
+    }
+}
--- /dev/null
+++ b/src/core/monotonic_time.rs
@@ -0,0 +1,50 @@
+//! Time on the clock of one process, for decisions that must also run in
+//! virtual time.
+
+use std::ops::Add;
+use std::time::Duration;
+
+/// Microseconds since an origin that only this process knows; never sent to
+/// another process.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct MonotonicTime(u64);
+
+impl MonotonicTime {
+    /// The origin itself.
+    pub const ZERO: Self = Self(0);
+
+    /// Returns the time this many microseconds after the origin.
+    pub fn from_micros(micros: u64) -> Self {
+        Self(micros)
+    }
+
+    /// Returns microseconds since the origin.
+    pub fn as_micros(self) -> u64 {
+        self.0
+    }
+
+    /// Returns how long ago `earlier` was; zero if it is not in the past.
+    pub fn since(self, earlier: Self) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add<Duration> for MonotonicTime {
+    type Output = Self;
+
+    fn add(self, span: Duration) -> Self {
+        let micros = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_add(micros))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn since_future_is_zero() {
+        let later = MonotonicTime::ZERO + Duration::from_millis(5);
+        assert_eq!(MonotonicTime::ZERO.since(later), Duration::ZERO);
+    }
+}
--- /dev/null
+++ b/src/core/outcome.rs
@@ -0,0 +1,35 @@
+//! What is known about whether a request ran.
+
+use std::fmt;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// What is known about whether a request ran on a backend server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Outcome {
+    /// No backend server began the request; said only when that is certain.
+    NotRun,
+    /// A backend server ran the request.
+    Ran,
+    /// The request may or may not have run.
+    Unknown,
+}
+
+impl Outcome {
+    /// Returns the word of the outcome header.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::NotRun => "not-run",
+            Self::Ran => "ran",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+impl fmt::Display for Outcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
--- /dev/null
+++ b/src/core/revision.rs
@@ -0,0 +1,19 @@
+//! Number of an accepted rules revision; it only rises, zero means none.
+
+use std::fmt;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Number of an accepted rules revision; it only rises, zero means none.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Revision(pub u64);
+
+impl fmt::Display for Revision {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
--- /dev/null
+++ b/src/http/body.rs
@@ -0,0 +1,121 @@
+//! Whole bodies, read within bounds.
+
+use std::convert::Infallible;
+use std::fmt;
+use std::time::Duration;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use http_body_util::BodyExt;
+use http_body_util::Empty;
+use http_body_util::Full;
+use http_body_util::combinators::UnsyncBoxBody;
+use hyper::body::Body;
+use tokio::time::timeout;
+
+use super::StreamCut;
+
+/// Body of an answer or of a request to another process.
+pub type AnswerBody = UnsyncBoxBody<Bytes, StreamCut>;
+
+/// Reason for which a body could not be read whole.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BodyReadError {
+    /// The body is larger than allowed.
+    TooLarge,
+    /// Too long a time passed between two chunks.
+    Slow,
+    /// The connection broke.
+    Broken,
+}
+
+impl fmt::Display for BodyReadError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::TooLarge => "body too large",
+            Self::Slow => "body came too slowly",
+            Self::Broken => "connection broke within the body",
+        })
+    }
+}
+
+/// Returns a body without content.
+pub fn empty_body() -> AnswerBody {
+    Empty::new().map_err(never).boxed_unsync()
+}
+
+/// Returns a body of known content.
+pub fn full_body(content: impl Into<Bytes>) -> AnswerBody {
+    Full::new(content.into()).map_err(never).boxed_unsync()
+}
+
+fn never(never: Infallible) -> StreamCut {
+    match never {}
+}
+
+/// Reads a body of at most `max_bytes`, within `limit` altogether.
+///
+/// # Errors
+///
+/// The body is too large, comes too slowly or breaks off.
+pub async fn read_body<B>(
+    body: B,
+    max_bytes: usize,
+    limit: Duration,
+) -> Result<Bytes, BodyReadError>
+where
+    B: Body<Data = Bytes>,
+{
+    timeout(limit, collect(body, max_bytes))
+        .await
+        .map_err(|_| BodyReadError::Slow)?
+}
+
+async fn collect<B>(body: B, max_bytes: usize) -> Result<Bytes, BodyReadError>
+where
+    B: Body<Data = Bytes>,
+{
+    let announced = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+    if announced > max_bytes {
+        return Err(BodyReadError::TooLarge);
+    }
+    let mut body = std::pin::pin!(body);
+    let mut buf = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| BodyReadError::Broken)?;
+        let Some(chunk) = frame.data_ref() else {
+            continue;
+        };
+        if buf.len() + chunk.len() > max_bytes {
+            return Err(BodyReadError::TooLarge);
+        }
+        buf.extend_from_slice(chunk);
+    }
+    Ok(buf.freeze())
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const LIMIT: Duration = Duration::from_secs(5);
+
+    #[tokio::test]
+    async fn read_body_whole() {
+        let read = read_body(full_body("abc"), 3, LIMIT).await;
+        assert_eq!(read, Ok(Bytes::from_static(b"abc")));
+    }
+
+    #[tokio::test]
+    async fn read_body_too_large() {
+        let read = read_body(full_body("abcd"), 3, LIMIT).await;
+        assert_eq!(read, Err(BodyReadError::TooLarge));
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn read_body_slow() {
+        let (_tx, body) = super::super::ChannelBody::new(1);
+        let read = read_body(body, 3, LIMIT).await;
+        assert_eq!(read, Err(BodyReadError::Slow));
+    }
+}
--- /dev/null
+++ b/src/http/client.rs
@@ -0,0 +1,176 @@
+//! Requests to other processes over kept connections.
+
+use std::collections::HashMap;
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use hyper::Request;
+use hyper::client::conn::http1;
+use hyper::client::conn::http1::SendRequest;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+use tokio::time::timeout;
+
+use super::AnswerBody;
+use super::ClientError;
+use super::Exchange;
+
+const MAX_IDLE_PER_ADDRESS: usize = 16;
+
+/// Bounds on the waits of a [`Client`].
+#[derive(Debug, Clone)]
+pub struct ClientTimeouts {
+    /// Time to make a connection.
+    pub connect: Duration,
+    /// Time from sending a request to the head of its answer.
+    pub head: Duration,
+    /// Time between two chunks of an answer's body.
+    pub gap: Duration,
+    /// Time for which an unused connection is kept.
+    pub idle: Duration,
+}
+
+/// Sends requests over kept connections. A connection goes back to be used
+/// again only after its answer was read whole. Cheap to clone; all clones
+/// must live on one runtime.
+#[derive(Clone)]
+pub struct Client {
+    timeouts: Arc<ClientTimeouts>,
+    idle: Arc<Mutex<HashMap<SocketAddr, Vec<IdleConnection>>>>,
+}
+
+struct IdleConnection {
+    sender: SendRequest<AnswerBody>,
+    since: Instant,
+}
+
+impl Client {
+    /// Creates a client without connections.
+    pub fn new(timeouts: ClientTimeouts) -> Self {
+        Self {
+            timeouts: Arc::new(timeouts),
+            idle: Arc::default(),
+        }
+    }
+
+    /// Sends a request and waits for the head of its answer.
+    ///
+    /// # Errors
+    ///
+    /// No connection could be made, it broke or it went silent;
+    /// [`ClientError::is_certainly_unsent`] tells whether a byte may have left.
+    pub async fn send(
+        &self,
+        address: SocketAddr,
+        req: Request<AnswerBody>,
+    ) -> Result<Exchange, ClientError> {
+        let mut req = req;
+        while let Some(sender) = self.take_idle(address) {
+            match self.send_over(sender, address, req).await? {
+                Sent::Answered(exchange) => return Ok(exchange),
+                Sent::Returned(unsent) => req = unsent,
+            }
+        }
+        let sender = self.connect(address).await?;
+        match self.send_over(sender, address, req).await? {
+            Sent::Answered(exchange) => Ok(exchange),
+            Sent::Returned(_) => Err(ClientError::NotSent("connection closed".into())),
+        }
+    }
+
+    async fn send_over(
+        &self,
+        mut sender: SendRequest<AnswerBody>,
+        address: SocketAddr,
+        req: Request<AnswerBody>,
+    ) -> Result<Sent, ClientError> {
+        let answer = timeout(self.timeouts.head, sender.try_send_request(req))
+            .await
+            .map_err(|_| ClientError::Silent)?;
+        match answer {
+            Ok(response) => Ok(Sent::Answered(Exchange::new(
+                response,
+                sender,
+                address,
+                self.clone(),
+            ))),
+            Err(mut e) => match e.take_message() {
+                Some(unsent) => Ok(Sent::Returned(unsent)),
+                None => Err(ClientError::Broken(e.into_error().to_string())),
+            },
+        }
+    }
+
+    async fn connect(&self, address: SocketAddr) -> Result<SendRequest<AnswerBody>, ClientError> {
+        let stream = timeout(self.timeouts.connect, TcpStream::connect(address))
+            .await
+            .map_err(|_| ClientError::Connect("timeout".into()))?
+            .map_err(|e| ClientError::Connect(e.to_string()))?;
+        stream
+            .set_nodelay(true)
+            .map_err(|e| ClientError::Connect(e.to_string()))?;
+        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+            .await
+            .map_err(|e| ClientError::Connect(e.to_string()))?;
+        tokio::spawn(async move {
+            if let Err(e) = connection.await {
+                log::debug!("http: Connection to {address} ended: {e}.");
+            }
+        });
+        Ok(sender)
+    }
+
+    fn take_idle(&self, address: SocketAddr) -> Option<SendRequest<AnswerBody>> {
+        let mut idle = self.lock_idle();
+        let kept = idle.get_mut(&address)?;
+        while let Some(connection) = kept.pop() {
+            let is_fresh = connection.since.elapsed() < self.timeouts.idle;
+            if is_fresh && connection.sender.is_ready() {
+                return Some(connection.sender);
+            }
+        }
+        idle.remove(&address);
+        None
+    }
+
+    /// Takes back a connection whose last answer was read whole.
+    pub(super) fn give_back(&self, address: SocketAddr, sender: SendRequest<AnswerBody>) {
+        let mut idle = self.lock_idle();
+        let kept = idle.entry(address).or_default();
+        if kept.len() >= MAX_IDLE_PER_ADDRESS {
+            kept.remove(0);
+        }
+        kept.push(IdleConnection {
+            sender,
+            since: Instant::now(),
+        });
+    }
+
+    /// Longest wait between two chunks of an answer's body.
+    pub(super) fn gap(&self) -> Duration {
+        self.timeouts.gap
+    }
+
+    fn lock_idle(&self) -> MutexGuard<'_, HashMap<SocketAddr, Vec<IdleConnection>>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl fmt::Debug for Client {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Client")
+            .field("timeouts", &self.timeouts)
+            .finish_non_exhaustive()
+    }
+}
+
+enum Sent {
+    Answered(Exchange),
+    Returned(Request<AnswerBody>),
+}
--- /dev/null
+++ b/src/http/exchange.rs
@@ -0,0 +1,113 @@
+//! One request whose answer has begun.
+
+use std::fmt;
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use hyper::Response;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::SendRequest;
+use tokio::time::timeout;
+
+use super::AnswerBody;
+use super::Client;
+use super::ClientError;
+
+/// One request whose answer has begun. Dropping it before the end closes the
+/// connection, which tells the other side to stop.
+pub struct Exchange {
+    status: StatusCode,
+    headers: HeaderMap,
+    body: Incoming,
+    connection: Option<SendRequest<AnswerBody>>,
+    address: SocketAddr,
+    client: Client,
+}
+
+impl Exchange {
+    pub(super) fn new(
+        response: Response<Incoming>,
+        connection: SendRequest<AnswerBody>,
+        address: SocketAddr,
+        client: Client,
+    ) -> Self {
+        let (head, body) = response.into_parts();
+        Self {
+            status: head.status,
+            headers: head.headers,
+            body,
+            connection: Some(connection),
+            address,
+            client,
+        }
+    }
+
+    /// Status of the answer.
+    pub fn status(&self) -> StatusCode {
+        self.status
+    }
+
+    /// Headers of the answer.
+    pub fn headers(&self) -> &HeaderMap {
+        &self.headers
+    }
+
+    /// Waits for the next chunk of the body; none at its end.
+    ///
+    /// # Errors
+    ///
+    /// The connection broke, or was silent for longer than the client's gap.
+    pub async fn next_chunk(&mut self) -> Result<Option<Bytes>, ClientError> {
+        loop {
+            let frame = timeout(self.client.gap(), self.body.frame())
+                .await
+                .map_err(|_| ClientError::Silent)?;
+            match frame {
+                None => {
+                    self.release();
+                    return Ok(None);
+                }
+                Some(Err(e)) => return Err(ClientError::Broken(e.to_string())),
+                Some(Ok(frame)) => {
+                    if let Ok(chunk) = frame.into_data() {
+                        return Ok(Some(chunk));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Reads the rest of the body, at most `max_bytes`.
+    ///
+    /// # Errors
+    ///
+    /// The connection broke or went silent, or the body is too large.
+    pub async fn read_rest(&mut self, max_bytes: usize) -> Result<Bytes, ClientError> {
+        let mut buf = Vec::new();
+        while let Some(chunk) = self.next_chunk().await? {
+            if buf.len() + chunk.len() > max_bytes {
+                return Err(ClientError::Broken("answer too large".into()));
+            }
+            buf.extend_from_slice(&chunk);
+        }
+        Ok(buf.into())
+    }
+
+    fn release(&mut self) {
+        if let Some(connection) = self.connection.take() {
+            self.client.give_back(self.address, connection);
+        }
+    }
+}
+
+impl fmt::Debug for Exchange {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Exchange")
+            .field("status", &self.status)
+            .field("address", &self.address)
+            .finish_non_exhaustive()
+    }
+}
--- /dev/null
+++ b/src/http/serve.rs
@@ -0,0 +1,128 @@
+//! The accept loop of a traffic listener.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use hyper_util::server::graceful::GracefulShutdown;
+use socket2::SockRef;
+use socket2::TcpKeepalive;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::sync::Semaphore;
+use tokio::sync::watch;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use super::AnswerBody;
+use super::ServerLimits;
+
+const ACCEPT_RETRY: Duration = Duration::from_millis(20);
+const KEEPALIVE_IDLE: Duration = Duration::from_secs(5);
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Serves connections of `listener` until `drain` turns true, then lets
+/// running requests finish. Returns whether all of them did.
+///
+/// `handle` gets each request with the address of its caller. If the caller
+/// goes away its future, or the body it returned, is dropped.
+pub async fn serve<H, F>(
+    listener: TcpListener,
+    limits: ServerLimits,
+    handle: H,
+    mut drain: watch::Receiver<bool>,
+) -> bool
+where
+    H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + 'static,
+    F: Future<Output = Response<AnswerBody>> + Send + 'static,
+{
+    let connections = Arc::new(Semaphore::new(limits.max_connections));
+    let graceful = GracefulShutdown::new();
+    loop {
+        tokio::select! {
+            biased;
+            _ = drain.wait_for(|draining| *draining) => break,
+            (stream, caller, permit) = accept(&listener, &connections) => {
+                prepare(&stream, &limits);
+                spawn_connection(stream, caller, permit, &limits, handle.clone(), &graceful);
+            }
+        }
+    }
+    drop(listener);
+    timeout(limits.drain_timeout, graceful.shutdown())
+        .await
+        .is_ok()
+}
+
+/// Waits for room and then for a connection.
+async fn accept(
+    listener: &TcpListener,
+    connections: &Arc<Semaphore>,
+) -> (TcpStream, SocketAddr, OwnedSemaphorePermit) {
+    loop {
+        let Ok(permit) = Arc::clone(connections).acquire_owned().await else {
+            unreachable!("the semaphore is never closed");
+        };
+        match listener.accept().await {
+            Ok((stream, caller)) => return (stream, caller, permit),
+            Err(e) => {
+                log::warn!("http: Accept failed: {e}.");
+                sleep(ACCEPT_RETRY).await;
+            }
+        }
+    }
+}
+
+/// Sets what tells a dead peer from a quiet one.
+fn prepare(stream: &TcpStream, limits: &ServerLimits) {
+    let socket = SockRef::from(stream);
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE_IDLE)
+        .with_interval(KEEPALIVE_INTERVAL);
+    let result = stream
+        .set_nodelay(true)
+        .and_then(|()| socket.set_tcp_keepalive(&keepalive))
+        .and_then(|()| socket.set_tcp_user_timeout(Some(limits.dead_peer_timeout)));
+    if let Err(e) = result {
+        log::warn!("http: Socket options refused: {e}.");
+    }
+}
+
+fn spawn_connection<H, F>(
+    stream: TcpStream,
+    caller: SocketAddr,
+    permit: OwnedSemaphorePermit,
+    limits: &ServerLimits,
+    handle: H,
+    graceful: &GracefulShutdown,
+) where
+    H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + 'static,
+    F: Future<Output = Response<AnswerBody>> + Send + 'static,
+{
+    let service = service_fn(move |req| {
+        let answer = handle(req, caller);
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.head_timeout)
+        .max_buf_size(limits.max_head_bytes)
+        .serve_connection(TokioIo::new(stream), service);
+    let watched = graceful.watch(connection);
+    tokio::spawn(async move {
+        if let Err(e) = watched.await {
+            log::debug!("http: Connection ended: {e}.");
+        }
+        drop(permit);
+    });
+}
--- /dev/null
+++ b/src/relay/frame_codec.rs
@@ -0,0 +1,127 @@
+//! Frames to bytes and back.
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use tokio_util::codec::Decoder;
+use tokio_util::codec::Encoder;
+use tokio_util::codec::LengthDelimitedCodec;
+
+use super::DecodeError;
+use super::Frame;
+
+const MAX_FRAME_BYTES: usize = 16 * 1024 * 1024;
+
+/// Turns frames into bytes and bytes, in chunks of any size, into frames.
+#[derive(Debug)]
+pub struct FrameCodec {
+    lengths: LengthDelimitedCodec,
+    buf: BytesMut,
+}
+
+impl FrameCodec {
+    /// Creates a codec with nothing buffered.
+    pub fn new() -> Self {
+        let lengths = LengthDelimitedCodec::builder()
+            .max_frame_length(MAX_FRAME_BYTES)
+            .new_codec();
+        Self {
+            lengths,
+            buf: BytesMut::new(),
+        }
+    }
+
+    /// Encodes one frame.
+    ///
+    /// # Errors
+    ///
+    /// The frame is longer than allowed.
+    pub fn encode(&mut self, frame: &Frame) -> Result<Bytes, DecodeError> {
+        let content =
+            rmp_serde::to_vec(frame).map_err(|e| DecodeError::Malformed(e.to_string()))?;
+        let mut buf = BytesMut::new();
+        self.lengths
+            .encode(Bytes::from(content), &mut buf)
+            .map_err(|_| DecodeError::TooLong)?;
+        Ok(buf.freeze())
+    }
+
+    /// Adds bytes that arrived.
+    pub fn push(&mut self, chunk: &[u8]) {
+        self.buf.extend_from_slice(chunk);
+    }
+
+    /// Takes the next whole frame, if one has arrived.
+    ///
+    /// # Errors
+    ///
+    /// The bytes are no frame; nothing after them can be decoded.
+    pub fn pop(&mut self) -> Result<Option<Frame>, DecodeError> {
+        let content = self
+            .lengths
+            .decode(&mut self.buf)
+            .map_err(|_| DecodeError::TooLong)?;
+        let Some(content) = content else {
+            return Ok(None);
+        };
+        rmp_serde::from_slice(&content)
+            .map(Some)
+            .map_err(|e| DecodeError::Malformed(e.to_string()))
+    }
+}
+
+impl Default for FrameCodec {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::relay::StreamEvent;
+
+    fn make_event(number: u64) -> Frame {
+        Frame::Event(StreamEvent {
+            number,
+            data: Bytes::from_static(b"{\"x\":1}"),
+        })
+    }
+
+    #[test]
+    fn pop_byte_by_byte() {
+        let mut codec = FrameCodec::new();
+        let encoded = codec.encode(&make_event(7)).expect("short frame");
+        let (last, head) = encoded.split_last().expect("some bytes");
+        for byte in head {
+            codec.push(&[*byte]);
+            assert_eq!(codec.pop(), Ok(None));
+        }
+        codec.push(&[*last]);
+        assert_eq!(codec.pop(), Ok(Some(make_event(7))));
+    }
+
+    #[test]
+    fn pop_two_in_one_chunk() {
+        let mut codec = FrameCodec::new();
+        let mut both = codec.encode(&make_event(0)).expect("short frame").to_vec();
+        both.extend_from_slice(&codec.encode(&make_event(1)).expect("short frame"));
+        codec.push(&both);
+        assert_eq!(codec.pop(), Ok(Some(make_event(0))));
+        assert_eq!(codec.pop(), Ok(Some(make_event(1))));
+        assert_eq!(codec.pop(), Ok(None));
+    }
+
+    #[test]
+    fn pop_too_long() {
+        let mut codec = FrameCodec::new();
+        codec.push(&u32::MAX.to_be_bytes());
+        assert_eq!(codec.pop(), Err(DecodeError::TooLong));
+    }
+
+    #[test]
+    fn pop_malformed() {
+        let mut codec = FrameCodec::new();
+        codec.push(&[0, 0, 0, 1, 0xc1]);
+        assert!(matches!(codec.pop(), Err(DecodeError::Malformed(_))));
+    }
+}
--- /dev/null
+++ b/src/relay/mod.rs
@@ -0,0 +1,23 @@
+//! What an agent sends an entry while a request runs: typed frames, each
+//! length-delimited MessagePack, in the body of one HTTP answer.
+
+mod decode_error;
+mod frame;
+mod frame_codec;
+mod frame_reader;
+mod frame_writer;
+
+pub use decode_error::DecodeError;
+pub use frame::AnswerHead;
+pub use frame::Frame;
+pub use frame::StreamEvent;
+pub use frame_codec::FrameCodec;
+pub use frame_reader::FrameReader;
+pub use frame_reader::FrameReaderError;
+pub use frame_writer::FrameWriter;
+
+/// Header in which an entry sends the envelope.
+pub const ENVELOPE_HEADER: &str = "x-teaseldrum-envelope";
+
+/// Prefix of all headers that only teaseldrum's own processes may send.
+pub const INTERNAL_HEADER_PREFIX: &str = "x-teaseldrum-";
--- /dev/null
+++ b/src/rules/parse.rs
@@ -0,0 +1,295 @@
+//! Rules from text, all faults at once.
+
+use std::str::FromStr;
+
+use super::Account;
+use super::Key;
+use super::Pool;
+use super::Route;
+use super::RuleFault;
+use super::RuleSet;
+use super::line::Line;
+use super::line::Word;
+use super::line::split_line;
+use crate::core::AccountName;
+use crate::core::CacheSalt;
+use crate::core::KeyDigest;
+use crate::core::Revision;
+
+/// Reads the rules of a revision.
+///
+/// # Errors
+///
+/// Lines are faulty; all faults are returned, in the order of the lines.
+pub fn parse_rules(text: &str, revision: Revision) -> Result<RuleSet, Vec<RuleFault>> {
+    let mut parser = RuleParser::new(revision);
+    for (index, line) in text.lines().enumerate() {
+        parser.read_line(index + 1, &split_line(line));
+    }
+    parser.finish()
+}
+
+struct RuleParser {
+    rules: RuleSet,
+    faults: Vec<RuleFault>,
+    line: usize,
+}
+
+/// Words of a rule after its kind and name: attributes with values and flags.
+struct Attributes<'a> {
+    words: &'a [Word],
+    taken: Vec<usize>,
+}
+
+impl RuleParser {
+    fn new(revision: Revision) -> Self {
+        let rules = RuleSet {
+            revision,
+            ..RuleSet::default()
+        };
+        Self {
+            rules,
+            faults: Vec::new(),
+            line: 0,
+        }
+    }
+
+    fn finish(self) -> Result<RuleSet, Vec<RuleFault>> {
+        if self.faults.is_empty() {
+            Ok(self.rules)
+        } else {
+            Err(self.faults)
+        }
+    }
+
+    fn fault(&mut self, column: usize, problem: impl Into<String>) {
+        self.faults.push(RuleFault {
+            line: self.line,
+            column,
+            problem: problem.into(),
+        });
+    }
+
+    fn read_line(&mut self, number: usize, line: &Line) {
+        self.line = number;
+        let Some(kind) = line.words.first() else {
+            return;
+        };
+        if line.comment.as_deref().is_none_or(str::is_empty) {
+            let end = line.words.last().map_or(1, |word| word.span.end + 1);
+            self.fault(end, "needs a comment naming who asked for the rule");
+        }
+        let Some(name) = line.words.get(1) else {
+            self.fault(kind.span.end + 1, "needs a name");
+            return;
+        };
+        let mut attributes = Attributes {
+            words: &line.words[2..],
+            taken: Vec::new(),
+        };
+        match kind.text.as_str() {
+            "account" => self.read_account(name, &mut attributes),
+            "key" => self.read_key(name, &mut attributes),
+            "pool" => self.read_pool(name, &mut attributes),
+            "route" => self.read_route(name, &mut attributes),
+            other => {
+                let problem =
+                    format!("unknown kind of rule `{other}`; known: account, key, pool, route");
+                self.fault(kind.column(), problem);
+                return;
+            }
+        }
+        for word in attributes.unknown() {
+            self.fault(word.column(), format!("unknown attribute `{}`", word.text));
+        }
+    }
+
+    fn read_account(&mut self, name: &Word, attributes: &mut Attributes<'_>) {
+        let rate = self.require::<u64>(name, attributes, "rate", "tokens a second");
+        let burst = self.require::<u64>(name, attributes, "burst", "tokens");
+        let weight = self.optional::<u32>(attributes, "weight", "a whole number");
+        let account_name = AccountName::from(name.text.as_str());
+        if self.rules.find_account(&account_name).is_some() {
+            self.fault(name.column(), "account stands twice");
+            return;
+        }
+        let (Some(rate), Some(burst)) = (rate, burst) else {
+            return;
+        };
+        self.rules.accounts.insert(Account {
+            cache_salt: CacheSalt::of_account(&account_name),
+            name: account_name,
+            rate,
+            burst,
+            weight: weight.unwrap_or(1),
+        });
+    }
+
+    fn read_key(&mut self, name: &Word, attributes: &mut Attributes<'_>) {
+        let account = self.require::<String>(name, attributes, "account", "a name");
+        let digest = self.require::<KeyDigest>(name, attributes, "digest", "64 hexadecimal digits");
+        if self.rules.keys.iter().any(|key| key.id == name.text) {
+            self.fault(name.column(), "key id stands twice");
+        }
+        let (Some(account), Some(digest)) = (account, digest) else {
+            return;
+        };
+        let account_name = AccountName::from(account.as_str());
+        let Some((account, _)) = self.rules.find_account(&account_name) else {
+            let problem = format!("no account `{account_name}` stands above");
+            self.fault(name.column(), problem);
+            return;
+        };
+        self.rules.keys.push(Key {
+            id: name.text.clone(),
+            account,
+            digest,
+        });
+    }
+
+    fn read_pool(&mut self, name: &Word, attributes: &mut Attributes<'_>) {
+        let model = self.optional::<String>(attributes, "model", "a name");
+        if self.rules.find_pool(&name.text).is_some() {
+            self.fault(name.column(), "pool stands twice");
+        }
+        self.rules.pools.push(Pool {
+            name: name.text.clone(),
+            model,
+        });
+    }
+
+    fn read_route(&mut self, name: &Word, attributes: &mut Attributes<'_>) {
+        let pool = self.require::<String>(name, attributes, "pool", "a name");
+        let priority = self.optional::<i32>(attributes, "priority", "a whole number");
+        let open = attributes.take_flag("open");
+        let once = attributes.take_flag("once");
+        if !name.text.starts_with('/') {
+            self.fault(name.column(), "path must begin with `/`");
+        }
+        if self
+            .rules
+            .routes
+            .iter()
+            .any(|route| route.prefix == name.text)
+        {
+            self.fault(name.column(), "route stands twice");
+        }
+        let Some(pool) = pool else {
+            return;
+        };
+        if self.rules.find_pool(&pool).is_none() {
+            self.fault(name.column(), format!("no pool `{pool}` stands above"));
+        }
+        self.rules.routes.push(Route {
+            prefix: name.text.clone(),
+            pool,
+            open,
+            once,
+            priority: priority.unwrap_or(0),
+        });
+    }
+
+    fn require<T: FromStr>(
+        &mut self,
+        name: &Word,
+        attributes: &mut Attributes<'_>,
+        attribute: &str,
+        shape: &str,
+    ) -> Option<T> {
+        if !attributes.has(attribute) {
+            self.fault(name.span.end + 1, format!("needs `{attribute}`: {shape}"));
+            return None;
+        }
+        self.optional(attributes, attribute, shape)
+    }
+
+    fn optional<T: FromStr>(
+        &mut self,
+        attributes: &mut Attributes<'_>,
+        attribute: &str,
+        shape: &str,
+    ) -> Option<T> {
+        let index = attributes.index_of(attribute)?;
+        attributes.taken.push(index);
+        let words = attributes.words;
+        let Some(value) = words.get(index + 1) else {
+            let end = words[index].span.end + 1;
+            self.fault(end, format!("`{attribute}` needs a value: {shape}"));
+            return None;
+        };
+        attributes.taken.push(index + 1);
+        match value.text.parse() {
+            Ok(parsed) => Some(parsed),
+            Err(_) => {
+                self.fault(value.column(), format!("`{attribute}` must be {shape}"));
+                None
+            }
+        }
+    }
+}
+
+impl<'a> Attributes<'a> {
+    fn index_of(&self, attribute: &str) -> Option<usize> {
+        (0..self.words.len())
+            .find(|index| !self.taken.contains(index) && self.words[*index].text == attribute)
+    }
+
+    fn has(&self, attribute: &str) -> bool {
+        self.index_of(attribute).is_some()
+    }
+
+    fn take_flag(&mut self, flag: &str) -> bool {
+        let index = self.index_of(flag);
+        self.taken.extend(index);
+        index.is_some()
+    }
+
+    fn unknown(&self) -> impl Iterator<Item = &'a Word> {
+        let words = self.words;
+        let taken = self.taken.clone();
+        (0..words.len())
+            .filter(move |index| !taken.contains(index))
+            .map(|index| &words[index])
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn parse(text: &str) -> Result<RuleSet, Vec<RuleFault>> {
+        parse_rules(text, Revision(1))
+    }
+
+    #[test]
+    fn parse_rules_whole_file() {
+        let digest = KeyDigest::of_key(b"secret");
+        let text = format!(
+            "# first rules\n\
+             account desk rate 100 burst 400 # Asha\n\
+             key desk-1 account desk digest {digest} # Asha\n\
+             pool drafting model cedar # Asha\n\
+             route /v1/ pool drafting priority 3 # Asha\n\
+             route /v1/open pool drafting open # Asha\n"
+        );
+        let rules = parse(&text).expect("valid rules");
+        let key = rules.find_key(&digest).expect("known key");
+        assert_eq!(rules.accounts[key.account].rate, 100);
+        let route = rules.find_route("/v1/open/x").expect("a route");
+        assert!(route.open);
+    }
+
+    #[test]
+    fn parse_rules_every_fault_at_once() {
+        let text = "account desk rate x burst 4 # Asha\n\
+                    pool drafting\n\
+                    shelf one # Asha\n\
+                    route v1 pool none tall # Asha\n";
+        let faults = parse(text).expect_err("faults");
+        let places: Vec<(usize, usize)> = faults
+            .iter()
+            .map(|fault| (fault.line, fault.column))
+            .collect();
+        assert_eq!(places, [(1, 19), (2, 14), (3, 1), (4, 7), (4, 7), (4, 20)]);
+    }
+}
--- /dev/null
+++ b/src/settings/agent.rs
@@ -0,0 +1,76 @@
+//! Settings of an agent.
+
+use std::net::SocketAddr;
+use std::path::Path;
+
+use serde_json::Value;
+
+use super::ListenSettings;
+use super::LogSettings;
+use super::Section;
+use super::SettingsError;
+use super::TrafficSettings;
+use super::entry::read_json;
+use crate::core::ServerName;
+
+/// Settings of an agent.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AgentSettings {
+    /// Name of the backend server beside the agent.
+    pub name: ServerName,
+    /// Availability zone of the host.
+    pub zone: String,
+    /// Pool that the backend server belongs to.
+    pub pool: String,
+    /// Address of the backend server.
+    pub server: SocketAddr,
+    /// The backend server is a model engine, not a plain service.
+    pub engine: bool,
+    /// Addresses that the agent listens on.
+    pub listen: ListenSettings,
+    /// Bounds on traffic.
+    pub traffic: TrafficSettings,
+    /// What is logged and how.
+    pub log: LogSettings,
+}
+
+impl AgentSettings {
+    /// Reads a settings file.
+    ///
+    /// # Errors
+    ///
+    /// The file cannot be read, is not JSON or has faulty fields.
+    pub fn load(path: &Path) -> Result<Self, SettingsError> {
+        Self::parse(&read_json(path)?)
+    }
+
+    /// Reads settings from JSON.
+    ///
+    /// # Errors
+    ///
+    /// The JSON has faulty fields; all of them are returned.
+    pub fn parse(value: &Value) -> Result<Self, SettingsError> {
+        let mut section = Section::open("", value.clone());
+        let settings = Self::read(&mut section);
+        let faults = section.close();
+        if faults.is_empty() {
+            Ok(settings)
+        } else {
+            Err(SettingsError::Faulty(faults))
+        }
+    }
+
+    fn read(section: &mut Section) -> Self {
+        let name: String = section.take_required("name", String::new());
+        Self {
+            name: ServerName::from(name.as_str()),
+            zone: section.take_required("zone", String::new()),
+            pool: section.take_required("pool", String::new()),
+            server: section.take_required("server", ListenSettings::unset()),
+            engine: section.take("engine", true),
+            listen: section.take_section("listen", ListenSettings::read),
+            traffic: section.take_section("traffic", TrafficSettings::read),
+            log: section.take_section("log", LogSettings::read),
+        }
+    }
+}
--- /dev/null
+++ b/src/settings/entry.rs
@@ -0,0 +1,121 @@
+//! Settings of an entry.
+
+use std::fs;
+use std::path::Path;
+use std::path::PathBuf;
+
+use serde_json::Value;
+
+use super::ListenSettings;
+use super::LogSettings;
+use super::Section;
+use super::ServerSettings;
+use super::SettingsError;
+use super::TrafficSettings;
+
+/// Settings of an entry.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EntrySettings {
+    /// Name of the host, unique in the fleet.
+    pub name: String,
+    /// Availability zone of the host.
+    pub zone: String,
+    /// Addresses that the entry listens on.
+    pub listen: ListenSettings,
+    /// Bounds on traffic.
+    pub traffic: TrafficSettings,
+    /// What is logged and how.
+    pub log: LogSettings,
+    /// Rules that are in force until the platform's store has given newer ones.
+    pub rules_file: Option<PathBuf>,
+    /// Backend servers known besides those on the platform's host list.
+    pub servers: Vec<ServerSettings>,
+}
+
+impl EntrySettings {
+    /// Reads a settings file.
+    ///
+    /// # Errors
+    ///
+    /// The file cannot be read, is not JSON or has faulty fields.
+    pub fn load(path: &Path) -> Result<Self, SettingsError> {
+        Self::parse(&read_json(path)?)
+    }
+
+    /// Reads settings from JSON.
+    ///
+    /// # Errors
+    ///
+    /// The JSON has faulty fields; all of them are returned.
+    pub fn parse(value: &Value) -> Result<Self, SettingsError> {
+        let mut section = Section::open("", value.clone());
+        let settings = Self::read(&mut section);
+        let faults = section.close();
+        if faults.is_empty() {
+            Ok(settings)
+        } else {
+            Err(SettingsError::Faulty(faults))
+        }
+    }
+
+    fn read(section: &mut Section) -> Self {
+        Self {
+            name: section.take_required("name", String::new()),
+            zone: section.take_required("zone", String::new()),
+            listen: section.take_section("listen", ListenSettings::read),
+            traffic: section.take_section("traffic", TrafficSettings::read),
+            log: section.take_section("log", LogSettings::read),
+            rules_file: section.take_optional("rules_file"),
+            servers: section.take_list("servers", ServerSettings::read),
+        }
+    }
+}
+
+/// Reads a JSON file.
+pub(super) fn read_json(path: &Path) -> Result<Value, SettingsError> {
+    let text = fs::read_to_string(path).map_err(|e| SettingsError::Unreadable(e.to_string()))?;
+    serde_json::from_str(&text).map_err(|e| SettingsError::NotJson(e.to_string()))
+}
+
+#[cfg(test)]
+mod tests {
+    use serde_json::json;
+
+    use super::*;
+
+    #[test]
+    fn parse_least() {
+        let value = json!({"name": "e1", "zone": "a", "listen": {"traffic": "127.0.0.1:0"}});
+        let settings = EntrySettings::parse(&value).expect("valid settings");
+        assert_eq!(settings.name, "e1");
+        assert_eq!(settings.traffic.threads, 2);
+    }
+
+    #[test]
+    fn parse_every_fault_at_once() {
+        let value = json!({
+            "zone": 4,
+            "listen": {"traffic": "nowhere"},
+            "traffic": {"threads": 0},
+            "servers": [{"name": "s1"}],
+            "colour": "red",
+        });
+        let Err(SettingsError::Faulty(faults)) = EntrySettings::parse(&value) else {
+            panic!("faults expected");
+        };
+        let paths: Vec<&str> = faults.iter().map(|fault| fault.path.as_str()).collect();
+        assert_eq!(
+            paths,
+            [
+                "name",
+                "zone",
+                "listen.traffic",
+                "traffic.threads",
+                "servers[0].pool",
+                "servers[0].zone",
+                "servers[0].address",
+                "colour"
+            ]
+        );
+    }
+}
--- /dev/null
+++ b/src/settings/mod.rs
@@ -0,0 +1,23 @@
+//! Settings of the long-running roles: JSON files, each field checked, all
+//! faults reported at once with their paths.
+
+mod agent;
+mod entry;
+mod fault;
+mod listen;
+mod log;
+mod section;
+mod server;
+mod traffic;
+
+pub use agent::AgentSettings;
+pub use entry::EntrySettings;
+pub use fault::SettingsError;
+pub use fault::SettingsFault;
+pub use listen::ListenSettings;
+pub use log::LogFormat;
+pub use log::LogLevel;
+pub use log::LogSettings;
+pub use section::Section;
+pub use server::ServerSettings;
+pub use traffic::TrafficSettings;
--- /dev/null
+++ b/src/settings/server.rs
@@ -0,0 +1,40 @@
+//! A backend server named in settings.
+
+use std::net::SocketAddr;
+
+use super::Section;
+use super::listen::ListenSettings;
+use crate::core::ServerName;
+
+/// A backend server, reached through the agent beside it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ServerSettings {
+    /// Name of the server.
+    pub name: ServerName,
+    /// Pool that the server belongs to.
+    pub pool: String,
+    /// Availability zone of its host.
+    pub zone: String,
+    /// Traffic address of its agent.
+    pub address: SocketAddr,
+    /// Peer address of its agent.
+    pub peers: Option<SocketAddr>,
+}
+
+impl ServerSettings {
+    /// Reads the section.
+    pub fn read(section: &mut Section) -> Self {
+        let name: String = section.take_required("name", String::new());
+        let pool = section.take_required("pool", String::new());
+        let zone = section.take_required("zone", String::new());
+        let address = section.take_required("address", ListenSettings::unset());
+        let peers = section.take_optional("peers");
+        Self {
+            name: ServerName::from(name.as_str()),
+            pool,
+            zone,
+            address,
+            peers,
+        }
+    }
+}
--- /dev/null
+++ b/src/timeline/recorder.rs
@@ -0,0 +1,105 @@
+//! Events of this process, in bounded memory.
+
+use std::collections::VecDeque;
+use std::fmt;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use uhlc::HLC;
+use uhlc::NTP64;
+
+use super::Event;
+use super::EventKind;
+use crate::core::RequestId;
+
+const CAPACITY_EVENTS: usize = 16_384;
+
+/// Keeps the latest events of this process; older ones are dropped.
+pub struct Recorder {
+    process: String,
+    clock: HLC,
+    events: Mutex<VecDeque<Event>>,
+}
+
+impl Recorder {
+    /// Creates an empty recorder for a named process.
+    pub fn new(process: &str) -> Self {
+        Self {
+            process: process.into(),
+            clock: HLC::default(),
+            events: Mutex::default(),
+        }
+    }
+
+    /// Records an event.
+    pub fn record(&self, request: Option<RequestId>, kind: EventKind) {
+        let event = Event {
+            stamp: self.stamp(),
+            process: self.process.clone(),
+            request,
+            kind,
+        };
+        log::debug!("timeline: {event:?}");
+        let mut events = self.lock_events();
+        if events.len() == CAPACITY_EVENTS {
+            events.pop_front();
+        }
+        events.push_back(event);
+    }
+
+    /// Returns a stamp to send with a message.
+    pub fn stamp(&self) -> u64 {
+        self.clock.new_timestamp().get_time().as_u64()
+    }
+
+    /// Takes note of a stamp that came with a message, so that later events of
+    /// this process get higher ones.
+    pub fn observe(&self, stamp: u64) {
+        let id = *self.clock.get_id();
+        let timestamp = uhlc::Timestamp::new(NTP64(stamp), id);
+        if let Err(e) = self.clock.update_with_timestamp(&timestamp) {
+            log::warn!("timeline: Stamp from the future ignored: {e}.");
+        }
+    }
+
+    /// Copies the events, oldest first.
+    pub fn snapshot(&self) -> Vec<Event> {
+        self.lock_events().iter().cloned().collect()
+    }
+
+    fn lock_events(&self) -> MutexGuard<'_, VecDeque<Event>> {
+        self.events.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl fmt::Debug for Recorder {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Recorder")
+            .field("process", &self.process)
+            .finish_non_exhaustive()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn record_rising_stamps() {
+        let recorder = Recorder::new("p");
+        recorder.record(None, EventKind::Started);
+        recorder.record(None, EventKind::Draining);
+        let events = recorder.snapshot();
+        assert!(events[0].stamp < events[1].stamp);
+    }
+
+    #[test]
+    fn record_bounded() {
+        let recorder = Recorder::new("p");
+        for _ in 0..=CAPACITY_EVENTS {
+            recorder.record(None, EventKind::Started);
+        }
+        assert_eq!(recorder.snapshot().len(), CAPACITY_EVENTS);
+    }
+}
