--- /dev/null
+++ b/lab/src/bench/relay_codec.rs
@@ -0,0 +1,40 @@
+//! Time to encode and decode one event frame between agent and entry.
+
+use std::time::Instant;
+
+use bytes::Bytes;
+use serde_json::Value;
+use serde_json::json;
+use teaseldrum::relay::Frame;
+use teaseldrum::relay::FrameCodec;
+use teaseldrum::relay::StreamEvent;
+
+const FRAMES: u64 = 200_000;
+const EVENT_BYTES: usize = 120;
+
+/// Encodes and decodes event frames; the seed plays no part.
+pub fn run(_seed: u64) -> Value {
+    let mut codec = FrameCodec::new();
+    let data = Bytes::from(vec![b'x'; EVENT_BYTES]);
+    let began = Instant::now();
+    let decoded = (0..FRAMES)
+        .filter(|number| pass_frame(&mut codec, *number, &data))
+        .count();
+    let nanos = began.elapsed().as_nanos();
+    json!({
+        "bench": "relay-codec",
+        "frames": decoded,
+        "event_bytes": EVENT_BYTES,
+        "ns_per_frame": nanos / u128::from(FRAMES),
+    })
+}
+
+fn pass_frame(codec: &mut FrameCodec, number: u64, data: &Bytes) -> bool {
+    let event = StreamEvent {
+        number,
+        data: data.clone(),
+    };
+    let encoded = codec.encode(&Frame::Event(event)).expect("a short frame");
+    codec.push(&encoded);
+    matches!(codec.pop(), Ok(Some(Frame::Event(_))))
+}
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -1,6 +1,8 @@
 //! Stand-ins for the outside systems, and tools that measure teaseldrum
 //! against them.
 
+pub mod bench;
+pub mod cli;
 pub mod deployment;
 pub mod engine;
 pub mod running;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -3,5 +3,5 @@
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    ExitCode::SUCCESS
+    teaseldrum_lab::cli::run()
 }
