Serialise relay frames by hand

Cause: a frame is encoded and decoded for each token of each stream; the derived form carries the kind by name in a map. Now a sequence that begins with the kind's number, by a visitor.

--- a/src/relay/frame.rs
+++ b/src/relay/frame.rs
@@ -1,15 +1,18 @@
 //! One message from an agent to an entry about a running request.
 
 use bytes::Bytes;
-use serde::Deserialize;
-use serde::Serialize;
 
+use super::AnswerHead;
+use super::StreamEvent;
 use crate::core::Outcome;
 use crate::core::Refusal;
 use crate::core::Report;
 
 /// One message from an agent to an entry about a running request.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+///
+/// Encoded as a sequence that begins with the number of its kind; see
+/// `frame_serde`.
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Frame {
     /// The gate let the attempt through; the backend server is called next.
     Accepted(Report),
@@ -28,23 +31,3 @@
     /// The backend server failed; no further frame comes.
     Failed(Outcome, String),
 }
-
-/// Head of a backend server's answer.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct AnswerHead {
-    /// HTTP status.
-    pub status: u16,
-    /// Media type of the body, if the server named one.
-    pub content_type: Option<String>,
-    /// The body comes as [`Frame::Event`]s.
-    pub streamed: bool,
-}
-
-/// One event of a streamed answer.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct StreamEvent {
-    /// Number of the event within its answer, from 0, without gaps.
-    pub number: u64,
-    /// Data of the event, as the engine sent it.
-    pub data: Bytes,
-}
