--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -8,6 +8,7 @@
 mod load_report;
 mod monotonic_time;
 mod outcome;
+pub mod placement;
 mod process_incarnation;
 mod refusal;
 mod report;
--- /dev/null
+++ b/src/core/placement/prompt_prefix.rs
@@ -0,0 +1,106 @@
+//! Fingerprints of a prompt at nested levels.
+
+use super::BLOCK_TOKENS;
+use super::BYTES_PER_TOKEN;
+use super::BlockHash;
+use super::hash_blocks;
+use crate::core::CacheSalt;
+
+/// A leading part of a prompt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PrefixLevel {
+    /// Length in blocks.
+    pub blocks: u32,
+    /// Hash of the last block, and so of all of them.
+    pub hash: BlockHash,
+}
+
+impl PrefixLevel {
+    /// Returns the length in tokens.
+    pub fn tokens(self) -> u32 {
+        self.blocks * BLOCK_TOKENS as u32
+    }
+}
+
+/// Fingerprints of a prompt at nested levels, whose lengths grow
+/// geometrically, and its whole length.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PromptPrefix {
+    /// Length of the prompt in tokens.
+    pub tokens: u32,
+    /// Levels, the shortest first.
+    pub levels: Vec<PrefixLevel>,
+}
+
+impl PromptPrefix {
+    /// Computes the fingerprints of a prompt from its text.
+    pub fn of_text(salt: Option<CacheSalt>, prompt: &[u8]) -> Self {
+        let tokens = prompt.len().div_ceil(BYTES_PER_TOKEN);
+        let tokens = u32::try_from(tokens).unwrap_or(u32::MAX);
+        Self::of_blocks(tokens, hash_blocks(salt, prompt))
+    }
+
+    /// Computes the fingerprints of a prompt from the hashes of its blocks.
+    pub fn of_blocks(tokens: u32, hashes: impl IntoIterator<Item = BlockHash>) -> Self {
+        let mut levels = Vec::new();
+        let mut next = 1;
+        let mut last = None;
+        for (blocks, hash) in (1..).zip(hashes) {
+            let level = PrefixLevel { blocks, hash };
+            last = Some(level);
+            if blocks == next {
+                levels.push(level);
+                next = grow_level(blocks);
+            }
+        }
+        if last != levels.last().copied() {
+            levels.extend(last);
+        }
+        Self { tokens, levels }
+    }
+}
+
+/// Returns the length of the level after one of `blocks`: an eighth longer,
+/// on a coarse grid, so that prompts of one prefix share their levels.
+fn grow_level(blocks: u32) -> u32 {
+    blocks + (blocks / 8).max(1)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn lengths(blocks: usize) -> Vec<u32> {
+        let text = vec![b'x'; blocks * 256];
+        let prefix = PromptPrefix::of_text(None, &text);
+        prefix.levels.iter().map(|level| level.blocks).collect()
+    }
+
+    #[test]
+    fn of_text_geometric_levels() {
+        let long = lengths(600);
+        assert!(long.len() < 60);
+        assert!(long.windows(2).all(|pair| pair[0] < pair[1]));
+        assert_eq!(long.last(), Some(&600));
+    }
+
+    #[test]
+    fn of_text_shared_prefix_shares_levels() {
+        let mut first = vec![b'x'; 40 * 256];
+        let mut second = first.clone();
+        first.extend(vec![b'y'; 10 * 256]);
+        second.extend(vec![b'z'; 30 * 256]);
+        let first = PromptPrefix::of_text(None, &first);
+        let second = PromptPrefix::of_text(None, &second);
+        let shared = first.levels.iter().filter(|l| second.levels.contains(l));
+        let deepest = shared.map(|level| level.blocks).max();
+        assert!(deepest.is_some_and(|blocks| (36..=40).contains(&blocks)));
+    }
+
+    #[test]
+    fn of_text_shorter_than_block() {
+        let prefix = PromptPrefix::of_text(None, b"short");
+        assert_eq!(prefix.tokens, 2);
+        assert!(prefix.levels.is_empty());
+    }
+}
