Add clients of the platform's store and host list

Everything that lasts lives in the platform's key-value service, whose answers may be lost after a write took effect. The client tells apart a call that certainly had no effect, one the store refused and one whose effect is unknown, and sends a write to a second address only in the first case. Watches end after a silent gap so that a dead connection is replaced.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod entry;
 pub mod http;
 pub mod logs;
+pub mod platform;
 pub mod relay;
 pub mod rules;
 pub mod settings;
--- /dev/null
+++ b/src/platform/blocking_store.rs
@@ -0,0 +1,123 @@
+//! Client of the store for the command line.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use ureq::Agent;
+
+use super::KeyRange;
+use super::KeyValue;
+use super::LeaseId;
+use super::StoreError;
+use super::Txn;
+use super::TxnAnswer;
+use super::wire::Call;
+use super::wire::PutCall;
+use super::wire::RangeCall;
+use super::wire::TxnCall;
+use super::wire::decode;
+use super::wire::encode;
+use crate::settings::PlatformSettings;
+
+const MAX_ANSWER_BYTES: u64 = 16 * 1024 * 1024;
+
+/// Client of the store that blocks its thread, for the command line.
+#[derive(Debug)]
+pub struct BlockingStore {
+    addresses: Vec<SocketAddr>,
+    agent: Agent,
+}
+
+impl BlockingStore {
+    /// Creates a client without connections.
+    pub fn new(settings: &PlatformSettings) -> Self {
+        let config = Agent::config_builder()
+            .http_status_as_error(false)
+            .timeout_connect(Some(settings.connect_timeout))
+            .timeout_global(Some(settings.connect_timeout + settings.call_timeout))
+            .build();
+        Self {
+            addresses: settings.store.clone(),
+            agent: config.into(),
+        }
+    }
+
+    /// Reads keys.
+    ///
+    /// # Errors
+    ///
+    /// The store was not reached, refused or did not answer.
+    pub fn range(&self, range: &KeyRange) -> Result<Vec<KeyValue>, StoreError> {
+        let answer = self.call(&RangeCall::new(range))?;
+        Ok(answer.into())
+    }
+
+    /// Writes a value, which goes when the lease does. Returns the revision
+    /// of the store.
+    ///
+    /// # Errors
+    ///
+    /// See [`StoreError`] for what is known about the effect.
+    pub fn put(&self, key: Bytes, value: Bytes, lease: Option<LeaseId>) -> Result<i64, StoreError> {
+        let answer = self.call(&PutCall::new(key, value, lease))?;
+        Ok(answer.header.revision.0)
+    }
+
+    /// Carries out a transaction.
+    ///
+    /// # Errors
+    ///
+    /// See [`StoreError`] for what is known about the effect.
+    pub fn txn(&self, txn: &Txn) -> Result<TxnAnswer, StoreError> {
+        let reply = self.call(&TxnCall::new(txn))?;
+        Ok(reply.into())
+    }
+
+    fn call<C: Call>(&self, call: &C) -> Result<C::Answer, StoreError> {
+        let body = encode(call)?;
+        let mut failure = StoreError::NotReached("no address in the settings".into());
+        for address in &self.addresses {
+            match self.call_at::<C>(*address, &body) {
+                Err(e) if e.may_have_effect() && !C::IS_READ => return Err(e),
+                Err(e @ StoreError::Refused { .. }) => return Err(e),
+                Err(e) => failure = e,
+                Ok(answer) => return Ok(answer),
+            }
+        }
+        Err(failure)
+    }
+
+    fn call_at<C: Call>(&self, address: SocketAddr, body: &[u8]) -> Result<C::Answer, StoreError> {
+        let url = format!("http://{address}{}", C::PATH);
+        let sent = self
+            .agent
+            .post(&url)
+            .header("content-type", "application/json")
+            .send(body);
+        let response = sent.map_err(judge_error)?;
+        let status = response.status().as_u16();
+        let answer = response
+            .into_body()
+            .into_with_config()
+            .limit(MAX_ANSWER_BYTES)
+            .read_to_vec()
+            .map_err(|e| StoreError::Unknown(e.to_string()))?;
+        decode(status, &answer)
+    }
+}
+
+/// Only a connection that never was excludes an effect.
+fn judge_error(e: ureq::Error) -> StoreError {
+    let was_refused = matches!(
+        &e,
+        ureq::Error::Io(io) if io.kind() == std::io::ErrorKind::ConnectionRefused
+    );
+    match e {
+        ureq::Error::ConnectionFailed
+        | ureq::Error::HostNotFound
+        | ureq::Error::BadUri(_)
+        | ureq::Error::Timeout(ureq::Timeout::Connect) => StoreError::NotReached(e.to_string()),
+        _ if was_refused => StoreError::NotReached(e.to_string()),
+        _ => StoreError::Unknown(e.to_string()),
+    }
+}
--- /dev/null
+++ b/src/platform/host_list.rs
@@ -0,0 +1,56 @@
+//! Client of the platform's host list.
+
+use std::net::SocketAddr;
+
+use http::Request;
+use http::header::HOST;
+use serde::Deserialize;
+
+use super::Host;
+use super::StoreError;
+use super::wire::decode;
+use crate::http::Client;
+use crate::http::empty_body;
+use crate::settings::PlatformSettings;
+
+const PATH: &str = "/v1/hosts";
+const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
+
+/// Client of the platform's host list. All clones must live on one runtime.
+#[derive(Debug, Clone)]
+pub struct HostList {
+    address: SocketAddr,
+    client: Client,
+}
+
+#[derive(Debug, Deserialize)]
+struct HostsAnswer {
+    hosts: Vec<Host>,
+}
+
+impl HostList {
+    /// Creates a client; none where the settings name no host list.
+    pub fn new(settings: &PlatformSettings) -> Option<Self> {
+        Some(Self {
+            address: settings.hosts?,
+            client: Client::new(settings.call_timeouts()),
+        })
+    }
+
+    /// Reads the list.
+    ///
+    /// # Errors
+    ///
+    /// The platform was not reached or did not answer with a list.
+    pub async fn read(&self) -> Result<Vec<Host>, StoreError> {
+        let req = Request::get(PATH)
+            .header(HOST, self.address.to_string())
+            .body(empty_body())
+            .map_err(|e| StoreError::NotReached(e.to_string()))?;
+        let mut exchange = self.client.send(self.address, req).await?;
+        let status = exchange.status().as_u16();
+        let body = exchange.read_rest(MAX_ANSWER_BYTES).await?;
+        let answer: HostsAnswer = decode(status, &body)?;
+        Ok(answer.hosts)
+    }
+}
--- /dev/null
+++ b/src/platform/store.rs
@@ -0,0 +1,245 @@
+//! Client of the store for the long-running roles.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http::header::CONTENT_TYPE;
+use http::header::HOST;
+
+use super::KeyRange;
+use super::KeyValue;
+use super::LeaseId;
+use super::StoreError;
+use super::Txn;
+use super::TxnAnswer;
+use super::Watch;
+use super::wire::Base64;
+use super::wire::Call;
+use super::wire::DeleteCall;
+use super::wire::LeaseGrantCall;
+use super::wire::LeaseKeepAliveCall;
+use super::wire::LeaseRevokeCall;
+use super::wire::Number;
+use super::wire::PutCall;
+use super::wire::RangeCall;
+use super::wire::TxnCall;
+use super::wire::WatchCall;
+use super::wire::WatchCreate;
+use super::wire::decode;
+use super::wire::encode;
+use crate::http::AnswerBody;
+use crate::http::Client;
+use crate::http::Exchange;
+use crate::http::full_body;
+use crate::settings::PlatformSettings;
+
+const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
+
+/// Client of the store. Cheap to clone; all clones must live on one runtime.
+#[derive(Clone)]
+pub struct Store {
+    addresses: Arc<[SocketAddr]>,
+    /// Index of the address that answered last.
+    preferred: Arc<AtomicUsize>,
+    calls: Client,
+    watches: Client,
+}
+
+impl Store {
+    /// Creates a client without connections.
+    pub fn new(settings: &PlatformSettings) -> Self {
+        Self {
+            addresses: settings.store.clone().into(),
+            preferred: Arc::default(),
+            calls: Client::new(settings.call_timeouts()),
+            watches: Client::new(settings.watch_timeouts()),
+        }
+    }
+
+    /// Reads keys.
+    ///
+    /// # Errors
+    ///
+    /// The store was not reached, refused or did not answer.
+    pub async fn range(&self, range: &KeyRange) -> Result<Vec<KeyValue>, StoreError> {
+        Ok(self.range_at_revision(range).await?.1)
+    }
+
+    /// Reads keys, with the store revision at which they were read; a watch
+    /// from the next revision misses nothing.
+    ///
+    /// # Errors
+    ///
+    /// The store was not reached, refused or did not answer.
+    pub async fn range_at_revision(
+        &self,
+        range: &KeyRange,
+    ) -> Result<(i64, Vec<KeyValue>), StoreError> {
+        let answer = self.call(&RangeCall::new(range)).await?;
+        Ok((answer.header.revision.0, answer.into()))
+    }
+
+    /// Writes a value, which goes when the lease does. Returns the revision
+    /// of the store.
+    ///
+    /// # Errors
+    ///
+    /// See [`StoreError`] for what is known about the effect.
+    pub async fn put(
+        &self,
+        key: Bytes,
+        value: Bytes,
+        lease: Option<LeaseId>,
+    ) -> Result<i64, StoreError> {
+        let answer = self.call(&PutCall::new(key, value, lease)).await?;
+        Ok(answer.header.revision.0)
+    }
+
+    /// Deletes keys. Returns the revision of the store.
+    ///
+    /// # Errors
+    ///
+    /// See [`StoreError`] for what is known about the effect.
+    pub async fn delete(&self, range: &KeyRange) -> Result<i64, StoreError> {
+        let answer = self.call(&DeleteCall::new(range)).await?;
+        Ok(answer.header.revision.0)
+    }
+
+    /// Carries out a transaction.
+    ///
+    /// # Errors
+    ///
+    /// See [`StoreError`] for what is known about the effect.
+    pub async fn txn(&self, txn: &Txn) -> Result<TxnAnswer, StoreError> {
+        let reply = self.call(&TxnCall::new(txn)).await?;
+        Ok(reply.into())
+    }
+
+    /// Creates a lease that ends when it is not kept alive for `ttl`, which
+    /// counts in whole seconds.
+    ///
+    /// # Errors
+    ///
+    /// See [`StoreError`]; a lease of unknown effect ends by itself.
+    pub async fn grant_lease(&self, ttl: Duration) -> Result<LeaseId, StoreError> {
+        let seconds = i64::try_from(ttl.as_secs().max(1)).unwrap_or(i64::MAX);
+        let call = LeaseGrantCall {
+            ttl: Number(seconds),
+        };
+        let answer = self.call(&call).await?;
+        Ok(LeaseId(answer.id.0))
+    }
+
+    /// Keeps a lease alive. Returns the time it has left, zero if it is gone.
+    ///
+    /// # Errors
+    ///
+    /// See [`StoreError`].
+    pub async fn keep_lease(&self, lease: LeaseId) -> Result<Duration, StoreError> {
+        let call = LeaseKeepAliveCall {
+            id: Number(lease.0),
+        };
+        let answer = self.call(&call).await?;
+        let seconds = u64::try_from(answer.result.ttl.0).unwrap_or(0);
+        Ok(Duration::from_secs(seconds))
+    }
+
+    /// Ends a lease and deletes its keys.
+    ///
+    /// # Errors
+    ///
+    /// See [`StoreError`].
+    pub async fn revoke_lease(&self, lease: LeaseId) -> Result<(), StoreError> {
+        let call = LeaseRevokeCall {
+            id: Number(lease.0),
+        };
+        self.call(&call).await.map(|_| ())
+    }
+
+    /// Opens a watch on changes from `start_revision` on.
+    ///
+    /// # Errors
+    ///
+    /// The store was not reached, refused or did not answer.
+    pub async fn watch(&self, range: &KeyRange, start_revision: i64) -> Result<Watch, StoreError> {
+        let call = WatchCall {
+            create_request: WatchCreate {
+                key: Base64(range.start().clone()),
+                range_end: range.end().map(Base64),
+                start_revision: Number(start_revision),
+            },
+        };
+        let body = encode(&call)?;
+        let sent = self.send(&self.watches, WatchCall::PATH, body, true);
+        Watch::open(sent.await?).await
+    }
+
+    async fn call<C: Call>(&self, call: &C) -> Result<C::Answer, StoreError> {
+        let body = encode(call)?;
+        let mut exchange = self.send(&self.calls, C::PATH, body, C::IS_READ).await?;
+        let status = exchange.status().as_u16();
+        let answer = exchange.read_rest(MAX_ANSWER_BYTES).await;
+        decode(status, &answer.map_err(lose_answer)?)
+    }
+
+    /// Sends to the addresses in turn, until one takes the call. A write goes
+    /// on to the next address only if it certainly did not leave.
+    async fn send(
+        &self,
+        client: &Client,
+        path: &'static str,
+        body: Vec<u8>,
+        is_read: bool,
+    ) -> Result<Exchange, StoreError> {
+        let body = Bytes::from(body);
+        let first = self.preferred.load(Ordering::Relaxed);
+        let mut failure = StoreError::NotReached("no address in the settings".into());
+        for step in 0..self.addresses.len() {
+            let index = (first + step) % self.addresses.len();
+            let address = self.addresses[index];
+            let req = build_request(address, path, body.clone())?;
+            match client.send(address, req).await {
+                Ok(exchange) => {
+                    self.preferred.store(index, Ordering::Relaxed);
+                    return Ok(exchange);
+                }
+                Err(e) => failure = e.into(),
+            }
+            if failure.may_have_effect() && !is_read {
+                self.preferred.store(index + 1, Ordering::Relaxed);
+                break;
+            }
+        }
+        Err(failure)
+    }
+}
+
+impl fmt::Debug for Store {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Store")
+            .field("addresses", &self.addresses)
+            .finish_non_exhaustive()
+    }
+}
+
+fn lose_answer(e: crate::http::ClientError) -> StoreError {
+    StoreError::Unknown(e.to_string())
+}
+
+fn build_request(
+    address: SocketAddr,
+    path: &'static str,
+    body: Bytes,
+) -> Result<Request<AnswerBody>, StoreError> {
+    Request::post(path)
+        .header(HOST, address.to_string())
+        .header(CONTENT_TYPE, "application/json")
+        .body(full_body(body))
+        .map_err(|e| StoreError::NotReached(e.to_string()))
+}
--- /dev/null
+++ b/src/platform/store_error.rs
@@ -0,0 +1,79 @@
+//! Failures of a store call, by what is known about its effect.
+
+use std::fmt;
+
+use crate::http::ClientError;
+
+/// Failure of a store call, by what is known about its effect.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum StoreError {
+    /// The store was not reached; the call certainly had no effect.
+    NotReached(String),
+    /// The store answered no; the call certainly had no effect.
+    Refused {
+        /// HTTP status of the answer.
+        status: u16,
+        /// Text of the answer.
+        message: String,
+    },
+    /// The call may have taken effect: its answer was lost or made no sense.
+    Unknown(String),
+}
+
+impl StoreError {
+    /// Tells whether the call may have taken effect.
+    pub fn may_have_effect(&self) -> bool {
+        matches!(self, Self::Unknown(_))
+    }
+
+    /// Judges an answer whose status is not 200. Only a status that says that
+    /// the request itself was turned away excludes an effect.
+    pub(super) fn of_status(status: u16, message: String) -> Self {
+        match status {
+            400 | 401 | 403 | 404 | 409 | 412 | 429 => Self::Refused { status, message },
+            _ => Self::Unknown(format!("status {status}: {message}")),
+        }
+    }
+}
+
+impl From<ClientError> for StoreError {
+    fn from(e: ClientError) -> Self {
+        if e.is_certainly_unsent() {
+            Self::NotReached(e.to_string())
+        } else {
+            Self::Unknown(e.to_string())
+        }
+    }
+}
+
+impl fmt::Display for StoreError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NotReached(reason) => write!(f, "store not reached: {reason}"),
+            Self::Refused { status, message } => {
+                write!(f, "store refused with {status}: {message}")
+            }
+            Self::Unknown(reason) => write!(f, "store call of unknown effect: {reason}"),
+        }
+    }
+}
+
+impl std::error::Error for StoreError {}
+
+#[cfg(test)]
+mod tests {
+    use rstest::rstest;
+
+    use super::*;
+
+    #[rstest]
+    #[case::bad_request(400, false)]
+    #[case::too_many(429, false)]
+    #[case::internal(500, true)]
+    #[case::unavailable(503, true)]
+    #[case::timeout(504, true)]
+    fn of_status_effect(#[case] status: u16, #[case] may_have_effect: bool) {
+        let e = StoreError::of_status(status, String::new());
+        assert_eq!(e.may_have_effect(), may_have_effect);
+    }
+}
--- a/src/settings/agent.rs
+++ b/src/settings/agent.rs
@@ -7,6 +7,7 @@
 
 use super::ListenSettings;
 use super::LogSettings;
+use super::PlatformSettings;
 use super::Section;
 use super::SettingsError;
 use super::TrafficSettings;
@@ -32,6 +33,8 @@
     pub traffic: TrafficSettings,
     /// What is logged and how.
     pub log: LogSettings,
+    /// Where the platform's services are.
+    pub platform: PlatformSettings,
 }
 
 impl AgentSettings {
@@ -71,6 +74,7 @@
             listen: section.take_section("listen", ListenSettings::read),
             traffic: section.take_section("traffic", TrafficSettings::read),
             log: section.take_section("log", LogSettings::read),
+            platform: section.take_section("platform", PlatformSettings::read),
         }
     }
 }
--- a/src/settings/entry.rs
+++ b/src/settings/entry.rs
@@ -8,6 +8,7 @@
 
 use super::ListenSettings;
 use super::LogSettings;
+use super::PlatformSettings;
 use super::Section;
 use super::ServerSettings;
 use super::SettingsError;
@@ -26,6 +27,8 @@
     pub traffic: TrafficSettings,
     /// What is logged and how.
     pub log: LogSettings,
+    /// Where the platform's services are.
+    pub platform: PlatformSettings,
     /// Rules that are in force until the platform's store has given newer ones.
     pub rules_file: Option<PathBuf>,
     /// Backend servers known besides those on the platform's host list.
@@ -65,6 +68,7 @@
             listen: section.take_section("listen", ListenSettings::read),
             traffic: section.take_section("traffic", TrafficSettings::read),
             log: section.take_section("log", LogSettings::read),
+            platform: section.take_section("platform", PlatformSettings::read),
             rules_file: section.take_optional("rules_file"),
             servers: section.take_list("servers", ServerSettings::read),
         }
