Stand in for the platform's store and host list

Tests of store outages, lost answers and a lagging host list had nothing to run against. The host list shows changes only after its lag.

--- /dev/null
+++ b/lab/src/cli/hosts.rs
@@ -0,0 +1,52 @@
+//! `teaseldrum-lab hosts`: the host list's stand-in as a process.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use argh::FromArgs;
+use teaseldrum::cli::Exit;
+
+use super::wait_for_signal;
+use crate::hosts::Host;
+use crate::hosts::start_hosts;
+
+/// Run the host list's stand-in until SIGTERM or SIGINT. A PUT of a JSON list
+/// to /v1/hosts replaces the list.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "hosts")]
+pub struct HostsCommand {
+    /// address to listen on
+    #[argh(option)]
+    listen: SocketAddr,
+    /// milliseconds after which changes show
+    #[argh(option, default = "0")]
+    lag_ms: u64,
+    /// file with a JSON list of hosts to begin with
+    #[argh(option)]
+    file: Option<PathBuf>,
+}
+
+impl HostsCommand {
+    /// Runs the host list.
+    pub fn run(self) -> Exit {
+        let hosts = start_hosts(self.listen, Duration::from_millis(self.lag_ms));
+        if let Some(file) = &self.file {
+            let text = fs::read_to_string(file).map_err(|e| e.to_string());
+            let list = text.and_then(|text| {
+                serde_json::from_str::<Vec<Host>>(&text).map_err(|e| e.to_string())
+            });
+            match list {
+                Ok(list) => hosts.set_hosts(list),
+                Err(e) => {
+                    eprintln!("{}: {e}", file.display());
+                    return Exit::Faulty;
+                }
+            }
+        }
+        println!("hosts {}", hosts.address());
+        wait_for_signal();
+        Exit::Done
+    }
+}
--- a/lab/src/cli/mod.rs
+++ b/lab/src/cli/mod.rs
@@ -1,11 +1,16 @@
 //! Command line: one command a file.
 
 mod bench;
+mod hosts;
+mod store;
 
 use std::process::ExitCode;
 
 use argh::FromArgs;
 use teaseldrum::cli::Exit;
+use teaseldrum::threads::build_runtime;
+use teaseldrum::threads::wait_for_stop;
+use tokio::sync::watch;
 
 /// Stand-ins, demo and experiments of teaseldrum.
 #[derive(Debug, FromArgs)]
@@ -19,6 +24,8 @@
 #[argh(subcommand)]
 enum Command {
     Bench(bench::BenchCommand),
+    Hosts(hosts::HostsCommand),
+    Store(store::StoreCommand),
 }
 
 /// Reads the arguments of the process and runs the command they name.
@@ -42,6 +49,15 @@
     fn run(self) -> Exit {
         match self.command {
             Command::Bench(command) => command.run(),
+            Command::Hosts(command) => command.run(),
+            Command::Store(command) => command.run(),
         }
     }
 }
+
+/// Waits for SIGTERM or SIGINT.
+fn wait_for_signal() {
+    let (_keep, stop) = watch::channel(false);
+    let runtime = build_runtime().expect("a runtime");
+    runtime.block_on(wait_for_stop(stop));
+}
--- /dev/null
+++ b/lab/src/hosts/mod.rs
@@ -0,0 +1,225 @@
+//! Stand-in for the platform's list of live and leaving hosts, which lags.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use http::StatusCode;
+use hyper::Request;
+use hyper::body::Incoming;
+use serde::Deserialize;
+use serde::Serialize;
+use serde_json::json;
+use tokio::time::sleep;
+
+use crate::running::Running;
+use crate::stand_in::Life;
+use crate::stand_in::StandInAnswer;
+use crate::stand_in::answer_json;
+use crate::stand_in::read_json;
+use crate::stand_in::start_stand_in;
+
+/// Role of a host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum HostRole {
+    /// It runs an entry.
+    Entry,
+    /// It runs an agent beside a backend server.
+    Agent,
+}
+
+/// Whether a host takes new work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum HostState {
+    /// It takes new work.
+    Live,
+    /// It is about to go.
+    Leaving,
+}
+
+/// One host of the list.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Host {
+    /// Name.
+    pub name: String,
+    /// Role.
+    pub role: HostRole,
+    /// Availability zone.
+    pub zone: String,
+    /// Pool of the backend server; none for an entry.
+    pub pool: Option<String>,
+    /// Traffic address.
+    pub traffic: SocketAddr,
+    /// Address for control messages.
+    pub peers: Option<SocketAddr>,
+    /// Whether it takes new work.
+    pub state: HostState,
+}
+
+/// A host list that runs; dropping it stops it.
+#[derive(Debug)]
+pub struct HostsHandle {
+    running: Running,
+    shared: Arc<Mutex<Inner>>,
+    life: Life,
+}
+
+#[derive(Debug)]
+struct Inner {
+    lag: Duration,
+    delay: Duration,
+    refuses: bool,
+    calls: u64,
+    /// Versions of the list, oldest first; the newest that is older than the
+    /// lag is shown.
+    versions: VecDeque<Version>,
+}
+
+#[derive(Debug)]
+struct Version {
+    since: Instant,
+    hosts: Vec<Host>,
+}
+
+/// Starts a host list that shows changes only after `lag`.
+///
+/// # Panics
+///
+/// The address cannot be listened on.
+pub fn start_hosts(address: SocketAddr, lag: Duration) -> HostsHandle {
+    let shared = Arc::new(Mutex::new(Inner {
+        lag,
+        delay: Duration::ZERO,
+        refuses: false,
+        calls: 0,
+        versions: VecDeque::new(),
+    }));
+    let life = Life::new();
+    let for_calls = Arc::clone(&shared);
+    let handle = move |req| answer(Arc::clone(&for_calls), req);
+    let running = start_stand_in(address, life.clone(), handle);
+    HostsHandle {
+        running,
+        shared,
+        life,
+    }
+}
+
+impl HostsHandle {
+    /// Address that it serves on.
+    pub fn address(&self) -> SocketAddr {
+        self.running.address
+    }
+
+    /// Replaces the list; callers see it after the lag.
+    pub fn set_hosts(&self, hosts: Vec<Host>) {
+        self.lock().push(hosts);
+    }
+
+    /// Marks a host; callers see it after the lag.
+    pub fn set_state(&self, name: &str, state: HostState) {
+        let mut inner = self.lock();
+        let mut hosts = inner.newest();
+        hosts
+            .iter_mut()
+            .filter(|host| host.name == name)
+            .for_each(|host| host.state = state);
+        inner.push(hosts);
+    }
+
+    /// Takes a host off the list; callers see it after the lag.
+    pub fn remove(&self, name: &str) {
+        let mut inner = self.lock();
+        let mut hosts = inner.newest();
+        hosts.retain(|host| host.name != name);
+        inner.push(hosts);
+    }
+
+    /// Answers 503 from now on, or no longer.
+    pub fn set_refuses(&self, refuses: bool) {
+        self.lock().refuses = refuses;
+    }
+
+    /// Sets the time that each call takes.
+    pub fn set_delay(&self, delay: Duration) {
+        self.lock().delay = delay;
+    }
+
+    /// Returns how often it was called.
+    pub fn calls(&self) -> u64 {
+        self.lock().calls
+    }
+
+    /// Switches whether it listens at all, and lets connections go silent.
+    pub fn life(&self) -> &Life {
+        &self.life
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        lock(&self.shared)
+    }
+}
+
+fn lock(shared: &Mutex<Inner>) -> MutexGuard<'_, Inner> {
+    shared.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Inner {
+    fn push(&mut self, hosts: Vec<Host>) {
+        self.versions.push_back(Version {
+            since: Instant::now(),
+            hosts,
+        });
+    }
+
+    fn newest(&self) -> Vec<Host> {
+        let newest = self.versions.back();
+        newest
+            .map(|version| version.hosts.clone())
+            .unwrap_or_default()
+    }
+
+    /// Returns the list as callers see it now.
+    fn shown(&mut self) -> Vec<Host> {
+        let lag = self.lag;
+        let is_old = |version: &Version| version.since.elapsed() >= lag;
+        while self.versions.get(1).is_some_and(is_old) {
+            self.versions.pop_front();
+        }
+        let shown = self.versions.front().filter(|version| is_old(version));
+        shown
+            .map(|version| version.hosts.clone())
+            .unwrap_or_default()
+    }
+}
+
+async fn answer(shared: Arc<Mutex<Inner>>, req: Request<Incoming>) -> StandInAnswer {
+    let (delay, refuses) = {
+        let mut inner = lock(&shared);
+        inner.calls += 1;
+        (inner.delay, inner.refuses)
+    };
+    sleep(delay).await;
+    if refuses {
+        return Ok(answer_json(StatusCode::SERVICE_UNAVAILABLE, &json!({})));
+    }
+    if req.uri().path() != "/v1/hosts" {
+        return Ok(answer_json(StatusCode::NOT_FOUND, &json!({})));
+    }
+    if req.method() == http::Method::PUT {
+        let Some(hosts) = read_json(req).await else {
+            return Ok(answer_json(StatusCode::BAD_REQUEST, &json!({})));
+        };
+        lock(&shared).push(hosts);
+        return Ok(answer_json(StatusCode::OK, &json!({})));
+    }
+    let hosts = lock(&shared).shown();
+    Ok(answer_json(StatusCode::OK, &json!({"hosts": hosts})))
+}
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -5,4 +5,7 @@
 pub mod cli;
 pub mod deployment;
 pub mod engine;
+pub mod hosts;
 pub mod running;
+pub mod stand_in;
+pub mod store;
--- /dev/null
+++ b/lab/src/stand_in/answers.rs
@@ -0,0 +1,57 @@
+//! Requests and answers of stand-ins.
+
+use std::time::Duration;
+
+use http::HeaderValue;
+use http::StatusCode;
+use http::header::CONTENT_TYPE;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use teaseldrum::http::AnswerBody;
+use teaseldrum::http::full_body;
+use teaseldrum::http::read_body;
+
+const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
+const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// The connection is closed without an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Dropped;
+
+impl std::fmt::Display for Dropped {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("connection dropped")
+    }
+}
+
+impl std::error::Error for Dropped {}
+
+/// Answer of a stand-in, or none at all.
+pub type StandInAnswer = Result<Response<AnswerBody>, Dropped>;
+
+/// Reads a request's body as JSON; an empty one counts as an empty object.
+/// Returns none where it is malformed.
+pub async fn read_json<T: DeserializeOwned>(req: Request<Incoming>) -> Option<T> {
+    let body = read_body(req.into_body(), MAX_BODY_BYTES, BODY_TIMEOUT)
+        .await
+        .ok()?;
+    let text: &[u8] = if body.is_empty() { b"{}" } else { &body };
+    serde_json::from_slice(text).ok()
+}
+
+/// Answers with JSON.
+///
+/// # Panics
+///
+/// The value cannot be written as JSON.
+pub fn answer_json(status: StatusCode, value: &impl Serialize) -> Response<AnswerBody> {
+    let text = serde_json::to_string(value).expect("JSON");
+    let mut response = Response::new(full_body(text));
+    *response.status_mut() = status;
+    let media = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(CONTENT_TYPE, media);
+    response
+}
--- /dev/null
+++ b/lab/src/stand_in/serve.rs
@@ -0,0 +1,116 @@
+//! The HTTP server of a stand-in.
+
+use std::future::Future;
+use std::net::SocketAddr;
+
+use hyper::Request;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use teaseldrum::threads::build_runtime;
+use teaseldrum::threads::open_listener;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+
+use super::FreezableStream;
+use super::Life;
+use super::LifeState;
+use super::StandInAnswer;
+use crate::running::Running;
+
+const MAX_HEAD_BYTES: usize = 256 * 1024;
+
+/// Starts a stand-in on a thread of its own.
+///
+/// # Panics
+///
+/// The address cannot be listened on.
+pub fn start_stand_in<H, F>(address: SocketAddr, life: Life, handle: H) -> Running
+where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    F: Future<Output = StandInAnswer> + Send + 'static,
+{
+    Running::start(move |mut stop, ready| {
+        let listener = open_listener(address).expect("a free address");
+        let address = listener.local_addr().expect("an address");
+        ready(address);
+        let runtime = build_runtime().expect("a runtime");
+        runtime.block_on(async move {
+            tokio::select! {
+                _ = stop.wait_for(|stopped| *stopped) => {}
+                () = live(listener, address, life, handle) => {}
+            }
+        });
+    })
+}
+
+/// Serves run after run.
+async fn live<H, F>(first: std::net::TcpListener, address: SocketAddr, life: Life, handle: H)
+where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    F: Future<Output = StandInAnswer> + Send + 'static,
+{
+    let mut state = life.watch();
+    let mut listener = Some(first);
+    loop {
+        let now = *state.borrow_and_update();
+        if now == LifeState::Down {
+            listener = None;
+            if state.changed().await.is_err() {
+                return;
+            }
+            continue;
+        }
+        let current = listener
+            .take()
+            .unwrap_or_else(|| open_listener(address).expect("its old address"));
+        listener = current.try_clone().ok();
+        let current = TcpListener::from_std(current).expect("a listener");
+        tokio::select! {
+            _ = state.changed() => {}
+            () = serve_run(current, life.watch_freezes(), handle.clone()) => {}
+        }
+    }
+}
+
+/// Serves one run; dropping it breaks all its connections.
+async fn serve_run<H, F>(listener: TcpListener, freezes: watch::Receiver<u64>, handle: H)
+where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    F: Future<Output = StandInAnswer> + Send + 'static,
+{
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => {
+                if let Ok((stream, _)) = accepted {
+                    let stream = FreezableStream::new(prepare(stream), freezes.clone());
+                    connections.spawn(serve_connection(stream, handle.clone()));
+                }
+            }
+            Some(_) = connections.join_next() => {}
+        }
+    }
+}
+
+fn prepare(stream: TcpStream) -> TcpStream {
+    stream.set_nodelay(true).expect("a socket option");
+    stream
+}
+
+async fn serve_connection<H, F>(stream: FreezableStream, handle: H)
+where
+    H: Fn(Request<Incoming>) -> F,
+    F: Future<Output = StandInAnswer>,
+{
+    let served = http1::Builder::new()
+        .max_buf_size(MAX_HEAD_BYTES)
+        .serve_connection(TokioIo::new(stream), service_fn(handle))
+        .await;
+    if let Err(e) = served {
+        log::debug!("lab: Connection ended: {e}.");
+    }
+}
--- /dev/null
+++ b/lab/src/store/faults.rs
@@ -0,0 +1,17 @@
+//! Faults of a store.
+
+use std::time::Duration;
+
+/// Faults of a store that a test switches while it runs.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct StoreFaults {
+    /// Every call is answered with 503 and every watch is cut.
+    pub refuses: bool,
+    /// No call is answered or takes effect, and watches go silent.
+    pub hangs: bool,
+    /// Time that each call takes.
+    pub delay: Duration,
+    /// Number of coming writes whose answer is lost after they took effect:
+    /// the connection breaks.
+    pub lose_answers: u32,
+}
