Serve control messages between processes over tarpc

Both roles answer one service on listen.peers on their control thread: get_status, exchange_revision and offer_rules. Calls keep one connection a peer, are bounded by a deadline, replace a broken connection once and drop a silent one. RulesInForce holds the revision, which only rises.

Guards taken out and seen to fail their tests: dropping a failed connection, the second call after a break, the bound on kept connections, the refusal of lower revisions.

--- a/src/agent/context.rs
+++ b/src/agent/context.rs
@@ -4,11 +4,13 @@
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 
+use crate::config::RulesInForce;
 use crate::core::Envelope;
 use crate::core::LoadReport;
 use crate::core::ProcessIncarnation;
 use crate::core::Report;
-use crate::core::Revision;
+use crate::peer::Peers;
+use crate::rules::RuleSet;
 use crate::settings::AgentSettings;
 use crate::timeline::Recorder;
 
@@ -21,6 +23,10 @@
     pub incarnation: ProcessIncarnation,
     /// The backend server takes no new work.
     pub leaving: AtomicBool,
+    /// Rules in force.
+    pub rules: RulesInForce,
+    /// Calls to other processes.
+    pub peers: Peers,
     /// Requests that the backend server is running.
     pub running: AtomicU32,
     /// Events of this process.
@@ -33,6 +39,8 @@
         Self {
             incarnation: ProcessIncarnation::draw(),
             leaving: AtomicBool::new(false),
+            rules: RulesInForce::new(RuleSet::default()),
+            peers: Peers::new(),
             running: AtomicU32::new(0),
             timeline: Recorder::new(settings.name.as_str()),
             settings,
@@ -44,7 +52,7 @@
         Report {
             request: envelope.request,
             attempt: envelope.attempt,
-            revision: Revision(0),
+            revision: self.rules.revision(),
             agent: self.incarnation,
             engine: None,
             weights: None,
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -3,6 +3,7 @@
 
 mod call_server;
 mod context;
+mod control;
 mod gate;
 mod handle;
 mod run;
--- a/src/agent/run.rs
+++ b/src/agent/run.rs
@@ -8,6 +8,7 @@
 use tokio::time::sleep;
 
 use super::AgentContext;
+use super::control::start_control;
 use super::handle::handle_attempt;
 use crate::http::Client;
 use crate::http::serve;
@@ -44,6 +45,7 @@
     let listener = open_listener(settings.listen.traffic)?;
     let address = listener.local_addr().map_err(StartError::Thread)?;
     let cx = Arc::new(AgentContext::new(settings));
+    let control = start_control(&cx)?;
     let (drain_tx, drain_rx) = watch::channel(false);
     let threads = spawn_threads(&cx, &listener, &drain_rx)?;
     drop(listener);
@@ -60,6 +62,7 @@
     });
     drain_tx.send_replace(true);
     join_threads(threads);
+    drop(control);
     log::info!("agent: Stopped.");
     Ok(())
 }
--- /dev/null
+++ b/src/config/rules_in_force.rs
@@ -0,0 +1,184 @@
+//! Rules in force in this process.
+
+use std::fmt;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+
+use arc_swap::ArcSwap;
+use arc_swap::ArcSwapOption;
+use arc_swap::Guard;
+use tokio::sync::watch;
+
+use crate::core::Revision;
+use crate::core::config::RulesRecord;
+use crate::peer::PeerError;
+use crate::peer::RevisionReply;
+use crate::rules::RuleFault;
+use crate::rules::RuleSet;
+use crate::rules::parse_rules;
+
+/// A record whose text has faults; nothing was changed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RejectedRecord {
+    /// Revision of the record.
+    pub revision: Revision,
+    /// What is wrong with its text; at least one fault.
+    pub faults: Vec<RuleFault>,
+}
+
+impl fmt::Display for RejectedRecord {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "revision {} has {} faults",
+            self.revision,
+            self.faults.len()
+        )
+    }
+}
+
+/// Rules in force in this process. Readers on any thread get a snapshot; the
+/// revision only rises.
+#[derive(Debug)]
+pub struct RulesInForce {
+    rules: ArcSwap<RuleSet>,
+    record: ArcSwapOption<RulesRecord>,
+    revision: watch::Sender<Revision>,
+    adopting: Mutex<()>,
+}
+
+impl RulesInForce {
+    /// Starts with rules that hold until the first record comes.
+    pub fn new(rules: RuleSet) -> Self {
+        Self {
+            revision: watch::Sender::new(rules.revision),
+            rules: ArcSwap::new(Arc::new(rules)),
+            record: ArcSwapOption::empty(),
+            adopting: Mutex::new(()),
+        }
+    }
+
+    /// Returns the rules in force.
+    pub fn load(&self) -> Guard<Arc<RuleSet>> {
+        self.rules.load()
+    }
+
+    /// Returns the rules in force, to be kept for longer than a moment.
+    pub fn load_full(&self) -> Arc<RuleSet> {
+        self.rules.load_full()
+    }
+
+    /// Returns the record of the rules in force, if they came as one.
+    pub fn record(&self) -> Option<Arc<RulesRecord>> {
+        self.record.load_full()
+    }
+
+    /// Returns the revision in force.
+    pub fn revision(&self) -> Revision {
+        *self.revision.borrow()
+    }
+
+    /// Tells of each rise of the revision.
+    pub fn subscribe(&self) -> watch::Receiver<Revision> {
+        self.revision.subscribe()
+    }
+
+    /// Answers a peer that tells its revision.
+    pub fn answer_exchange(&self, held: Revision) -> RevisionReply {
+        let record = self.record();
+        RevisionReply {
+            revision: self.revision(),
+            newer: record
+                .filter(|record| record.revision > held)
+                .map(Arc::unwrap_or_clone),
+        }
+    }
+
+    /// Takes rules that a peer hands over; returns the revision in force then.
+    ///
+    /// # Errors
+    ///
+    /// The text has faults; the rules in force stay.
+    pub fn take_offer(&self, record: RulesRecord) -> Result<Revision, PeerError> {
+        match self.adopt(Arc::new(record)) {
+            Ok(_) => Ok(self.revision()),
+            Err(rejected) => {
+                log::warn!("config: Rules of a peer rejected: {rejected}.");
+                Err(PeerError::Faulty)
+            }
+        }
+    }
+
+    /// Puts a record in force if it is newer. Returns whether it was.
+    ///
+    /// # Errors
+    ///
+    /// The text has faults; the rules in force stay.
+    pub fn adopt(&self, record: Arc<RulesRecord>) -> Result<bool, RejectedRecord> {
+        let _alone = self.adopting.lock().unwrap_or_else(PoisonError::into_inner);
+        if record.revision <= self.revision() {
+            return Ok(false);
+        }
+        let rules =
+            parse_rules(&record.text, record.revision).map_err(|faults| RejectedRecord {
+                revision: record.revision,
+                faults,
+            })?;
+        self.rules.store(Arc::new(rules));
+        let revision = record.revision;
+        self.record.store(Some(record));
+        self.revision.send_replace(revision);
+        Ok(true)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn make_record(revision: u64, text: &str) -> Arc<RulesRecord> {
+        Arc::new(RulesRecord {
+            revision: Revision(revision),
+            parent: Revision(revision - 1),
+            accept_id: format!("accept-{revision}"),
+            who: "Asha".into(),
+            why: "test".into(),
+            accepted_at_ms: 0,
+            text: text.into(),
+        })
+    }
+
+    #[test]
+    fn adopt_newer() {
+        let rules = RulesInForce::new(RuleSet::default());
+        let record = make_record(3, "pool drafting # Asha\n");
+        assert_eq!(rules.adopt(Arc::clone(&record)), Ok(true));
+        assert_eq!(rules.revision(), Revision(3));
+        assert!(rules.load().find_pool("drafting").is_some());
+        assert_eq!(rules.record(), Some(record));
+    }
+
+    #[test]
+    fn adopt_older_changes_nothing() {
+        let rules = RulesInForce::new(RuleSet::default());
+        let newer = make_record(3, "pool drafting # Asha\n");
+        assert_eq!(rules.adopt(newer), Ok(true));
+        let older = make_record(2, "pool sorting # Asha\n");
+        assert_eq!(rules.adopt(older), Ok(false));
+        assert_eq!(rules.load().revision, Revision(3));
+        assert!(rules.load().find_pool("sorting").is_none());
+    }
+
+    #[test]
+    fn adopt_faulty_changes_nothing() {
+        let rules = RulesInForce::new(RuleSet::default());
+        let newer = make_record(3, "pool drafting # Asha\n");
+        assert_eq!(rules.adopt(newer), Ok(true));
+        let faulty = make_record(4, "pool sorting\n");
+        let rejected = rules.adopt(faulty).expect_err("a missing comment");
+        assert_eq!(rejected.faults.len(), 1);
+        assert_eq!(rules.revision(), Revision(3));
+        assert!(rules.load().find_pool("drafting").is_some());
+    }
+}
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -2,6 +2,7 @@
 
 mod account_name;
 mod cache_salt;
+pub mod config;
 mod engine_incarnation;
 mod envelope;
 mod key_digest;
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -1,10 +1,11 @@
 //! What the parts of one entry share.
 
-use std::sync::Arc;
-
-use arc_swap::ArcSwap;
+use std::sync::atomic::AtomicBool;
 
 use super::Servers;
+use crate::config::RulesInForce;
+use crate::core::ProcessIncarnation;
+use crate::peer::Peers;
 use crate::rules::RuleSet;
 use crate::settings::EntrySettings;
 use crate::timeline::Recorder;
@@ -14,8 +15,14 @@
 pub struct EntryContext {
     /// Settings of the entry.
     pub settings: EntrySettings,
+    /// This run of the entry.
+    pub incarnation: ProcessIncarnation,
+    /// The entry takes no new work.
+    pub draining: AtomicBool,
     /// Rules in force.
-    pub rules: ArcSwap<RuleSet>,
+    pub rules: RulesInForce,
+    /// Calls to other processes.
+    pub peers: Peers,
     /// Backend servers.
     pub servers: Servers,
     /// Events of this process.
@@ -26,7 +33,10 @@
     /// Creates the context of an entry that starts with the given rules.
     pub fn new(settings: EntrySettings, rules: RuleSet) -> Self {
         Self {
-            rules: ArcSwap::new(Arc::new(rules)),
+            incarnation: ProcessIncarnation::draw(),
+            draining: AtomicBool::new(false),
+            rules: RulesInForce::new(rules),
+            peers: Peers::new(),
             servers: Servers::new(&settings.servers),
             timeline: Recorder::new(&settings.name),
             settings,
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -6,6 +6,7 @@
 mod authenticate;
 mod caller_request;
 mod context;
+mod control;
 mod error_code;
 mod handle;
 mod relay_answer;
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -4,11 +4,13 @@
 use std::fs;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use tokio::sync::watch;
 use tokio::time::sleep;
 
 use super::EntryContext;
+use super::control::start_control;
 use super::handle::handle_request;
 use crate::core::Revision;
 use crate::http::Client;
@@ -80,6 +82,7 @@
     let listener = open_listener(settings.listen.traffic)?;
     let address = listener.local_addr().map_err(StartError::Thread)?;
     let cx = Arc::new(EntryContext::new(settings, rules));
+    let control = start_control(&cx)?;
     let (drain_tx, drain_rx) = watch::channel(false);
     let threads = spawn_threads(&cx, &listener, &drain_rx)?;
     drop(listener);
@@ -89,12 +92,14 @@
     let linger = cx.settings.traffic.drain_linger;
     build_runtime()?.block_on(async {
         wait_for_stop(stop).await;
+        cx.draining.store(true, Ordering::Release);
         cx.timeline.record(None, EventKind::Draining);
         log::info!("entry: Draining.");
         sleep(linger).await;
     });
     drain_tx.send_replace(true);
     join_threads(threads);
+    drop(control);
     log::info!("entry: Stopped.");
     Ok(())
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,10 +7,12 @@
 
 pub mod agent;
 pub mod cli;
+pub mod config;
 pub mod core;
 pub mod entry;
 pub mod http;
 pub mod logs;
+pub mod peer;
 pub mod platform;
 pub mod relay;
 pub mod rules;
--- /dev/null
+++ b/src/peer/peers.rs
@@ -0,0 +1,361 @@
+//! Calls to other processes over kept connections.
+
+use std::collections::HashMap;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::OnceLock;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use tarpc::client;
+use tarpc::client::RpcError;
+use tarpc::context::Context;
+use tarpc::serde_transport::tcp;
+use tarpc::tokio_serde::formats::MessagePack;
+use tokio::runtime::Handle;
+use tokio::sync::OnceCell;
+use tokio::sync::Semaphore;
+use tokio::time::timeout;
+
+use super::CallError;
+use super::PeerClient;
+use super::PeerError;
+use super::serve_peers::MAX_MESSAGE_BYTES;
+
+const MAX_CONNECTIONS: usize = 128;
+const MAX_CALLS: usize = 256;
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Calls other processes; keeps one connection for each of the peers called
+/// last. The connections live on the control thread, calls may come from any
+/// thread.
+#[derive(Debug)]
+pub struct Peers {
+    runtime: OnceLock<Handle>,
+    kept: Mutex<HashMap<SocketAddr, Kept>>,
+    calls: Semaphore,
+}
+
+#[derive(Debug)]
+struct Kept {
+    connection: Connection,
+    last_used: Instant,
+}
+
+type Connection = Arc<OnceCell<PeerClient>>;
+
+impl Peers {
+    /// Creates a client whose calls fail until [`Self::attach`].
+    pub fn new() -> Self {
+        Self {
+            runtime: OnceLock::new(),
+            kept: Mutex::default(),
+            calls: Semaphore::new(MAX_CALLS),
+        }
+    }
+
+    /// Sets the runtime that the connections live on; the first one stays.
+    pub fn attach(&self, runtime: Handle) {
+        let _ = self.runtime.set(runtime);
+    }
+
+    /// Calls a peer. A connection that broke, perhaps long before, is replaced
+    /// and the call made once more; one that goes silent is dropped.
+    ///
+    /// # Errors
+    ///
+    /// No answer came within `limit`, or the peer refused.
+    pub async fn call<T, C, F>(
+        &self,
+        peer: SocketAddr,
+        limit: Duration,
+        call: C,
+    ) -> Result<T, CallError>
+    where
+        C: Fn(PeerClient, Context) -> F,
+        F: Future<Output = Result<Result<T, PeerError>, RpcError>>,
+    {
+        let _permit = self.calls.try_acquire().map_err(|_| CallError::Busy)?;
+        let deadline = Instant::now() + limit;
+        match self.call_once(peer, deadline, &call).await {
+            Err(CallError::Broken(_)) => self.call_once(peer, deadline, &call).await,
+            result => result,
+        }
+    }
+
+    /// Number of connections kept.
+    pub fn connections(&self) -> usize {
+        self.lock_kept().len()
+    }
+
+    async fn call_once<T, C, F>(
+        &self,
+        peer: SocketAddr,
+        deadline: Instant,
+        call: &C,
+    ) -> Result<T, CallError>
+    where
+        C: Fn(PeerClient, Context) -> F,
+        F: Future<Output = Result<Result<T, PeerError>, RpcError>>,
+    {
+        let connection = self.take_connection(peer);
+        let result = self.call_over(&connection, peer, deadline, call).await;
+        if matches!(&result, Err(e) if !matches!(e, CallError::Refused(_))) {
+            self.drop_connection(peer, &connection);
+        }
+        result
+    }
+
+    async fn call_over<T, C, F>(
+        &self,
+        connection: &Connection,
+        peer: SocketAddr,
+        deadline: Instant,
+        call: &C,
+    ) -> Result<T, CallError>
+    where
+        C: Fn(PeerClient, Context) -> F,
+        F: Future<Output = Result<Result<T, PeerError>, RpcError>>,
+    {
+        let runtime = self.runtime.get().ok_or(CallError::NotStarted)?;
+        let connect = || connect(runtime, peer);
+        let client = connection.get_or_try_init(connect).await?.clone();
+        let mut cx = tarpc::context::current();
+        cx.deadline = deadline;
+        let left = deadline.saturating_duration_since(Instant::now());
+        let answer = timeout(left, call(client, cx)).await;
+        let answer = answer.map_err(|_| CallError::Silent)??;
+        answer.map_err(CallError::Refused)
+    }
+
+    fn take_connection(&self, peer: SocketAddr) -> Connection {
+        let mut kept = self.lock_kept();
+        if kept.len() >= MAX_CONNECTIONS && !kept.contains_key(&peer) {
+            let oldest = kept.iter().min_by_key(|(_, kept)| kept.last_used);
+            let oldest = oldest.map(|(address, _)| *address);
+            oldest.map(|address| kept.remove(&address));
+        }
+        let kept = kept.entry(peer).or_insert_with(|| Kept {
+            connection: Arc::default(),
+            last_used: Instant::now(),
+        });
+        kept.last_used = Instant::now();
+        Arc::clone(&kept.connection)
+    }
+
+    fn drop_connection(&self, peer: SocketAddr, connection: &Connection) {
+        let mut kept = self.lock_kept();
+        let is_same = kept
+            .get(&peer)
+            .is_some_and(|kept| Arc::ptr_eq(&kept.connection, connection));
+        if is_same {
+            kept.remove(&peer);
+        }
+    }
+
+    fn lock_kept(&self) -> MutexGuard<'_, HashMap<SocketAddr, Kept>> {
+        self.kept.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Default for Peers {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// Connects on the control thread, whose runtime then drives the connection.
+async fn connect(runtime: &Handle, peer: SocketAddr) -> Result<PeerClient, CallError> {
+    let connecting = runtime.spawn(async move {
+        let mut connect = tcp::connect(peer, MessagePack::default);
+        connect.config_mut().max_frame_length(MAX_MESSAGE_BYTES);
+        let transport = timeout(CONNECT_TIMEOUT, connect)
+            .await
+            .map_err(|_| CallError::Connect("timeout".into()))?
+            .map_err(|e| CallError::Connect(e.to_string()))?;
+        Ok(PeerClient::new(client::Config::default(), transport).spawn())
+    });
+    connecting.await.map_err(|_| CallError::NotStarted)?
+}
+
+#[cfg(test)]
+mod tests {
+    use std::sync::atomic::AtomicBool;
+    use std::sync::atomic::AtomicU32;
+    use std::sync::atomic::Ordering;
+
+    use tokio::net::TcpListener;
+    use tokio::task::JoinHandle;
+
+    use super::*;
+    use crate::core::ProcessIncarnation;
+    use crate::core::Revision;
+    use crate::core::config::RulesRecord;
+    use crate::peer::Peer;
+    use crate::peer::PeerStatus;
+    use crate::peer::RevisionReply;
+    use crate::peer::Role;
+    use crate::peer::accept_peers;
+    use crate::peer::serve_connection;
+
+    const LIMIT: Duration = Duration::from_secs(5);
+    const SHORT_LIMIT: Duration = Duration::from_millis(50);
+
+    #[derive(Debug, Clone, Default)]
+    struct FakePeer {
+        silent: Arc<AtomicBool>,
+    }
+
+    impl Peer for FakePeer {
+        async fn get_status(self, _: Context) -> Result<PeerStatus, PeerError> {
+            if self.silent.load(Ordering::Acquire) {
+                std::future::pending::<()>().await;
+            }
+            Ok(PeerStatus {
+                name: "p".into(),
+                role: Role::Entry,
+                zone: "a".into(),
+                incarnation: ProcessIncarnation(1),
+                revision: Revision(7),
+                draining: false,
+            })
+        }
+
+        async fn exchange_revision(
+            self,
+            _: Context,
+            _: Revision,
+        ) -> Result<RevisionReply, PeerError> {
+            Err(PeerError::NotServed)
+        }
+
+        async fn offer_rules(self, _: Context, _: RulesRecord) -> Result<Revision, PeerError> {
+            Err(PeerError::NotServed)
+        }
+    }
+
+    struct Server {
+        address: SocketAddr,
+        accepted: Arc<AtomicU32>,
+        task: JoinHandle<()>,
+    }
+
+    async fn start_server(address: &str, peer: FakePeer) -> Server {
+        let listener = TcpListener::bind(address).await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let accepted = Arc::new(AtomicU32::new(0));
+        let counted = Arc::clone(&accepted);
+        let task = tokio::spawn(async move {
+            accept_peers(listener, |stream| {
+                counted.fetch_add(1, Ordering::AcqRel);
+                serve_connection(stream, peer.clone())
+            })
+            .await;
+        });
+        Server {
+            address,
+            accepted,
+            task,
+        }
+    }
+
+    fn make_peers() -> Peers {
+        let peers = Peers::new();
+        peers.attach(Handle::current());
+        peers
+    }
+
+    async fn get_status(
+        peers: &Peers,
+        peer: SocketAddr,
+        limit: Duration,
+    ) -> Result<PeerStatus, CallError> {
+        let call = |client: PeerClient, cx| async move { client.get_status(cx).await };
+        peers.call(peer, limit, call).await
+    }
+
+    #[tokio::test]
+    async fn call_keeps_connection() {
+        let server = start_server("127.0.0.1:0", FakePeer::default()).await;
+        let peers = make_peers();
+        for _ in 0..3 {
+            let status = get_status(&peers, server.address, LIMIT).await;
+            assert_eq!(status.expect("an answer").revision, Revision(7));
+        }
+        assert_eq!(server.accepted.load(Ordering::Acquire), 1);
+    }
+
+    #[tokio::test]
+    async fn call_silent_peer_gets_new_connection() {
+        let peer = FakePeer::default();
+        let server = start_server("127.0.0.1:0", peer.clone()).await;
+        let peers = make_peers();
+        peer.silent.store(true, Ordering::Release);
+        let status = get_status(&peers, server.address, SHORT_LIMIT).await;
+        assert_eq!(status, Err(CallError::Silent));
+        assert_eq!(peers.connections(), 0);
+        peer.silent.store(false, Ordering::Release);
+        let status = get_status(&peers, server.address, LIMIT).await;
+        assert!(status.is_ok());
+        assert_eq!(server.accepted.load(Ordering::Acquire), 2);
+    }
+
+    #[tokio::test]
+    async fn call_peer_without_listener() {
+        let server = start_server("127.0.0.1:0", FakePeer::default()).await;
+        server.task.abort();
+        assert!(server.task.await.is_err());
+        let peers = make_peers();
+        let status = get_status(&peers, server.address, LIMIT).await;
+        assert!(matches!(status, Err(CallError::Connect(_))), "{status:?}");
+    }
+
+    #[tokio::test]
+    async fn call_broken_connection_is_replaced() {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let cutter = tokio::spawn(async move {
+            let (first, _) = listener.accept().await.expect("a connection");
+            drop(first);
+            let (second, _) = listener.accept().await.expect("a connection");
+            serve_connection(second, FakePeer::default()).await;
+        });
+        let peers = make_peers();
+        let status = get_status(&peers, address, LIMIT).await;
+        assert!(status.is_ok(), "{status:?}");
+        drop(peers);
+        cutter.await.expect("the connection closes with its client");
+    }
+
+    #[tokio::test]
+    async fn call_message_not_served() {
+        let server = start_server("127.0.0.1:0", FakePeer::default()).await;
+        let peers = make_peers();
+        let call =
+            |client: PeerClient, cx| async move { client.exchange_revision(cx, Revision(0)).await };
+        let reply = peers.call(server.address, LIMIT, call).await;
+        assert_eq!(reply, Err(CallError::Refused(PeerError::NotServed)));
+        assert_eq!(peers.connections(), 1);
+    }
+
+    #[tokio::test]
+    async fn call_before_attach() {
+        let address = SocketAddr::from(([127, 0, 0, 1], 1));
+        let status = get_status(&Peers::new(), address, LIMIT).await;
+        assert_eq!(status, Err(CallError::NotStarted));
+    }
+
+    #[tokio::test]
+    async fn call_keeps_bounded_connections() {
+        let peers = make_peers();
+        for port in 0..2 * MAX_CONNECTIONS {
+            let port = u16::try_from(port).expect("a small number");
+            peers.take_connection(SocketAddr::from(([127, 0, 0, 1], port)));
+        }
+        assert_eq!(peers.connections(), MAX_CONNECTIONS);
+    }
+}
--- /dev/null
+++ b/src/peer/serve_peers.rs
@@ -0,0 +1,92 @@
+//! The listener for control messages.
+
+use std::future::Future;
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::StreamExt;
+use socket2::SockRef;
+use socket2::TcpKeepalive;
+use tarpc::serde_transport;
+use tarpc::server::BaseChannel;
+use tarpc::server::Channel;
+use tarpc::tokio_serde::formats::MessagePack;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
+use tokio::time::sleep;
+use tokio_util::codec::LengthDelimitedCodec;
+
+use super::Peer;
+use super::service::PeerRequest;
+use super::service::PeerResponse;
+
+/// Bytes of one control message; the largest holds a whole rules file.
+pub(super) const MAX_MESSAGE_BYTES: usize = 2 * 1024 * 1024;
+
+const MAX_CONNECTIONS: usize = 4_096;
+const MAX_CALLS_PER_CONNECTION: usize = 64;
+const ACCEPT_RETRY: Duration = Duration::from_millis(20);
+const KEEPALIVE_IDLE: Duration = Duration::from_secs(5);
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(5);
+const DEAD_PEER_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Accepts connections until dropped and serves each with
+/// `serve_connection`, which the caller ties to its service.
+pub async fn accept_peers<S, F>(listener: TcpListener, serve_connection: S)
+where
+    S: Fn(TcpStream) -> F,
+    F: Future<Output = ()> + Send + 'static,
+{
+    let connections = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+    loop {
+        let Ok(permit) = Arc::clone(&connections).acquire_owned().await else {
+            unreachable!("the semaphore is never closed");
+        };
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let serving = serve_connection(stream);
+                tokio::spawn(async move {
+                    serving.await;
+                    drop(permit);
+                });
+            }
+            Err(e) => {
+                log::warn!("peer: Accept failed: {e}.");
+                sleep(ACCEPT_RETRY).await;
+            }
+        }
+    }
+}
+
+/// Answers the messages of one connection.
+pub async fn serve_connection<P>(stream: TcpStream, service: P)
+where
+    P: Peer + Clone,
+{
+    if let Err(e) = prepare(&stream) {
+        log::warn!("peer: Socket options refused: {e}.");
+    }
+    let framed = LengthDelimitedCodec::builder()
+        .max_frame_length(MAX_MESSAGE_BYTES)
+        .new_framed(stream);
+    let codec =
+        MessagePack::<tarpc::ClientMessage<PeerRequest>, tarpc::Response<PeerResponse>>::default();
+    BaseChannel::with_defaults(serde_transport::new(framed, codec))
+        .max_concurrent_requests(MAX_CALLS_PER_CONNECTION)
+        .execute(service.serve())
+        .for_each_concurrent(None, |answer| answer)
+        .await;
+}
+
+/// Sets what tells a dead peer from a quiet one.
+fn prepare(stream: &TcpStream) -> io::Result<()> {
+    let socket = SockRef::from(stream);
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE_IDLE)
+        .with_interval(KEEPALIVE_INTERVAL);
+    stream.set_nodelay(true)?;
+    socket.set_tcp_keepalive(&keepalive)?;
+    socket.set_tcp_user_timeout(Some(DEAD_PEER_TIMEOUT))
+}
