Model an engine and a plain service

The scripted engine answers at set times but has no cache, so hit rates, restarts, orders and resumed streams could not be shown. The model engine batches continuously, computes prompts in chunks, caches blocks by salt in limited memory, tells cache events late and with gaps, reports load with a lag, cancels, resumes, exports and imports blocks, takes orders with fencing on or off, crashes and comes back empty, and lets connections go silent. Its core has no input or output. The plain service counts how often each call ran and can break, hang, cross or delay its answers.

The text that caches count in a chat or completion stands in core, so that entry, agent and engine agree on it.

--- a/lab/src/cli/hosts.rs
+++ b/lab/src/cli/hosts.rs
@@ -7,9 +7,9 @@
 
 use argh::FromArgs;
 use teaseldrum::cli::Exit;
+use teaseldrum::platform::Host;
 
 use super::wait_for_signal;
-use crate::hosts::Host;
 use crate::hosts::start_hosts;
 
 /// Run the host list's stand-in until SIGTERM or SIGINT. A PUT of a JSON list
--- a/lab/src/engine/mod.rs
+++ b/lab/src/engine/mod.rs
@@ -1,6 +1,32 @@
-//! Stand-in for a model engine.
+//! Stand-ins for a model engine: one that plays a script, and one that models
+//! batching, a prefix cache in limited memory, orders and failures.
 
-mod serve_engine;
+mod block_cache;
+mod cache_event_log;
+mod faults;
+mod generation;
+mod handle;
+mod kv_moves;
+mod model;
+mod orders;
+mod reader;
+mod requests;
+mod scripted;
+mod settings;
+mod shared;
+mod token_stream;
+mod weight_store;
 
-pub use serve_engine::EngineScript;
-pub use serve_engine::start_engine;
+pub use block_cache::BlockCache;
+pub use block_cache::CacheChange;
+pub use faults::EngineFaults;
+pub use handle::EngineHandle;
+pub use handle::start_model_engine;
+pub use model::EngineModel;
+pub use model::EngineWork;
+pub use model::StepOutcome;
+pub use scripted::EngineScript;
+pub use scripted::start_engine;
+pub use settings::EngineSettings;
+pub use shared::EngineCounts;
+pub use weight_store::WeightStore;
--- /dev/null
+++ b/lab/src/engine/orders.rs
@@ -0,0 +1,93 @@
+//! Orders to a model engine.
+
+use std::sync::Arc;
+
+use http::StatusCode;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use serde::Deserialize;
+use serde_json::json;
+use teaseldrum::http::AnswerBody;
+use tokio::time::sleep;
+
+use super::requests::answer_malformed;
+use super::shared::Shared;
+use crate::stand_in::Dropped;
+use crate::stand_in::StandInAnswer;
+use crate::stand_in::answer_json;
+use crate::stand_in::read_json;
+
+#[derive(Debug, Deserialize)]
+#[serde(tag = "kind", rename_all = "snake_case")]
+enum Order {
+    LoadWeights { version: u64 },
+    LoadAdapter { adapter: String },
+    ChangeRole { role: String },
+}
+
+#[derive(Debug, Deserialize)]
+struct OrderRequest {
+    #[serde(flatten)]
+    order: Order,
+    fencing: Option<u64>,
+}
+
+/// Carries out an order, even if the one who gave it goes away.
+pub async fn answer_order(shared: Arc<Shared>, req: Request<Incoming>) -> StandInAnswer {
+    let Some(req) = read_json::<OrderRequest>(req).await else {
+        return Ok(answer_malformed());
+    };
+    let done = tokio::spawn(async move { carry_out(&shared, req).await });
+    done.await.map_err(|_| Dropped)
+}
+
+async fn carry_out(shared: &Shared, req: OrderRequest) -> Response<AnswerBody> {
+    if let Some(refusal) = check_fencing(shared, req.fencing) {
+        return refusal;
+    }
+    let incarnation = shared.lock().incarnation;
+    let late_orders = shared.lock().faults.late_orders;
+    match req.order {
+        Order::LoadWeights { .. } => shared.settings.weight_store.load().await,
+        Order::LoadAdapter { .. } | Order::ChangeRole { .. } => {
+            sleep(shared.settings.order_time).await;
+        }
+    }
+    sleep(late_orders).await;
+    if let Some(refusal) = check_fencing(shared, req.fencing) {
+        return refusal;
+    }
+    let now = shared.now();
+    let mut inner = shared.lock();
+    if inner.incarnation != incarnation {
+        return answer_json(StatusCode::GONE, &json!({"error": "restarted"}));
+    }
+    inner.counts.orders += 1;
+    match req.order {
+        Order::LoadWeights { version } => {
+            inner.weights = version;
+            inner.model.cache_mut().clear();
+        }
+        Order::LoadAdapter { adapter } => log::debug!("lab: Engine loaded adapter {adapter}."),
+        Order::ChangeRole { role } => inner.role = role,
+    }
+    inner.publish_changes(now);
+    let answer = json!({"incarnation": inner.incarnation, "weights": inner.weights});
+    answer_json(StatusCode::OK, &answer)
+}
+
+/// Refuses an order whose fencing number is lower than one seen before.
+fn check_fencing(shared: &Shared, fencing: Option<u64>) -> Option<Response<AnswerBody>> {
+    if !shared.settings.honours_fencing {
+        return None;
+    }
+    let mut inner = shared.lock();
+    if fencing < inner.fencing {
+        inner.counts.fenced += 1;
+        let answer = json!({"error": "fenced", "fencing": inner.fencing});
+        return Some(answer_json(StatusCode::CONFLICT, &answer));
+    }
+    inner.fencing = fencing;
+    None
+}
--- /dev/null
+++ b/lab/src/engine/token_stream.rs
@@ -0,0 +1,110 @@
+//! The stream of a generation's tokens to one reader.
+
+use http::HeaderValue;
+use http::header::CONTENT_TYPE;
+use http_body_util::BodyExt;
+use hyper::Response;
+use teaseldrum::http::AnswerBody;
+use teaseldrum::http::BodySender;
+use teaseldrum::http::ChannelBody;
+use teaseldrum::http::write_event;
+use tokio::sync::watch;
+
+use super::generation::AnswerScript;
+use super::generation::Progress;
+use super::reader::Reader;
+
+/// Header that names the request, in calls and in answers.
+pub const REQUEST_ID_HEADER: &str = "x-request-id";
+
+const EVENTS_IN_FLIGHT: usize = 64;
+
+/// Streams the tokens of a generation to one reader.
+pub struct TokenStream {
+    /// Keeps the generation going.
+    pub reader: Reader,
+    /// Writes its events.
+    pub script: AnswerScript,
+    /// How far it has come.
+    pub progress: watch::Receiver<Progress>,
+    /// Number of the next event to send.
+    pub next: u32,
+    /// Events sent.
+    pub sent: u64,
+}
+
+impl TokenStream {
+    /// Starts to send and returns the answer.
+    pub fn into_response(self, request_id: &str) -> Response<AnswerBody> {
+        let (tx, body) = ChannelBody::new(EVENTS_IN_FLIGHT);
+        tokio::spawn(async move {
+            tokio::select! {
+                () = tx.closed() => {}
+                () = self.send_all(tx.clone()) => {}
+            }
+        });
+        let mut response = Response::new(body.boxed_unsync());
+        let media = HeaderValue::from_static("text/event-stream");
+        response.headers_mut().insert(CONTENT_TYPE, media);
+        name_request(&mut response, request_id);
+        response
+    }
+
+    async fn send_all(mut self, tx: BodySender) {
+        loop {
+            let next = self.next;
+            let waited = self
+                .progress
+                .wait_for(|progress| progress.produced > next || progress.ended)
+                .await;
+            let Ok(progress) = waited.map(|progress| *progress) else {
+                return tx.cut().await;
+            };
+            while self.next < progress.produced {
+                let data = self.script.write_token(self.next);
+                if !self.send_event(&tx, &data).await {
+                    return;
+                }
+            }
+            if progress.cancelled {
+                return tx.cut().await;
+            }
+            if progress.ended {
+                return self.send_end(&tx, progress).await;
+            }
+        }
+    }
+
+    async fn send_end(&mut self, tx: &BodySender, progress: Progress) {
+        let is_at_usage = self.next == progress.produced;
+        if is_at_usage {
+            let usage = self.script.write_usage(progress);
+            if !self.send_event(tx, &usage).await {
+                return;
+            }
+        }
+        if !self.reader.shared.lock().faults.omits_end {
+            self.send_event(tx, "[DONE]").await;
+        }
+    }
+
+    /// Sends one event. Returns false if the stream is over.
+    async fn send_event(&mut self, tx: &BodySender, data: &str) -> bool {
+        let breaks_after = self.reader.shared.lock().faults.breaks_after;
+        if breaks_after.is_some_and(|events| self.sent >= events) {
+            tx.clone().cut().await;
+            return false;
+        }
+        let event = write_event(&self.next.to_string(), "", data);
+        self.next += 1;
+        self.sent += 1;
+        tx.send(event).await
+    }
+}
+
+/// Names the request in its answer.
+pub fn name_request(response: &mut Response<AnswerBody>, request_id: &str) {
+    if let Ok(value) = HeaderValue::from_str(request_id) {
+        response.headers_mut().insert(REQUEST_ID_HEADER, value);
+    }
+}
--- /dev/null
+++ b/lab/src/engine/weight_store.rs
@@ -0,0 +1,48 @@
+//! Stand-in for the platform's rate-limited weight store.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use tokio::time::sleep;
+
+/// Weight store that several engines share: a load takes longer in proportion
+/// when more than a few run at once. Cheap to clone.
+#[derive(Debug, Clone)]
+pub struct WeightStore {
+    load_time: Duration,
+    at_once: u32,
+    loads: Arc<Loads>,
+}
+
+#[derive(Debug, Default)]
+struct Loads {
+    running: AtomicU32,
+    peak: AtomicU32,
+}
+
+impl WeightStore {
+    /// Creates a store whose loads take `load_time` while no more than
+    /// `at_once` run.
+    pub fn new(load_time: Duration, at_once: u32) -> Self {
+        Self {
+            load_time,
+            at_once: at_once.max(1),
+            loads: Arc::default(),
+        }
+    }
+
+    /// Returns how many loads ever ran at once.
+    pub fn peak(&self) -> u32 {
+        self.loads.peak.load(Ordering::Acquire)
+    }
+
+    /// Loads weights.
+    pub async fn load(&self) {
+        let running = self.loads.running.fetch_add(1, Ordering::AcqRel) + 1;
+        self.loads.peak.fetch_max(running, Ordering::AcqRel);
+        sleep(self.load_time * running.max(self.at_once) / self.at_once).await;
+        self.loads.running.fetch_sub(1, Ordering::AcqRel);
+    }
+}
--- a/lab/src/hosts/mod.rs
+++ b/lab/src/hosts/mod.rs
@@ -12,9 +12,9 @@
 use http::StatusCode;
 use hyper::Request;
 use hyper::body::Incoming;
-use serde::Deserialize;
-use serde::Serialize;
 use serde_json::json;
+use teaseldrum::platform::Host;
+use teaseldrum::platform::HostState;
 use tokio::time::sleep;
 
 use crate::running::Running;
@@ -24,45 +24,6 @@
 use crate::stand_in::read_json;
 use crate::stand_in::start_stand_in;
 
-/// Role of a host.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "lowercase")]
-pub enum HostRole {
-    /// It runs an entry.
-    Entry,
-    /// It runs an agent beside a backend server.
-    Agent,
-}
-
-/// Whether a host takes new work.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "lowercase")]
-pub enum HostState {
-    /// It takes new work.
-    Live,
-    /// It is about to go.
-    Leaving,
-}
-
-/// One host of the list.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Host {
-    /// Name.
-    pub name: String,
-    /// Role.
-    pub role: HostRole,
-    /// Availability zone.
-    pub zone: String,
-    /// Pool of the backend server; none for an entry.
-    pub pool: Option<String>,
-    /// Traffic address.
-    pub traffic: SocketAddr,
-    /// Address for control messages.
-    pub peers: Option<SocketAddr>,
-    /// Whether it takes new work.
-    pub state: HostState,
-}
-
 /// A host list that runs; dropping it stops it.
 #[derive(Debug)]
 pub struct HostsHandle {
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod engine;
 pub mod hosts;
 pub mod running;
+pub mod service;
 pub mod stand_in;
 pub mod store;
--- /dev/null
+++ b/lab/src/service/mod.rs
@@ -0,0 +1,189 @@
+//! Stand-in for a plain service: it counts how often each call ran.
+
+use std::collections::BTreeMap;
+use std::future::pending;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use http::HeaderValue;
+use http::StatusCode;
+use hyper::Request;
+use hyper::body::Incoming;
+use serde_json::Value;
+use serde_json::json;
+use teaseldrum::http::read_body;
+use tokio::time::sleep;
+
+use crate::running::Running;
+use crate::stand_in::Dropped;
+use crate::stand_in::Life;
+use crate::stand_in::StandInAnswer;
+use crate::stand_in::answer_json;
+use crate::stand_in::start_stand_in;
+
+const REQUEST_ID_HEADER: &str = "x-request-id";
+const IDEMPOTENCY_KEY_HEADER: &str = "idempotency-key";
+const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// What a service does with a call after it ran.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum ServiceFault {
+    /// It answers.
+    #[default]
+    None,
+    /// It breaks the connection without an answer.
+    BreaksAfterRun,
+    /// It never answers.
+    HangsAfterRun,
+    /// It breaks the connection before the call runs.
+    BreaksBeforeRun,
+    /// Its answer names another request.
+    Crosses,
+    /// It answers with this HTTP status.
+    Fails(u16),
+}
+
+/// How a service answers.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct ServiceBehaviour {
+    /// What goes wrong.
+    pub fault: ServiceFault,
+    /// Time that a call takes to run.
+    pub run_time: Duration,
+    /// Time by which the answer is late after the call ran.
+    pub late: Duration,
+}
+
+/// Calls that ran, by idempotency key or, without one, by path.
+pub type Runs = BTreeMap<String, u64>;
+
+#[derive(Debug, Default)]
+struct Shared {
+    behaviour: ServiceBehaviour,
+    runs: Runs,
+    headers: Vec<String>,
+}
+
+/// A plain service that runs; dropping it stops it.
+#[derive(Debug)]
+pub struct ServiceHandle {
+    running: Running,
+    shared: Arc<Mutex<Shared>>,
+    life: Life,
+}
+
+/// Starts a plain service.
+///
+/// # Panics
+///
+/// The address cannot be listened on.
+pub fn start_service(address: SocketAddr) -> ServiceHandle {
+    let shared = Arc::<Mutex<Shared>>::default();
+    let life = Life::new();
+    let for_calls = Arc::clone(&shared);
+    let handle = move |req| answer(Arc::clone(&for_calls), req);
+    let running = start_stand_in(address, life.clone(), handle);
+    ServiceHandle {
+        running,
+        shared,
+        life,
+    }
+}
+
+impl ServiceHandle {
+    /// Address that it serves on.
+    pub fn address(&self) -> SocketAddr {
+        self.running.address
+    }
+
+    /// Switches how it answers.
+    pub fn set_behaviour(&self, behaviour: ServiceBehaviour) {
+        lock(&self.shared).behaviour = behaviour;
+    }
+
+    /// Returns how often each call ran.
+    pub fn runs(&self) -> Runs {
+        lock(&self.shared).runs.clone()
+    }
+
+    /// Returns how often the call with an idempotency key ran.
+    pub fn runs_of(&self, key: &str) -> u64 {
+        lock(&self.shared).runs.get(key).copied().unwrap_or(0)
+    }
+
+    /// Returns the names of all headers that it was ever sent.
+    pub fn seen_headers(&self) -> Vec<String> {
+        lock(&self.shared).headers.clone()
+    }
+
+    /// Switches whether it listens at all, and lets connections go silent.
+    pub fn life(&self) -> &Life {
+        &self.life
+    }
+}
+
+fn lock(shared: &Mutex<Shared>) -> MutexGuard<'_, Shared> {
+    shared.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+async fn answer(shared: Arc<Mutex<Shared>>, req: Request<Incoming>) -> StandInAnswer {
+    let behaviour = lock(&shared).behaviour;
+    let request_id = read_header(&req, REQUEST_ID_HEADER).unwrap_or_default();
+    let key = read_header(&req, IDEMPOTENCY_KEY_HEADER);
+    let path = String::from(req.uri().path());
+    note_headers(&shared, &req);
+    let body = read_body(req.into_body(), MAX_BODY_BYTES, BODY_TIMEOUT);
+    let body = body.await.map_err(|_| Dropped)?;
+    if behaviour.fault == ServiceFault::BreaksBeforeRun {
+        return Err(Dropped);
+    }
+    sleep(behaviour.run_time).await;
+    let run = count_run(&shared, key.as_ref().unwrap_or(&path));
+    sleep(behaviour.late).await;
+    let mut status = StatusCode::OK;
+    match behaviour.fault {
+        ServiceFault::None | ServiceFault::BreaksBeforeRun | ServiceFault::Crosses => {}
+        ServiceFault::BreaksAfterRun => return Err(Dropped),
+        ServiceFault::HangsAfterRun => pending().await,
+        ServiceFault::Fails(code) => {
+            status = StatusCode::from_u16(code).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+        }
+    }
+    let body: Value = serde_json::from_slice(&body).unwrap_or_default();
+    let answer = json!({"path": path, "key": key, "run": run, "body": body});
+    let mut response = answer_json(status, &answer);
+    let named = match behaviour.fault {
+        ServiceFault::Crosses => "of-another",
+        _ => &request_id,
+    };
+    if let Ok(value) = HeaderValue::from_str(named) {
+        response.headers_mut().insert(REQUEST_ID_HEADER, value);
+    }
+    Ok(response)
+}
+
+fn read_header(req: &Request<Incoming>, name: &str) -> Option<String> {
+    let value = req.headers().get(name)?;
+    value.to_str().ok().map(String::from)
+}
+
+fn note_headers(shared: &Mutex<Shared>, req: &Request<Incoming>) {
+    let mut shared = lock(shared);
+    for name in req.headers().keys() {
+        if !shared.headers.iter().any(|seen| seen == name.as_str()) {
+            shared.headers.push(name.as_str().into());
+        }
+    }
+}
+
+fn count_run(shared: &Mutex<Shared>, key: &str) -> u64 {
+    let mut shared = lock(shared);
+    let runs = shared.runs.entry(key.into()).or_default();
+    *runs += 1;
+    *runs
+}
--- /dev/null
+++ b/lab/tests/engine.rs
@@ -0,0 +1,220 @@
+//! The model engine's stand-in, over HTTP.
+
+use std::io::BufRead;
+use std::io::BufReader;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde_json::Value;
+use serde_json::json;
+use teaseldrum_lab::engine::EngineFaults;
+use teaseldrum_lab::engine::EngineHandle;
+use teaseldrum_lab::engine::EngineSettings;
+use teaseldrum_lab::engine::start_model_engine;
+
+const PROMPT_BYTES: usize = 40 * 256;
+const PATIENCE: Duration = Duration::from_secs(10);
+const SILENCE: Duration = Duration::from_secs(2);
+
+fn any_port() -> SocketAddr {
+    "127.0.0.1:0".parse().expect("an address")
+}
+
+fn start() -> EngineHandle {
+    start_model_engine(any_port(), make_settings())
+}
+
+fn make_settings() -> EngineSettings {
+    EngineSettings {
+        event_lag: Duration::ZERO,
+        load_lag: Duration::ZERO,
+        orphan_timeout: Duration::from_millis(50),
+        ..EngineSettings::default()
+    }
+}
+
+fn post(engine: &EngineHandle, path: &str, body: Value) -> http::Response<ureq::Body> {
+    let url = format!("http://{}{path}", engine.address());
+    ureq::post(&url)
+        .config()
+        .http_status_as_error(false)
+        .timeout_recv_body(Some(SILENCE))
+        .build()
+        .header("x-request-id", "r1")
+        .send_json(body)
+        .expect("an answer")
+}
+
+fn get(engine: &EngineHandle, target: &str) -> http::Response<ureq::Body> {
+    let url = format!("http://{}{target}", engine.address());
+    ureq::get(&url).call().expect("an answer")
+}
+
+fn ask(engine: &EngineHandle, salt: &str) -> u64 {
+    let body = json!({
+        "prompt": "x".repeat(PROMPT_BYTES),
+        "max_tokens": 2,
+        "cache_salt": salt,
+    });
+    let mut response = post(engine, "/v1/completions", body);
+    let answer: Value = response.body_mut().read_json().expect("JSON");
+    let details = &answer["usage"]["prompt_tokens_details"];
+    details["cached_tokens"].as_u64().expect("a number")
+}
+
+fn start_stream(engine: &EngineHandle, max_tokens: u32) -> http::Response<ureq::Body> {
+    let body = json!({"prompt": "x", "max_tokens": max_tokens, "stream": true});
+    post(engine, "/v1/completions", body)
+}
+
+fn read_data(response: http::Response<ureq::Body>) -> Vec<String> {
+    BufReader::new(response.into_body().into_reader())
+        .lines()
+        .map_while(Result::ok)
+        .filter_map(|line| line.strip_prefix("data: ").map(String::from))
+        .collect()
+}
+
+fn wait_until(what: impl Fn() -> bool) {
+    let began = Instant::now();
+    while !what() {
+        assert!(began.elapsed() < PATIENCE, "it never came");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+#[test]
+fn engine_caches_by_salt() {
+    let engine = start();
+    assert_eq!(ask(&engine, "1"), 0);
+    assert!(ask(&engine, "1") > 2_400);
+    assert_eq!(ask(&engine, "2"), 0);
+}
+
+#[test]
+fn engine_crash_comes_back_empty() {
+    let engine = start();
+    ask(&engine, "1");
+    let before = engine.incarnation();
+    engine.crash();
+    engine.restart();
+    wait_until(|| {
+        let url = format!("http://{}/state", engine.address());
+        ureq::get(&url).call().is_ok()
+    });
+    assert_ne!(engine.incarnation(), before);
+    assert_eq!(ask(&engine, "1"), 0);
+}
+
+#[test]
+fn engine_stream_with_usage_and_end() {
+    let engine = start();
+    let lines = read_data(start_stream(&engine, 3));
+    assert_eq!(lines.len(), 5);
+    assert!(lines[0].contains("w0 "));
+    assert!(lines[3].contains("completion_tokens"));
+    assert_eq!(lines[4], "[DONE]");
+}
+
+#[test]
+fn engine_resume_goes_on() {
+    let engine = start();
+    engine.set_faults(EngineFaults {
+        breaks_after: Some(2),
+        ..EngineFaults::default()
+    });
+    let first = read_data(start_stream(&engine, 4));
+    engine.set_faults(EngineFaults::default());
+    let second = read_data(get(&engine, "/resume?request_id=r1&after=1"));
+    assert_eq!(first.len(), 2);
+    assert!(second[0].contains("w2 "), "{second:?}");
+    assert_eq!(second.last().map(String::as_str), Some("[DONE]"));
+    assert_eq!(engine.counts().began, 1);
+}
+
+#[test]
+fn engine_cancel_by_request() {
+    let engine = start();
+    let response = start_stream(&engine, 100_000);
+    let mut answer = post(&engine, "/cancel", json!({"request_id": "r1"}));
+    let answer: Value = answer.body_mut().read_json().expect("JSON");
+    assert_eq!(answer["cancelled"], true);
+    drop(response);
+    assert_eq!(engine.active(), 0);
+}
+
+#[test]
+fn engine_reader_gone_is_cancelled() {
+    let engine = start();
+    drop(start_stream(&engine, 100_000));
+    wait_until(|| engine.active() == 0);
+    assert_eq!(engine.counts().cancelled, 1);
+}
+
+#[test]
+fn engine_cache_events_and_gap() {
+    let engine = start();
+    engine.lose_cache_events(1);
+    ask(&engine, "1");
+    let mut response = get(&engine, "/cache_events?after=0");
+    let events: Value = response.body_mut().read_json().expect("JSON");
+    assert_eq!(events["first"], 1);
+    let stored = events["events"][0]["stored"].as_array().expect("a list");
+    assert!(!stored.is_empty());
+    assert!(events["events"][0]["parent"].is_u64());
+}
+
+#[test]
+fn engine_moves_blocks() {
+    let engine = start();
+    ask(&engine, "1");
+    let mut response = get(&engine, "/cache_events?after=0");
+    let events: Value = response.body_mut().read_json().expect("JSON");
+    let blocks: Vec<Value> = events["events"]
+        .as_array()
+        .expect("a list")
+        .iter()
+        .flat_map(|event| event["stored"].as_array().cloned().unwrap_or_default())
+        .collect();
+    let mut exported = post(&engine, "/kv/export", json!({"blocks": blocks}));
+    let exported: Value = exported.body_mut().read_json().expect("JSON");
+    let other = start();
+    post(&other, "/kv/import", exported);
+    assert_eq!(other.cached_blocks(), 40);
+    assert!(ask(&other, "1") > 2_400);
+}
+
+#[test]
+fn engine_orders_fenced() {
+    let engine = start();
+    let order = |version: u64, fencing: u64| {
+        let body = json!({"kind": "load_weights", "version": version, "fencing": fencing});
+        post(&engine, "/orders", body).status().as_u16()
+    };
+    assert_eq!(order(2, 7), 200);
+    assert_eq!(order(3, 6), 409);
+    assert_eq!(engine.weights(), 2);
+    let settings = EngineSettings {
+        honours_fencing: false,
+        ..make_settings()
+    };
+    let lax = start_model_engine(any_port(), settings);
+    for fencing in [7, 6] {
+        let body = json!({"kind": "change_role", "role": "decode", "fencing": fencing});
+        assert_eq!(post(&lax, "/orders", body).status(), 200);
+    }
+    assert_eq!(lax.counts().orders, 2);
+}
+
+#[test]
+fn engine_frozen_connection_is_silent() {
+    let engine = start();
+    let response = start_stream(&engine, 30);
+    engine.life().freeze_connections();
+    wait_until(|| engine.counts().ended == 1);
+    let lines = read_data(response);
+    assert_ne!(lines.last().map(String::as_str), Some("[DONE]"));
+    let again = read_data(start_stream(&engine, 1));
+    assert_eq!(again.last().map(String::as_str), Some("[DONE]"));
+}
--- a/lab/tests/platform.rs
+++ b/lab/tests/platform.rs
@@ -9,9 +9,9 @@
 use base64::prelude::BASE64_STANDARD;
 use serde_json::Value;
 use serde_json::json;
-use teaseldrum_lab::hosts::Host;
-use teaseldrum_lab::hosts::HostRole;
-use teaseldrum_lab::hosts::HostState;
+use teaseldrum::platform::Host;
+use teaseldrum::platform::HostRole;
+use teaseldrum::platform::HostState;
 use teaseldrum_lab::hosts::start_hosts;
 use teaseldrum_lab::store::StoreFaults;
 use teaseldrum_lab::store::StoreHandle;
@@ -119,7 +119,7 @@
         name: "s1".into(),
         role: HostRole::Agent,
         zone: "a".into(),
-        pool: Some("drafting".into()),
+        pool: "drafting".into(),
         traffic: any_port(),
         peers: None,
         state: HostState::Live,
--- /dev/null
+++ b/lab/tests/service.rs
@@ -0,0 +1,49 @@
+//! The plain service's stand-in, over HTTP.
+
+use teaseldrum_lab::service::ServiceBehaviour;
+use teaseldrum_lab::service::ServiceFault;
+use teaseldrum_lab::service::ServiceHandle;
+use teaseldrum_lab::service::start_service;
+
+fn start() -> ServiceHandle {
+    start_service("127.0.0.1:0".parse().expect("an address"))
+}
+
+fn post(service: &ServiceHandle, key: &str) -> Result<http::Response<ureq::Body>, ureq::Error> {
+    let url = format!("http://{}/deposits", service.address());
+    ureq::post(&url)
+        .header("idempotency-key", key)
+        .send_json(serde_json::json!({"amount": 5}))
+}
+
+#[test]
+fn service_counts_runs_by_key() {
+    let service = start();
+    for key in ["a", "a", "b"] {
+        post(&service, key).expect("an answer");
+    }
+    assert_eq!(service.runs_of("a"), 2);
+    assert_eq!(service.runs_of("b"), 1);
+}
+
+#[test]
+fn service_break_after_run_counts() {
+    let service = start();
+    service.set_behaviour(ServiceBehaviour {
+        fault: ServiceFault::BreaksAfterRun,
+        ..ServiceBehaviour::default()
+    });
+    assert!(post(&service, "a").is_err());
+    assert_eq!(service.runs_of("a"), 1);
+}
+
+#[test]
+fn service_break_before_run_counts_not() {
+    let service = start();
+    service.set_behaviour(ServiceBehaviour {
+        fault: ServiceFault::BreaksBeforeRun,
+        ..ServiceBehaviour::default()
+    });
+    assert!(post(&service, "a").is_err());
+    assert_eq!(service.runs_of("a"), 0);
+}
--- /dev/null
+++ b/src/core/placement/prompt_text.rs
@@ -0,0 +1,65 @@
+//! The text of a prompt, as caches count it.
+
+use serde_json::Map;
+use serde_json::Value;
+
+/// Returns the text of a prompt in the body of a completions or
+/// chat-completions request; none where there is no prompt. Messages are
+/// joined with their roles, so that a conversation's text begins with the
+/// text of each of its earlier turns.
+pub fn read_prompt_text(body: &Map<String, Value>) -> Option<String> {
+    if let Some(prompt) = body.get("prompt") {
+        return prompt.as_str().map(String::from);
+    }
+    let messages = body.get("messages")?.as_array()?;
+    let mut text = String::new();
+    for message in messages {
+        let role = message.get("role").and_then(Value::as_str);
+        text.push_str(role.unwrap_or_default());
+        text.push('\n');
+        push_content(&mut text, message.get("content")?)?;
+        text.push('\n');
+    }
+    Some(text)
+}
+
+/// Adds the content of a message: text, or a list of parts with text.
+fn push_content(text: &mut String, content: &Value) -> Option<()> {
+    if let Some(content) = content.as_str() {
+        text.push_str(content);
+        return Some(());
+    }
+    for part in content.as_array()? {
+        let part = part.get("text").and_then(Value::as_str);
+        text.push_str(part.unwrap_or_default());
+    }
+    Some(())
+}
+
+#[cfg(test)]
+mod tests {
+    use serde_json::json;
+
+    use super::*;
+
+    fn read(body: Value) -> Option<String> {
+        read_prompt_text(body.as_object().expect("an object"))
+    }
+
+    #[test]
+    fn read_prompt_text_completions() {
+        assert_eq!(read(json!({"prompt": "x"})), Some("x".into()));
+        assert_eq!(read(json!({"prompt": 4})), None);
+        assert_eq!(read(json!({})), None);
+    }
+
+    #[test]
+    fn read_prompt_text_later_turn_begins_with_earlier() {
+        let first = json!({"role": "system", "content": "long file"});
+        let second = json!({"role": "user", "content": [{"type": "text", "text": "a question"}]});
+        let earlier = read(json!({"messages": [first]})).expect("text");
+        let later = read(json!({"messages": [first, second]})).expect("text");
+        assert!(later.starts_with(&earlier));
+        assert!(later.contains("a question"));
+    }
+}
