--- a/src/cli/agent.rs
+++ b/src/cli/agent.rs
@@ -5,8 +5,8 @@
 use argh::FromArgs;
 
 use super::Exit;
+use super::run_role::run_role;
 use crate::agent::run_agent;
-use crate::logs::start_logging;
 use crate::settings::AgentSettings;
 
 /// Guard one backend server: the last gate of every request and order to it.
@@ -21,23 +21,11 @@
 impl AgentCommand {
     /// Runs the agent until SIGTERM or SIGINT.
     pub fn run(self) -> Exit {
-        let settings = match AgentSettings::load(&self.settings) {
-            Ok(settings) => settings,
-            Err(e) => {
-                eprintln!("{}: {e}", self.settings.display());
-                return Exit::Faulty;
-            }
-        };
-        let logger = start_logging(&settings.log);
-        if let Err(e) = &logger {
-            eprintln!("Logging cannot start: {e}");
-        }
-        match run_agent(settings) {
-            Ok(()) => Exit::Done,
-            Err(e) => {
-                eprintln!("{e}");
-                Exit::Failed
-            }
-        }
+        run_role(
+            &self.settings,
+            AgentSettings::load,
+            |settings| &settings.log,
+            run_agent,
+        )
     }
 }
--- a/src/cli/entry.rs
+++ b/src/cli/entry.rs
@@ -5,8 +5,8 @@
 use argh::FromArgs;
 
 use super::Exit;
+use super::run_role::run_role;
 use crate::entry::run_entry;
-use crate::logs::start_logging;
 use crate::settings::EntrySettings;
 
 /// Serve callers: authenticate, admit, choose a server, relay and retry.
@@ -21,23 +21,11 @@
 impl EntryCommand {
     /// Runs the entry until SIGTERM or SIGINT.
     pub fn run(self) -> Exit {
-        let settings = match EntrySettings::load(&self.settings) {
-            Ok(settings) => settings,
-            Err(e) => {
-                eprintln!("{}: {e}", self.settings.display());
-                return Exit::Faulty;
-            }
-        };
-        let logger = start_logging(&settings.log);
-        if let Err(e) = &logger {
-            eprintln!("Logging cannot start: {e}");
-        }
-        match run_entry(settings) {
-            Ok(()) => Exit::Done,
-            Err(e) => {
-                eprintln!("{e}");
-                Exit::Failed
-            }
-        }
+        run_role(
+            &self.settings,
+            EntrySettings::load,
+            |settings| &settings.log,
+            run_entry,
+        )
     }
 }
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -4,6 +4,7 @@
 mod entry;
 mod exit;
 mod rules;
+mod run_role;
 mod settings;
 
 use std::process::ExitCode;
--- /dev/null
+++ b/src/cli/run_role.rs
@@ -0,0 +1,36 @@
+//! What the commands of the long-running roles share.
+
+use std::fmt::Display;
+use std::path::Path;
+
+use super::Exit;
+use crate::logs::start_logging;
+use crate::settings::LogSettings;
+use crate::settings::SettingsError;
+
+/// Loads settings, starts logging and runs a role until it stops.
+pub fn run_role<S, E: Display>(
+    file: &Path,
+    load: impl FnOnce(&Path) -> Result<S, SettingsError>,
+    log: impl FnOnce(&S) -> &LogSettings,
+    run: impl FnOnce(S) -> Result<(), E>,
+) -> Exit {
+    let settings = match load(file) {
+        Ok(settings) => settings,
+        Err(e) => {
+            eprintln!("{}:\n{e}", file.display());
+            return Exit::Faulty;
+        }
+    };
+    let logger = start_logging(log(&settings));
+    if let Err(e) = &logger {
+        eprintln!("Logging cannot start: {e}");
+    }
+    match run(settings) {
+        Ok(()) => Exit::Done,
+        Err(e) => {
+            eprintln!("{e}");
+            Exit::Failed
+        }
+    }
+}
--- a/src/settings/agent.rs
+++ b/src/settings/agent.rs
@@ -11,7 +11,7 @@
 use super::Section;
 use super::SettingsError;
 use super::TrafficSettings;
-use super::entry::read_json;
+use super::section::read_json;
 use crate::core::ServerName;
 
 /// Settings of an agent.
@@ -53,14 +53,7 @@
     ///
     /// The JSON has faulty fields; all of them are returned.
     pub fn parse(value: &Value) -> Result<Self, SettingsError> {
-        let mut section = Section::open("", value.clone());
-        let settings = Self::read(&mut section);
-        let faults = section.close();
-        if faults.is_empty() {
-            Ok(settings)
-        } else {
-            Err(SettingsError::Faulty(faults))
-        }
+        Section::read_whole(value.clone(), Self::read)
     }
 
     fn read(section: &mut Section) -> Self {
--- a/src/settings/entry.rs
+++ b/src/settings/entry.rs
@@ -1,6 +1,5 @@
 //! Settings of an entry.
 
-use std::fs;
 use std::path::Path;
 use std::path::PathBuf;
 
@@ -13,6 +12,7 @@
 use super::ServerSettings;
 use super::SettingsError;
 use super::TrafficSettings;
+use super::section::read_json;
 
 /// Settings of an entry.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -51,14 +51,7 @@
     ///
     /// The JSON has faulty fields; all of them are returned.
     pub fn parse(value: &Value) -> Result<Self, SettingsError> {
-        let mut section = Section::open("", value.clone());
-        let settings = Self::read(&mut section);
-        let faults = section.close();
-        if faults.is_empty() {
-            Ok(settings)
-        } else {
-            Err(SettingsError::Faulty(faults))
-        }
+        Section::read_whole(value.clone(), Self::read)
     }
 
     fn read(section: &mut Section) -> Self {
@@ -75,12 +68,6 @@
     }
 }
 
-/// Reads a JSON file.
-pub(super) fn read_json(path: &Path) -> Result<Value, SettingsError> {
-    let text = fs::read_to_string(path).map_err(|e| SettingsError::Unreadable(e.to_string()))?;
-    serde_json::from_str(&text).map_err(|e| SettingsError::NotJson(e.to_string()))
-}
-
 #[cfg(test)]
 mod tests {
     use serde_json::json;
--- a/src/settings/section.rs
+++ b/src/settings/section.rs
@@ -1,11 +1,14 @@
 //! Reading of one JSON object that collects every fault.
 
+use std::fs;
 use std::ops::RangeInclusive;
+use std::path::Path;
 
 use serde::de::DeserializeOwned;
 use serde_json::Map;
 use serde_json::Value;
 
+use super::SettingsError;
 use super::SettingsFault;
 
 /// One JSON object of a settings file. Each field is taken by name; what is
@@ -18,6 +21,25 @@
 }
 
 impl Section {
+    /// Reads a whole file's settings.
+    ///
+    /// # Errors
+    ///
+    /// Fields are faulty; all faults are returned.
+    pub fn read_whole<T>(
+        value: Value,
+        read: impl FnOnce(&mut Section) -> T,
+    ) -> Result<T, SettingsError> {
+        let mut section = Self::open("", value);
+        let settings = read(&mut section);
+        let faults = section.close();
+        if faults.is_empty() {
+            Ok(settings)
+        } else {
+            Err(SettingsError::Faulty(faults))
+        }
+    }
+
     /// Opens the object at `path`; a value that is no object is a fault.
     pub fn open(path: &str, value: Value) -> Self {
         let mut section = Self {
@@ -135,3 +157,9 @@
         }
     }
 }
+
+/// Reads a JSON file.
+pub(super) fn read_json(path: &Path) -> Result<Value, SettingsError> {
+    let text = fs::read_to_string(path).map_err(|e| SettingsError::Unreadable(e.to_string()))?;
+    serde_json::from_str(&text).map_err(|e| SettingsError::NotJson(e.to_string()))
+}
