Run requests of once routes at most once, and bound retries

A once route writes an intent with create-if-absent before it sends and the outcome and answer after. A repeat with the same Idempotency-Key gets the kept answer through any entry; a different request is refused; an intent without outcome is unknown and is not run again, unless its owner knew that it did not run and moved the record by compare-and-swap. A write whose answer was lost is read back and recognised by request and attempt. Without the store the request is refused as not run. The agent refuses an attempt planned for no or another run of it and never runs an attempt twice; a call already sent is finished though its caller or entry goes.

Idempotent requests are tried at most three times, within the caller's x-teaseldrum-deadline-ms and a retry budget of a tenth of the requests; an error says not-run only if no earlier attempt may have run. The agent checks the engine's event numbers, names each attempt to the engine and cancels it there when the entry goes. A draining listener serves what the system had already accepted.

Checked by lab/tests/once.rs against a service that counts its runs.

--- /dev/null
+++ b/lab/tests/once.rs
@@ -0,0 +1,305 @@
+//! Requests that may run at most once, through entries, agents and a plain
+//! service that counts its runs, with the faults of the platform's store.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::thread;
+use std::time::Duration;
+
+use http::StatusCode;
+use hyper::Request;
+use hyper::body::Incoming;
+use serde_json::Value;
+use serde_json::json;
+use teaseldrum::entry::serve_entry;
+use teaseldrum::settings::EntrySettings;
+use teaseldrum_lab::deployment::describe_server;
+use teaseldrum_lab::deployment::start_agent;
+use teaseldrum_lab::running::Running;
+use teaseldrum_lab::stand_in::Dropped;
+use teaseldrum_lab::stand_in::Life;
+use teaseldrum_lab::stand_in::StandInAnswer;
+use teaseldrum_lab::stand_in::answer_json;
+use teaseldrum_lab::stand_in::start_stand_in;
+use teaseldrum_lab::store::StoreFaults;
+use teaseldrum_lab::store::StoreHandle;
+use teaseldrum_lab::store::start_store;
+use tokio::time::sleep;
+
+const RULES: &str = "pool booking # asked by Asha\n\
+    route /orders pool booking open once # asked by Asha\n";
+
+/// A plain service that counts how often it ran each operation.
+#[derive(Debug, Clone, Default)]
+struct Ledger {
+    inner: Arc<Mutex<LedgerState>>,
+}
+
+#[derive(Debug, Default)]
+struct LedgerState {
+    runs: HashMap<String, u32>,
+    delay: Duration,
+    drops_answers: bool,
+}
+
+impl Ledger {
+    fn change(&self, change: impl FnOnce(&mut LedgerState)) {
+        change(&mut self.inner.lock().unwrap_or_else(PoisonError::into_inner));
+    }
+
+    fn runs(&self, key: &str) -> u32 {
+        let state = self.inner.lock().unwrap_or_else(PoisonError::into_inner);
+        state.runs.get(key).copied().unwrap_or(0)
+    }
+
+    async fn answer(self, req: Request<Incoming>) -> StandInAnswer {
+        let key = req.headers().get("idempotency-key");
+        let key = key.and_then(|key| key.to_str().ok()).unwrap_or("none");
+        let key = String::from(key);
+        let (run, delay, drops) = {
+            let mut state = self.inner.lock().unwrap_or_else(PoisonError::into_inner);
+            let run = state.runs.entry(key.clone()).or_default();
+            *run += 1;
+            (*run, state.delay, state.drops_answers)
+        };
+        sleep(delay).await;
+        if drops {
+            return Err(Dropped);
+        }
+        Ok(answer_json(
+            StatusCode::OK,
+            &json!({"key": key, "run": run}),
+        ))
+    }
+}
+
+struct Deployment {
+    entries: Vec<Running>,
+    _agent: Running,
+    _service: Running,
+    service_life: Life,
+    ledger: Ledger,
+    store: StoreHandle,
+}
+
+/// What a caller got.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Answered {
+    status: u16,
+    outcome: String,
+    body: String,
+}
+
+fn any_port() -> SocketAddr {
+    "127.0.0.1:0".parse().expect("an address")
+}
+
+fn start_deployment(name: &str, entries: usize) -> Deployment {
+    let ledger = Ledger::default();
+    let life = Life::new();
+    let store = start_store(any_port());
+    let for_calls = ledger.clone();
+    let service = start_stand_in(any_port(), life.clone(), move |req| {
+        for_calls.clone().answer(req)
+    });
+    let agent = start_agent("s1", "booking", service.address);
+    let server = describe_server("s1", "booking", agent.address);
+    let entries = (0..entries)
+        .map(|number| start_entry(&format!("{name}-{number}"), &server, store.address()))
+        .collect();
+    Deployment {
+        entries,
+        _agent: agent,
+        _service: service,
+        service_life: life,
+        ledger,
+        store,
+    }
+}
+
+fn start_entry(name: &str, server: &Value, store: SocketAddr) -> Running {
+    let path = std::env::temp_dir().join(format!("once-{}-{name}.rules", std::process::id()));
+    std::fs::write(&path, RULES).expect("temporary file");
+    let value = json!({
+        "name": name,
+        "zone": "a",
+        "rules_file": path,
+        "servers": [server],
+        "listen": {"traffic": "127.0.0.1:0"},
+        "traffic": {"threads": 2, "drain_linger_ms": 20, "drain_timeout_ms": 500},
+        "platform": {"store": [store], "call_timeout_ms": 200},
+    });
+    let settings = EntrySettings::parse(&value).expect("valid settings");
+    Running::start(move |stop, ready| serve_entry(settings, stop, ready).expect("entry starts"))
+}
+
+fn post(entry: SocketAddr, key: &str, body: &str) -> Answered {
+    let response = ureq::post(format!("http://{entry}/orders"))
+        .config()
+        .http_status_as_error(false)
+        .build()
+        .header("idempotency-key", key)
+        .send(body)
+        .expect("an answer");
+    let outcome = response.headers().get("x-teaseldrum-outcome");
+    let outcome = outcome.and_then(|value| value.to_str().ok());
+    let outcome = outcome.unwrap_or_default().into();
+    let status = response.status().as_u16();
+    let mut response = response;
+    let body = response.body_mut().read_to_string().expect("a body");
+    Answered {
+        status,
+        outcome,
+        body,
+    }
+}
+
+impl Deployment {
+    fn post(&self, entry: usize, key: &str, body: &str) -> Answered {
+        post(self.entries[entry].address, key, body)
+    }
+}
+
+#[test]
+fn once_repeat_through_other_entry() {
+    let deployment = start_deployment("repeat", 2);
+    let first = deployment.post(0, "k1", "order");
+    let second = deployment.post(1, "k1", "order");
+    assert_eq!(first.status, 200, "{first:?}");
+    assert_eq!(first.outcome, "ran");
+    assert_eq!(second, first);
+    assert_eq!(deployment.ledger.runs("k1"), 1);
+}
+
+#[test]
+fn once_many_at_once() {
+    let deployment = start_deployment("many", 2);
+    deployment
+        .ledger
+        .change(|state| state.delay = Duration::from_millis(200));
+    let calls: Vec<_> = (0..8)
+        .map(|index| {
+            let entry = deployment.entries[index % 2].address;
+            thread::spawn(move || post(entry, "k1", "order"))
+        })
+        .collect();
+    let answers: Vec<Answered> = calls
+        .into_iter()
+        .map(|call| call.join().expect("no panic"))
+        .collect();
+    assert!(answers.iter().all(|answer| answer == &answers[0]));
+    assert_eq!(answers[0].outcome, "ran");
+    assert_eq!(deployment.ledger.runs("k1"), 1);
+}
+
+#[test]
+fn once_other_request_with_same_key() {
+    let deployment = start_deployment("digest", 1);
+    deployment.post(0, "k1", "order");
+    let other = deployment.post(0, "k1", "another order");
+    assert_eq!((other.status, other.outcome.as_str()), (422, "not-run"));
+    assert_eq!(deployment.ledger.runs("k1"), 1);
+}
+
+#[test]
+fn once_without_key() {
+    let deployment = start_deployment("keyless", 1);
+    let answer = deployment.post(0, "", "order");
+    assert_eq!((answer.status, answer.outcome.as_str()), (400, "not-run"));
+}
+
+#[test]
+fn once_store_down() {
+    let deployment = start_deployment("down", 1);
+    deployment.store.life().stop();
+    let refused = deployment.post(0, "k1", "order");
+    assert_eq!((refused.status, refused.outcome.as_str()), (503, "not-run"));
+    assert_eq!(deployment.ledger.runs("k1"), 0);
+    deployment.store.life().restart(1);
+    assert_eq!(deployment.post(0, "k1", "order").outcome, "ran");
+    assert_eq!(deployment.ledger.runs("k1"), 1);
+}
+
+#[test]
+fn once_store_silent() {
+    let deployment = start_deployment("silent", 1);
+    deployment.store.set_faults(StoreFaults {
+        hangs: true,
+        ..StoreFaults::default()
+    });
+    let refused = deployment.post(0, "k1", "order");
+    assert_eq!((refused.status, refused.outcome.as_str()), (503, "not-run"));
+    assert_eq!(deployment.ledger.runs("k1"), 0);
+    deployment.store.set_faults(StoreFaults::default());
+    assert_eq!(deployment.post(0, "k1", "order").outcome, "ran");
+}
+
+#[test]
+fn once_store_connections_frozen() {
+    let deployment = start_deployment("frozen", 1);
+    deployment.post(0, "k1", "order");
+    deployment.store.life().freeze_connections();
+    assert_eq!(deployment.post(0, "k2", "order").outcome, "ran");
+    assert_eq!(deployment.ledger.runs("k2"), 1);
+}
+
+#[test]
+fn once_store_loses_answers() {
+    let deployment = start_deployment("losing", 1);
+    deployment.post(0, "warm", "order");
+    deployment.store.set_faults(StoreFaults {
+        lose_answers: 2,
+        ..StoreFaults::default()
+    });
+    let answer = deployment.post(0, "k1", "order");
+    assert_eq!(answer.outcome, "ran", "{answer:?}");
+    assert_eq!(deployment.post(0, "k1", "order"), answer);
+    assert_eq!(deployment.ledger.runs("k1"), 1);
+}
+
+#[test]
+fn once_service_loses_answer() {
+    let deployment = start_deployment("unknown", 2);
+    deployment.ledger.change(|state| state.drops_answers = true);
+    let first = deployment.post(0, "k1", "order");
+    assert_eq!((first.status, first.outcome.as_str()), (502, "unknown"));
+    deployment
+        .ledger
+        .change(|state| state.drops_answers = false);
+    let repeat = deployment.post(1, "k1", "order");
+    assert_eq!((repeat.status, repeat.outcome.as_str()), (409, "unknown"));
+    assert_eq!(deployment.ledger.runs("k1"), 1);
+}
+
+#[test]
+fn once_service_not_reached() {
+    let deployment = start_deployment("unreached", 1);
+    deployment.service_life.stop();
+    let refused = deployment.post(0, "k1", "order");
+    assert_eq!((refused.status, refused.outcome.as_str()), (503, "not-run"));
+    deployment.service_life.restart(1);
+    let answer = deployment.post(0, "k1", "order");
+    assert_eq!(answer.outcome, "ran", "{answer:?}");
+    assert_eq!(deployment.ledger.runs("k1"), 1);
+}
+
+#[test]
+fn once_caller_goes_away() {
+    let deployment = start_deployment("gone", 2);
+    deployment
+        .ledger
+        .change(|state| state.delay = Duration::from_millis(300));
+    let gone = ureq::post(format!("http://{}/orders", deployment.entries[0].address))
+        .config()
+        .timeout_global(Some(Duration::from_millis(100)))
+        .build()
+        .header("idempotency-key", "k1")
+        .send("order");
+    assert!(gone.is_err());
+    let repeat = deployment.post(1, "k1", "order");
+    assert_eq!(repeat.outcome, "ran", "{repeat:?}");
+    assert_eq!(deployment.ledger.runs("k1"), 1);
+}
--- a/src/agent/call_server.rs
+++ b/src/agent/call_server.rs
@@ -8,6 +8,7 @@
 use http::header::CONTENT_TYPE;
 use http::header::HOST;
 use http::request::Parts;
+use serde_json::json;
 
 use super::AgentContext;
 use crate::core::Envelope;
@@ -27,6 +28,11 @@
 use crate::timeline::EventKind;
 
 const EVENT_STREAM: &str = "text/event-stream";
+const CANCEL_PATH: &str = "/cancel";
+const MAX_CANCEL_ANSWER_BYTES: usize = 65_536;
+
+/// Last event of a complete stream.
+const END_OF_STREAM: &str = "[DONE]";
 
 /// One call of the backend server.
 pub struct ServerCall {
@@ -59,6 +65,7 @@
     pub async fn run(self, verdict: Result<(), Refusal>, mut writer: FrameWriter) {
         let request = self.envelope.request;
         let cx = Arc::clone(&self.cx);
+        let canceller = Canceller::new(&self);
         let result = match verdict {
             Ok(()) => self.run_counted(&mut writer).await,
             Err(refusal) => {
@@ -68,6 +75,7 @@
         };
         if result == Err(EntryGone) {
             cx.timeline.record(Some(request), EventKind::CallerGone);
+            canceller.cancel().await;
         }
     }
 
@@ -111,10 +119,7 @@
         headers.remove(ENVELOPE_HEADER);
         let host = self.cx.settings.server.to_string();
         headers.insert(HOST, host.parse().ok()?);
-        headers.insert(
-            "x-request-id",
-            self.envelope.request.to_string().parse().ok()?,
-        );
+        headers.insert("x-request-id", name_attempt(&self.envelope).parse().ok()?);
         Some(message)
     }
 
@@ -154,6 +159,9 @@
         loop {
             match writer.beat_during(events.next()).await? {
                 Ok(Some(event)) => {
+                    if !is_in_order(&event.id, &event.data, number) {
+                        return self.fail(writer, "events out of order").await;
+                    }
                     let data = Bytes::from(event.data);
                     let frame = Frame::Event(StreamEvent { number, data });
                     writer.send(&frame).await?;
@@ -190,3 +198,72 @@
         writer.send(&failed).await
     }
 }
+
+/// Ends the work of a call at the engine, which may go on although its
+/// connection is closed.
+struct Canceller {
+    cx: Arc<AgentContext>,
+    client: Client,
+    attempt: String,
+}
+
+impl Canceller {
+    fn new(call: &ServerCall) -> Self {
+        Self {
+            cx: Arc::clone(&call.cx),
+            client: call.client.clone(),
+            attempt: name_attempt(&call.envelope),
+        }
+    }
+
+    async fn cancel(self) {
+        if !self.cx.settings.engine {
+            return;
+        }
+        let address = self.cx.settings.server;
+        let body = json!({"request_id": self.attempt}).to_string();
+        let message = Request::post(CANCEL_PATH)
+            .header(HOST, address.to_string())
+            .header(CONTENT_TYPE, "application/json")
+            .body(full_body(body));
+        let Ok(message) = message else {
+            return;
+        };
+        match self.client.send(address, message).await {
+            Ok(mut exchange) => {
+                // The status tells all; the rest is read for the connection's sake.
+                let _ = exchange.read_rest(MAX_CANCEL_ANSWER_BYTES).await;
+            }
+            Err(e) => log::warn!("agent: Request not cancelled: {e}."),
+        }
+    }
+}
+
+/// Returns the name by which the engine knows an attempt.
+fn name_attempt(envelope: &Envelope) -> String {
+    format!("{}-{}", envelope.request, envelope.attempt)
+}
+
+/// Tells whether an event has the number that is due; an engine may number no
+/// events at all, and the end marker needs no number.
+fn is_in_order(id: &str, data: &str, due: u64) -> bool {
+    id.is_empty() || data == END_OF_STREAM || id.parse() == Ok(due)
+}
+
+#[cfg(test)]
+mod tests {
+    use rstest::rstest;
+
+    use super::*;
+
+    #[rstest]
+    #[case::due("3", "x", true)]
+    #[case::unnumbered("", "x", true)]
+    #[case::end("2", "[DONE]", true)]
+    #[case::missing("4", "x", false)]
+    #[case::repeated("2", "x", false)]
+    #[case::no_number("x", "x", false)]
+    fn is_in_order_each(#[case] id: &str, #[case] data: &str, #[case] expected: bool) {
+        assert_eq!(is_in_order(id, data, 3), expected);
+    }
+}
--- a/src/agent/gate.rs
+++ b/src/agent/gate.rs
@@ -16,6 +16,9 @@
     if envelope.agent.is_some_and(|agent| agent != cx.incarnation) {
         return Err(Refusal::AgentRestarted);
     }
+    if envelope.once && envelope.agent.is_none() {
+        return Err(Refusal::AgentRestarted);
+    }
     if cx.leaving.load(Ordering::Acquire) {
         return Err(Refusal::Leaving);
     }
@@ -74,6 +77,16 @@
         assert_eq!(judge_attempt(&cx, &envelope), Err(Refusal::AgentRestarted));
     }
 
+    #[test]
+    fn judge_attempt_once_for_any_run_of_agent() {
+        let cx = make_context();
+        let mut envelope = make_envelope(&cx);
+        envelope.agent = None;
+        assert_eq!(judge_attempt(&cx, &envelope), Ok(()));
+        envelope.once = true;
+        assert_eq!(judge_attempt(&cx, &envelope), Err(Refusal::AgentRestarted));
+    }
+
     #[test]
     fn judge_attempt_leaving() {
         let cx = make_context();
--- a/src/agent/handle.rs
+++ b/src/agent/handle.rs
@@ -7,11 +7,14 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
+use tokio_util::task::TaskTracker;
 
 use super::AgentContext;
 use super::call_server::ServerCall;
 use super::gate::judge_attempt;
 use crate::core::Envelope;
+use crate::core::Refusal;
+use crate::core::once::Sighting;
 use crate::http::AnswerBody;
 use crate::http::ChannelBody;
 use crate::http::Client;
@@ -22,10 +25,21 @@
 
 const FRAMES_IN_FLIGHT: usize = 64;
 
-/// Serves one attempt of an entry.
+/// What one traffic thread reaches its backend server by.
+#[derive(Debug, Clone)]
+pub struct Reach {
+    /// Connections to the backend server.
+    pub client: Client,
+    /// Calls of the backend server.
+    pub tasks: TaskTracker,
+}
+
+/// Serves one attempt of an entry. An attempt of a request that may run at
+/// most once is never run when it comes a second time; the answer to that
+/// says nothing about the first.
 pub async fn handle_attempt(
     cx: Arc<AgentContext>,
-    client: Client,
+    reach: Reach,
     req: Request<Incoming>,
 ) -> Response<AnswerBody> {
     let (head, body) = req.into_parts();
@@ -41,10 +55,23 @@
     let Ok(body) = body else {
         return answer_status(StatusCode::BAD_REQUEST);
     };
-    let verdict = judge_attempt(&cx, &envelope);
+    let sighting = if envelope.once {
+        cx.note_attempt(&envelope)
+    } else {
+        Sighting::First
+    };
+    let verdict = match sighting {
+        Sighting::First => judge_attempt(&cx, &envelope),
+        Sighting::Full => Err(Refusal::QueueFull),
+        Sighting::Repeated => return answer_status(StatusCode::CONFLICT),
+    };
     let (tx, frames) = ChannelBody::new(FRAMES_IN_FLIGHT);
-    let call = ServerCall::new(cx, client, envelope, head, body);
-    tokio::spawn(call.run(verdict, FrameWriter::new(tx)));
+    let mut writer = FrameWriter::new(tx);
+    if envelope.once {
+        writer.outlive_entry();
+    }
+    let call = ServerCall::new(cx, reach.client, envelope, head, body);
+    reach.tasks.spawn(call.run(verdict, writer));
     Response::new(frames.boxed_unsync())
 }
 
--- a/src/agent/run.rs
+++ b/src/agent/run.rs
@@ -6,9 +6,12 @@
 
 use tokio::sync::watch;
 use tokio::time::sleep;
+use tokio::time::timeout;
+use tokio_util::task::TaskTracker;
 
 use super::AgentContext;
 use super::control::start_control;
+use super::handle::Reach;
 use super::handle::handle_attempt;
 use crate::http::Client;
 use crate::http::serve;
@@ -79,12 +82,21 @@
         let cx = Arc::clone(&cx);
         let drain = drain.clone();
         async move {
-            let client = Client::new(cx.settings.traffic.client_timeouts());
+            let reach = Reach {
+                client: Client::new(cx.settings.traffic.client_timeouts()),
+                tasks: TaskTracker::new(),
+            };
+            let tasks = reach.tasks.clone();
             let limits = cx.settings.traffic.server_limits();
-            let handle = move |req, _caller| handle_attempt(Arc::clone(&cx), client.clone(), req);
+            let drain_timeout = limits.drain_timeout;
+            let handle = move |req, _caller| handle_attempt(Arc::clone(&cx), reach.clone(), req);
             if !serve(listener, limits, handle, drain).await {
                 log::warn!("agent: Drain timed out; requests were cut.");
             }
+            tasks.close();
+            if timeout(drain_timeout, tasks.wait()).await.is_err() {
+                log::warn!("agent: Drain timed out; calls were cut.");
+            }
         }
     })
 }
--- /dev/null
+++ b/src/core/once/action.rs
@@ -0,0 +1,29 @@
+//! What is to be done for a request that may run at most once.
+
+use std::time::Duration;
+
+use super::Expect;
+use super::KeptAnswer;
+use super::OnceError;
+use super::OnceRecord;
+
+/// What is to be done next for a request that may run at most once.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum OnceAction {
+    /// Write the record if it is as expected.
+    Write(Expect, OnceRecord),
+    /// Read the record.
+    Read,
+    /// Wait, then report [`super::OnceEvent::Waited`].
+    Wait(Duration),
+    /// Send the attempt with this number, to the planned agent only.
+    Send(u32),
+    /// Choose where the next attempt is to run.
+    Plan,
+    /// Give the caller the answer of an earlier request.
+    Answer(KeptAnswer),
+    /// Refuse the request, then report [`super::OnceEvent::Refused`].
+    Refuse(OnceError),
+    /// Nothing more; the caller has its answer.
+    Stop,
+}
--- /dev/null
+++ b/src/core/once/event.rs
@@ -0,0 +1,35 @@
+//! What happened to a request that may run at most once.
+
+use super::KeptAnswer;
+use super::OncePlan;
+use super::OnceRecord;
+
+/// What happened to a request that may run at most once.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum OnceEvent {
+    /// A place for the next attempt was chosen.
+    Planned(OncePlan),
+    /// No place is left for another attempt.
+    NoPlace,
+    /// The write took effect, at this store revision.
+    Written(i64),
+    /// The write had no effect, or a read was made: this record is there,
+    /// last written at this store revision.
+    Found(OnceRecord, i64),
+    /// The write had no effect, or a read was made: there is no record.
+    Absent,
+    /// The store was not reached or refused; nothing had an effect.
+    NoEffect,
+    /// The store did not answer a write, which may have had its effect.
+    EffectUnknown,
+    /// The wait is over.
+    Waited,
+    /// The caller was refused.
+    Refused,
+    /// The attempt certainly did not run and will not.
+    NotRun,
+    /// The attempt ran.
+    Ran(KeptAnswer),
+    /// The attempt may have run.
+    Unknown,
+}
--- /dev/null
+++ b/src/core/once/plan.rs
@@ -0,0 +1,13 @@
+//! Where an attempt is to run.
+
+use crate::core::ProcessIncarnation;
+use crate::core::ServerName;
+
+/// Where an attempt is to run.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct OncePlan {
+    /// Backend server.
+    pub server: ServerName,
+    /// Run of its agent, none if not known yet.
+    pub agent: Option<ProcessIncarnation>,
+}
--- a/src/entry/answer_error.rs
+++ b/src/entry/answer_error.rs
@@ -56,6 +56,14 @@
         self
     }
 
+    /// Withdraws "not run" if an earlier attempt may have run.
+    pub fn or_unknown(mut self, may_have_run: bool) -> Self {
+        if may_have_run && self.outcome == Outcome::NotRun {
+            self.outcome = Outcome::Unknown;
+        }
+        self
+    }
+
     /// Returns the error as a whole answer.
     pub fn to_response(&self, request: RequestId) -> Response<AnswerBody> {
         let mut builder = Response::builder()
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -1,5 +1,7 @@
 //! One attempt of a request at one server.
 
+use std::fmt;
+
 use http::Request;
 use http::StatusCode;
 
@@ -7,7 +9,9 @@
 use super::caller_request::CallerRequest;
 use super::servers::Choice;
 use crate::core::Envelope;
+use crate::core::Outcome;
 use crate::core::Refusal;
+use crate::core::retry::AttemptFailure;
 use crate::http::AnswerBody;
 use crate::http::Client;
 use crate::http::ClientError;
@@ -27,6 +31,30 @@
     Unsent(ClientError),
     /// It may have run.
     Unknown(String),
+    /// The deadline passed before the answer began; it may have run.
+    Deadline,
+}
+
+impl AttemptError {
+    /// Returns the kind of failure that decides about another attempt.
+    pub fn failure(&self) -> AttemptFailure {
+        match self {
+            Self::Refused(refusal) => AttemptFailure::Refused(*refusal),
+            Self::Unsent(_) => AttemptFailure::Unsent,
+            Self::Unknown(_) | Self::Deadline => AttemptFailure::Unknown,
+        }
+    }
+}
+
+impl fmt::Display for AttemptError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Refused(refusal) => refusal.fmt(f),
+            Self::Unsent(e) => e.fmt(f),
+            Self::Unknown(reason) => f.write_str(reason),
+            Self::Deadline => f.write_str("deadline passed"),
+        }
+    }
 }
 
 /// An attempt whose answer has begun.
@@ -74,6 +102,9 @@
                 return Err(AttemptError::Refused(refusal));
             }
             Frame::Head(head) => return Ok(Answer { head, frames }),
+            Frame::Failed(Outcome::NotRun, reason) => {
+                return Err(AttemptError::Unsent(ClientError::NotSent(reason)));
+            }
             Frame::Failed(_, reason) => return Err(AttemptError::Unknown(reason)),
             Frame::Heartbeat => {}
             Frame::Event(_) | Frame::Body(_) | Frame::End(_) => {
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -1,10 +1,14 @@
 //! What the parts of one entry share.
 
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 
 use super::Servers;
 use crate::config::RulesInForce;
 use crate::core::ProcessIncarnation;
+use crate::core::retry::RetryBudget;
 use crate::peer::Peers;
 use crate::rules::RuleSet;
 use crate::settings::EntrySettings;
@@ -27,6 +31,7 @@
     pub servers: Servers,
     /// Events of this process.
     pub timeline: Recorder,
+    retry_budget: Mutex<RetryBudget>,
 }
 
 impl EntryContext {
@@ -39,7 +44,14 @@
             peers: Peers::new(),
             servers: Servers::new(&settings.servers),
             timeline: Recorder::new(&settings.name),
+            retry_budget: Mutex::default(),
             settings,
         }
     }
+
+    /// Bound on the retries of this entry.
+    pub fn lock_retry_budget(&self) -> MutexGuard<'_, RetryBudget> {
+        let budget = self.retry_budget.lock();
+        budget.unwrap_or_else(PoisonError::into_inner)
+    }
 }
--- a/src/entry/error_code.rs
+++ b/src/entry/error_code.rs
@@ -27,6 +27,16 @@
     ServerFailed,
     /// The answer broke off.
     AnswerCut,
+    /// The route needs an idempotency key and none came.
+    IdempotencyKeyMissing,
+    /// The idempotency key came with a different request before.
+    IdempotencyKeyReused,
+    /// An earlier request with the idempotency key may have run.
+    InDoubt,
+    /// The request ran before, but its answer was too large to keep.
+    AnswerNotKept,
+    /// The platform's store cannot record the request.
+    StoreUnavailable,
 }
 
 impl ErrorCode {
@@ -44,19 +54,27 @@
             Self::DeadlinePassed => "deadline-passed",
             Self::ServerFailed => "server-failed",
             Self::AnswerCut => "answer-cut",
+            Self::IdempotencyKeyMissing => "idempotency-key-missing",
+            Self::IdempotencyKeyReused => "idempotency-key-reused",
+            Self::InDoubt => "in-doubt",
+            Self::AnswerNotKept => "answer-not-kept",
+            Self::StoreUnavailable => "store-unavailable",
         }
     }
 
     /// Returns the HTTP status that goes with the code.
     pub fn status(self) -> StatusCode {
         match self {
-            Self::BadRequest => StatusCode::BAD_REQUEST,
+            Self::BadRequest | Self::IdempotencyKeyMissing => StatusCode::BAD_REQUEST,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyTooSlow => StatusCode::REQUEST_TIMEOUT,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::Unauthorized | Self::KeyWithdrawn => StatusCode::UNAUTHORIZED,
             Self::RateLimited => StatusCode::TOO_MANY_REQUESTS,
-            Self::NoServer => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NoServer | Self::StoreUnavailable => StatusCode::SERVICE_UNAVAILABLE,
+            Self::IdempotencyKeyReused => StatusCode::UNPROCESSABLE_ENTITY,
+            Self::InDoubt => StatusCode::CONFLICT,
+            Self::AnswerNotKept => StatusCode::GONE,
             Self::DeadlinePassed => StatusCode::GATEWAY_TIMEOUT,
             Self::ServerFailed | Self::AnswerCut => StatusCode::BAD_GATEWAY,
         }
--- a/src/entry/handle.rs
+++ b/src/entry/handle.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use http::HeaderMap;
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
@@ -11,38 +12,42 @@
 use super::AnswerError;
 use super::EntryContext;
 use super::ErrorCode;
-use super::attempt::AttemptError;
-use super::attempt::make_attempt;
-use super::authenticate::Principal;
 use super::authenticate::authenticate;
 use super::caller_request::CallerRequest;
-use super::relay_answer::relay_answer;
-use super::servers::Choice;
-use crate::core::CacheSalt;
-use crate::core::Envelope;
-use crate::core::Outcome;
+use super::once::serve_once;
+use super::once_store::OnceStore;
+use super::planner::Planner;
 use crate::core::RequestId;
-use crate::core::ServerName;
 use crate::http::AnswerBody;
 use crate::http::BodyReadError;
 use crate::http::Client;
 use crate::http::read_body;
-use crate::rules::Route;
-use crate::rules::RuleSet;
 use crate::timeline::EventKind;
 
-const MAX_ATTEMPTS: u32 = 3;
+/// Header in which a caller says how many milliseconds it waits for its
+/// answer to begin.
+const DEADLINE_HEADER: &str = "x-teaseldrum-deadline-ms";
+
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(60);
-const NO_SERVER_RETRY: Duration = Duration::from_secs(1);
+const MAX_DEADLINE_MS: u64 = 600_000;
+
+/// What one traffic thread reaches others by.
+#[derive(Debug, Clone)]
+pub struct Reach {
+    /// Connections to agents.
+    pub client: Client,
+    /// Records of requests that may run at most once; none without a store.
+    pub once: Option<OnceStore>,
+}
 
 /// Serves one request of a caller.
 pub async fn handle_request(
     cx: Arc<EntryContext>,
-    client: Client,
+    reach: Reach,
     req: Request<Incoming>,
 ) -> Response<AnswerBody> {
     let request = RequestId::draw();
-    match serve_request(&cx, &client, request, req).await {
+    match serve_request(&cx, &reach, request, req).await {
         Ok(response) => response,
         Err(error) => {
             let code = error.code.as_str().into();
@@ -55,7 +60,7 @@
 
 async fn serve_request(
     cx: &Arc<EntryContext>,
-    client: &Client,
+    reach: &Reach,
     request: RequestId,
     req: Request<Incoming>,
 ) -> Result<Response<AnswerBody>, AnswerError> {
@@ -64,6 +69,7 @@
     let route = rules
         .find_route(head.uri.path())
         .ok_or_else(|| AnswerError::not_run(ErrorCode::NoRoute, "No route matches the path."))?;
+    let deadline = read_deadline(&head.headers)?;
     let principal = authenticate(&rules, route, &head.headers)?;
     let traffic = &cx.settings.traffic;
     let body = read_body(body, traffic.max_body_bytes, traffic.body_timeout)
@@ -74,16 +80,40 @@
         .map(|principal| principal.account.clone());
     cx.timeline
         .record(Some(request), EventKind::Admitted(account));
+    cx.lock_retry_budget().add_request();
     let planner = Planner {
-        cx,
-        client,
-        rules: &rules,
-        route,
+        cx: Arc::clone(cx),
+        client: reach.client.clone(),
+        route: route.clone(),
+        rules: Arc::clone(&rules),
         principal,
         request,
-        deadline: Instant::now() + DEFAULT_DEADLINE,
+        deadline,
     };
-    planner.run(CallerRequest::new(&head, body)).await
+    let mut req = CallerRequest::new(&head, body);
+    let pool = rules.find_pool(&route.pool);
+    if pool.is_some_and(|pool| pool.model.is_some()) {
+        req.prepare_for_engine(planner.cache_salt(), route.priority)?;
+    }
+    if route.once {
+        serve_once(planner, reach.once.as_ref(), req).await
+    } else {
+        planner.run(req).await
+    }
+}
+
+/// Reads how long the caller waits for its answer to begin.
+fn read_deadline(headers: &HeaderMap) -> Result<Instant, AnswerError> {
+    let Some(value) = headers.get(DEADLINE_HEADER) else {
+        return Ok(Instant::now() + DEFAULT_DEADLINE);
+    };
+    let millis: Option<u64> = value.to_str().ok().and_then(|text| text.parse().ok());
+    let millis = millis.filter(|millis| (1..=MAX_DEADLINE_MS).contains(millis));
+    let millis = millis.ok_or_else(|| {
+        let message = format!("{DEADLINE_HEADER} must be from 1 to {MAX_DEADLINE_MS}.");
+        AnswerError::not_run(ErrorCode::BadRequest, message)
+    })?;
+    Ok(Instant::now() + Duration::from_millis(millis))
 }
 
 fn explain_body_error(e: BodyReadError) -> AnswerError {
@@ -97,98 +127,3 @@
         BodyReadError::Broken => AnswerError::not_run(ErrorCode::BadRequest, "The body broke off."),
     }
 }
-
-/// Plans attempts until one is answered or no more may be made.
-struct Planner<'a> {
-    cx: &'a Arc<EntryContext>,
-    client: &'a Client,
-    rules: &'a RuleSet,
-    route: &'a Route,
-    principal: Option<Principal>,
-    request: RequestId,
-    deadline: Instant,
-}
-
-impl Planner<'_> {
-    async fn run(&self, mut req: CallerRequest) -> Result<Response<AnswerBody>, AnswerError> {
-        let pool = self.rules.find_pool(&self.route.pool);
-        if pool.is_some_and(|pool| pool.model.is_some()) {
-            req.prepare_for_engine(self.cache_salt(), self.route.priority)?;
-        }
-        let mut tried = Vec::new();
-        for attempt in 1..=MAX_ATTEMPTS {
-            let Some(choice) = self.cx.servers.choose(&self.route.pool, &tried) else {
-                break;
-            };
-            tried.push(choice.name.clone());
-            let envelope = self.build_envelope(attempt, &choice);
-            self.record(EventKind::Sent(choice.name.clone()));
-            match make_attempt(self.cx, self.client, &choice, &envelope, &req).await {
-                Ok(answer) => {
-                    let cx = Arc::clone(self.cx);
-                    return Ok(relay_answer(cx, choice.name, self.request, answer));
-                }
-                Err(e) => self.judge(&choice.name, e)?,
-            }
-        }
-        let message = "No backend server takes the request now.";
-        Err(AnswerError::not_run(ErrorCode::NoServer, message).with_retry_after(NO_SERVER_RETRY))
-    }
-
-    /// Returns if another attempt may be made.
-    fn judge(&self, server: &ServerName, e: AttemptError) -> Result<(), AnswerError> {
-        self.cx.servers.release(server);
-        match e {
-            AttemptError::Refused(refusal) => {
-                self.record(EventKind::AttemptRefused(server.clone(), refusal));
-                if refusal.may_plan_again() {
-                    return Ok(());
-                }
-                let message = format!("The request was refused: {refusal}.");
-                Err(AnswerError::not_run(ErrorCode::KeyWithdrawn, message))
-            }
-            AttemptError::Unsent(e) => {
-                log::warn!("entry: Server {server} not reached: {e}.");
-                Ok(())
-            }
-            AttemptError::Unknown(reason) => {
-                log::warn!("entry: Attempt at server {server} failed: {reason}.");
-                let message = format!("The server failed: {reason}.");
-                Err(AnswerError::new(
-                    ErrorCode::ServerFailed,
-                    Outcome::Unknown,
-                    message,
-                ))
-            }
-        }
-    }
-
-    fn build_envelope(&self, attempt: u32, choice: &Choice) -> Envelope {
-        let report = choice.report.as_ref();
-        let principal = self.principal.as_ref();
-        let left = self.deadline.saturating_duration_since(Instant::now());
-        Envelope {
-            request: self.request,
-            attempt,
-            account: principal.map(|principal| principal.account.clone()),
-            key_id: principal.map(|principal| principal.key_id.clone()),
-            revision: self.rules.revision,
-            agent: report.map(|report| report.agent),
-            engine: report.and_then(|report| report.engine),
-            weights: report.and_then(|report| report.weights),
-            cache_salt: self.cache_salt(),
-            deadline_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
-            priority: self.route.priority,
-            once: self.route.once,
-        }
-    }
-
-    fn cache_salt(&self) -> Option<CacheSalt> {
-        let principal = self.principal.as_ref()?;
-        Some(self.rules.accounts[principal.account_key].cache_salt)
-    }
-
-    fn record(&self, kind: EventKind) {
-        self.cx.timeline.record(Some(self.request), kind);
-    }
-}
--- /dev/null
+++ b/src/entry/once.rs
@@ -0,0 +1,301 @@
+//! Serves requests that may run at most once.
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use http::header::CONTENT_TYPE;
+use hyper::Response;
+use tokio::sync::oneshot;
+use tokio::time::sleep;
+
+use super::AnswerError;
+use super::ErrorCode;
+use super::answer_error::OUTCOME_HEADER;
+use super::answer_error::REQUEST_ID_HEADER;
+use super::attempt::Answer;
+use super::caller_request::CallerRequest;
+use super::once_store::OnceStore;
+use super::planner::Planner;
+use super::planner::refuse_without_server;
+use super::servers::Choice;
+use crate::core::Outcome;
+use crate::core::RequestId;
+use crate::core::ServerName;
+use crate::core::once::KeptAnswer;
+use crate::core::once::OnceAction;
+use crate::core::once::OnceCall;
+use crate::core::once::OnceError;
+use crate::core::once::OnceEvent;
+use crate::core::once::OnceKey;
+use crate::core::once::OncePlan;
+use crate::core::once::RequestDigest;
+use crate::http::AnswerBody;
+use crate::http::full_body;
+use crate::http::write_event;
+use crate::relay::Frame;
+use crate::timeline::EventKind;
+
+/// Header in which a caller names its operation.
+const IDEMPOTENCY_KEY_HEADER: &str = "idempotency-key";
+
+const MAX_KEY_BYTES: usize = 255;
+const STORE_RETRY_AFTER: std::time::Duration = std::time::Duration::from_secs(1);
+
+type CallerAnswer = Result<Response<AnswerBody>, AnswerError>;
+
+/// Serves a request that may run at most once. Once its intent is recorded it
+/// goes on though the caller goes away.
+///
+/// # Errors
+///
+/// The request was refused, or it is not known whether it ran.
+pub async fn serve_once(
+    planner: Planner,
+    store: Option<&OnceStore>,
+    req: CallerRequest,
+) -> CallerAnswer {
+    let key = read_key(&planner, &req)?;
+    let store = store.ok_or_else(|| explain(OnceError::StoreDown))?;
+    let digest = RequestDigest::new(req.method.as_str(), &req.target, &req.body);
+    let (reply, answer) = oneshot::channel();
+    let request = planner.request;
+    let run = OnceRun {
+        call: OnceCall::new(digest, request),
+        planner,
+        store: store.clone(),
+        key,
+        req,
+        tried: Vec::new(),
+        choice: None,
+        pending: None,
+        reply: Some(reply),
+    };
+    store.spawn(run.run());
+    answer.await.unwrap_or_else(|_| {
+        let message = "The request was dropped.";
+        Err(AnswerError::new(
+            ErrorCode::ServerFailed,
+            Outcome::Unknown,
+            message,
+        ))
+    })
+}
+
+fn read_key(planner: &Planner, req: &CallerRequest) -> Result<OnceKey, AnswerError> {
+    let value = req.headers.get(IDEMPOTENCY_KEY_HEADER);
+    let value = value.map(|value| value.as_bytes()).unwrap_or_default();
+    if value.is_empty() || value.len() > MAX_KEY_BYTES {
+        let message = "The route needs an Idempotency-Key header of 1 to 255 bytes.";
+        return Err(AnswerError::not_run(
+            ErrorCode::IdempotencyKeyMissing,
+            message,
+        ));
+    }
+    let account = planner.principal.as_ref();
+    Ok(OnceKey::new(
+        account.map(|principal| &principal.account),
+        value,
+    ))
+}
+
+/// One request that may run at most once, carrying out what its
+/// [`OnceCall`] decides.
+struct OnceRun {
+    call: OnceCall,
+    planner: Planner,
+    store: OnceStore,
+    key: OnceKey,
+    req: CallerRequest,
+    tried: Vec<ServerName>,
+    choice: Option<Choice>,
+    /// Answer of the latest attempt; the caller gets it once no further
+    /// attempt is made.
+    pending: Option<CallerAnswer>,
+    reply: Option<oneshot::Sender<CallerAnswer>>,
+}
+
+impl OnceRun {
+    async fn run(mut self) {
+        let mut event = self.plan();
+        loop {
+            let action = self.call.step(event);
+            let is_idle = matches!(action, OnceAction::Wait(_) | OnceAction::Stop);
+            if self.call.is_answered() && is_idle {
+                self.reply_pending();
+            }
+            event = match action {
+                OnceAction::Write(expect, record) => {
+                    self.store.write(self.key, expect, &record).await
+                }
+                OnceAction::Read => self.store.read(self.key).await,
+                OnceAction::Wait(span) => {
+                    sleep(span).await;
+                    OnceEvent::Waited
+                }
+                OnceAction::Plan => self.plan(),
+                OnceAction::Send(attempt) => self.send(attempt).await,
+                OnceAction::Answer(kept) => {
+                    self.pending = Some(Ok(build_response(&kept, self.planner.request)));
+                    self.reply_pending();
+                    OnceEvent::Refused
+                }
+                OnceAction::Refuse(e) => {
+                    self.pending = Some(Err(explain(e)));
+                    self.reply_pending();
+                    OnceEvent::Refused
+                }
+                OnceAction::Stop => break,
+            };
+        }
+        self.release_choice();
+    }
+
+    /// Plans the next attempt, unless the latest failure was final.
+    fn plan(&mut self) -> OnceEvent {
+        if self.pending.is_some() {
+            return OnceEvent::NoPlace;
+        }
+        self.release_choice();
+        let Some(choice) = self.planner.choose(&mut self.tried) else {
+            self.pending = Some(Err(refuse_without_server()));
+            return OnceEvent::NoPlace;
+        };
+        let plan = OncePlan {
+            server: choice.name.clone(),
+            agent: choice.report.as_ref().map(|report| report.agent),
+        };
+        self.choice = Some(choice);
+        OnceEvent::Planned(plan)
+    }
+
+    async fn send(&mut self, attempt: u32) -> OnceEvent {
+        let Some(choice) = self.choice.take() else {
+            return OnceEvent::NotRun;
+        };
+        let answer = self.planner.attempt(attempt, &choice, &self.req).await;
+        let e = match answer {
+            Ok(answer) => return self.collect(answer, &choice.name).await,
+            Err(e) => e,
+        };
+        let judged = self
+            .planner
+            .judge(attempt, &choice.name, &e, &mut self.tried);
+        self.pending = judged.err().map(Err);
+        if e.failure().is_not_run() {
+            OnceEvent::NotRun
+        } else {
+            OnceEvent::Unknown
+        }
+    }
+
+    /// Reads the whole answer, so that it can be kept.
+    async fn collect(&mut self, answer: Answer, server: &ServerName) -> OnceEvent {
+        let status = answer.head.status;
+        let content_type = answer.head.content_type.clone();
+        let max_bytes = self.planner.cx.settings.traffic.max_body_bytes;
+        let body = read_whole(answer, max_bytes).await;
+        self.planner.cx.servers.release(server);
+        match body {
+            Ok(body) => {
+                self.record(EventKind::Ended(Outcome::Ran));
+                let whole = KeptAnswer {
+                    status,
+                    content_type: content_type.clone(),
+                    body: Some(body.clone()),
+                };
+                self.pending = Some(Ok(build_response(&whole, self.planner.request)));
+                OnceEvent::Ran(KeptAnswer::new(status, content_type, body))
+            }
+            Err(reason) => {
+                self.record(EventKind::Ended(Outcome::Unknown));
+                let message = format!("The answer broke off: {reason}.");
+                let error = AnswerError::new(ErrorCode::AnswerCut, Outcome::Unknown, message);
+                self.pending = Some(Err(error));
+                OnceEvent::Unknown
+            }
+        }
+    }
+
+    fn release_choice(&mut self) {
+        if let Some(choice) = self.choice.take() {
+            self.planner.cx.servers.release(&choice.name);
+        }
+    }
+
+    fn reply_pending(&mut self) {
+        let Some(reply) = self.reply.take() else {
+            return;
+        };
+        let answer = self.pending.take();
+        let answer = answer.unwrap_or_else(|| Err(explain(OnceError::StoreDown)));
+        // A caller that went away needs no answer.
+        let _ = reply.send(answer);
+    }
+
+    fn record(&self, kind: EventKind) {
+        let timeline = &self.planner.cx.timeline;
+        timeline.record(Some(self.planner.request), kind);
+    }
+}
+
+async fn read_whole(mut answer: Answer, max_bytes: usize) -> Result<Bytes, String> {
+    let mut buf = BytesMut::new();
+    loop {
+        match answer.frames.next().await.map_err(|e| e.to_string())? {
+            Frame::Body(chunk) => buf.extend_from_slice(&chunk),
+            Frame::Event(event) => {
+                let data = std::str::from_utf8(&event.data).map_err(|e| e.to_string())?;
+                buf.extend_from_slice(&write_event(&event.number.to_string(), "", data));
+            }
+            Frame::End(_) => {
+                answer.frames.finish().await;
+                return Ok(buf.freeze());
+            }
+            Frame::Heartbeat => {}
+            Frame::Failed(_, reason) => return Err(reason),
+            Frame::Accepted(_) | Frame::Refused(..) | Frame::Head(_) => {
+                return Err("second head".into());
+            }
+        }
+        if buf.len() > max_bytes {
+            return Err("answer too large".into());
+        }
+    }
+}
+
+fn build_response(kept: &KeptAnswer, request: RequestId) -> Response<AnswerBody> {
+    let mut builder = Response::builder()
+        .status(kept.status)
+        .header(OUTCOME_HEADER, Outcome::Ran.as_str())
+        .header(REQUEST_ID_HEADER, request.to_string());
+    if let Some(content_type) = &kept.content_type {
+        builder = builder.header(CONTENT_TYPE, content_type);
+    }
+    let body = kept.body.clone().unwrap_or_default();
+    builder.body(full_body(body)).unwrap_or_else(|_| {
+        let problem = "The server's answer has a malformed head.";
+        AnswerError::new(ErrorCode::ServerFailed, Outcome::Ran, problem).to_response(request)
+    })
+}
+
+fn explain(e: OnceError) -> AnswerError {
+    match e {
+        OnceError::KeyReused => {
+            let message = "The idempotency key came with a different request before.";
+            AnswerError::not_run(ErrorCode::IdempotencyKeyReused, message)
+        }
+        OnceError::InDoubt => {
+            let message = "An earlier request with this idempotency key may have run.";
+            AnswerError::new(ErrorCode::InDoubt, Outcome::Unknown, message)
+                .with_retry_after(STORE_RETRY_AFTER)
+        }
+        OnceError::StoreDown => {
+            let message = "The request cannot be recorded now; this request did not run.";
+            AnswerError::not_run(ErrorCode::StoreUnavailable, message)
+                .with_retry_after(STORE_RETRY_AFTER)
+        }
+        OnceError::AnswerNotKept => {
+            let message = "The request ran before; its answer was too large to keep.";
+            AnswerError::new(ErrorCode::AnswerNotKept, Outcome::Ran, message)
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/once_lease.rs
@@ -0,0 +1,64 @@
+//! The lease that ends records after their retention.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::platform::LeaseId;
+use crate::platform::Store;
+use crate::platform::StoreError;
+
+/// Parts of the retention after which a new lease is taken.
+const LEASES_PER_RETENTION: u32 = 24;
+
+/// The lease that ends records after their retention. It is never kept alive;
+/// a new one is taken from time to time, so records outlast their last write
+/// by the retention and at most a twenty-fourth part more.
+#[derive(Debug)]
+pub struct OnceLease {
+    store: Store,
+    retention: Duration,
+    current: Option<(LeaseId, Instant)>,
+    /// Set when the store refused a write, perhaps because it lost the lease.
+    pub refused: Arc<AtomicBool>,
+}
+
+impl OnceLease {
+    /// Creates it without a lease.
+    pub fn new(store: Store, retention: Duration) -> Self {
+        Self {
+            store,
+            retention,
+            current: None,
+            refused: Arc::default(),
+        }
+    }
+
+    /// Returns a lease with at least the retention left, as a rule.
+    ///
+    /// # Errors
+    ///
+    /// No lease could be had; nothing was written.
+    pub async fn current(&mut self) -> Result<LeaseId, StoreError> {
+        if self.refused.swap(false, Ordering::AcqRel) {
+            self.current = None;
+        }
+        let period = self.retention / LEASES_PER_RETENTION;
+        if let Some((lease, since)) = self.current
+            && since.elapsed() < period
+        {
+            return Ok(lease);
+        }
+        let asked = Instant::now();
+        match self.store.grant_lease(self.retention + period).await {
+            Ok(lease) => {
+                self.current = Some((lease, asked));
+                Ok(lease)
+            }
+            Err(e) => Err(StoreError::NotReached(e.to_string())),
+        }
+    }
+}
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -11,7 +11,9 @@
 
 use super::EntryContext;
 use super::control::start_control;
+use super::handle::Reach;
 use super::handle::handle_request;
+use super::once_store::OnceStore;
 use crate::core::Revision;
 use crate::http::Client;
 use crate::http::serve;
@@ -118,10 +120,19 @@
         async move {
             let client = Client::new(cx.settings.traffic.client_timeouts());
             let limits = cx.settings.traffic.server_limits();
-            let handle = move |req, _caller| handle_request(Arc::clone(&cx), client.clone(), req);
+            let reach = Reach {
+                client,
+                once: OnceStore::start(&cx.settings),
+            };
+            let once = reach.once.clone();
+            let drain_timeout = limits.drain_timeout;
+            let handle = move |req, _caller| handle_request(Arc::clone(&cx), reach.clone(), req);
             if !serve(listener, limits, handle, drain).await {
                 log::warn!("entry: Drain timed out; requests were cut.");
             }
+            if let Some(once) = once {
+                once.finish(drain_timeout).await;
+            }
         }
     })
 }
--- a/src/http/serve.rs
+++ b/src/http/serve.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures::FutureExt;
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
@@ -29,10 +30,15 @@
 
 const ACCEPT_RETRY: Duration = Duration::from_millis(20);
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(5);
+/// Time for connections accepted last to send their request, before those
+/// without one are closed.
+const FIRST_READ_GRACE: Duration = Duration::from_millis(50);
+
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(5);
 
 /// Serves connections of `listener` until `drain` turns true, then lets
-/// running requests finish. Returns whether all of them did.
+/// running requests finish. Returns whether all of them did. Connections that
+/// the system had completed by then are served too.
 ///
 /// `handle` gets each request with the address of its caller. If the caller
 /// goes away its future, or the body it returned, is dropped.
@@ -58,7 +64,15 @@
             }
         }
     }
+    while let Some(Ok((stream, caller))) = listener.accept().now_or_never() {
+        let Ok(permit) = Arc::clone(&connections).try_acquire_owned() else {
+            break;
+        };
+        prepare(&stream, &limits);
+        spawn_connection(stream, caller, permit, &limits, handle.clone(), &graceful);
+    }
     drop(listener);
+    sleep(FIRST_READ_GRACE).await;
     timeout(limits.drain_timeout, graceful.shutdown())
         .await
         .is_ok()
--- a/src/relay/frame_writer.rs
+++ b/src/relay/frame_writer.rs
@@ -22,6 +22,7 @@
 pub struct FrameWriter {
     tx: BodySender,
     codec: FrameCodec,
+    outlives_entry: bool,
 }
 
 impl FrameWriter {
@@ -30,9 +31,15 @@
         Self {
             tx,
             codec: FrameCodec::new(),
+            outlives_entry: false,
         }
     }
 
+    /// Lets the work go on to its end though the entry is gone.
+    pub fn outlive_entry(&mut self) {
+        self.outlives_entry = true;
+    }
+
     /// Sends one frame.
     ///
     /// # Errors
@@ -46,7 +53,7 @@
                 return Err(EntryGone);
             }
         };
-        if self.tx.send(encoded).await {
+        if self.tx.send(encoded).await || self.outlives_entry {
             Ok(())
         } else {
             Err(EntryGone)
@@ -64,7 +71,7 @@
             tokio::select! {
                 biased;
                 output = &mut work => return Ok(output),
-                () = self.tx.closed() => return Err(EntryGone),
+                () = self.tx.closed(), if !self.outlives_entry => return Err(EntryGone),
                 () = sleep(HEARTBEAT_INTERVAL) => {}
             }
             self.send(&Frame::Heartbeat).await?;
--- a/src/settings/entry.rs
+++ b/src/settings/entry.rs
@@ -2,6 +2,7 @@
 
 use std::path::Path;
 use std::path::PathBuf;
+use std::time::Duration;
 
 use serde_json::Value;
 
@@ -14,6 +15,10 @@
 use super::TrafficSettings;
 use super::section::read_json;
 
+const DEFAULT_RETENTION_S: u64 = 86_400;
+const MIN_RETENTION_S: u64 = 3_600;
+const MAX_RETENTION_S: u64 = 2_592_000;
+
 /// Settings of an entry.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct EntrySettings {
@@ -29,6 +34,8 @@
     pub log: LogSettings,
     /// Where the platform's services are.
     pub platform: PlatformSettings,
+    /// Time for which records of requests that may run at most once are kept.
+    pub once_retention: Duration,
     /// Rules that are in force until the platform's store has given newer ones.
     pub rules_file: Option<PathBuf>,
     /// Backend servers known besides those on the platform's host list.
@@ -62,6 +69,11 @@
             traffic: section.take_section("traffic", TrafficSettings::read),
             log: section.take_section("log", LogSettings::read),
             platform: section.take_section("platform", PlatformSettings::read),
+            once_retention: Duration::from_secs(section.take_number(
+                "once_retention_s",
+                DEFAULT_RETENTION_S,
+                MIN_RETENTION_S..=MAX_RETENTION_S,
+            )),
             rules_file: section.take_optional("rules_file"),
             servers: section.take_list("servers", ServerSettings::read),
         }
