--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -5,6 +5,7 @@
 pub mod config;
 mod engine_incarnation;
 mod envelope;
+pub mod fair_queue;
 mod key_digest;
 mod load_report;
 mod monotonic_time;
