Bench placement policies in virtual time

`teaseldrum-lab bench policy` drives the entry's planner and the agent's fair queue against engine models (continuous batching, least recently used block cache, lagged load) with several entries that each have a partial view. Baselines: round robin, least loaded, consistent hashing plain and with bounded loads. The planner chooses home servers by rendezvous hashing on the first prefix level whose traffic one server can bear.

--- a/lab/src/bench/mod.rs
+++ b/lab/src/bench/mod.rs
@@ -1,5 +1,6 @@
 //! Benches: one bench a file or folder, each returning its figures.
 
+pub mod policy;
 mod relay_codec;
 
 use serde_json::Value;
--- /dev/null
+++ b/lab/src/bench/policy/consistent_hash.rs
@@ -0,0 +1,66 @@
+//! Baselines: consistent hashing on the head of the prompt, plain and with
+//! bounded loads (Mirrokni, Thorup and Zadimoghaddam, 2018).
+
+use teaseldrum::core::MonotonicTime;
+use teaseldrum::core::placement::BlockHash;
+use teaseldrum::core::placement::score_rendezvous;
+
+use super::server_state::LoadCounts;
+use super::trace::TracedRequest;
+
+/// Blocks of the prompt that choose the server: enough to tell documents
+/// apart.
+const KEY_BLOCKS: usize = 48;
+
+/// A server takes at most this many times the mean load, where loads are
+/// bounded.
+const LOAD_BOUND: f64 = 2.0;
+
+/// Hashes the head of the prompt; with bounded loads, a server far above the
+/// mean load passes the request on to the next.
+#[derive(Debug)]
+pub struct ConsistentHash {
+    /// Requests at each server.
+    pub view: LoadCounts,
+    servers: usize,
+    is_bounded: bool,
+}
+
+impl ConsistentHash {
+    /// Creates the policy.
+    pub fn new(servers: usize, is_bounded: bool) -> Self {
+        Self {
+            view: LoadCounts::new(servers),
+            servers,
+            is_bounded,
+        }
+    }
+
+    /// Chooses the first server in the order of the prompt's head, or the first
+    /// that is not far above the mean load.
+    pub fn begin(
+        &mut self,
+        request: &TracedRequest,
+        tried: &[usize],
+        now: MonotonicTime,
+    ) -> Option<usize> {
+        let blocks = &request.blocks;
+        let key = blocks.get(KEY_BLOCKS).or(blocks.last()).copied();
+        let key = key.unwrap_or(BlockHash(0));
+        let mut order: Vec<usize> = (0..self.servers)
+            .filter(|server| !tried.contains(server))
+            .filter(|&server| !self.view.down.contains(server, now))
+            .collect();
+        order.sort_by_key(|&server| std::cmp::Reverse(score_rendezvous(key, server as u64)));
+        let total: u32 = order.iter().map(|&server| self.view.count(server)).sum();
+        let mean = f64::from(total + 1) / order.len().max(1) as f64;
+        let bound = (mean * LOAD_BOUND).ceil();
+        let server = order
+            .iter()
+            .find(|&&server| !self.is_bounded || f64::from(self.view.count(server)) < bound)
+            .or(order.first())
+            .copied()?;
+        self.view.begin(server);
+        Some(server)
+    }
+}
--- /dev/null
+++ b/lab/src/bench/policy/least_loaded.rs
@@ -0,0 +1,37 @@
+//! Baseline: the server with the fewest requests.
+
+use teaseldrum::core::MonotonicTime;
+
+use super::server_state::LoadCounts;
+
+/// The server with the fewest requests, ties in turn.
+#[derive(Debug)]
+pub struct LeastLoaded {
+    /// Requests at each server.
+    pub view: LoadCounts,
+    servers: usize,
+    next: usize,
+}
+
+impl LeastLoaded {
+    /// Creates the policy.
+    pub fn new(servers: usize) -> Self {
+        Self {
+            view: LoadCounts::new(servers),
+            servers,
+            next: 0,
+        }
+    }
+
+    /// Chooses the server with the fewest requests.
+    pub fn begin(&mut self, tried: &[usize], now: MonotonicTime) -> Option<usize> {
+        self.next += 1;
+        let turn = |server: usize| (server + self.next) % self.servers;
+        let server = (0..self.servers)
+            .filter(|server| !tried.contains(server))
+            .filter(|&server| !self.view.down.contains(server, now))
+            .min_by_key(|&server| (self.view.count(server), turn(server)))?;
+        self.view.begin(server);
+        Some(server)
+    }
+}
--- /dev/null
+++ b/lab/src/bench/policy/policy_name.rs
@@ -0,0 +1,47 @@
+//! Policies that the bench knows.
+
+use std::str::FromStr;
+
+/// A policy that chooses servers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PolicyName {
+    /// The product's planner and fair queue.
+    Teaseldrum,
+    /// Each server in turn.
+    RoundRobin,
+    /// The server with the fewest requests.
+    LeastLoaded,
+    /// Consistent hashing on the head of the prompt.
+    ConsistentHash,
+    /// The same with bounded loads.
+    BoundedHash,
+}
+
+impl FromStr for PolicyName {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "teaseldrum" => Ok(Self::Teaseldrum),
+            "round-robin" => Ok(Self::RoundRobin),
+            "least-loaded" => Ok(Self::LeastLoaded),
+            "consistent-hash" => Ok(Self::ConsistentHash),
+            "consistent-hash-bounded" => Ok(Self::BoundedHash),
+            _ => Err(
+                "known: teaseldrum, round-robin, least-loaded, consistent-hash, \
+                      consistent-hash-bounded"
+                    .into(),
+            ),
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn from_str_unknown() {
+        assert!("random".parse::<PolicyName>().is_err());
+    }
+}
--- /dev/null
+++ b/lab/src/bench/policy/teaseldrum_policy.rs
@@ -0,0 +1,95 @@
+//! The product's planner as the entry runs it.
+
+use std::time::Duration;
+
+use teaseldrum::core::EngineIncarnation;
+use teaseldrum::core::MonotonicTime;
+use teaseldrum::core::ServerName;
+use teaseldrum::core::WeightsVersion;
+use teaseldrum::core::placement::CacheIdentity;
+use teaseldrum::core::placement::CostRates;
+use teaseldrum::core::placement::PlanRequest;
+use teaseldrum::core::placement::Planner;
+use teaseldrum::core::placement::ServerKey;
+use teaseldrum::core::placement::ServerView;
+
+use super::chooser::ChosenServer;
+use super::chooser::LoadNews;
+use super::trace::TracedRequest;
+use super::workload::Sizes;
+
+const POOL: &str = "drafting";
+const ZONES: [&str; 3] = ["a", "b", "c"];
+const TABLE_PREFIXES: usize = 100_000;
+const AVOID_FAILED: Duration = Duration::from_secs(1);
+
+/// The product's planner as the entry runs it.
+#[derive(Debug)]
+pub struct TeaseldrumPolicy {
+    planner: Planner,
+    keys: Vec<ServerKey>,
+}
+
+impl TeaseldrumPolicy {
+    /// Creates the planner of an entry.
+    pub fn new(sizes: &Sizes, entry: usize) -> Self {
+        let zone = ZONES[entry % ZONES.len()];
+        let mut planner = Planner::new(zone, CostRates::default(), TABLE_PREFIXES);
+        let keys = (0..sizes.servers).map(|server| {
+            let name = ServerName::from(format!("server-{server}").as_str());
+            let zone = ZONES[server % ZONES.len()];
+            planner.add_server(ServerView::new(name, POOL, zone))
+        });
+        let keys = keys.collect();
+        Self { planner, keys }
+    }
+
+    /// Plans a request and counts it.
+    pub fn begin(
+        &mut self,
+        request: &TracedRequest,
+        tried: &[usize],
+        now: MonotonicTime,
+    ) -> Option<ChosenServer> {
+        let tried: Vec<ServerKey> = tried.iter().map(|&server| self.keys[server]).collect();
+        let wanted = PlanRequest {
+            pool: POOL,
+            prefix: Some(&request.prefix),
+            tried: &tried,
+        };
+        let plan = self.planner.plan(&wanted, now)?;
+        self.planner.begin(&plan, Some(&request.prefix), now);
+        let server = self.keys.iter().position(|&key| key == plan.server)?;
+        Some(ChosenServer {
+            server,
+            uncached_tokens: plan.uncached_tokens,
+        })
+    }
+
+    /// Takes note that an attempt ended.
+    pub fn end(&mut self, server: usize) {
+        self.planner.end(self.keys[server]);
+    }
+
+    /// Takes note that a server failed an attempt.
+    pub fn fail(&mut self, server: usize, request: &TracedRequest, now: MonotonicTime) {
+        let key = self.keys[server];
+        self.planner.forget(key, &request.prefix);
+        if let Some(view) = self.planner.server_mut(key) {
+            view.avoid_until(now + AVOID_FAILED);
+        }
+    }
+
+    /// Takes note of a server's load and cache identity.
+    pub fn learn(&mut self, news: &LoadNews, now: MonotonicTime) {
+        let key = self.keys[news.server];
+        if let Some(view) = self.planner.server_mut(key) {
+            view.set_identity(CacheIdentity {
+                engine: Some(EngineIncarnation(news.engine)),
+                weights: Some(WeightsVersion(1)),
+            });
+            view.avoid_until(MonotonicTime::ZERO);
+        }
+        self.planner.observe_load(key, news.load, now);
+    }
+}
--- a/lab/src/cli/bench.rs
+++ b/lab/src/cli/bench.rs
@@ -3,42 +3,31 @@
 use argh::FromArgs;
 use teaseldrum::cli::Exit;
 
-use crate::bench::BENCHES;
-use crate::bench::find_bench;
+use super::named_bench::NamedBench;
+use crate::bench::policy::PolicyCommand;
 
 /// Run one bench and print what it measured.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "bench")]
 pub struct BenchCommand {
-    /// print one JSON object as the last line
-    #[argh(switch)]
-    json: bool,
-    /// seed of everything drawn at random
-    #[argh(option, default = "1")]
-    seed: u64,
-    /// name of the bench; all names are listed where it is unknown
-    #[argh(positional)]
-    name: String,
+    #[argh(subcommand)]
+    bench: BenchChoice,
+}
+
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+enum BenchChoice {
+    Policy(PolicyCommand),
+    #[argh(dynamic)]
+    Named(NamedBench),
 }
 
 impl BenchCommand {
     /// Runs the bench.
     pub fn run(self) -> Exit {
-        let Some(bench) = find_bench(&self.name) else {
-            let names: Vec<&str> = BENCHES.iter().map(|bench| bench.name).collect();
-            eprintln!(
-                "Unknown bench `{}`; known: {}.",
-                self.name,
-                names.join(", ")
-            );
-            return Exit::Faulty;
-        };
-        let figures = (bench.run)(self.seed);
-        if self.json {
-            println!("{figures}");
-        } else {
-            println!("{figures:#}");
+        match self.bench {
+            BenchChoice::Policy(command) => command.run(),
+            BenchChoice::Named(bench) => bench.run(),
         }
-        Exit::Done
     }
 }
--- a/lab/src/cli/mod.rs
+++ b/lab/src/cli/mod.rs
@@ -2,6 +2,7 @@
 
 mod bench;
 mod hosts;
+mod named_bench;
 mod store;
 
 use std::process::ExitCode;
--- a/src/core/fair_queue/mod.rs
+++ b/src/core/fair_queue/mod.rs
@@ -1,9 +1,9 @@
 //! Shares of a busy server between client accounts.
 
-mod fair_queue;
+mod queue;
 mod queue_full;
 mod waiting_cost;
 
-pub use fair_queue::FairQueue;
+pub use queue::FairQueue;
 pub use queue_full::QueueFull;
 pub use waiting_cost::WaitingCost;
--- a/src/core/placement/cost_rates.rs
+++ b/src/core/placement/cost_rates.rs
@@ -17,6 +17,11 @@
     /// Share of a prefix that the rendezvous winner is expected to hold
     /// though this entry never sent it there.
     pub rendezvous_share: f64,
+    /// Part of that share which the second in the order is expected to hold.
+    pub second_share: f64,
+    /// Traffic that one prefix may bring to its home server, in shares of an
+    /// even spread; a prefix with more is split at a deeper level.
+    pub home_share: f64,
     /// Time by which load reports lag behind; requests sent within it before
     /// a report count as not reported yet.
     pub report_lag: Duration,
@@ -27,11 +32,13 @@
 impl Default for CostRates {
     fn default() -> Self {
         Self {
-            prefill_tokens_per_second: 8_000.0,
+            prefill_tokens_per_second: 15_000.0,
             wait_per_running: Duration::from_millis(2),
             zone_round_trip: Duration::from_millis(1),
-            recompute_weight: 2.0,
-            rendezvous_share: 0.5,
+            recompute_weight: 8.0,
+            rendezvous_share: 0.9,
+            second_share: 0.5,
+            home_share: 1.0,
             report_lag: Duration::from_millis(300),
             retention: Duration::from_secs(120),
         }
--- a/src/core/placement/learned_table.rs
+++ b/src/core/placement/learned_table.rs
@@ -10,6 +10,13 @@
 /// Prefixes that compete for the same place; the least recently used goes.
 const WAYS: usize = 8;
 
+/// Milliseconds in which a counted request fades to a third.
+const TRAFFIC_FADE_MS: f32 = 30_000.0;
+
+/// Share by which traffic must pass a limit before a prefix is split or
+/// joined again.
+const SPLIT_MARGIN: f64 = 0.25;
+
 /// A server that was sent a prefix.
 #[derive(Debug, Clone, Copy)]
 pub struct Holder {
@@ -26,6 +33,9 @@
 struct Slot {
     hash: BlockHash,
     used_ms: u32,
+    /// Recent requests, each fading by [`TRAFFIC_FADE_MS`].
+    traffic: f32,
+    is_split: bool,
     holders: [Option<Holder>; HOLDERS],
 }
 
@@ -60,6 +70,22 @@
         });
     }
 
+    /// Counts a request with a prefix, and tells whether the prefix brings too
+    /// much traffic for one server: more than `most`, with some hysteresis.
+    pub fn count_traffic(&mut self, hash: BlockHash, most: f64, now: MonotonicTime) -> bool {
+        let used_ms = to_millis(now);
+        let slot = self.take_slot(hash, used_ms);
+        slot.traffic = fade(slot.traffic, used_ms.saturating_sub(slot.used_ms)) + 1.0;
+        slot.used_ms = used_ms;
+        let factor = if slot.is_split {
+            1.0 - SPLIT_MARGIN
+        } else {
+            1.0 + SPLIT_MARGIN
+        };
+        slot.is_split = f64::from(slot.traffic) > most * factor;
+        slot.is_split
+    }
+
     /// Forgets that a server holds a prefix.
     pub fn forget(&mut self, hash: BlockHash, server: ServerKey) {
         let range = self.set_of(hash);
@@ -107,6 +133,8 @@
         set[place].get_or_insert(Slot {
             hash,
             used_ms,
+            traffic: 0.0,
+            is_split: false,
             holders: [None; HOLDERS],
         })
     }
@@ -119,6 +147,11 @@
     }
 }
 
+/// Returns what is left of a count of traffic after a time.
+pub fn fade(traffic: f32, passed_ms: u32) -> f32 {
+    traffic * (-(passed_ms as f32) / TRAFFIC_FADE_MS).exp()
+}
+
 fn to_millis(now: MonotonicTime) -> u32 {
     u32::try_from(now.as_micros() / 1_000).unwrap_or(u32::MAX)
 }
@@ -212,4 +245,22 @@
         assert_eq!(held.len(), 1);
         assert_eq!(held[0].server, servers[1]);
     }
+
+    #[test]
+    fn count_traffic_splits_heavy_prefix() {
+        let mut table = LearnedTable::new(64);
+        let is_split = (0..30).any(|_| table.count_traffic(BlockHash(1), 20.0, at(1)));
+        assert!(is_split);
+        assert!(!table.count_traffic(BlockHash(2), 20.0, at(1)));
+    }
+
+    #[test]
+    fn count_traffic_joins_when_cool() {
+        let mut table = LearnedTable::new(64);
+        for _ in 0..30 {
+            table.count_traffic(BlockHash(1), 20.0, at(1));
+        }
+        assert!(table.count_traffic(BlockHash(1), 20.0, at(2)));
+        assert!(!table.count_traffic(BlockHash(1), 20.0, at(60)));
+    }
 }
--- a/src/core/placement/mod.rs
+++ b/src/core/placement/mod.rs
@@ -10,6 +10,7 @@
 mod cost_rates;
 mod learned_table;
 mod plan;
+mod planned_pool;
 mod planner;
 mod prompt_prefix;
 mod prompt_text;
--- a/src/core/placement/planner.rs
+++ b/src/core/placement/planner.rs
@@ -13,6 +13,7 @@
 use super::PromptPrefix;
 use super::ServerKey;
 use super::ServerView;
+use super::planned_pool::PlannedPool;
 use super::score_rendezvous;
 use crate::core::LoadReport;
 use crate::core::MonotonicTime;
@@ -21,6 +22,10 @@
 /// Levels shorter than this are not worth a table entry of their own.
 const MIN_LEARNED_BLOCKS: u32 = 4;
 
+/// Levels shorter than this do not choose a home server, unless the prompt is
+/// shorter.
+const MIN_HOME_BLOCKS: u32 = 32;
+
 /// Chooses servers by the predicted time to the first token, from what this
 /// entry has learned.
 #[derive(Debug)]
@@ -28,7 +33,7 @@
     zone: String,
     rates: CostRates,
     servers: SlotMap<ServerKey, ServerView>,
-    by_pool: HashMap<String, Vec<ServerKey>>,
+    pools: HashMap<String, PlannedPool>,
     learned: LearnedTable,
     expected: SecondaryMap<ServerKey, u32>,
 }
@@ -41,7 +46,7 @@
             zone: zone.into(),
             rates,
             servers: SlotMap::with_key(),
-            by_pool: HashMap::new(),
+            pools: HashMap::new(),
             learned: LearnedTable::new(capacity),
             expected: SecondaryMap::new(),
         }
@@ -51,15 +56,15 @@
     pub fn add_server(&mut self, view: ServerView) -> ServerKey {
         let pool = view.pool.clone();
         let key = self.servers.insert(view);
-        self.by_pool.entry(pool).or_default().push(key);
+        self.pools.entry(pool).or_default().keys.push(key);
         key
     }
 
     /// Removes a server and with it all that was learned of it.
     pub fn remove_server(&mut self, key: ServerKey) -> Option<ServerView> {
         let view = self.servers.remove(key)?;
-        if let Some(keys) = self.by_pool.get_mut(&view.pool) {
-            keys.retain(|&other| other != key);
+        if let Some(pool) = self.pools.get_mut(&view.pool) {
+            pool.keys.retain(|&other| other != key);
         }
         Some(view)
     }
@@ -100,12 +105,12 @@
             self.expect_cached(prefix, request, now);
         }
         let tokens = request.prefix.map_or(0, |prefix| prefix.tokens);
-        let keys = self.by_pool.get(request.pool)?;
+        let keys = &self.pools.get(request.pool)?.keys;
         let best = keys
             .iter()
             .filter(|key| !request.tried.contains(key))
             .filter_map(|&key| Some((key, self.servers.get(key)?)))
-            .filter(|(_, view)| !view.leaving)
+            .filter(|(_, view)| view.takes_work(now))
             .map(|(key, view)| (self.predict_cost(key, view, tokens, now), key))
             .min_by(|a, b| a.0.total_cmp(&b.0))
             .map(|(_, key)| key);
@@ -151,12 +156,12 @@
     }
 
     /// Computes for each server the tokens of a prompt that it is expected to
-    /// hold.
+    /// hold: what this entry sent there, and at the home servers of the prompt
+    /// what other entries are expected to have sent.
     fn expect_cached(&mut self, prefix: &PromptPrefix, request: &PlanRequest, now: MonotonicTime) {
         self.expected.clear();
-        let mut branch = None;
+        let mut most_known = 0;
         for level in &prefix.levels {
-            let mut is_known = level.blocks < MIN_LEARNED_BLOCKS;
             for holder in self.learned.list_holders(level.hash) {
                 let Some(view) = self.servers.get(holder.server) else {
                     continue;
@@ -164,41 +169,80 @@
                 let is_fresh = u128::from(holder.age_ms(now)) < self.rates.retention.as_millis();
                 if view.epoch == holder.epoch && is_fresh {
                     self.expected.insert(holder.server, level.tokens());
-                    is_known = true;
+                    most_known = level.tokens();
                 }
             }
-            if !is_known {
-                branch = Some(level.hash);
-                break;
-            }
         }
-        if let Some(branch) = branch {
-            self.expect_at_winner(branch, prefix, request);
+        if let Some(home) = self.find_home_level(prefix, request.pool, now) {
+            self.expect_at_homes(home, prefix.tokens, most_known, request, now);
         }
     }
 
-    /// Expects a part of the prompt at the server that other entries would
-    /// choose for it: the rendezvous winner of the first level that this entry
-    /// does not know. Entries that know the same outer levels agree on it.
-    fn expect_at_winner(
+    /// Finds the level that chooses the home servers of a prompt: the first
+    /// one whose traffic one server can bear. All entries see about the same
+    /// traffic and so agree on it.
+    fn find_home_level(
         &mut self,
-        branch: BlockHash,
         prefix: &PromptPrefix,
+        pool: &str,
+        now: MonotonicTime,
+    ) -> Option<BlockHash> {
+        let pool = self.pools.get_mut(pool)?;
+        pool.count_traffic(now);
+        let most = self.rates.home_share * pool.even_traffic();
+        let eligible = prefix
+            .levels
+            .iter()
+            .filter(|level| level.blocks >= MIN_HOME_BLOCKS);
+        for level in eligible {
+            if !self.learned.count_traffic(level.hash, most, now) {
+                return Some(level.hash);
+            }
+        }
+        prefix.levels.last().map(|level| level.hash)
+    }
+
+    /// Expects a prompt at its home server, the rendezvous winner, and a part
+    /// of it at the second.
+    fn expect_at_homes(
+        &mut self,
+        home: BlockHash,
+        tokens: u32,
+        most_known: u32,
         request: &PlanRequest,
+        now: MonotonicTime,
     ) {
-        let winner = self
-            .by_pool
+        let mut first = None;
+        let mut second = None;
+        for key in self
+            .pools
             .get(request.pool)
             .into_iter()
-            .flatten()
-            .filter_map(|&key| Some((key, self.servers.get(key)?)))
-            .filter(|(_, view)| !view.leaving)
-            .max_by_key(|(_, view)| score_rendezvous(branch, view.seed));
-        if let Some((key, _)) = winner {
-            let share = self.rates.rendezvous_share * f64::from(prefix.tokens);
-            let known = self.expected.get(key).copied().unwrap_or(0);
-            self.expected.insert(key, known.max(share as u32));
+            .flat_map(|pool| &pool.keys)
+        {
+            let Some(view) = self.servers.get(*key).filter(|view| view.takes_work(now)) else {
+                continue;
+            };
+            let scored = Some((score_rendezvous(home, view.seed), *key));
+            if scored > first {
+                second = first;
+                first = scored;
+            } else if scored > second {
+                second = scored;
+            }
         }
+        let share = self.rates.rendezvous_share * f64::from(tokens);
+        if let Some((_, key)) = first {
+            self.raise_expected(key, most_known.max(share as u32));
+        }
+        if let Some((_, key)) = second {
+            self.raise_expected(key, (share * self.rates.second_share) as u32);
+        }
+    }
+
+    fn raise_expected(&mut self, key: ServerKey, tokens: u32) {
+        let known = self.expected.get(key).copied().unwrap_or(0);
+        self.expected.insert(key, known.max(tokens));
     }
 
     fn predict_cost(
--- a/src/core/placement/server_load.rs
+++ b/src/core/placement/server_load.rs
@@ -78,6 +78,13 @@
 
     const LAG: Duration = Duration::from_millis(300);
 
+    fn make_rates() -> CostRates {
+        CostRates {
+            prefill_tokens_per_second: 8_000.0,
+            ..CostRates::default()
+        }
+    }
+
     fn at(millis: u64) -> MonotonicTime {
         MonotonicTime::ZERO + Duration::from_millis(millis)
     }
@@ -91,7 +98,7 @@
 
     #[test]
     fn predict_wait_adds_own_requests_not_reported_yet() {
-        let rates = CostRates::default();
+        let rates = make_rates();
         let mut load = ServerLoad::default();
         load.observe(report(0), LAG, at(1_000));
         load.begin(16_000, at(1_000));
@@ -100,7 +107,7 @@
 
     #[test]
     fn observe_drops_requests_that_the_report_holds() {
-        let rates = CostRates::default();
+        let rates = make_rates();
         let mut load = ServerLoad::default();
         load.begin(16_000, at(1_000));
         load.observe(report(0), LAG, at(2_000));
@@ -109,7 +116,7 @@
 
     #[test]
     fn observe_keeps_requests_within_lag() {
-        let rates = CostRates::default();
+        let rates = make_rates();
         let mut load = ServerLoad::default();
         load.begin(16_000, at(1_000));
         load.observe(report(0), LAG, at(1_100));
@@ -118,7 +125,7 @@
 
     #[test]
     fn predict_wait_old_report_fades() {
-        let rates = CostRates::default();
+        let rates = make_rates();
         let mut load = ServerLoad::default();
         load.observe(report(16_000), LAG, at(0));
         assert!(load.predict_wait(&rates, at(0)) >= 2.0);
--- a/src/core/placement/server_view.rs
+++ b/src/core/placement/server_view.rs
@@ -4,6 +4,7 @@
 
 use super::CacheIdentity;
 use super::ServerLoad;
+use crate::core::MonotonicTime;
 use crate::core::ServerName;
 
 /// A backend server as a planner knows it.
@@ -19,6 +20,7 @@
     pub leaving: bool,
     /// Load of the server.
     pub load: ServerLoad,
+    avoided_until: MonotonicTime,
     pub(super) identity: CacheIdentity,
     pub(super) epoch: u32,
     pub(super) seed: u64,
@@ -33,12 +35,23 @@
             pool: pool.into(),
             zone: zone.into(),
             leaving: false,
+            avoided_until: MonotonicTime::ZERO,
             load: ServerLoad::default(),
             identity: CacheIdentity::default(),
             epoch: 0,
         }
     }
 
+    /// Leaves the server out of plans until a time.
+    pub fn avoid_until(&mut self, until: MonotonicTime) {
+        self.avoided_until = until;
+    }
+
+    /// Tells whether the server may be given new work.
+    pub fn takes_work(&self, now: MonotonicTime) -> bool {
+        !self.leaving && now >= self.avoided_until
+    }
+
     /// Returns the identity of the server's cache.
     pub fn identity(&self) -> CacheIdentity {
         self.identity
