--- a/lab/src/bench/mod.rs
+++ b/lab/src/bench/mod.rs
@@ -1,6 +1,7 @@
 //! Benches: one bench a file or folder, each returning its figures.
 
 pub mod policy;
+pub mod rate;
 mod relay_codec;
 
 use serde_json::Value;
--- /dev/null
+++ b/lab/src/bench/rate/mod.rs
@@ -0,0 +1,3 @@
+//! Rates of client accounts across many entries.
+
+pub mod spend_check;
--- /dev/null
+++ b/lab/src/bench/rate/spend_check.rs
@@ -0,0 +1,103 @@
+//! Checks what one account spent against its rule.
+
+use std::time::Duration;
+
+/// Tokens spent at one moment of real time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Spend {
+    /// Time since the start of the run.
+    pub at: Duration,
+    /// Tokens.
+    pub tokens: u64,
+}
+
+/// The one bucket that the rule describes, charged with everything that is
+/// spent anywhere. It starts full. A history keeps within the rule exactly
+/// if this bucket never goes below zero.
+#[derive(Debug, Clone)]
+pub struct RuleBucket {
+    rate: f64,
+    burst: f64,
+    level: f64,
+    at: Duration,
+}
+
+impl RuleBucket {
+    /// Creates the bucket of a rule: tokens a second, and tokens.
+    pub fn new(rate: f64, burst: u64) -> Self {
+        Self {
+            rate,
+            burst: burst as f64,
+            level: burst as f64,
+            at: Duration::ZERO,
+        }
+    }
+
+    /// Returns the tokens that the rule allows now; below zero after a breach.
+    pub fn level(&mut self, now: Duration) -> f64 {
+        let gain = self.rate * now.saturating_sub(self.at).as_secs_f64();
+        self.level = (self.level + gain).min(self.burst);
+        self.at = self.at.max(now);
+        self.level
+    }
+
+    /// Charges tokens; returns those that the rule did not allow.
+    pub fn charge(&mut self, tokens: u64, now: Duration) -> f64 {
+        let allowed = self.level(now).max(0.0);
+        self.level -= tokens as f64;
+        (tokens as f64 - allowed).max(0.0)
+    }
+}
+
+/// Returns the most tokens by which any window `[s, t]` of a history exceeds
+/// `burst + rate * (t - s)`; zero if none does. Every window that begins and
+/// ends with a spend is looked at, which decides all others.
+pub fn find_excess(history: &[Spend], rate: f64, burst: u64) -> u64 {
+    let mut ordered = history.to_vec();
+    ordered.sort_by_key(|spend| spend.at);
+    let excesses = (0..ordered.len()).map(|first| excess_from(&ordered[first..], rate, burst));
+    excesses.max().unwrap_or(0)
+}
+
+fn excess_from(window: &[Spend], rate: f64, burst: u64) -> u64 {
+    let start = window[0].at;
+    let mut total = 0;
+    let mut excess = 0.0_f64;
+    for spend in window {
+        total += spend.tokens;
+        let allowed = burst as f64 + rate * (spend.at - start).as_secs_f64();
+        excess = excess.max(total as f64 - allowed);
+    }
+    excess.ceil() as u64
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn spend(millis: u64, tokens: u64) -> Spend {
+        Spend {
+            at: Duration::from_millis(millis),
+            tokens,
+        }
+    }
+
+    #[test]
+    fn charge_beyond_rule() {
+        let mut bucket = RuleBucket::new(10.0, 10);
+        assert_eq!(bucket.charge(8, Duration::from_secs(60)), 0.0);
+        assert_eq!(bucket.charge(8, Duration::from_millis(60_100)), 5.0);
+    }
+
+    #[test]
+    fn find_excess_none() {
+        let history = [spend(0, 10), spend(1_000, 5), spend(3_000, 10)];
+        assert_eq!(find_excess(&history, 5.0, 10), 0);
+    }
+
+    #[test]
+    fn find_excess_inner_window() {
+        let history = [spend(0, 1), spend(60_000, 10), spend(60_100, 4)];
+        assert_eq!(find_excess(&history, 10.0, 10), 3);
+    }
+}
--- /dev/null
+++ b/src/core/limit/terms.rs
@@ -0,0 +1,54 @@
+//! Numbers that all entries of a fleet agree on.
+
+use std::time::Duration;
+
+/// Part of a span by which two clocks may run apart: one in this many.
+const DRIFT_DIVISOR: u32 = 50;
+
+/// Margin on top of the drift.
+const MARGIN: Duration = Duration::from_millis(5);
+
+/// Numbers that all entries of a fleet agree on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ShareTerms {
+    /// Slots that the allowance of each account is split into.
+    pub slots: u16,
+    /// Groups that accounts are split into.
+    pub groups: u16,
+    /// Time for which a slot lends its part.
+    pub loan: Duration,
+    /// Time between renewals of a loan.
+    pub renewal: Duration,
+    /// Life of a grant from the keeper of a group.
+    pub grant: Duration,
+    /// Life of a part of a grant that a zone keeper passes on.
+    pub part: Duration,
+    /// Entries up to which there are no zone keepers.
+    pub flat_entries: usize,
+    /// Time that a request may wait for tokens.
+    pub patience: Duration,
+    /// Requests of one account that may wait in one entry.
+    pub queue: usize,
+}
+
+impl Default for ShareTerms {
+    fn default() -> Self {
+        Self {
+            slots: 32,
+            groups: 64,
+            loan: Duration::from_millis(4_000),
+            renewal: Duration::from_millis(1_000),
+            grant: Duration::from_millis(2_000),
+            part: Duration::from_millis(900),
+            flat_entries: 32,
+            patience: Duration::from_millis(2_000),
+            queue: 64,
+        }
+    }
+}
+
+/// Returns how long a promise for a span must be kept by the one who gave it,
+/// so that clocks which run apart do no harm.
+pub(super) fn hold(span: Duration) -> Duration {
+    span + span / DRIFT_DIVISOR + MARGIN
+}
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -7,6 +7,7 @@
 mod envelope;
 pub mod fair_queue;
 mod key_digest;
+pub mod limit;
 mod load_report;
 mod monotonic_time;
 pub mod once;
