--- /dev/null
+++ b/lab/src/cli/demo.rs
@@ -0,0 +1,81 @@
+//! `teaseldrum-lab demo`: a whole small deployment with real traffic.
+
+use std::time::Duration;
+
+use argh::FromArgs;
+use teaseldrum::cli::Exit;
+
+use super::wait_for_signal;
+use crate::demo::Customer;
+use crate::demo::Fleet;
+use crate::demo::Measures;
+use crate::demo::print_curl_lines;
+use crate::demo::send_traffic;
+
+/// Start whole small deployments on loopback inside this process, send them
+/// streamed traffic and print the five measures of each.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "demo")]
+pub struct DemoCommand {
+    /// keep the deployments up and print curl lines that work, until SIGTERM
+    /// or SIGINT
+    #[argh(switch)]
+    serve: bool,
+    /// seconds of traffic for each deployment
+    #[argh(option, default = "12")]
+    seconds: u64,
+    /// seed of the traffic
+    #[argh(option, default = "1")]
+    seed: u64,
+}
+
+impl DemoCommand {
+    /// Runs the demo.
+    pub fn run(self) -> Exit {
+        let customers = [Customer::guild(), Customer::sabarmati()];
+        if self.serve {
+            return serve(&customers);
+        }
+        let measured = customers.map(|customer| self.run_customer(&customer));
+        println!();
+        for measures in &measured {
+            println!("{measures}");
+        }
+        println!(
+            "hit rate: prompt tokens found in an engine's cache; recomputed: prompt tokens computed\n\
+             again though an earlier request had them; TTFT: time to first token."
+        );
+        let is_sound = |measures: &Measures| measures.failed() == 0 && measures.hit_rate() > 0.0;
+        if measured.iter().all(is_sound) {
+            Exit::Done
+        } else {
+            eprintln!("The demo failed: requests failed, or no prefix was found in a cache.");
+            Exit::Failed
+        }
+    }
+
+    fn run_customer(&self, customer: &Customer) -> Measures {
+        eprintln!("{}: Starting.", customer.name);
+        let fleet = Fleet::start(customer);
+        eprintln!(
+            "{}: {} entries, {} agents, {} engines and {} plain services are up.",
+            customer.name,
+            fleet.entries.len(),
+            fleet.agents.len(),
+            fleet.engines.len(),
+            fleet.services.len()
+        );
+        let length = Duration::from_secs(self.seconds);
+        send_traffic(customer, &fleet.addresses(), length, self.seed)
+    }
+}
+
+fn serve(customers: &[Customer]) -> Exit {
+    let fleets: Vec<Fleet> = customers.iter().map(Fleet::start).collect();
+    for (customer, fleet) in customers.iter().zip(&fleets) {
+        print_curl_lines(customer, fleet);
+    }
+    println!("Stop with Ctrl-C.");
+    wait_for_signal();
+    Exit::Done
+}
--- a/lab/src/cli/mod.rs
+++ b/lab/src/cli/mod.rs
@@ -1,6 +1,7 @@
 //! Command line: one command a file.
 
 mod bench;
+mod demo;
 mod hosts;
 mod named_bench;
 mod store;
@@ -25,6 +26,7 @@
 #[argh(subcommand)]
 enum Command {
     Bench(bench::BenchCommand),
+    Demo(demo::DemoCommand),
     Hosts(hosts::HostsCommand),
     Store(store::StoreCommand),
 }
@@ -50,6 +52,7 @@
     fn run(self) -> Exit {
         match self.command {
             Command::Bench(command) => command.run(),
+            Command::Demo(command) => command.run(),
             Command::Hosts(command) => command.run(),
             Command::Store(command) => command.run(),
         }
--- /dev/null
+++ b/lab/src/demo/measures.rs
@@ -0,0 +1,273 @@
+//! The five measures of a run.
+
+use std::fmt;
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+use serde_json::Value;
+use serde_json::json;
+
+use super::Customer;
+
+const HIGHEST_MICROS: u64 = 120_000_000;
+const SIGNIFICANT_DIGITS: u8 = 3;
+
+/// What came of one request.
+#[derive(Debug, Clone)]
+pub enum Sample {
+    /// It was answered whole.
+    Served(Served),
+    /// It was refused with a code.
+    Refused(String),
+    /// It failed.
+    Failed(String),
+}
+
+/// A request that was answered whole.
+#[derive(Debug, Clone, Copy)]
+pub struct Served {
+    /// Time to the first event.
+    pub first_token: Duration,
+    /// Prompt tokens, as the engine counted them.
+    pub prompt_tokens: u64,
+    /// Prompt tokens found in the cache, as the engine told.
+    pub cached_tokens: u64,
+    /// Prompt tokens that no earlier request had.
+    pub new_tokens: u64,
+    /// Tokens of the answer.
+    pub answer_tokens: u64,
+}
+
+/// The five measures of a run.
+#[derive(Debug)]
+pub struct Measures {
+    name: &'static str,
+    accounts: Vec<AccountMeasures>,
+    all: AccountMeasures,
+}
+
+#[derive(Debug, Clone)]
+struct AccountMeasures {
+    name: &'static str,
+    first_token_us: Histogram<u64>,
+    served: u64,
+    refused: u64,
+    failed: u64,
+    prompt_tokens: u64,
+    cached_tokens: u64,
+    recomputed_tokens: u64,
+    answer_tokens: u64,
+}
+
+impl Measures {
+    /// Creates the measures of a run that has not begun.
+    pub fn new(customer: &Customer) -> Self {
+        let accounts = customer.accounts.iter();
+        Self {
+            name: customer.name,
+            accounts: accounts
+                .map(|account| AccountMeasures::new(account.name))
+                .collect(),
+            all: AccountMeasures::new("all"),
+        }
+    }
+
+    /// Takes note of what came of a request of an account.
+    pub fn note(&mut self, account: usize, sample: &Sample) {
+        self.accounts[account].note(sample);
+        self.all.note(sample);
+    }
+
+    /// Returns requests that were answered whole.
+    pub fn served(&self) -> u64 {
+        self.all.served
+    }
+
+    /// Returns requests that failed.
+    pub fn failed(&self) -> u64 {
+        self.all.failed
+    }
+
+    /// Returns requests that were refused though inside their rate; in the
+    /// demo every account stays inside its rate.
+    pub fn refused(&self) -> u64 {
+        self.all.refused
+    }
+
+    /// Returns the share of prompt tokens found in a cache.
+    pub fn hit_rate(&self) -> f64 {
+        ratio(self.all.cached_tokens, self.all.prompt_tokens)
+    }
+
+    /// Returns the share of prompt tokens computed again though an earlier
+    /// request had them.
+    pub fn recomputed(&self) -> f64 {
+        ratio(self.all.recomputed_tokens, self.all.prompt_tokens)
+    }
+
+    /// Returns all figures.
+    pub fn to_json(&self) -> Value {
+        let worst = self.worst();
+        json!({
+            "deployment": self.name,
+            "served": self.all.served,
+            "failed": self.all.failed,
+            "hit_rate": self.hit_rate(),
+            "recomputed": self.recomputed(),
+            "ttft_p50_ms": self.all.first_token_ms(0.50),
+            "ttft_p95_ms": self.all.first_token_ms(0.95),
+            "ttft_p99_ms": self.all.first_token_ms(0.99),
+            "worst_account": worst.name,
+            "worst_account_ttft_p95_ms": worst.first_token_ms(0.95),
+            "refused_inside_rate": self.all.refused,
+        })
+    }
+
+    /// Returns the account with the slowest answers.
+    fn worst(&self) -> &AccountMeasures {
+        let served = self.accounts.iter().filter(|account| account.served > 0);
+        served
+            .max_by(|a, b| a.first_token_ms(0.95).total_cmp(&b.first_token_ms(0.95)))
+            .unwrap_or(&self.all)
+    }
+}
+
+impl AccountMeasures {
+    fn new(name: &'static str) -> Self {
+        let histogram = Histogram::new_with_max(HIGHEST_MICROS, SIGNIFICANT_DIGITS);
+        Self {
+            name,
+            first_token_us: histogram.expect("valid bounds"),
+            served: 0,
+            refused: 0,
+            failed: 0,
+            prompt_tokens: 0,
+            cached_tokens: 0,
+            recomputed_tokens: 0,
+            answer_tokens: 0,
+        }
+    }
+
+    fn note(&mut self, sample: &Sample) {
+        let served = match sample {
+            Sample::Served(served) => served,
+            Sample::Refused(_) => {
+                self.refused += 1;
+                return;
+            }
+            Sample::Failed(_) => {
+                self.failed += 1;
+                return;
+            }
+        };
+        let micros = u64::try_from(served.first_token.as_micros()).unwrap_or(u64::MAX);
+        self.first_token_us.saturating_record(micros);
+        self.served += 1;
+        self.prompt_tokens += served.prompt_tokens;
+        self.cached_tokens += served.cached_tokens;
+        self.answer_tokens += served.answer_tokens;
+        let computed = served.prompt_tokens.saturating_sub(served.cached_tokens);
+        self.recomputed_tokens += computed.saturating_sub(served.new_tokens);
+    }
+
+    fn first_token_ms(&self, quantile: f64) -> f64 {
+        let micros = self.first_token_us.value_at_quantile(quantile);
+        (micros / 100) as f64 / 10.0
+    }
+}
+
+impl fmt::Display for Measures {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "{}", self.name)?;
+        writeln!(
+            f,
+            "  {:<12} {:>8} {:>8} {:>9} {:>12} {:>10} {:>10} {:>10}",
+            "account",
+            "answered",
+            "failed",
+            "hit rate",
+            "recomputed",
+            "TTFT p50",
+            "TTFT p95",
+            "TTFT p99"
+        )?;
+        for row in self.accounts.iter().chain([&self.all]) {
+            writeln!(f, "  {row}")?;
+        }
+        let worst = self.worst();
+        writeln!(
+            f,
+            "  worst served: {} (TTFT p95 {:.1} ms); refused inside their rate: {}",
+            worst.name,
+            worst.first_token_ms(0.95),
+            self.all.refused
+        )
+    }
+}
+
+impl fmt::Display for AccountMeasures {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "{:<12} {:>8} {:>8} {:>8.1}% {:>11.1}% {:>7.1} ms {:>7.1} ms {:>7.1} ms",
+            self.name,
+            self.served,
+            self.failed,
+            100.0 * ratio(self.cached_tokens, self.prompt_tokens),
+            100.0 * ratio(self.recomputed_tokens, self.prompt_tokens),
+            self.first_token_ms(0.50),
+            self.first_token_ms(0.95),
+            self.first_token_ms(0.99)
+        )
+    }
+}
+
+fn ratio(part: u64, whole: u64) -> f64 {
+    if whole == 0 {
+        0.0
+    } else {
+        part as f64 / whole as f64
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn note_counts_only_repeated_computation_as_waste() {
+        let mut measures = Measures::new(&Customer::guild());
+        let first = Served {
+            first_token: Duration::from_millis(900),
+            prompt_tokens: 1_000,
+            cached_tokens: 0,
+            new_tokens: 1_000,
+            answer_tokens: 4,
+        };
+        let second = Served {
+            cached_tokens: 600,
+            new_tokens: 100,
+            ..first
+        };
+        measures.note(0, &Sample::Served(first));
+        measures.note(1, &Sample::Served(second));
+        assert_eq!(measures.hit_rate(), 0.3);
+        assert_eq!(measures.recomputed(), 0.15);
+    }
+
+    #[test]
+    fn worst_is_slowest_account() {
+        let mut measures = Measures::new(&Customer::guild());
+        for (account, millis) in [(0, 10), (1, 90), (2, 20)] {
+            let served = Served {
+                first_token: Duration::from_millis(millis),
+                prompt_tokens: 1,
+                cached_tokens: 0,
+                new_tokens: 0,
+                answer_tokens: 1,
+            };
+            measures.note(account, &Sample::Served(served));
+        }
+        assert_eq!(measures.worst().name, "players");
+    }
+}
--- /dev/null
+++ b/lab/src/demo/mod.rs
@@ -0,0 +1,16 @@
+//! A whole small deployment on loopback inside one process, with real
+//! streamed traffic.
+
+mod callers;
+mod curl_lines;
+mod customer;
+mod fleet;
+mod measures;
+mod prompts;
+
+pub use callers::send_traffic;
+pub use curl_lines::print_curl_lines;
+pub use customer::Customer;
+pub use customer::CustomerAccount;
+pub use fleet::Fleet;
+pub use measures::Measures;
--- /dev/null
+++ b/lab/src/demo/prompts.rs
@@ -0,0 +1,86 @@
+//! Prompts with long shared prefixes, drawn from a seed.
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use teaseldrum::core::placement::BYTES_PER_TOKEN;
+
+use super::Customer;
+
+/// Draws the prompts of one deployment.
+#[derive(Debug)]
+pub struct Prompts {
+    customer: Customer,
+    rng: StdRng,
+}
+
+/// A request that is to be sent.
+#[derive(Debug, Clone)]
+pub struct DrawnRequest {
+    /// Place of the account among the deployment's.
+    pub account: usize,
+    /// Prompt.
+    pub prompt: String,
+}
+
+impl Prompts {
+    /// Creates a source of prompts.
+    pub fn new(customer: Customer, seed: u64) -> Self {
+        Self {
+            customer,
+            rng: StdRng::seed_from_u64(seed),
+        }
+    }
+
+    /// Draws the time to the next request, in seconds.
+    pub fn draw_gap(&mut self) -> f64 {
+        let uniform: f64 = self.rng.random();
+        -(1.0 - uniform).ln() / self.customer.requests_per_second
+    }
+
+    /// Draws a request.
+    pub fn draw_request(&mut self) -> DrawnRequest {
+        let account = self.draw_account();
+        let file = self.draw_file();
+        let name = self.customer.accounts[account].name;
+        let question = self.rng.random::<u64>();
+        let mut prompt = make_text(&format!("{name} rules"), self.customer.account_tokens);
+        let file = format!("{name} file {file}");
+        prompt.push_str(&make_text(&file, self.customer.file_tokens));
+        let question = format!("{name} question {question}");
+        prompt.push_str(&make_text(&question, self.customer.question_tokens));
+        DrawnRequest { account, prompt }
+    }
+
+    fn draw_account(&mut self) -> usize {
+        let mut left: f64 = self.rng.random();
+        for (index, account) in self.customer.accounts.iter().enumerate() {
+            left -= account.share;
+            if left < 0.0 {
+                return index;
+            }
+        }
+        0
+    }
+
+    /// Draws a file; a few are asked for much more often than the others.
+    fn draw_file(&mut self) -> usize {
+        let uniform: f64 = self.rng.random();
+        let skewed = uniform * uniform;
+        (skewed * self.customer.files as f64) as usize
+    }
+}
+
+/// Returns a text of so many tokens that is a function of its name.
+fn make_text(name: &str, tokens: usize) -> String {
+    let bytes = tokens * BYTES_PER_TOKEN;
+    let mut text = String::with_capacity(bytes + name.len() + 16);
+    let mut line = 0;
+    while text.len() < bytes {
+        text.push_str(name);
+        text.push_str(&format!(" line {line}. "));
+        line += 1;
+    }
+    text.truncate(bytes);
+    text
+}
--- a/lab/src/deployment.rs
+++ b/lab/src/deployment.rs
@@ -1,4 +1,4 @@
-//! A small deployment on loopback, inside this process.
+//! Roles of teaseldrum on loopback, inside this process.
 
 use std::io::Write;
 use std::net::SocketAddr;
@@ -18,15 +18,23 @@
 ///
 /// The agent cannot start.
 pub fn start_agent(name: &str, pool: &str, server: SocketAddr) -> Running {
-    let value = json!({
+    start_agent_with(&json!({
         "name": name,
         "zone": "a",
         "pool": pool,
         "server": server,
         "listen": {"traffic": "127.0.0.1:0"},
         "traffic": {"threads": 1, "drain_linger_ms": 20, "answer_timeout_ms": 60_000},
-    });
-    let settings = AgentSettings::parse(&value).expect("valid settings");
+    }))
+}
+
+/// Starts an agent with the given settings.
+///
+/// # Panics
+///
+/// The settings are faulty or the agent cannot start.
+pub fn start_agent_with(settings: &Value) -> Running {
+    let settings = AgentSettings::parse(settings).expect("valid settings");
     Running::start(move |stop, ready| serve_agent(settings, stop, ready).expect("agent starts"))
 }
 
@@ -36,16 +44,23 @@
 ///
 /// The entry cannot start.
 pub fn start_entry(name: &str, rules: &str, servers: &[Value]) -> Running {
-    let rules_path = write_temporary(name, rules);
-    let value = json!({
+    start_entry_with(&json!({
         "name": name,
         "zone": "a",
-        "rules_file": rules_path,
+        "rules_file": write_rules(name, rules),
         "servers": servers,
         "listen": {"traffic": "127.0.0.1:0"},
         "traffic": {"threads": 1, "drain_linger_ms": 20},
-    });
-    let settings = EntrySettings::parse(&value).expect("valid settings");
+    }))
+}
+
+/// Starts an entry with the given settings.
+///
+/// # Panics
+///
+/// The settings are faulty or the entry cannot start.
+pub fn start_entry_with(settings: &Value) -> Running {
+    let settings = EntrySettings::parse(settings).expect("valid settings");
     Running::start(move |stop, ready| serve_entry(settings, stop, ready).expect("entry starts"))
 }
 
@@ -54,10 +69,15 @@
     json!({"name": name, "pool": pool, "zone": "a", "address": address})
 }
 
-fn write_temporary(name: &str, content: &str) -> String {
+/// Writes a rules file that only this process uses; returns its path.
+///
+/// # Panics
+///
+/// The file cannot be written.
+pub fn write_rules(name: &str, rules: &str) -> String {
     let file_name = format!("teaseldrum-{}-{name}.rules", std::process::id());
     let path = std::env::temp_dir().join(file_name);
     let mut file = std::fs::File::create(&path).expect("temporary file");
-    file.write_all(content.as_bytes()).expect("temporary file");
+    file.write_all(rules.as_bytes()).expect("temporary file");
     path.to_string_lossy().into_owned()
 }
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod bench;
 pub mod cli;
+pub mod demo;
 pub mod deployment;
 pub mod engine;
 pub mod hosts;
