--- a/lab/src/stand_in/life.rs
+++ b/lab/src/stand_in/life.rs
@@ -1,7 +1,16 @@
 //! Whether a stand-in's process lives, as its handle switches it.
 
+use std::sync::Arc;
+use std::sync::Condvar;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
 use tokio::sync::watch;
 
+const SWITCH_PATIENCE: Duration = Duration::from_secs(10);
+
 /// Whether a stand-in's process lives.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LifeState {
@@ -15,26 +24,38 @@
 #[derive(Debug, Clone)]
 pub struct Life {
     state: watch::Sender<LifeState>,
+    reached: Arc<Reached>,
     freezes: watch::Sender<u64>,
 }
 
+/// The state that the process has reached.
+#[derive(Debug)]
+struct Reached {
+    state: Mutex<LifeState>,
+    changed: Condvar,
+}
+
 impl Life {
     /// Creates the life of a process that serves its first run.
     pub fn new() -> Self {
         Self {
             state: watch::Sender::new(LifeState::Serving(0)),
+            reached: Arc::new(Reached {
+                state: Mutex::new(LifeState::Serving(0)),
+                changed: Condvar::new(),
+            }),
             freezes: watch::Sender::new(0),
         }
     }
 
-    /// Breaks all connections and refuses new ones.
+    /// Breaks all connections and refuses new ones; returns once it does.
     pub fn stop(&self) {
-        self.state.send_replace(LifeState::Down);
+        self.switch(LifeState::Down);
     }
 
-    /// Breaks all connections and serves as a new run.
+    /// Breaks all connections and serves as a new run; returns once it does.
     pub fn restart(&self, run: u64) {
-        self.state.send_replace(LifeState::Serving(run));
+        self.switch(LifeState::Serving(run));
     }
 
     /// Lets all open connections go silent for good; new ones work.
@@ -42,6 +63,23 @@
         self.freezes.send_modify(|count| *count += 1);
     }
 
+    /// Tells the one who switched that the state is reached.
+    pub(super) fn reach(&self, state: LifeState) {
+        *self.reached.lock() = state;
+        self.reached.changed.notify_all();
+    }
+
+    fn switch(&self, state: LifeState) {
+        self.state.send_replace(state);
+        let reached = self.reached.lock();
+        let waited = self
+            .reached
+            .changed
+            .wait_timeout_while(reached, SWITCH_PATIENCE, |reached| *reached != state);
+        let (reached, _) = waited.unwrap_or_else(PoisonError::into_inner);
+        assert_eq!(*reached, state, "the stand-in does not run");
+    }
+
     /// Follows the state.
     pub fn watch(&self) -> watch::Receiver<LifeState> {
         self.state.subscribe()
@@ -53,6 +91,12 @@
     }
 }
 
+impl Reached {
+    fn lock(&self) -> MutexGuard<'_, LifeState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 impl Default for Life {
     fn default() -> Self {
         Self::new()
--- a/lab/src/stand_in/serve.rs
+++ b/lab/src/stand_in/serve.rs
@@ -59,6 +59,7 @@
         let now = *state.borrow_and_update();
         if now == LifeState::Down {
             listener = None;
+            life.reach(now);
             if state.changed().await.is_err() {
                 return;
             }
@@ -69,6 +70,7 @@
             .unwrap_or_else(|| open_listener(address).expect("its old address"));
         listener = current.try_clone().ok();
         let current = TcpListener::from_std(current).expect("a listener");
+        life.reach(now);
         tokio::select! {
             _ = state.changed() => {}
             () = serve_run(current, life.watch_freezes(), handle.clone()) => {}
