Bring accepted rules into force everywhere without a coordination service

An operator's acceptance is one compare-and-swap; entries together poll the store at one slow rate and three of them watch it. Revisions spread in quick rounds to random peers and by exchanges at a bounded rate; whoever holds the lower one fetches a patch, one fetch at a time. Envelopes and reports carry revision and time line stamp; the agent judges a key anew on newer rules.

Guards taken out and seen to fail their tests: the compare-and-swap, the accept id in the history, both halves of the agent's key check, the bound on watchers, the digest of a patch.

--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod deployment;
 pub mod engine;
 pub mod hosts;
+pub mod loopback;
 pub mod running;
 pub mod service;
 pub mod stand_in;
--- a/src/agent/context.rs
+++ b/src/agent/context.rs
@@ -1,5 +1,6 @@
 //! What the parts of one agent share.
 
+use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
@@ -15,6 +16,7 @@
 use crate::core::Report;
 use crate::core::once::SeenAttempts;
 use crate::core::once::Sighting;
+use crate::peer::HostTable;
 use crate::peer::Peers;
 use crate::rules::RuleSet;
 use crate::settings::AgentSettings;
@@ -30,9 +32,11 @@
     /// The backend server takes no new work.
     pub leaving: AtomicBool,
     /// Rules in force.
-    pub rules: RulesInForce,
+    pub rules: Arc<RulesInForce>,
     /// Calls to other processes.
-    pub peers: Peers,
+    pub peers: Arc<Peers>,
+    /// Processes of the fleet.
+    pub hosts: Arc<HostTable>,
     /// Requests that the backend server is running.
     pub running: AtomicU32,
     /// Events of this process.
@@ -47,8 +51,9 @@
         Self {
             incarnation: ProcessIncarnation::draw(),
             leaving: AtomicBool::new(false),
-            rules: RulesInForce::new(RuleSet::default()),
-            peers: Peers::new(),
+            rules: Arc::new(RulesInForce::new(RuleSet::default())),
+            peers: Arc::default(),
+            hosts: Arc::new(HostTable::new(settings.find_peers())),
             running: AtomicU32::new(0),
             timeline: Recorder::new(settings.name.as_str()),
             started: Instant::now(),
@@ -65,6 +70,12 @@
         seen.note(envelope.request, envelope.attempt, now)
     }
 
+    /// Takes note of what an entry tells with an attempt.
+    pub fn observe(&self, envelope: &Envelope) {
+        self.timeline.observe(envelope.stamp);
+        self.rules.notice(envelope.revision, envelope.entry);
+    }
+
     /// Returns what the agent tells with an answer to an attempt.
     pub fn report(&self, envelope: &Envelope) -> Report {
         Report {
@@ -79,6 +90,7 @@
                 running: self.running.load(Ordering::Acquire),
                 ..LoadReport::default()
             },
+            stamp: self.timeline.stamp(),
         }
     }
 }
--- a/src/agent/gate.rs
+++ b/src/agent/gate.rs
@@ -22,20 +22,40 @@
     if cx.leaving.load(Ordering::Acquire) {
         return Err(Refusal::Leaving);
     }
+    if is_key_withdrawn(cx, envelope) {
+        return Err(Refusal::KeyWithdrawn);
+    }
     if envelope.deadline_ms == 0 {
         return Err(Refusal::DeadlinePassed);
     }
     Ok(())
 }
 
+/// Judges the key anew where the agent has newer rules than the entry had;
+/// an entry with newer rules than the agent knows better.
+fn is_key_withdrawn(cx: &AgentContext, envelope: &Envelope) -> bool {
+    let rules = cx.rules.load();
+    if rules.revision <= envelope.revision {
+        return false;
+    }
+    match (&envelope.key_id, &envelope.account) {
+        (Some(key_id), Some(account)) => !rules.key_opens(key_id, account),
+        _ => false,
+    }
+}
+
 #[cfg(test)]
 mod tests {
+    use rstest::rstest;
     use serde_json::json;
 
     use super::*;
+    use crate::core::AccountName;
+    use crate::core::KeyDigest;
     use crate::core::ProcessIncarnation;
     use crate::core::RequestId;
     use crate::core::Revision;
+    use crate::core::config::RulesRecord;
     use crate::settings::AgentSettings;
 
     fn make_context() -> AgentContext {
@@ -60,6 +80,8 @@
             deadline_ms: 1_000,
             priority: 0,
             once: false,
+            stamp: 0,
+            entry: None,
         }
     }
 
@@ -97,6 +119,44 @@
         );
     }
 
+    fn adopt_rules(cx: &AgentContext, revision: u64, key_id: &str) {
+        let digest = KeyDigest::of_key(b"secret");
+        let text = format!(
+            "account desk rate 1 burst 1 # Asha\n\
+             key {key_id} account desk digest {digest} # Asha\n"
+        );
+        let record = RulesRecord {
+            revision: Revision(revision),
+            parent: Revision(revision - 1),
+            accept_id: String::new(),
+            who: "Asha".into(),
+            why: "test".into(),
+            accepted_at_ms: 0,
+            text,
+        };
+        assert_eq!(cx.rules.adopt(record.into()), Ok(true));
+    }
+
+    #[rstest]
+    #[case::kept_key(5, 4, "desk-1", Ok(()))]
+    #[case::withdrawn_key(5, 4, "desk-2", Err(Refusal::KeyWithdrawn))]
+    #[case::same_revision(5, 5, "desk-2", Ok(()))]
+    #[case::newer_entry(5, 6, "desk-2", Ok(()))]
+    fn judge_attempt_key(
+        #[case] held: u64,
+        #[case] planned: u64,
+        #[case] key_id: &str,
+        #[case] verdict: Result<(), Refusal>,
+    ) {
+        let cx = make_context();
+        adopt_rules(&cx, held, "desk-1");
+        let mut envelope = make_envelope(&cx);
+        envelope.revision = Revision(planned);
+        envelope.account = Some(AccountName::from("desk"));
+        envelope.key_id = Some(key_id.into());
+        assert_eq!(judge_attempt(&cx, &envelope), verdict);
+    }
+
     #[test]
     fn judge_attempt_deadline_passed() {
         let cx = make_context();
--- a/src/agent/handle.rs
+++ b/src/agent/handle.rs
@@ -55,6 +55,7 @@
     let Ok(body) = body else {
         return answer_status(StatusCode::BAD_REQUEST);
     };
+    cx.observe(&envelope);
     let sighting = if envelope.once {
         cx.note_attempt(&envelope)
     } else {
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -1,6 +1,24 @@
 //! The rules in force in a process, and how they get there.
+//!
+//! An operator accepts rules by one compare-and-swap in the platform's store.
+//! A few entries watch the store and all entries together poll it at one slow
+//! rate; whoever finds newer rules tells random peers, which fetch them. An
+//! accepted revision replaces lower ones only, so nothing reverts.
 
+mod accept_rules;
+mod config_keeper;
+mod read_rules;
 mod rules_in_force;
+mod stored_rules;
 
+pub use accept_rules::AcceptError;
+pub use accept_rules::Proposal;
+pub use accept_rules::accept_rules;
+pub use config_keeper::ConfigKeeper;
+pub use read_rules::ReadError;
+pub use read_rules::read_history;
+pub use read_rules::read_record;
+pub use read_rules::read_text_at;
+pub use rules_in_force::Hint;
 pub use rules_in_force::RejectedRecord;
 pub use rules_in_force::RulesInForce;
--- a/src/config/rules_in_force.rs
+++ b/src/config/rules_in_force.rs
@@ -1,6 +1,7 @@
 //! Rules in force in this process.
 
 use std::fmt;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
@@ -12,8 +13,8 @@
 
 use crate::core::Revision;
 use crate::core::config::RulesRecord;
+use crate::core::config::RulesUpdate;
 use crate::peer::PeerError;
-use crate::peer::RevisionReply;
 use crate::rules::RuleFault;
 use crate::rules::RuleSet;
 use crate::rules::parse_rules;
@@ -38,12 +39,23 @@
     }
 }
 
+/// Where newer rules can be had.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Hint {
+    /// Revision in force there.
+    pub revision: Revision,
+    /// Peer address.
+    pub peer: SocketAddr,
+}
+
 /// Rules in force in this process. Readers on any thread get a snapshot; the
 /// revision only rises.
 #[derive(Debug)]
 pub struct RulesInForce {
     rules: ArcSwap<RuleSet>,
     record: ArcSwapOption<RulesRecord>,
+    previous: ArcSwapOption<RulesRecord>,
+    hint: watch::Sender<Option<Hint>>,
     revision: watch::Sender<Revision>,
     adopting: Mutex<()>,
 }
@@ -55,6 +67,8 @@
             revision: watch::Sender::new(rules.revision),
             rules: ArcSwap::new(Arc::new(rules)),
             record: ArcSwapOption::empty(),
+            previous: ArcSwapOption::empty(),
+            hint: watch::Sender::new(None),
             adopting: Mutex::new(()),
         }
     }
@@ -84,17 +98,29 @@
         self.revision.subscribe()
     }
 
-    /// Answers a peer that tells its revision.
-    pub fn answer_exchange(&self, held: Revision) -> RevisionReply {
-        let record = self.record();
-        RevisionReply {
-            revision: self.revision(),
-            newer: record
-                .filter(|record| record.revision > held)
-                .map(Arc::unwrap_or_clone),
+    /// Takes note that a peer has the given revision in force.
+    pub fn notice(&self, revision: Revision, peer: Option<SocketAddr>) {
+        if revision <= self.revision() {
+            return;
+        }
+        if let Some(peer) = peer {
+            self.hint.send_replace(Some(Hint { revision, peer }));
         }
     }
 
+    /// Follows where newer rules can be had; only the latest hint is kept.
+    pub fn watch_hints(&self) -> watch::Receiver<Option<Hint>> {
+        self.hint.subscribe()
+    }
+
+    /// Returns the rules for a peer that holds the given revision; none if
+    /// that is not older.
+    pub fn build_update(&self, held: Revision) -> Option<RulesUpdate> {
+        let record = self.record().filter(|record| record.revision > held)?;
+        let previous = self.previous.load();
+        Some(RulesUpdate::build(&record, previous.as_deref(), held))
+    }
+
     /// Takes rules that a peer hands over; returns the revision in force then.
     ///
     /// # Errors
@@ -127,7 +153,7 @@
             })?;
         self.rules.store(Arc::new(rules));
         let revision = record.revision;
-        self.record.store(Some(record));
+        self.previous.store(self.record.swap(Some(record)));
         self.revision.send_replace(revision);
         Ok(true)
     }
--- /dev/null
+++ b/src/core/config/rules_update.rs
@@ -0,0 +1,125 @@
+//! Newer rules, as short as the receiver's revision allows.
+
+use std::fmt;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::RulesRecord;
+use super::TextPatch;
+use super::text_patch::PatchMismatch;
+use crate::core::Revision;
+
+/// Newer rules, as short as the receiver's revision allows.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RulesUpdate {
+    /// The whole record.
+    Whole(RulesRecord),
+    /// A record without its text, and the patch from the text of the given
+    /// revision.
+    Patch(Revision, RulesRecord, TextPatch),
+}
+
+/// An update that does not fit the rules it is applied to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum UpdateError {
+    /// The patch is for another revision.
+    OtherRevision(Revision),
+    /// The patch is for another text.
+    OtherText,
+}
+
+impl fmt::Display for UpdateError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::OtherRevision(revision) => write!(f, "patch is for revision {revision}"),
+            Self::OtherText => PatchMismatch.fmt(f),
+        }
+    }
+}
+
+impl From<PatchMismatch> for UpdateError {
+    fn from(_: PatchMismatch) -> Self {
+        Self::OtherText
+    }
+}
+
+impl RulesUpdate {
+    /// Returns the update to `record` for a receiver that holds `held`;
+    /// `previous` is the record before, if it is still known.
+    pub fn build(record: &RulesRecord, previous: Option<&RulesRecord>, held: Revision) -> Self {
+        match previous {
+            Some(previous) if previous.revision == held => {
+                let patch = TextPatch::between(&previous.text, &record.text);
+                let head = RulesRecord {
+                    text: String::new(),
+                    ..record.clone()
+                };
+                Self::Patch(held, head, patch)
+            }
+            _ => Self::Whole(record.clone()),
+        }
+    }
+
+    /// Returns the record, given the one that the receiver holds.
+    ///
+    /// # Errors
+    ///
+    /// The update is a patch for other rules than those held.
+    pub fn resolve(self, held: Option<&RulesRecord>) -> Result<RulesRecord, UpdateError> {
+        match self {
+            Self::Whole(record) => Ok(record),
+            Self::Patch(from, head, patch) => {
+                let held = held.filter(|held| held.revision == from);
+                let held = held.ok_or(UpdateError::OtherRevision(from))?;
+                let text = patch.apply(&held.text)?;
+                Ok(RulesRecord { text, ..head })
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn make_record(revision: u64, text: &str) -> RulesRecord {
+        RulesRecord {
+            revision: Revision(revision),
+            parent: Revision(revision - 1),
+            accept_id: String::new(),
+            who: "Asha".into(),
+            why: "test".into(),
+            accepted_at_ms: 0,
+            text: text.into(),
+        }
+    }
+
+    #[test]
+    fn build_patch_for_previous() {
+        let old = make_record(4, "pool a # Asha\n");
+        let new = make_record(5, "pool a # Asha\npool b # Asha\n");
+        let update = RulesUpdate::build(&new, Some(&old), Revision(4));
+        assert!(matches!(update, RulesUpdate::Patch(..)));
+        assert_eq!(update.resolve(Some(&old)), Ok(new));
+    }
+
+    #[test]
+    fn build_whole_for_older() {
+        let old = make_record(4, "pool a # Asha\n");
+        let new = make_record(5, "pool b # Asha\n");
+        let update = RulesUpdate::build(&new, Some(&old), Revision(3));
+        assert_eq!(update.resolve(None), Ok(new));
+    }
+
+    #[test]
+    fn resolve_patch_for_other_rules() {
+        let old = make_record(4, "pool a # Asha\n");
+        let new = make_record(5, "pool b # Asha\n");
+        let update = RulesUpdate::build(&new, Some(&old), Revision(4));
+        let result = update.clone().resolve(Some(&new));
+        assert_eq!(result, Err(UpdateError::OtherRevision(Revision(4))));
+        let other = make_record(4, "fool a # Asha\n");
+        assert_eq!(update.resolve(Some(&other)), Err(UpdateError::OtherText));
+    }
+}
--- /dev/null
+++ b/src/core/config/text_patch.rs
@@ -0,0 +1,110 @@
+//! One edited stretch of a text.
+
+use std::fmt;
+
+use serde::Deserialize;
+use serde::Serialize;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// One edited stretch of a text: what stands before and after it is kept.
+/// An edit of one rule is a few hundred bytes, however long the rules are.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TextPatch {
+    /// Bytes kept at the start of the old text.
+    keep_start: usize,
+    /// Bytes kept at the end of the old text.
+    keep_end: usize,
+    /// Text that stands between them in the new text.
+    middle: String,
+    /// XXH3 digest of the new text.
+    digest: u64,
+}
+
+/// The patch was made for another text.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PatchMismatch;
+
+impl fmt::Display for PatchMismatch {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("patch was made for another text")
+    }
+}
+
+impl TextPatch {
+    /// Returns the patch that turns `old` into `new`.
+    pub fn between(old: &str, new: &str) -> Self {
+        let keep_start = count_common(old.chars(), new.chars());
+        let old_rest = &old[keep_start..];
+        let new_rest = &new[keep_start..];
+        let keep_end = count_common(old_rest.chars().rev(), new_rest.chars().rev());
+        Self {
+            keep_start,
+            keep_end,
+            middle: new_rest[..new_rest.len() - keep_end].into(),
+            digest: xxh3_64(new.as_bytes()),
+        }
+    }
+
+    /// Turns the old text into the new one.
+    ///
+    /// # Errors
+    ///
+    /// `old` is not the text that the patch was made for.
+    pub fn apply(&self, old: &str) -> Result<String, PatchMismatch> {
+        let end = old.len().checked_sub(self.keep_end).ok_or(PatchMismatch)?;
+        let head = old.get(..self.keep_start).ok_or(PatchMismatch)?;
+        let tail = old.get(end..).ok_or(PatchMismatch)?;
+        let new = [head, &self.middle, tail].concat();
+        if xxh3_64(new.as_bytes()) == self.digest {
+            Ok(new)
+        } else {
+            Err(PatchMismatch)
+        }
+    }
+}
+
+/// Returns the bytes of the characters that both begin with.
+fn count_common(left: impl Iterator<Item = char>, right: impl Iterator<Item = char>) -> usize {
+    left.zip(right)
+        .take_while(|(left, right)| left == right)
+        .map(|(left, _)| left.len_utf8())
+        .sum()
+}
+
+#[cfg(test)]
+mod tests {
+    use proptest::prelude::ProptestConfig;
+    use proptest::prop_assert_eq;
+    use proptest::proptest;
+    use rstest::rstest;
+
+    use super::*;
+
+    #[rstest]
+    #[case::same("a\nb\n", "a\nb\n", 0)]
+    #[case::inserted("a\nb\n", "a\nx\nb\n", 2)]
+    #[case::removed("a\nx\nb\n", "a\nb\n", 0)]
+    #[case::repeated("aa", "aaa", 1)]
+    fn between_is_short(#[case] old: &str, #[case] new: &str, #[case] bytes: usize) {
+        let patch = TextPatch::between(old, new);
+        assert_eq!(patch.middle.len(), bytes);
+        assert_eq!(patch.apply(old).as_deref(), Ok(new));
+    }
+
+    #[test]
+    fn apply_to_other_text() {
+        let patch = TextPatch::between("rate 1", "rate 2");
+        assert_eq!(patch.apply("late 1"), Err(PatchMismatch));
+        assert_eq!(patch.apply(""), Err(PatchMismatch));
+    }
+
+    proptest! {
+        #![proptest_config(ProptestConfig::with_cases(256))]
+
+        #[test]
+        fn apply_round_trip(old in "[ab\u{e9}\n]{0,12}", new in "[ab\u{e9}\n]{0,12}") {
+            let patch = TextPatch::between(&old, &new);
+            prop_assert_eq!(patch.apply(&old), Ok(new));
+        }
+    }
+}
--- /dev/null
+++ b/src/core/config/watchers.rs
@@ -0,0 +1,51 @@
+//! Which processes ask the store for newer rules, and how often.
+
+use std::time::Duration;
+
+use xxhash_rust::xxh3::xxh3_64;
+
+const WATCHERS: usize = 3;
+const FLEET_POLL_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Tells whether an entry is one of the few that watch the store. Entries
+/// with different lists may disagree: more watchers do no harm, and with none
+/// the polls still find newer rules.
+pub fn is_watcher<'a>(name: &str, entries: impl Iterator<Item = &'a str>) -> bool {
+    let own = xxh3_64(name.as_bytes());
+    let ahead = entries
+        .filter(|entry| *entry != name)
+        .filter(|entry| xxh3_64(entry.as_bytes()) < own)
+        .count();
+    ahead < WATCHERS
+}
+
+/// Returns the mean time between an entry's polls of the store, such that all
+/// entries together poll at one rate however many they are.
+pub fn poll_interval(entries: usize) -> Duration {
+    let entries = u32::try_from(entries.max(1)).unwrap_or(u32::MAX);
+    FLEET_POLL_INTERVAL.saturating_mul(entries)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn count_watchers(entries: usize) -> usize {
+        let names: Vec<String> = (0..entries).map(|index| format!("e{index}")).collect();
+        let is_one = |name: &&String| is_watcher(name.as_str(), names.iter().map(String::as_str));
+        names.iter().filter(is_one).count()
+    }
+
+    #[test]
+    fn is_watcher_few_of_many() {
+        assert_eq!(count_watchers(350), WATCHERS);
+        assert_eq!(count_watchers(2), 2);
+        assert!(is_watcher("e1", std::iter::empty()));
+    }
+
+    #[test]
+    fn poll_interval_fleet_rate() {
+        assert_eq!(poll_interval(0), FLEET_POLL_INTERVAL);
+        assert_eq!(poll_interval(350), 350 * FLEET_POLL_INTERVAL);
+    }
+}
--- a/src/core/envelope.rs
+++ b/src/core/envelope.rs
@@ -1,5 +1,7 @@
 //! What an entry tells an agent about one attempt of a request.
 
+use std::net::SocketAddr;
+
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -40,4 +42,10 @@
     pub priority: i32,
     /// The request may run at most once.
     pub once: bool,
+    /// Time line stamp of the sending.
+    #[serde(default)]
+    pub stamp: u64,
+    /// Peer address of the entry, where its rules can be had.
+    #[serde(default)]
+    pub entry: Option<SocketAddr>,
 }
--- a/src/core/report.rs
+++ b/src/core/report.rs
@@ -30,4 +30,7 @@
     pub leaving: bool,
     /// How busy the backend server is.
     pub load: LoadReport,
+    /// Time line stamp of the report.
+    #[serde(default)]
+    pub stamp: u64,
 }
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -95,10 +95,10 @@
                 if is_crossed {
                     return Err(AttemptError::Unknown("crossed answer".into()));
                 }
-                cx.servers.observe(&choice.name, report);
+                cx.observe(&choice.name, report);
             }
             Frame::Refused(refusal, report) => {
-                cx.servers.observe(&choice.name, report);
+                cx.observe(&choice.name, report);
                 frames.finish().await;
                 return Err(AttemptError::Refused(refusal));
             }
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -1,5 +1,6 @@
 //! What the parts of one entry share.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -9,7 +10,10 @@
 use super::Servers;
 use crate::config::RulesInForce;
 use crate::core::ProcessIncarnation;
+use crate::core::Report;
+use crate::core::ServerName;
 use crate::core::retry::RetryBudget;
+use crate::peer::HostTable;
 use crate::peer::Peers;
 use crate::rules::RuleSet;
 use crate::settings::EntrySettings;
@@ -25,9 +29,11 @@
     /// The entry takes no new work.
     pub draining: AtomicBool,
     /// Rules in force.
-    pub rules: RulesInForce,
+    pub rules: Arc<RulesInForce>,
     /// Calls to other processes.
-    pub peers: Peers,
+    pub peers: Arc<Peers>,
+    /// Processes of the fleet.
+    pub hosts: Arc<HostTable>,
     /// Backend servers.
     pub servers: Arc<Servers>,
     /// Events of this process.
@@ -36,13 +42,28 @@
 }
 
 impl EntryContext {
+    /// Takes note of what an agent tells with an answer.
+    pub fn observe(&self, server: &ServerName, report: Report) {
+        self.timeline.observe(report.stamp);
+        self.rules.notice(report.revision, self.find_peer(server));
+        self.servers.observe(server, report);
+    }
+
+    fn find_peer(&self, server: &ServerName) -> Option<SocketAddr> {
+        let named = self.settings.servers.iter();
+        let mut named = named.filter(|named| named.name == *server);
+        let listed = || self.hosts.find_peer(server.as_str());
+        named.find_map(|named| named.peers).or_else(listed)
+    }
+
     /// Creates the context of an entry that starts with the given rules.
     pub fn new(settings: EntrySettings, rules: RuleSet) -> Self {
         Self {
             incarnation: ProcessIncarnation::draw(),
             draining: AtomicBool::new(false),
-            rules: RulesInForce::new(rules),
-            peers: Peers::new(),
+            rules: Arc::new(RulesInForce::new(rules)),
+            peers: Arc::default(),
+            hosts: Arc::new(HostTable::new(settings.find_peers())),
             servers: Servers::new(&settings),
             timeline: Recorder::new(&settings.name),
             retry_budget: Mutex::default(),
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -6,13 +6,15 @@
 use tarpc::context::Context;
 
 use super::EntryContext;
+use crate::config::ConfigKeeper;
 use crate::core::Revision;
 use crate::core::config::RulesRecord;
+use crate::core::config::RulesUpdate;
 use crate::peer::ControlThread;
 use crate::peer::Peer;
 use crate::peer::PeerError;
 use crate::peer::PeerStatus;
-use crate::peer::RevisionReply;
+use crate::peer::RevisionNotice;
 use crate::peer::Role;
 use crate::peer::accept_peers;
 use crate::peer::serve_connection;
@@ -29,6 +31,8 @@
     cx.peers.attach(control.runtime().clone());
     if let Some(address) = cx.settings.listen.peers {
         let listener = open_listener(address)?;
+        let own = listener.local_addr().map_err(StartError::Thread)?;
+        cx.hosts.set_own(own);
         let service = EntryPeer(Arc::clone(cx));
         control.spawn(async move {
             match tokio::net::TcpListener::from_std(listener) {
@@ -40,6 +44,17 @@
             }
         });
     }
+    let keeper = ConfigKeeper {
+        name: cx.settings.name.to_string(),
+        reads_store: true,
+        platform: cx.settings.platform.clone(),
+        rules: Arc::clone(&cx.rules),
+        peers: Arc::clone(&cx.peers),
+        hosts: Arc::clone(&cx.hosts),
+    };
+    keeper.spawn(&control);
+    let hosts = Arc::clone(&cx.hosts);
+    control.spawn(hosts.follow(cx.settings.platform.clone()));
     Ok(control)
 }
 
@@ -62,9 +77,14 @@
     async fn exchange_revision(
         self,
         _: Context,
-        held: Revision,
-    ) -> Result<RevisionReply, PeerError> {
-        Ok(self.0.rules.answer_exchange(held))
+        notice: RevisionNotice,
+    ) -> Result<Revision, PeerError> {
+        self.0.rules.notice(notice.revision, notice.peer);
+        Ok(self.0.rules.revision())
+    }
+
+    async fn get_rules(self, _: Context, held: Revision) -> Result<Option<RulesUpdate>, PeerError> {
+        Ok(self.0.rules.build_update(held))
     }
 
     async fn offer_rules(self, _: Context, record: RulesRecord) -> Result<Revision, PeerError> {
--- a/src/entry/planner.rs
+++ b/src/entry/planner.rs
@@ -173,6 +173,8 @@
             deadline_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
             priority: self.route.priority,
             once: self.route.once,
+            stamp: self.cx.timeline.stamp(),
+            entry: self.cx.hosts.own(),
         }
     }
 
--- a/src/entry/relay_answer.rs
+++ b/src/entry/relay_answer.rs
@@ -122,7 +122,7 @@
             }
             Frame::Body(chunk) => self.forward(chunk).await,
             Frame::End(report) => {
-                self.cx.servers.observe(&self.choice.name, report);
+                self.cx.observe(&self.choice.name, report);
                 if self.streamed && !self.saw_end {
                     return Step::Fail("stream without its end".into());
                 }
--- a/src/entry/servers.rs
+++ b/src/entry/servers.rs
@@ -186,6 +186,7 @@
             weights: Some(WeightsVersion(1)),
             leaving: false,
             load: LoadReport::default(),
+            stamp: 0,
         }
     }
 
--- /dev/null
+++ b/src/peer/host_table.rs
@@ -0,0 +1,145 @@
+//! Processes of the fleet, as the platform's list and the settings name them.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::OnceLock;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use rand::seq::IteratorRandom;
+use tokio::time::sleep;
+
+use crate::platform::Host;
+use crate::platform::HostList;
+use crate::platform::HostRole;
+use crate::settings::PlatformSettings;
+
+const READ_INTERVAL: Duration = Duration::from_secs(1);
+const BYTES_PER_HOST: usize = 200;
+const BYTES_PER_SECOND: usize = 4_000;
+
+/// Processes of the fleet, as the platform's list and the settings name them.
+#[derive(Debug)]
+pub struct HostTable {
+    own: OnceLock<SocketAddr>,
+    fixed: Vec<SocketAddr>,
+    hosts: ArcSwap<Vec<Host>>,
+}
+
+impl HostTable {
+    /// Creates a table of peers that the settings name.
+    pub fn new(fixed: Vec<SocketAddr>) -> Self {
+        Self {
+            own: OnceLock::new(),
+            fixed,
+            hosts: ArcSwap::default(),
+        }
+    }
+
+    /// Returns the peer address of this process, once it listens.
+    pub fn own(&self) -> Option<SocketAddr> {
+        self.own.get().copied()
+    }
+
+    /// Sets the peer address of this process; the first one stays.
+    pub fn set_own(&self, own: SocketAddr) {
+        let _ = self.own.set(own);
+    }
+
+    /// Returns the list as last read; empty until then.
+    pub fn hosts(&self) -> Arc<Vec<Host>> {
+        self.hosts.load_full()
+    }
+
+    /// Replaces the list.
+    pub fn set_hosts(&self, hosts: Vec<Host>) {
+        self.hosts.store(Arc::new(hosts));
+    }
+
+    /// Returns the peer address of a named host.
+    pub fn find_peer(&self, name: &str) -> Option<SocketAddr> {
+        let hosts = self.hosts.load();
+        hosts.iter().find(|host| host.name == name)?.peers
+    }
+
+    /// Returns the peer addresses of all other processes.
+    pub fn peers(&self) -> Vec<SocketAddr> {
+        let hosts = self.hosts.load();
+        let listed = hosts.iter().filter_map(|host| host.peers);
+        let mut peers: Vec<SocketAddr> = listed.chain(self.fixed.iter().copied()).collect();
+        peers.retain(|peer| Some(*peer) != self.own());
+        peers.sort_unstable();
+        peers.dedup();
+        peers
+    }
+
+    /// Draws up to `count` different other processes.
+    pub fn draw_peers(&self, count: usize) -> Vec<SocketAddr> {
+        self.peers().into_iter().sample(&mut rand::rng(), count)
+    }
+
+    /// Returns the names of all listed entries.
+    pub fn entries(&self) -> Vec<String> {
+        let hosts = self.hosts.load();
+        let entries = hosts.iter().filter(|host| host.role == HostRole::Entry);
+        entries.map(|host| host.name.clone()).collect()
+    }
+
+    /// Reads the platform's list again and again, at a bounded rate of bytes.
+    pub async fn follow(self: Arc<Self>, settings: PlatformSettings) {
+        let Some(list) = HostList::new(&settings) else {
+            return;
+        };
+        loop {
+            match list.read().await {
+                Ok(hosts) => self.set_hosts(hosts),
+                Err(e) => log::warn!("peer: Host list not read: {e}."),
+            }
+            let jitter = 0.75 + 0.5 * rand::random::<f64>();
+            sleep(find_read_interval(self.hosts.load().len()).mul_f64(jitter)).await;
+        }
+    }
+}
+
+/// Returns the time between reads of a list of so many hosts.
+fn find_read_interval(hosts: usize) -> Duration {
+    let seconds = hosts * BYTES_PER_HOST / BYTES_PER_SECOND;
+    READ_INTERVAL.max(Duration::from_secs(seconds as u64))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::platform::HostState;
+
+    fn make_host(name: &str, port: u16) -> Host {
+        Host {
+            name: name.into(),
+            role: HostRole::Entry,
+            zone: "a".into(),
+            pool: String::new(),
+            traffic: SocketAddr::from(([127, 0, 0, 1], port)),
+            peers: Some(SocketAddr::from(([127, 0, 0, 1], port))),
+            state: HostState::Live,
+        }
+    }
+
+    #[test]
+    fn draw_peers_without_own() {
+        let own = SocketAddr::from(([127, 0, 0, 1], 1));
+        let fixed = vec![SocketAddr::from(([127, 0, 0, 1], 9)), own];
+        let table = HostTable::new(fixed);
+        table.set_own(own);
+        table.set_hosts((1..4).map(|port| make_host("e", port)).collect());
+        let mut ports: Vec<u16> = table.draw_peers(10).iter().map(SocketAddr::port).collect();
+        ports.sort_unstable();
+        assert_eq!(ports, [2, 3, 9]);
+        assert_eq!(table.draw_peers(2).len(), 2);
+    }
+
+    #[test]
+    fn find_read_interval_bounded_bytes() {
+        assert_eq!(find_read_interval(21), READ_INTERVAL);
+        assert_eq!(find_read_interval(2_350), Duration::from_secs(117));
+    }
+}
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -14,6 +14,7 @@
 
 mod call_error;
 mod control_thread;
+mod host_table;
 mod peer_error;
 mod peers;
 mod revision_exchange;
@@ -23,9 +24,10 @@
 
 pub use call_error::CallError;
 pub use control_thread::ControlThread;
+pub use host_table::HostTable;
 pub use peer_error::PeerError;
 pub use peers::Peers;
-pub use revision_exchange::RevisionReply;
+pub use revision_exchange::RevisionNotice;
 pub use serve_peers::accept_peers;
 pub use serve_peers::serve_connection;
 pub use service::Peer;
--- a/src/peer/peers.rs
+++ b/src/peer/peers.rs
@@ -195,9 +195,10 @@
     use crate::core::ProcessIncarnation;
     use crate::core::Revision;
     use crate::core::config::RulesRecord;
+    use crate::core::config::RulesUpdate;
     use crate::peer::Peer;
     use crate::peer::PeerStatus;
-    use crate::peer::RevisionReply;
+    use crate::peer::RevisionNotice;
     use crate::peer::Role;
     use crate::peer::accept_peers;
     use crate::peer::serve_connection;
@@ -226,10 +227,18 @@
         }
 
         async fn exchange_revision(
+            self,
+            _: Context,
+            _: RevisionNotice,
+        ) -> Result<Revision, PeerError> {
+            Err(PeerError::NotServed)
+        }
+
+        async fn get_rules(
             self,
             _: Context,
             _: Revision,
-        ) -> Result<RevisionReply, PeerError> {
+        ) -> Result<Option<RulesUpdate>, PeerError> {
             Err(PeerError::NotServed)
         }
 
@@ -335,8 +344,7 @@
     async fn call_message_not_served() {
         let server = start_server("127.0.0.1:0", FakePeer::default()).await;
         let peers = make_peers();
-        let call =
-            |client: PeerClient, cx| async move { client.exchange_revision(cx, Revision(0)).await };
+        let call = |client: PeerClient, cx| async move { client.get_rules(cx, Revision(0)).await };
         let reply = peers.call(server.address, LIMIT, call).await;
         assert_eq!(reply, Err(CallError::Refused(PeerError::NotServed)));
         assert_eq!(peers.connections(), 1);
--- a/src/peer/revision_exchange.rs
+++ b/src/peer/revision_exchange.rs
@@ -1,16 +1,17 @@
-//! What a process answers to a peer that tells its revision.
+//! What processes tell each other about their revisions.
+
+use std::net::SocketAddr;
 
 use serde::Deserialize;
 use serde::Serialize;
 
 use crate::core::Revision;
-use crate::core::config::RulesRecord;
 
-/// What a process answers to a peer that tells its revision.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct RevisionReply {
-    /// Revision in force in the answering process.
+/// Revision of the calling process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RevisionNotice {
+    /// Revision in force.
     pub revision: Revision,
-    /// Its rules, if they are newer than the caller's.
-    pub newer: Option<RulesRecord>,
+    /// Address where its rules can be had.
+    pub peer: Option<SocketAddr>,
 }
--- a/src/peer/service.rs
+++ b/src/peer/service.rs
@@ -4,9 +4,10 @@
 
 use super::PeerError;
 use super::PeerStatus;
-use super::RevisionReply;
+use super::RevisionNotice;
 use crate::core::Revision;
 use crate::core::config::RulesRecord;
+use crate::core::config::RulesUpdate;
 
 /// Messages that every process of teaseldrum answers.
 #[tarpc::service]
@@ -14,9 +15,12 @@
     /// Tells who the process is and how it is.
     async fn get_status() -> Result<PeerStatus, PeerError>;
 
-    /// Tells the caller's revision and asks for the peer's; the reply carries
-    /// the peer's rules if they are newer.
-    async fn exchange_revision(held: Revision) -> Result<RevisionReply, PeerError>;
+    /// Tells the caller's revision and asks for the peer's. Whoever holds the
+    /// lower one fetches the other's rules.
+    async fn exchange_revision(notice: RevisionNotice) -> Result<Revision, PeerError>;
+
+    /// Asks for rules newer than those that the caller holds.
+    async fn get_rules(held: Revision) -> Result<Option<RulesUpdate>, PeerError>;
 
     /// Hands over rules; the reply is the revision in force afterwards.
     async fn offer_rules(record: RulesRecord) -> Result<Revision, PeerError>;
--- a/src/relay/frame_serde.rs
+++ b/src/relay/frame_serde.rs
@@ -131,6 +131,7 @@
             weights: None,
             leaving: false,
             load: LoadReport::default(),
+            stamp: 5,
         }
     }
 
--- a/src/settings/agent.rs
+++ b/src/settings/agent.rs
@@ -35,6 +35,8 @@
     pub log: LogSettings,
     /// Where the platform's services are.
     pub platform: PlatformSettings,
+    /// Peer addresses known besides those on the platform's host list.
+    pub peers: Vec<SocketAddr>,
 }
 
 impl AgentSettings {
@@ -56,6 +58,11 @@
         Section::read_whole(value.clone(), Self::read)
     }
 
+    /// Returns all peer addresses that the settings name.
+    pub fn find_peers(&self) -> Vec<SocketAddr> {
+        self.peers.clone()
+    }
+
     fn read(section: &mut Section) -> Self {
         let name: String = section.take_required("name", String::new());
         Self {
@@ -68,6 +75,7 @@
             traffic: section.take_section("traffic", TrafficSettings::read),
             log: section.take_section("log", LogSettings::read),
             platform: section.take_section("platform", PlatformSettings::read),
+            peers: section.take("peers", Vec::new()),
         }
     }
 }
--- a/src/settings/entry.rs
+++ b/src/settings/entry.rs
@@ -1,5 +1,6 @@
 //! Settings of an entry.
 
+use std::net::SocketAddr;
 use std::path::Path;
 use std::path::PathBuf;
 use std::time::Duration;
@@ -38,6 +39,8 @@
     pub once_retention: Duration,
     /// Rules that are in force until the platform's store has given newer ones.
     pub rules_file: Option<PathBuf>,
+    /// Peer addresses known besides those on the platform's host list.
+    pub peers: Vec<SocketAddr>,
     /// Backend servers known besides those on the platform's host list.
     pub servers: Vec<ServerSettings>,
 }
@@ -61,6 +64,12 @@
         Section::read_whole(value.clone(), Self::read)
     }
 
+    /// Returns all peer addresses that the settings name.
+    pub fn find_peers(&self) -> Vec<SocketAddr> {
+        let agents = self.servers.iter().filter_map(|server| server.peers);
+        self.peers.iter().copied().chain(agents).collect()
+    }
+
     fn read(section: &mut Section) -> Self {
         Self {
             name: section.take_required("name", String::new()),
@@ -75,6 +84,7 @@
                 MIN_RETENTION_S..=MAX_RETENTION_S,
             )),
             rules_file: section.take_optional("rules_file"),
+            peers: section.take("peers", Vec::new()),
             servers: section.take_list("servers", ServerSettings::read),
         }
     }
--- a/src/timeline/recorder.rs
+++ b/src/timeline/recorder.rs
@@ -5,8 +5,10 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::time::Duration;
 
 use uhlc::HLC;
+use uhlc::HLCBuilder;
 use uhlc::NTP64;
 
 use super::Event;
@@ -15,6 +17,9 @@
 
 const CAPACITY_EVENTS: usize = 16_384;
 
+/// Stamps further ahead of this host's clock are not believed.
+const MAX_SKEW: Duration = Duration::from_secs(60);
+
 /// Keeps the latest events of this process; older ones are dropped.
 pub struct Recorder {
     process: String,
@@ -27,7 +32,7 @@
     pub fn new(process: &str) -> Self {
         Self {
             process: process.into(),
-            clock: HLC::default(),
+            clock: HLCBuilder::new().with_max_delta(MAX_SKEW).build(),
             events: Mutex::default(),
         }
     }
