--- /dev/null
+++ b/lab/src/history/once.rs
@@ -0,0 +1,160 @@
+//! Requests that may run at most once.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use teaseldrum::core::Outcome;
+
+/// One observation of an operation, which the caller names by a key.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum OnceObservation {
+    /// The service ran the operation for this request.
+    Ran {
+        /// Key of the operation.
+        key: String,
+        /// Request that the service ran.
+        request: u128,
+    },
+    /// A caller got an answer.
+    Answered {
+        /// Key of the operation.
+        key: String,
+        /// Request that was answered.
+        request: u128,
+        /// What the answer says.
+        outcome: Outcome,
+        /// Body of an answer that says "ran".
+        body: String,
+    },
+}
+
+/// A broken promise.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum OnceViolation {
+    /// The operation ran this many times.
+    RanAgain(String, usize),
+    /// A caller was told "not run" of a request that ran.
+    FalseNotRun(String),
+    /// A caller was told "ran" of an operation that did not.
+    FalseRan(String),
+    /// Two callers got different answers of the same operation.
+    DifferentAnswers(String),
+}
+
+impl fmt::Display for OnceViolation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::RanAgain(key, runs) => write!(f, "{key} ran {runs} times"),
+            Self::FalseNotRun(key) => write!(f, "{key} ran but was answered not-run"),
+            Self::FalseRan(key) => write!(f, "{key} was answered ran but did not run"),
+            Self::DifferentAnswers(key) => write!(f, "{key} got different answers"),
+        }
+    }
+}
+
+/// Checks that each operation ran at most once and that every answer about
+/// it is true. The order of the observations does not matter.
+///
+/// # Errors
+///
+/// The first promise that is broken.
+pub fn check_once(history: &[OnceObservation]) -> Result<(), OnceViolation> {
+    let mut runs: BTreeMap<&str, Vec<u128>> = BTreeMap::new();
+    for observation in history {
+        if let OnceObservation::Ran { key, request } = observation {
+            runs.entry(key).or_default().push(*request);
+        }
+    }
+    for (key, requests) in &runs {
+        if requests.len() > 1 {
+            return Err(OnceViolation::RanAgain((*key).into(), requests.len()));
+        }
+    }
+    let mut answers: BTreeMap<&str, &str> = BTreeMap::new();
+    for observation in history {
+        let OnceObservation::Answered {
+            key,
+            request,
+            outcome,
+            body,
+        } = observation
+        else {
+            continue;
+        };
+        let ran_for = runs.get(key.as_str());
+        let ran_this = ran_for.is_some_and(|requests| requests.contains(request));
+        match outcome {
+            Outcome::NotRun if ran_this => return Err(OnceViolation::FalseNotRun(key.clone())),
+            Outcome::Ran if ran_for.is_none() => {
+                return Err(OnceViolation::FalseRan(key.clone()));
+            }
+            Outcome::Ran if *answers.entry(key).or_insert(body) != body => {
+                return Err(OnceViolation::DifferentAnswers(key.clone()));
+            }
+            _ => {}
+        }
+    }
+    Ok(())
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn ran(request: u128) -> OnceObservation {
+        OnceObservation::Ran {
+            key: "k".into(),
+            request,
+        }
+    }
+
+    fn answered(request: u128, outcome: Outcome, body: &str) -> OnceObservation {
+        OnceObservation::Answered {
+            key: "k".into(),
+            request,
+            outcome,
+            body: body.into(),
+        }
+    }
+
+    #[test]
+    fn check_once_sound() {
+        let history = [
+            answered(1, Outcome::NotRun, ""),
+            ran(2),
+            answered(2, Outcome::Ran, "a"),
+            answered(3, Outcome::Ran, "a"),
+            answered(4, Outcome::Unknown, ""),
+        ];
+        assert_eq!(check_once(&history), Ok(()));
+    }
+
+    #[test]
+    fn check_once_ran_again() {
+        let violation = check_once(&[ran(1), ran(2)]);
+        assert_eq!(violation, Err(OnceViolation::RanAgain("k".into(), 2)));
+    }
+
+    #[test]
+    fn check_once_false_not_run() {
+        let violation = check_once(&[ran(1), answered(1, Outcome::NotRun, "")]);
+        assert_eq!(violation, Err(OnceViolation::FalseNotRun("k".into())));
+    }
+
+    #[test]
+    fn check_once_false_ran() {
+        let violation = check_once(&[answered(1, Outcome::Ran, "a")]);
+        assert_eq!(violation, Err(OnceViolation::FalseRan("k".into())));
+    }
+
+    #[test]
+    fn check_once_different_answers() {
+        let history = [
+            ran(1),
+            answered(1, Outcome::Ran, "a"),
+            answered(2, Outcome::Ran, "b"),
+        ];
+        let violation = check_once(&history);
+        assert_eq!(violation, Err(OnceViolation::DifferentAnswers("k".into())));
+    }
+}
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod demo;
 pub mod deployment;
 pub mod engine;
+pub mod history;
 pub mod hosts;
 pub mod loopback;
 pub mod running;
