Resume broken streams and leave silent connections

It calls its server over new connections, bounded by the deadline instead of by a fixed answer time. An entry sends once requests and second attempts over new connections, drops all kept ones to an address when one goes silent, and goes back to a server that broke off when no other is left. A lost answer to a lease grant is asked for again: once_store_loses_answers had failed when the second traffic thread had no lease yet.

lab/tests/streams.rs cuts and freezes both connections. Taken out once and seen failing: number to resume from, check of generation, resumption by agent and by entry, check of the request named, second try at the only server, grace before the cancel, the cancel, dropping kept connections.

--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod engine;
 pub mod history;
 pub mod hosts;
+pub mod link;
 pub mod loopback;
 pub mod running;
 pub mod service;
--- a/src/agent/call_server.rs
+++ b/src/agent/call_server.rs
@@ -2,21 +2,27 @@
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::Request;
 use http::header::CONTENT_TYPE;
 use http::header::HOST;
 use http::request::Parts;
-use serde_json::json;
+use tokio::time::timeout;
 
 use super::AgentContext;
+use super::cancel::Canceller;
+use super::engine_stream::EngineStream;
+use super::engine_stream::REQUEST_ID_HEADER;
+use super::engine_stream::build_resume;
+use super::engine_stream::name_attempt;
 use crate::core::Envelope;
 use crate::core::Outcome;
 use crate::core::Refusal;
 use crate::http::AnswerBody;
 use crate::http::Client;
-use crate::http::EventStream;
+use crate::http::ClientError;
 use crate::http::Exchange;
 use crate::http::full_body;
 use crate::relay::AnswerHead;
@@ -28,11 +34,9 @@
 use crate::timeline::EventKind;
 
 const EVENT_STREAM: &str = "text/event-stream";
-const CANCEL_PATH: &str = "/cancel";
-const MAX_CANCEL_ANSWER_BYTES: usize = 65_536;
 
-/// Last event of a complete stream.
-const END_OF_STREAM: &str = "[DONE]";
+/// Wait for the backend server after the entry should have given up.
+const DEADLINE_MARGIN: Duration = Duration::from_secs(1);
 
 /// One call of the backend server.
 pub struct ServerCall {
@@ -65,7 +69,11 @@
     pub async fn run(self, verdict: Result<(), Refusal>, mut writer: FrameWriter) {
         let request = self.envelope.request;
         let cx = Arc::clone(&self.cx);
-        let canceller = Canceller::new(&self);
+        let attempt = (request, self.envelope.attempt);
+        if self.envelope.resume_after.is_some() {
+            cx.resumes.note(attempt);
+        }
+        let canceller = Canceller::new(Arc::clone(&cx), self.client.clone(), &self.envelope);
         let result = match verdict {
             Ok(()) => self.run_counted(&mut writer).await,
             Err(refusal) => {
@@ -76,6 +84,8 @@
         if result == Err(EntryGone) {
             cx.timeline.record(Some(request), EventKind::CallerGone);
             canceller.cancel().await;
+        } else {
+            cx.resumes.forget(attempt);
         }
     }
 
@@ -94,9 +104,15 @@
             let failed = Frame::Failed(Outcome::NotRun, "request cannot be passed on".into());
             return writer.send(&failed).await;
         };
-        let sent = self.client.send(self.cx.settings.server, message);
-        match writer.beat_during(sent).await? {
-            Ok(exchange) => self.pass_answer(exchange, writer).await,
+        let limit = Duration::from_millis(self.envelope.deadline_ms) + DEADLINE_MARGIN;
+        let sent = self.client.send_fresh(self.cx.settings.server, message);
+        let sent = writer.beat_during(timeout(limit, sent)).await?;
+        match sent.unwrap_or(Err(ClientError::Silent)) {
+            Ok(exchange) if self.is_crossed(&exchange) => self.fail(writer, "crossed answer").await,
+            Ok(mut exchange) => {
+                exchange.set_gap(limit);
+                self.pass_answer(exchange, writer).await
+            }
             Err(e) if e.is_certainly_unsent() => {
                 log::warn!("agent: Backend server not reached: {e}.");
                 let report = self.cx.report(&self.envelope);
@@ -107,7 +123,17 @@
         }
     }
 
+    /// Tells whether the server names another request than it was sent.
+    fn is_crossed(&self, exchange: &Exchange) -> bool {
+        let named = exchange.headers().get(REQUEST_ID_HEADER);
+        named.is_some_and(|named| named.as_bytes() != name_attempt(&self.envelope).as_bytes())
+    }
+
     fn build_message(&mut self) -> Option<Request<AnswerBody>> {
+        if let Some(last) = self.envelope.resume_after {
+            let host = self.cx.settings.server.to_string();
+            return build_resume(&name_attempt(&self.envelope), last, &host);
+        }
         let body = std::mem::take(&mut self.body);
         let mut message = Request::builder()
             .method(self.head.method.clone())
@@ -119,7 +145,10 @@
         headers.remove(ENVELOPE_HEADER);
         let host = self.cx.settings.server.to_string();
         headers.insert(HOST, host.parse().ok()?);
-        headers.insert("x-request-id", name_attempt(&self.envelope).parse().ok()?);
+        headers.insert(
+            REQUEST_ID_HEADER,
+            name_attempt(&self.envelope).parse().ok()?,
+        );
         Some(message)
     }
 
@@ -154,21 +183,18 @@
         exchange: Exchange,
         writer: &mut FrameWriter,
     ) -> Result<(), EntryGone> {
-        let mut events = EventStream::new(exchange);
-        let mut number = 0;
+        let mut number = self.envelope.resume_after.map_or(0, |last| last + 1);
+        let (cx, client) = (Arc::clone(&self.cx), self.client.clone());
+        let mut events = EngineStream::new(cx, client, &self.envelope, exchange, number);
         loop {
             match writer.beat_during(events.next()).await? {
-                Ok(Some(event)) => {
-                    if !is_in_order(&event.id, &event.data, number) {
-                        return self.fail(writer, "events out of order").await;
-                    }
-                    let data = Bytes::from(event.data);
+                Ok(Some(data)) => {
                     let frame = Frame::Event(StreamEvent { number, data });
                     writer.send(&frame).await?;
                     number += 1;
                 }
                 Ok(None) => return self.finish(writer).await,
-                Err(e) => return self.fail(writer, &e.to_string()).await,
+                Err(reason) => return self.fail(writer, &reason).await,
             }
         }
     }
@@ -198,72 +224,3 @@
         writer.send(&failed).await
     }
 }
-
-/// Ends the work of a call at the engine, which may go on although its
-/// connection is closed.
-struct Canceller {
-    cx: Arc<AgentContext>,
-    client: Client,
-    attempt: String,
-}
-
-impl Canceller {
-    fn new(call: &ServerCall) -> Self {
-        Self {
-            cx: Arc::clone(&call.cx),
-            client: call.client.clone(),
-            attempt: name_attempt(&call.envelope),
-        }
-    }
-
-    async fn cancel(self) {
-        if !self.cx.settings.engine {
-            return;
-        }
-        let address = self.cx.settings.server;
-        let body = json!({"request_id": self.attempt}).to_string();
-        let message = Request::post(CANCEL_PATH)
-            .header(HOST, address.to_string())
-            .header(CONTENT_TYPE, "application/json")
-            .body(full_body(body));
-        let Ok(message) = message else {
-            return;
-        };
-        match self.client.send(address, message).await {
-            Ok(mut exchange) => {
-                // The status tells all; the rest is read for the connection's sake.
-                let _ = exchange.read_rest(MAX_CANCEL_ANSWER_BYTES).await;
-            }
-            Err(e) => log::warn!("agent: Request not cancelled: {e}."),
-        }
-    }
-}
-
-/// Returns the name by which the engine knows an attempt.
-fn name_attempt(envelope: &Envelope) -> String {
-    format!("{}-{}", envelope.request, envelope.attempt)
-}
-
-/// Tells whether an event has the number that is due; an engine may number no
-/// events at all, and the end marker needs no number.
-fn is_in_order(id: &str, data: &str, due: u64) -> bool {
-    id.is_empty() || data == END_OF_STREAM || id.parse() == Ok(due)
-}
-
-#[cfg(test)]
-mod tests {
-    use rstest::rstest;
-
-    use super::*;
-
-    #[rstest]
-    #[case::due("3", "x", true)]
-    #[case::unnumbered("", "x", true)]
-    #[case::end("2", "[DONE]", true)]
-    #[case::missing("4", "x", false)]
-    #[case::repeated("2", "x", false)]
-    #[case::no_number("x", "x", false)]
-    fn is_in_order_each(#[case] id: &str, #[case] data: &str, #[case] expected: bool) {
-        assert_eq!(is_in_order(id, data, 3), expected);
-    }
-}
--- a/src/agent/context.rs
+++ b/src/agent/context.rs
@@ -8,6 +8,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Instant;
 
+use super::resumes::Resumes;
 use crate::config::RulesInForce;
 use crate::core::Envelope;
 use crate::core::LoadReport;
@@ -41,6 +42,8 @@
     pub running: AtomicU32,
     /// Events of this process.
     pub timeline: Recorder,
+    /// Streams that entries resumed.
+    pub resumes: Resumes,
     started: Instant,
     seen: Mutex<SeenAttempts>,
 }
@@ -56,6 +59,7 @@
             hosts: Arc::new(HostTable::new(settings.find_peers())),
             running: AtomicU32::new(0),
             timeline: Recorder::new(settings.name.as_str()),
+            resumes: Resumes::default(),
             started: Instant::now(),
             seen: Mutex::default(),
             settings,
--- a/src/agent/gate.rs
+++ b/src/agent/gate.rs
@@ -16,6 +16,9 @@
     if envelope.agent.is_some_and(|agent| agent != cx.incarnation) {
         return Err(Refusal::AgentRestarted);
     }
+    if envelope.resume_after.is_some() {
+        return Ok(());
+    }
     if envelope.once && envelope.agent.is_none() {
         return Err(Refusal::AgentRestarted);
     }
@@ -82,6 +85,7 @@
             once: false,
             stamp: 0,
             entry: None,
+            resume_after: None,
         }
     }
 
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -2,10 +2,13 @@
 //! the only giver of orders.
 
 mod call_server;
+mod cancel;
 mod context;
 mod control;
+mod engine_stream;
 mod gate;
 mod handle;
+mod resumes;
 mod run;
 
 pub use context::AgentContext;
--- /dev/null
+++ b/src/agent/resumes.rs
@@ -0,0 +1,35 @@
+//! How often entries resumed streams that still run.
+
+use std::collections::HashMap;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use crate::core::RequestId;
+
+/// How often entries resumed streams that still run.
+#[derive(Debug, Default)]
+pub struct Resumes {
+    counts: Mutex<HashMap<(RequestId, u32), u32>>,
+}
+
+impl Resumes {
+    /// Takes note of a resumption of an attempt.
+    pub fn note(&self, attempt: (RequestId, u32)) {
+        *self.lock().entry(attempt).or_default() += 1;
+    }
+
+    /// Returns the resumptions of an attempt.
+    pub fn count(&self, attempt: (RequestId, u32)) -> u32 {
+        self.lock().get(&attempt).copied().unwrap_or(0)
+    }
+
+    /// Forgets an attempt that has ended.
+    pub fn forget(&self, attempt: (RequestId, u32)) {
+        self.lock().remove(&attempt);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<(RequestId, u32), u32>> {
+        self.counts.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/src/agent/run.rs
+++ b/src/agent/run.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use tokio::sync::watch;
 use tokio::time::sleep;
@@ -14,6 +15,7 @@
 use super::handle::Reach;
 use super::handle::handle_attempt;
 use crate::http::Client;
+use crate::http::ClientTimeouts;
 use crate::http::serve;
 use crate::settings::AgentSettings;
 use crate::threads::StartError;
@@ -24,6 +26,10 @@
 use crate::threads::wait_for_stop;
 use crate::timeline::EventKind;
 
+/// Longest wait for the head of a backend server's answer; the deadline of
+/// each attempt bounds it further.
+const MAX_DEADLINE: Duration = Duration::from_secs(600);
+
 /// Runs an agent until SIGTERM or SIGINT.
 ///
 /// # Errors
@@ -83,7 +89,10 @@
         let drain = drain.clone();
         async move {
             let reach = Reach {
-                client: Client::new(cx.settings.traffic.client_timeouts()),
+                client: Client::new(ClientTimeouts {
+                    head: MAX_DEADLINE,
+                    ..cx.settings.traffic.client_timeouts()
+                }),
                 tasks: TaskTracker::new(),
             };
             let tasks = reach.tasks.clone();
--- a/src/core/envelope.rs
+++ b/src/core/envelope.rs
@@ -48,4 +48,8 @@
     /// Peer address of the entry, where its rules can be had.
     #[serde(default)]
     pub entry: Option<SocketAddr>,
+    /// Number of the last event that arrived; the attempt runs already and
+    /// its stream is to go on after it.
+    #[serde(default)]
+    pub resume_after: Option<u64>,
 }
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -67,7 +67,8 @@
     pub frames: FrameReader,
 }
 
-/// Sends one attempt and waits for the head of its answer.
+/// Sends one attempt and waits for the head of its answer. Only the first
+/// attempt of an idempotent request goes over a kept connection.
 ///
 /// # Errors
 ///
@@ -80,7 +81,12 @@
     req: &CallerRequest,
 ) -> Result<Answer, AttemptError> {
     let message = build_message(envelope, req)?;
-    let exchange = client.send(choice.address, message).await;
+    let is_first_try = envelope.attempt == 1 && envelope.resume_after.is_none();
+    let exchange = if is_first_try && !envelope.once {
+        client.send(choice.address, message).await
+    } else {
+        client.send_fresh(choice.address, message).await
+    };
     let exchange = exchange.map_err(judge_client_error)?;
     if exchange.status() != StatusCode::OK {
         let problem = format!("agent answered {}", exchange.status());
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -15,6 +15,7 @@
 mod once_store;
 mod planner;
 mod relay_answer;
+mod resumer;
 mod run;
 mod servers;
 
--- a/src/entry/once_lease.rs
+++ b/src/entry/once_lease.rs
@@ -14,6 +14,8 @@
 /// Parts of the retention after which a new lease is taken.
 const LEASES_PER_RETENTION: u32 = 24;
 
+const MAX_GRANT_TRIES: u32 = 3;
+
 /// The lease that ends records after their retention. It is never kept alive;
 /// a new one is taken from time to time, so records outlast their last write
 /// by the retention and at most a twenty-fourth part more.
@@ -53,12 +55,21 @@
             return Ok(lease);
         }
         let asked = Instant::now();
-        match self.store.grant_lease(self.retention + period).await {
-            Ok(lease) => {
-                self.current = Some((lease, asked));
-                Ok(lease)
+        let lease = self.grant(self.retention + period).await?;
+        self.current = Some((lease, asked));
+        Ok(lease)
+    }
+
+    /// Asks again after a lost answer: a lease that nobody uses does no harm.
+    async fn grant(&self, ttl: Duration) -> Result<LeaseId, StoreError> {
+        let mut failure = None;
+        for _ in 0..MAX_GRANT_TRIES {
+            match self.store.grant_lease(ttl).await {
+                Ok(lease) => return Ok(lease),
+                Err(e) => failure = Some(e),
             }
-            Err(e) => Err(StoreError::NotReached(e.to_string())),
         }
+        let reason = failure.map(|e| e.to_string()).unwrap_or_default();
+        Err(StoreError::NotReached(reason))
     }
 }
--- a/src/entry/planner.rs
+++ b/src/entry/planner.rs
@@ -17,6 +17,7 @@
 use super::caller_request::CallerRequest;
 use super::choice::Choice;
 use super::relay_answer::relay_answer;
+use super::resumer::Resumer;
 use crate::core::CacheSalt;
 use crate::core::Envelope;
 use crate::core::Outcome;
@@ -53,7 +54,9 @@
 }
 
 impl Planner {
-    /// Makes attempts until one is answered, and relays the answer.
+    /// Makes attempts until one is answered, and relays the answer. A server
+    /// that broke off is tried again, over a new connection, only where no
+    /// other is left.
     ///
     /// # Errors
     ///
@@ -62,18 +65,30 @@
         let mut tried = Vec::new();
         let mut attempt = 1;
         let mut may_have_run = false;
+        let mut was_cut_off = false;
         loop {
-            let Some(choice) = self.choose(&req, &mut tried) else {
+            let mut choice = self.choose(&req, &mut tried);
+            if choice.is_none() && was_cut_off {
+                tried.clear();
+                choice = self.choose(&req, &mut tried);
+            }
+            let Some(choice) = choice else {
                 return Err(refuse_without_server().or_unknown(may_have_run));
             };
             let e = match self.attempt(attempt, &choice, &req).await {
                 Ok(answer) => {
-                    let cx = Arc::clone(&self.cx);
-                    return Ok(relay_answer(cx, choice, self.request, answer));
+                    let resumer = Resumer {
+                        client: self.client.clone(),
+                        envelope: self.build_envelope(attempt, &choice),
+                        choice,
+                        resumes: 0,
+                    };
+                    return Ok(relay_answer(Arc::clone(&self.cx), resumer, answer));
                 }
                 Err(e) => e,
             };
-            may_have_run |= !e.failure().is_not_run();
+            was_cut_off = !e.failure().is_not_run();
+            may_have_run |= was_cut_off;
             self.judge(attempt, &choice.name, &e, &mut tried)
                 .map_err(|error| error.or_unknown(may_have_run))?;
             attempt += 1;
@@ -175,6 +190,7 @@
             once: self.route.once,
             stamp: self.cx.timeline.stamp(),
             entry: self.cx.hosts.own(),
+            resume_after: None,
         }
     }
 
--- a/src/entry/relay_answer.rs
+++ b/src/entry/relay_answer.rs
@@ -12,7 +12,7 @@
 use super::answer_error::OUTCOME_HEADER;
 use super::answer_error::REQUEST_ID_HEADER;
 use super::attempt::Answer;
-use super::choice::Choice;
+use super::resumer::Resumer;
 use crate::core::Outcome;
 use crate::core::RequestId;
 use crate::http::AnswerBody;
@@ -31,10 +31,10 @@
 /// Starts to pass an answer on and returns its head at once.
 pub fn relay_answer(
     cx: Arc<EntryContext>,
-    choice: Choice,
-    request: RequestId,
+    resumer: Resumer,
     answer: Answer,
 ) -> Response<AnswerBody> {
+    let request = resumer.envelope.request;
     let (tx, body) = ChannelBody::new(CHUNKS_IN_FLIGHT);
     let mut builder = Response::builder()
         .status(answer.head.status)
@@ -45,8 +45,8 @@
     }
     let relay = Relay {
         cx,
-        choice,
         request,
+        resumer,
         streamed: answer.head.streamed,
         next_number: 0,
         saw_end: false,
@@ -61,8 +61,8 @@
 
 struct Relay {
     cx: Arc<EntryContext>,
-    choice: Choice,
     request: RequestId,
+    resumer: Resumer,
     streamed: bool,
     next_number: u64,
     saw_end: bool,
@@ -88,7 +88,13 @@
             };
             let step = match frame {
                 Ok(frame) => self.pass(frame).await,
-                Err(e) => Step::Fail(e.to_string()),
+                Err(e) => match self.resume().await {
+                    Some(resumed) => {
+                        frames = resumed;
+                        Step::Continue
+                    }
+                    None => Step::Fail(e.to_string()),
+                },
             };
             match step {
                 Step::Continue => {}
@@ -103,6 +109,15 @@
         }
     }
 
+    /// Goes on over a new connection after the last event that arrived.
+    async fn resume(&mut self) -> Option<FrameReader> {
+        if !self.streamed || self.saw_end {
+            return None;
+        }
+        let last = self.next_number.checked_sub(1)?;
+        self.resumer.resume(&self.cx, last).await
+    }
+
     async fn pass(&mut self, frame: Frame) -> Step {
         match frame {
             Frame::Event(event) => {
@@ -122,7 +137,7 @@
             }
             Frame::Body(chunk) => self.forward(chunk).await,
             Frame::End(report) => {
-                self.cx.observe(&self.choice.name, report);
+                self.cx.observe(&self.resumer.choice.name, report);
                 if self.streamed && !self.saw_end {
                     return Step::Fail("stream without its end".into());
                 }
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -77,6 +77,20 @@
                 Sent::Returned(unsent) => req = unsent,
             }
         }
+        self.send_fresh(address, req).await
+    }
+
+    /// Sends a request over a new connection: a kept one may have gone silent
+    /// without a sign of it.
+    ///
+    /// # Errors
+    ///
+    /// As those of [`Self::send`].
+    pub async fn send_fresh(
+        &self,
+        address: SocketAddr,
+        req: Request<AnswerBody>,
+    ) -> Result<Exchange, ClientError> {
         let sender = self.connect(address).await?;
         match self.send_over(sender, address, req).await? {
             Sent::Answered(exchange) => Ok(exchange),
@@ -90,9 +104,11 @@
         address: SocketAddr,
         req: Request<AnswerBody>,
     ) -> Result<Sent, ClientError> {
-        let answer = timeout(self.timeouts.head, sender.try_send_request(req))
-            .await
-            .map_err(|_| ClientError::Silent)?;
+        let answer = timeout(self.timeouts.head, sender.try_send_request(req)).await;
+        let Ok(answer) = answer else {
+            self.drop_idle(address);
+            return Err(ClientError::Silent);
+        };
         match answer {
             Ok(response) => Ok(Sent::Answered(Exchange::new(
                 response,
@@ -152,6 +168,12 @@
         });
     }
 
+    /// Drops the kept connections to an address, after one went silent: what
+    /// silenced it may have silenced them all.
+    pub(super) fn drop_idle(&self, address: SocketAddr) {
+        self.lock_idle().remove(&address);
+    }
+
     /// Longest wait between two chunks of an answer's body.
     pub(super) fn gap(&self) -> Duration {
         self.timeouts.gap
--- a/src/http/event_stream.rs
+++ b/src/http/event_stream.rs
@@ -39,7 +39,8 @@
 }
 
 impl EventStream {
-    /// Reads the events of an answer.
+    /// Reads the events of an answer. A gap set for the answer holds until
+    /// the first event.
     pub fn new(exchange: Exchange) -> Self {
         let chunks = unfold(Some(exchange), next_chunk);
         Self {
@@ -74,7 +75,10 @@
     let mut exchange = exchange?;
     match exchange.next_chunk().await {
         Ok(None) => None,
-        Ok(Some(chunk)) => Some((Ok(chunk), Some(exchange))),
+        Ok(Some(chunk)) => {
+            exchange.reset_gap();
+            Some((Ok(chunk), Some(exchange)))
+        }
         Err(e) => Some((Err(e), None)),
     }
 }
--- a/src/http/exchange.rs
+++ b/src/http/exchange.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::HeaderMap;
@@ -25,6 +26,7 @@
     connection: Option<SendRequest<AnswerBody>>,
     address: SocketAddr,
     client: Client,
+    gap: Duration,
 }
 
 impl Exchange {
@@ -41,6 +43,7 @@
             body,
             connection: Some(connection),
             address,
+            gap: client.gap(),
             client,
         }
     }
@@ -55,16 +58,27 @@
         &self.headers
     }
 
+    /// Sets the longest wait between two chunks of the body.
+    pub fn set_gap(&mut self, gap: Duration) {
+        self.gap = gap;
+    }
+
+    /// Sets the longest wait back to the client's.
+    pub fn reset_gap(&mut self) {
+        self.gap = self.client.gap();
+    }
+
     /// Waits for the next chunk of the body; none at its end.
     ///
     /// # Errors
     ///
-    /// The connection broke, or was silent for longer than the client's gap.
+    /// The connection broke, or was silent for longer than its gap.
     pub async fn next_chunk(&mut self) -> Result<Option<Bytes>, ClientError> {
         loop {
-            let frame = timeout(self.client.gap(), self.body.frame())
-                .await
-                .map_err(|_| ClientError::Silent)?;
+            let Ok(frame) = timeout(self.gap, self.body.frame()).await else {
+                self.client.drop_idle(self.address);
+                return Err(ClientError::Silent);
+            };
             match frame {
                 None => {
                     self.release();
