--- /dev/null
+++ b/src/cli/diff.rs
@@ -0,0 +1,65 @@
+//! `teaseldrum rules diff`: compares rules.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use argh::FromArgs;
+use similar::TextDiff;
+
+use super::Exit;
+use super::places::Places;
+use super::show::read_text;
+use crate::core::Revision;
+use crate::platform::BlockingStore;
+
+/// Compare a rules file, or the rules in force, with an accepted revision.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "diff")]
+pub struct DiffCommand {
+    /// revision to compare with; the one in force where left out
+    #[argh(option)]
+    from: Option<u64>,
+    /// settings file that names the store
+    #[argh(option)]
+    settings: Option<PathBuf>,
+    /// address of the platform's store
+    #[argh(option)]
+    store: Vec<SocketAddr>,
+    /// rules file; the rules in force where left out
+    #[argh(positional)]
+    file: Option<PathBuf>,
+}
+
+impl DiffCommand {
+    /// Prints the differences.
+    pub fn run(self) -> Exit {
+        let places = Places::find(self.settings.as_deref(), &self.store, None, &[]);
+        let places = match places.and_then(|places| places.require_store().map(|()| places)) {
+            Ok(places) => places,
+            Err(exit) => return exit,
+        };
+        let store = BlockingStore::new(&places.platform);
+        let old = read_text(&store, self.from.map(Revision)).map_err(|e| e.to_string());
+        let new = match &self.file {
+            Some(file) => fs::read_to_string(file)
+                .map(|text| (file.display().to_string(), text))
+                .map_err(|e| format!("{}: {e}", file.display())),
+            None => read_text(&store, None)
+                .map(|(revision, text)| (format!("revision {revision}"), text))
+                .map_err(|e| e.to_string()),
+        };
+        match (old, new) {
+            (Ok((revision, old)), Ok((name, new))) => {
+                let diff = TextDiff::from_lines(&old, &new);
+                let old_name = format!("revision {revision}");
+                print!("{}", diff.unified_diff().header(&old_name, &name));
+                Exit::Done
+            }
+            (Err(e), _) | (_, Err(e)) => {
+                eprintln!("{e}");
+                Exit::Failed
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/cli/history.rs
@@ -0,0 +1,53 @@
+//! `teaseldrum rules history`: lists accepted revisions.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use argh::FromArgs;
+
+use super::Exit;
+use super::places::Places;
+use crate::config::read_history;
+use crate::platform::BlockingStore;
+
+/// List accepted revisions, newest first: number, milliseconds since the
+/// epoch, who and why.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "history")]
+pub struct HistoryCommand {
+    /// most revisions to list
+    #[argh(option, default = "20")]
+    limit: usize,
+    /// settings file that names the store
+    #[argh(option)]
+    settings: Option<PathBuf>,
+    /// address of the platform's store
+    #[argh(option)]
+    store: Vec<SocketAddr>,
+}
+
+impl HistoryCommand {
+    /// Prints the history.
+    pub fn run(self) -> Exit {
+        let places = Places::find(self.settings.as_deref(), &self.store, None, &[]);
+        let places = match places.and_then(|places| places.require_store().map(|()| places)) {
+            Ok(places) => places,
+            Err(exit) => return exit,
+        };
+        match read_history(&BlockingStore::new(&places.platform)) {
+            Ok(entries) => {
+                for entry in entries.iter().rev().take(self.limit) {
+                    println!(
+                        "{}\t{}\t{}\t{}",
+                        entry.revision, entry.accepted_at_ms, entry.who, entry.why
+                    );
+                }
+                Exit::Done
+            }
+            Err(e) => {
+                eprintln!("{e}");
+                Exit::Failed
+            }
+        }
+    }
+}
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -1,11 +1,18 @@
 //! Command line: one command a file.
 
+mod accept;
 mod agent;
+mod diff;
 mod entry;
 mod exit;
+mod fleet;
+mod history;
+mod places;
 mod rules;
 mod run_role;
 mod settings;
+mod show;
+mod status;
 
 use std::process::ExitCode;
 
@@ -31,6 +38,7 @@
     Entry(entry::EntryCommand),
     Rules(rules::RulesCommand),
     Settings(settings::SettingsCommand),
+    Status(status::StatusCommand),
 }
 
 /// Reads the arguments of the process and runs the command they name.
@@ -61,6 +69,7 @@
             Some(Command::Entry(command)) => command.run(),
             Some(Command::Rules(command)) => command.run(),
             Some(Command::Settings(command)) => command.run(),
+            Some(Command::Status(command)) => command.run(),
             None => {
                 eprintln!("A command is needed; see `teaseldrum --help`.");
                 Exit::Faulty
--- /dev/null
+++ b/src/cli/places.rs
@@ -0,0 +1,83 @@
+//! Where commands find the platform and the fleet.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::path::Path;
+
+use serde_json::Value;
+use serde_json::json;
+
+use super::Exit;
+use crate::settings::PlatformSettings;
+use crate::settings::Section;
+
+/// Where commands find the platform and the fleet.
+#[derive(Debug, Clone)]
+pub struct Places {
+    /// The platform's services.
+    pub platform: PlatformSettings,
+    /// Peer addresses named besides the host list.
+    pub peers: Vec<SocketAddr>,
+}
+
+impl Places {
+    /// Takes the places from options, or from a settings file of either role
+    /// where the options name none.
+    ///
+    /// # Errors
+    ///
+    /// The settings file is faulty; the fault has been printed.
+    pub fn find(
+        settings: Option<&Path>,
+        store: &[SocketAddr],
+        hosts: Option<SocketAddr>,
+        peers: &[SocketAddr],
+    ) -> Result<Self, Exit> {
+        let value = match settings {
+            Some(path) => read_settings(path)?,
+            None => json!({}),
+        };
+        let mut section = Section::open("platform", value["platform"].clone());
+        if value["platform"].is_null() {
+            section = Section::open("platform", json!({}));
+        }
+        let mut platform = PlatformSettings::read(&mut section);
+        let faults = section.close();
+        if !faults.is_empty() {
+            faults.iter().for_each(|fault| eprintln!("{fault}"));
+            return Err(Exit::Faulty);
+        }
+        if !store.is_empty() {
+            platform.store = store.to_vec();
+        }
+        platform.hosts = hosts.or(platform.hosts);
+        let named = serde_json::from_value::<Vec<SocketAddr>>(value["peers"].clone());
+        let peers = match peers.is_empty() {
+            true => named.unwrap_or_default(),
+            false => peers.to_vec(),
+        };
+        Ok(Self { platform, peers })
+    }
+
+    /// Tells the operator that a store is needed, unless one is named.
+    ///
+    /// # Errors
+    ///
+    /// No store is named.
+    pub fn require_store(&self) -> Result<(), Exit> {
+        if self.platform.store.is_empty() {
+            eprintln!("No store is named; use --store or --settings.");
+            return Err(Exit::Faulty);
+        }
+        Ok(())
+    }
+}
+
+fn read_settings(path: &Path) -> Result<Value, Exit> {
+    let text = fs::read_to_string(path).map_err(|e| e.to_string());
+    let value = text.and_then(|text| serde_json::from_str(&text).map_err(|e| e.to_string()));
+    value.map_err(|e| {
+        eprintln!("{}: {e}", path.display());
+        Exit::Faulty
+    })
+}
--- a/src/cli/rules.rs
+++ b/src/cli/rules.rs
@@ -1,4 +1,4 @@
-//! `teaseldrum rules`: checks rules files.
+//! `teaseldrum rules`: checks, accepts and shows rules.
 
 use std::fs;
 use std::path::PathBuf;
@@ -6,6 +6,10 @@
 use argh::FromArgs;
 
 use super::Exit;
+use super::accept::AcceptCommand;
+use super::diff::DiffCommand;
+use super::history::HistoryCommand;
+use super::show::ShowCommand;
 use crate::core::Revision;
 use crate::rules::parse_rules;
 
@@ -20,7 +24,11 @@
 #[derive(Debug, FromArgs)]
 #[argh(subcommand)]
 enum Subcommand {
+    Accept(AcceptCommand),
     Check(CheckCommand),
+    Diff(DiffCommand),
+    History(HistoryCommand),
+    Show(ShowCommand),
 }
 
 /// Check a rules file and print every fault with its line and column.
@@ -36,7 +44,11 @@
     /// Runs the subcommand.
     pub fn run(self) -> Exit {
         match self.command {
+            Subcommand::Accept(command) => command.run(),
             Subcommand::Check(command) => command.run(),
+            Subcommand::Diff(command) => command.run(),
+            Subcommand::History(command) => command.run(),
+            Subcommand::Show(command) => command.run(),
         }
     }
 }
--- /dev/null
+++ b/src/cli/show.rs
@@ -0,0 +1,66 @@
+//! `teaseldrum rules show`: prints accepted rules.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use argh::FromArgs;
+
+use super::Exit;
+use super::places::Places;
+use crate::config::ReadError;
+use crate::config::read_record;
+use crate::config::read_text_at;
+use crate::core::Revision;
+use crate::platform::BlockingStore;
+
+/// Print the rules in force, or those of an earlier revision.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "show")]
+pub struct ShowCommand {
+    /// earlier revision
+    #[argh(option)]
+    revision: Option<u64>,
+    /// settings file that names the store
+    #[argh(option)]
+    settings: Option<PathBuf>,
+    /// address of the platform's store
+    #[argh(option)]
+    store: Vec<SocketAddr>,
+}
+
+impl ShowCommand {
+    /// Prints the rules.
+    pub fn run(self) -> Exit {
+        let places = Places::find(self.settings.as_deref(), &self.store, None, &[]);
+        let places = match places.and_then(|places| places.require_store().map(|()| places)) {
+            Ok(places) => places,
+            Err(exit) => return exit,
+        };
+        let store = BlockingStore::new(&places.platform);
+        match read_text(&store, self.revision.map(Revision)) {
+            Ok((revision, text)) => {
+                eprintln!("revision {revision}");
+                print!("{text}");
+                Exit::Done
+            }
+            Err(e) => {
+                eprintln!("{e}");
+                Exit::Failed
+            }
+        }
+    }
+}
+
+/// Reads a revision's text, or that of the one in force.
+pub(super) fn read_text(
+    store: &BlockingStore,
+    revision: Option<Revision>,
+) -> Result<(Revision, String), ReadError> {
+    match revision {
+        Some(revision) => Ok((revision, read_text_at(store, revision)?)),
+        None => {
+            let record = read_record(store)?.ok_or(ReadError::NoRevision(Revision(0)))?;
+            Ok((record.revision, record.text))
+        }
+    }
+}
--- /dev/null
+++ b/src/cli/status.rs
@@ -0,0 +1,70 @@
+//! `teaseldrum status`: lists all processes.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use argh::FromArgs;
+
+use super::Exit;
+use super::fleet::Fleet;
+use super::places::Places;
+use crate::peer::PeerStatus;
+
+/// List all processes with their rules revision; fails if one does not
+/// answer.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "status")]
+pub struct StatusCommand {
+    /// settings file that names host list and peers
+    #[argh(option)]
+    settings: Option<PathBuf>,
+    /// address of the platform's host list
+    #[argh(option)]
+    hosts: Option<SocketAddr>,
+    /// peer address of a process besides the host list
+    #[argh(option)]
+    peers: Vec<SocketAddr>,
+}
+
+impl StatusCommand {
+    /// Prints the list.
+    pub fn run(self) -> Exit {
+        let places = match Places::find(self.settings.as_deref(), &[], self.hosts, &self.peers) {
+            Ok(places) => places,
+            Err(exit) => return exit,
+        };
+        let fleet = match Fleet::find(&places) {
+            Ok(fleet) => fleet,
+            Err(e) => {
+                eprintln!("{e}");
+                return Exit::Failed;
+            }
+        };
+        let mut answers = fleet.get_status(fleet.addresses());
+        answers.sort_by_key(|(address, _)| *address);
+        let mut exit = Exit::Done;
+        println!("role\tname\tzone\trevision\tstate\taddress");
+        for (address, answer) in answers {
+            match answer {
+                Ok(status) => print_status(address, &status),
+                Err(e) => {
+                    eprintln!("{address}: {e}");
+                    exit = Exit::Failed;
+                }
+            }
+        }
+        exit
+    }
+}
+
+fn print_status(address: SocketAddr, status: &PeerStatus) {
+    let state = if status.draining {
+        "draining"
+    } else {
+        "serving"
+    };
+    println!(
+        "{}\t{}\t{}\t{}\t{state}\t{address}",
+        status.role, status.name, status.zone, status.revision
+    );
+}
