--- a/lab/tests/config.rs
+++ b/lab/tests/config.rs
@@ -298,6 +298,17 @@
     assert_eq!(stored.as_ref(), Some(winners[0]));
 }
 
+#[test]
+fn accept_rules_from_unknown_revision() {
+    let fleet = Fleet::start(0, 0);
+    fleet.accept(0, "one").expect("accepted");
+    let result = fleet.accept(7, "two");
+    assert!(
+        matches!(result, Err(AcceptError::Conflict(Revision(1)))),
+        "{result:?}"
+    );
+}
+
 #[test]
 fn accept_rules_lost_answer() {
     let fleet = Fleet::start(0, 0);
