Collect the time line of all processes over control messages

teaseldrum timeline merges the events of every process by hybrid logical clock as a table, JSON lines or a trace; the stamps travel in envelopes and reports, and are believed up to 60 s ahead of the own clock, so that the order holds on hosts whose clocks differ by seconds. Agents record what their gate decided. Bytes of control connections are counted.

--- a/src/agent/call_server.rs
+++ b/src/agent/call_server.rs
@@ -74,6 +74,8 @@
             cx.resumes.note(attempt);
         }
         let canceller = Canceller::new(Arc::clone(&cx), self.client.clone(), &self.envelope);
+        cx.timeline
+            .record(Some(request), describe_verdict(&verdict));
         let result = match verdict {
             Ok(()) => self.run_counted(&mut writer).await,
             Err(refusal) => {
@@ -224,3 +226,10 @@
         writer.send(&failed).await
     }
 }
+
+fn describe_verdict(verdict: &Result<(), Refusal>) -> EventKind {
+    match verdict {
+        Ok(()) => EventKind::GatePassed,
+        Err(refusal) => EventKind::GateRefused(*refusal),
+    }
+}
--- a/src/agent/context.rs
+++ b/src/agent/context.rs
@@ -41,7 +41,7 @@
     /// Requests that the backend server is running.
     pub running: AtomicU32,
     /// Events of this process.
-    pub timeline: Recorder,
+    pub timeline: Arc<Recorder>,
     /// Streams that entries resumed.
     pub resumes: Resumes,
     started: Instant,
@@ -51,14 +51,16 @@
 impl AgentContext {
     /// Creates the context of an agent that starts.
     pub fn new(settings: AgentSettings) -> Self {
+        let timeline = Arc::new(Recorder::new(settings.name.as_str()));
+        let rules = RulesInForce::new(RuleSet::default(), Arc::clone(&timeline));
         Self {
             incarnation: ProcessIncarnation::draw(),
             leaving: AtomicBool::new(false),
-            rules: Arc::new(RulesInForce::new(RuleSet::default())),
+            rules: Arc::new(rules),
             peers: Arc::default(),
             hosts: Arc::new(HostTable::new(settings.find_peers())),
             running: AtomicU32::new(0),
-            timeline: Recorder::new(settings.name.as_str()),
+            timeline,
             resumes: Resumes::default(),
             started: Instant::now(),
             seen: Mutex::default(),
--- a/src/agent/control.rs
+++ b/src/agent/control.rs
@@ -20,6 +20,8 @@
 use crate::peer::serve_connection;
 use crate::threads::StartError;
 use crate::threads::open_listener;
+use crate::timeline::EventPage;
+use crate::timeline::EventQuery;
 
 /// Starts the control thread and what runs on it.
 ///
@@ -34,11 +36,14 @@
         let own = listener.local_addr().map_err(StartError::Thread)?;
         cx.hosts.set_own(own);
         let service = AgentPeer(Arc::clone(cx));
+        let counts = Arc::clone(cx.peers.counts());
         control.spawn(async move {
             match tokio::net::TcpListener::from_std(listener) {
                 Ok(listener) => {
-                    accept_peers(listener, |stream| serve_connection(stream, service.clone()))
-                        .await;
+                    accept_peers(listener, |stream| {
+                        serve_connection(stream, service.clone(), Arc::clone(&counts))
+                    })
+                    .await;
                 }
                 Err(e) => log::error!("agent: Peer listener unusable: {e}."),
             }
@@ -71,6 +76,8 @@
             incarnation: cx.incarnation,
             revision: cx.rules.revision(),
             draining: cx.leaving.load(Ordering::Acquire),
+            control_received: cx.peers.counts().received(),
+            control_sent: cx.peers.counts().sent(),
         })
     }
 
@@ -87,6 +94,10 @@
         Ok(self.0.rules.build_update(held))
     }
 
+    async fn get_events(self, _: Context, query: EventQuery) -> Result<EventPage, PeerError> {
+        Ok(self.0.timeline.page(&query))
+    }
+
     async fn offer_rules(self, _: Context, record: RulesRecord) -> Result<Revision, PeerError> {
         self.0.rules.take_offer(record)
     }
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -13,6 +13,7 @@
 mod settings;
 mod show;
 mod status;
+mod timeline;
 
 use std::process::ExitCode;
 
@@ -39,6 +40,7 @@
     Rules(rules::RulesCommand),
     Settings(settings::SettingsCommand),
     Status(status::StatusCommand),
+    Timeline(timeline::TimelineCommand),
 }
 
 /// Reads the arguments of the process and runs the command they name.
@@ -70,6 +72,7 @@
             Some(Command::Rules(command)) => command.run(),
             Some(Command::Settings(command)) => command.run(),
             Some(Command::Status(command)) => command.run(),
+            Some(Command::Timeline(command)) => command.run(),
             None => {
                 eprintln!("A command is needed; see `teaseldrum --help`.");
                 Exit::Faulty
--- a/src/config/rules_in_force.rs
+++ b/src/config/rules_in_force.rs
@@ -18,6 +18,8 @@
 use crate::rules::RuleFault;
 use crate::rules::RuleSet;
 use crate::rules::parse_rules;
+use crate::timeline::EventKind;
+use crate::timeline::Recorder;
 
 /// A record whose text has faults; nothing was changed.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -58,11 +60,12 @@
     hint: watch::Sender<Option<Hint>>,
     revision: watch::Sender<Revision>,
     adopting: Mutex<()>,
+    timeline: Arc<Recorder>,
 }
 
 impl RulesInForce {
     /// Starts with rules that hold until the first record comes.
-    pub fn new(rules: RuleSet) -> Self {
+    pub fn new(rules: RuleSet, timeline: Arc<Recorder>) -> Self {
         Self {
             revision: watch::Sender::new(rules.revision),
             rules: ArcSwap::new(Arc::new(rules)),
@@ -70,6 +73,7 @@
             previous: ArcSwapOption::empty(),
             hint: watch::Sender::new(None),
             adopting: Mutex::new(()),
+            timeline,
         }
     }
 
@@ -155,6 +159,8 @@
         let revision = record.revision;
         self.previous.store(self.record.swap(Some(record)));
         self.revision.send_replace(revision);
+        self.timeline
+            .record(None, EventKind::RulesInForce(revision));
         Ok(true)
     }
 }
@@ -163,6 +169,10 @@
 mod tests {
     use super::*;
 
+    fn make_rules() -> RulesInForce {
+        RulesInForce::new(RuleSet::default(), Arc::new(Recorder::new("p")))
+    }
+
     fn make_record(revision: u64, text: &str) -> Arc<RulesRecord> {
         Arc::new(RulesRecord {
             revision: Revision(revision),
@@ -177,7 +187,7 @@
 
     #[test]
     fn adopt_newer() {
-        let rules = RulesInForce::new(RuleSet::default());
+        let rules = make_rules();
         let record = make_record(3, "pool drafting # Asha\n");
         assert_eq!(rules.adopt(Arc::clone(&record)), Ok(true));
         assert_eq!(rules.revision(), Revision(3));
@@ -187,7 +197,7 @@
 
     #[test]
     fn adopt_older_changes_nothing() {
-        let rules = RulesInForce::new(RuleSet::default());
+        let rules = make_rules();
         let newer = make_record(3, "pool drafting # Asha\n");
         assert_eq!(rules.adopt(newer), Ok(true));
         let older = make_record(2, "pool sorting # Asha\n");
@@ -198,7 +208,7 @@
 
     #[test]
     fn adopt_faulty_changes_nothing() {
-        let rules = RulesInForce::new(RuleSet::default());
+        let rules = make_rules();
         let newer = make_record(3, "pool drafting # Asha\n");
         assert_eq!(rules.adopt(newer), Ok(true));
         let faulty = make_record(4, "pool sorting\n");
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -38,7 +38,7 @@
     /// Backend servers.
     pub servers: Arc<Servers>,
     /// Events of this process.
-    pub timeline: Recorder,
+    pub timeline: Arc<Recorder>,
     /// Memory that bodies of callers' requests may take.
     pub body_budget: Arc<BodyBudget>,
     retry_budget: Mutex<RetryBudget>,
@@ -61,15 +61,16 @@
 
     /// Creates the context of an entry that starts with the given rules.
     pub fn new(settings: EntrySettings, rules: RuleSet) -> Self {
+        let timeline = Arc::new(Recorder::new(&settings.name));
         Self {
             incarnation: ProcessIncarnation::draw(),
             draining: AtomicBool::new(false),
-            rules: Arc::new(RulesInForce::new(rules)),
+            rules: Arc::new(RulesInForce::new(rules, Arc::clone(&timeline))),
             peers: Arc::default(),
             hosts: Arc::new(HostTable::new(settings.find_peers())),
             servers: Servers::new(&settings),
-            timeline: Recorder::new(&settings.name),
             body_budget: Arc::new(BodyBudget::new(settings.max_buffered_bytes)),
+            timeline,
             retry_budget: Mutex::default(),
             settings,
         }
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -15,6 +15,7 @@
 mod call_error;
 mod control_thread;
 mod host_table;
+mod metered_stream;
 mod peer_error;
 mod peers;
 mod revision_exchange;
@@ -25,6 +26,7 @@
 pub use call_error::CallError;
 pub use control_thread::ControlThread;
 pub use host_table::HostTable;
+pub use metered_stream::ByteCounts;
 pub use peer_error::PeerError;
 pub use peers::Peers;
 pub use revision_exchange::RevisionNotice;
--- a/src/peer/peers.rs
+++ b/src/peer/peers.rs
@@ -14,17 +14,22 @@
 use tarpc::client;
 use tarpc::client::RpcError;
 use tarpc::context::Context;
-use tarpc::serde_transport::tcp;
+use tarpc::serde_transport;
 use tarpc::tokio_serde::formats::MessagePack;
+use tokio::net::TcpStream;
 use tokio::runtime::Handle;
 use tokio::sync::OnceCell;
 use tokio::sync::Semaphore;
 use tokio::time::timeout;
+use tokio_util::codec::LengthDelimitedCodec;
 
 use super::CallError;
 use super::PeerClient;
 use super::PeerError;
+use super::metered_stream::ByteCounts;
+use super::metered_stream::MeteredStream;
 use super::serve_peers::MAX_MESSAGE_BYTES;
+use super::serve_peers::prepare;
 
 const MAX_CONNECTIONS: usize = 128;
 const MAX_CALLS: usize = 256;
@@ -38,6 +43,7 @@
     runtime: OnceLock<Handle>,
     kept: Mutex<HashMap<SocketAddr, Kept>>,
     calls: Semaphore,
+    counts: Arc<ByteCounts>,
 }
 
 #[derive(Debug)]
@@ -55,6 +61,7 @@
             runtime: OnceLock::new(),
             kept: Mutex::default(),
             calls: Semaphore::new(MAX_CALLS),
+            counts: Arc::default(),
         }
     }
 
@@ -87,6 +94,11 @@
         }
     }
 
+    /// Bytes of all control connections of this process.
+    pub fn counts(&self) -> &Arc<ByteCounts> {
+        &self.counts
+    }
+
     /// Number of connections kept.
     pub fn connections(&self) -> usize {
         self.lock_kept().len()
@@ -122,7 +134,7 @@
         F: Future<Output = Result<Result<T, PeerError>, RpcError>>,
     {
         let runtime = self.runtime.get().ok_or(CallError::NotStarted)?;
-        let connect = || connect(runtime, peer);
+        let connect = || connect(runtime, peer, Arc::clone(&self.counts));
         let client = connection.get_or_try_init(connect).await?.clone();
         let mut cx = tarpc::context::current();
         cx.deadline = deadline;
@@ -169,14 +181,21 @@
 }
 
 /// Connects on the control thread, whose runtime then drives the connection.
-async fn connect(runtime: &Handle, peer: SocketAddr) -> Result<PeerClient, CallError> {
+async fn connect(
+    runtime: &Handle,
+    peer: SocketAddr,
+    counts: Arc<ByteCounts>,
+) -> Result<PeerClient, CallError> {
     let connecting = runtime.spawn(async move {
-        let mut connect = tcp::connect(peer, MessagePack::default);
-        connect.config_mut().max_frame_length(MAX_MESSAGE_BYTES);
-        let transport = timeout(CONNECT_TIMEOUT, connect)
+        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(peer))
             .await
             .map_err(|_| CallError::Connect("timeout".into()))?
             .map_err(|e| CallError::Connect(e.to_string()))?;
+        prepare(&stream).map_err(|e| CallError::Connect(e.to_string()))?;
+        let framed = LengthDelimitedCodec::builder()
+            .max_frame_length(MAX_MESSAGE_BYTES)
+            .new_framed(MeteredStream::new(stream, counts));
+        let transport = serde_transport::new(framed, MessagePack::default());
         Ok(PeerClient::new(client::Config::default(), transport).spawn())
     });
     connecting.await.map_err(|_| CallError::NotStarted)?
@@ -202,6 +221,8 @@
     use crate::peer::Role;
     use crate::peer::accept_peers;
     use crate::peer::serve_connection;
+    use crate::timeline::EventPage;
+    use crate::timeline::EventQuery;
 
     const LIMIT: Duration = Duration::from_secs(5);
     const SHORT_LIMIT: Duration = Duration::from_millis(50);
@@ -223,6 +244,8 @@
                 incarnation: ProcessIncarnation(1),
                 revision: Revision(7),
                 draining: false,
+                control_received: 0,
+                control_sent: 0,
             })
         }
 
@@ -242,6 +265,10 @@
             Err(PeerError::NotServed)
         }
 
+        async fn get_events(self, _: Context, _: EventQuery) -> Result<EventPage, PeerError> {
+            Err(PeerError::NotServed)
+        }
+
         async fn offer_rules(self, _: Context, _: RulesRecord) -> Result<Revision, PeerError> {
             Err(PeerError::NotServed)
         }
@@ -261,7 +288,7 @@
         let task = tokio::spawn(async move {
             accept_peers(listener, |stream| {
                 counted.fetch_add(1, Ordering::AcqRel);
-                serve_connection(stream, peer.clone())
+                serve_connection(stream, peer.clone(), Arc::default())
             })
             .await;
         });
@@ -331,7 +358,7 @@
             let (first, _) = listener.accept().await.expect("a connection");
             drop(first);
             let (second, _) = listener.accept().await.expect("a connection");
-            serve_connection(second, FakePeer::default()).await;
+            serve_connection(second, FakePeer::default(), Arc::default()).await;
         });
         let peers = make_peers();
         let status = get_status(&peers, address, LIMIT).await;
--- a/src/peer/serve_peers.rs
+++ b/src/peer/serve_peers.rs
@@ -18,7 +18,9 @@
 use tokio::time::sleep;
 use tokio_util::codec::LengthDelimitedCodec;
 
+use super::ByteCounts;
 use super::Peer;
+use super::metered_stream::MeteredStream;
 use super::service::PeerRequest;
 use super::service::PeerResponse;
 
@@ -61,7 +63,7 @@
 }
 
 /// Answers the messages of one connection.
-pub async fn serve_connection<P>(stream: TcpStream, service: P)
+pub async fn serve_connection<P>(stream: TcpStream, service: P, counts: Arc<ByteCounts>)
 where
     P: Peer + Clone,
 {
@@ -70,7 +72,7 @@
     }
     let framed = LengthDelimitedCodec::builder()
         .max_frame_length(MAX_MESSAGE_BYTES)
-        .new_framed(stream);
+        .new_framed(MeteredStream::new(stream, counts));
     let codec =
         MessagePack::<tarpc::ClientMessage<PeerRequest>, tarpc::Response<PeerResponse>>::default();
     BaseChannel::with_defaults(serde_transport::new(framed, codec))
@@ -81,7 +83,7 @@
 }
 
 /// Sets what tells a dead peer from a quiet one.
-fn prepare(stream: &TcpStream) -> io::Result<()> {
+pub(super) fn prepare(stream: &TcpStream) -> io::Result<()> {
     let socket = SockRef::from(stream);
     let keepalive = TcpKeepalive::new()
         .with_time(KEEPALIVE_IDLE)
--- a/src/peer/service.rs
+++ b/src/peer/service.rs
@@ -8,6 +8,8 @@
 use crate::core::Revision;
 use crate::core::config::RulesRecord;
 use crate::core::config::RulesUpdate;
+use crate::timeline::EventPage;
+use crate::timeline::EventQuery;
 
 /// Messages that every process of teaseldrum answers.
 #[tarpc::service]
@@ -22,6 +24,9 @@
     /// Asks for rules newer than those that the caller holds.
     async fn get_rules(held: Revision) -> Result<Option<RulesUpdate>, PeerError>;
 
+    /// Asks for events of the time line.
+    async fn get_events(query: EventQuery) -> Result<EventPage, PeerError>;
+
     /// Hands over rules; the reply is the revision in force afterwards.
     async fn offer_rules(record: RulesRecord) -> Result<Revision, PeerError>;
 }
--- a/src/peer/status.rs
+++ b/src/peer/status.rs
@@ -42,4 +42,8 @@
     pub revision: Revision,
     /// The process takes no new work.
     pub draining: bool,
+    /// Bytes received over control connections since the start.
+    pub control_received: u64,
+    /// Bytes sent over control connections since the start.
+    pub control_sent: u64,
 }
--- a/src/timeline/recorder.rs
+++ b/src/timeline/recorder.rs
@@ -13,9 +13,12 @@
 
 use super::Event;
 use super::EventKind;
+use super::EventPage;
+use super::EventQuery;
 use crate::core::RequestId;
 
 const CAPACITY_EVENTS: usize = 16_384;
+const PAGE_EVENTS: usize = 2_048;
 
 /// Stamps further ahead of this host's clock are not believed.
 const MAX_SKEW: Duration = Duration::from_secs(60);
@@ -37,8 +40,28 @@
         }
     }
 
+    /// Creates an empty recorder that reads the given clock.
+    pub fn with_clock(process: &str, clock: fn() -> NTP64) -> Self {
+        let builder = HLCBuilder::new().with_max_delta(MAX_SKEW);
+        Self {
+            clock: builder.with_clock(clock).build(),
+            ..Self::new(process)
+        }
+    }
+
+    /// Returns a page of the events asked for.
+    pub fn page(&self, query: &EventQuery) -> EventPage {
+        let events = self.lock_events();
+        let mut found = events.iter().filter(|event| query.matches(event)).cloned();
+        EventPage {
+            events: found.by_ref().take(PAGE_EVENTS).collect(),
+            more: found.next().is_some(),
+        }
+    }
+
     /// Records an event.
     pub fn record(&self, request: Option<RequestId>, kind: EventKind) {
+        let mut events = self.lock_events();
         let event = Event {
             stamp: self.stamp(),
             process: self.process.clone(),
@@ -46,7 +69,6 @@
             kind,
         };
         log::debug!("timeline: {event:?}");
-        let mut events = self.lock_events();
         if events.len() == CAPACITY_EVENTS {
             events.pop_front();
         }
--- /dev/null
+++ b/src/timeline/write_events.rs
@@ -0,0 +1,150 @@
+//! Events as text for people and tools.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use serde_json::Value;
+use serde_json::json;
+use uhlc::NTP64;
+
+use super::Event;
+
+/// Writes one line for each event: seconds since the first one, process,
+/// request and what happened.
+pub fn write_table(events: &[Event]) -> String {
+    let first = events.first().map_or(0, find_micros);
+    let lines = events.iter().map(|event| {
+        let micros = find_micros(event) - first;
+        let request = event.request.map_or("-".into(), |id| id.to_string());
+        format!(
+            "{:>12.6}  {:<12}  {request:<32}  {}\n",
+            Duration::from_micros(micros).as_secs_f64(),
+            event.process,
+            event.kind
+        )
+    });
+    lines.collect()
+}
+
+/// Writes one JSON object a line.
+pub fn write_json_lines(events: &[Event]) -> String {
+    let lines = events.iter().map(|event| {
+        let value = json!({
+            "micros": find_micros(event),
+            "stamp": event.stamp,
+            "process": event.process,
+            "request": event.request,
+            "kind": event.kind.name(),
+            "detail": event.kind.to_string(),
+        });
+        format!("{value}\n")
+    });
+    lines.collect()
+}
+
+/// Writes the JSON trace event format that common trace viewers open: each
+/// process a track, each request a span from its first to its last event.
+pub fn write_trace(events: &[Event]) -> String {
+    let names: BTreeSet<&str> = events.iter().map(|event| event.process.as_str()).collect();
+    let names: Vec<&str> = names.into_iter().collect();
+    let find_pid = |process: &str| names.binary_search(&process).unwrap_or(0);
+    let mut items: Vec<Value> = names
+        .iter()
+        .map(|name| {
+            let args = json!({"name": name});
+            json!({"name": "process_name", "ph": "M", "pid": find_pid(name), "args": args})
+        })
+        .collect();
+    items.extend(events.iter().map(|event| {
+        let pid = find_pid(&event.process);
+        let args = json!({"detail": event.kind.to_string(), "request": event.request});
+        let base = json!({
+            "name": event.kind.name(), "ts": find_micros(event), "pid": pid, "tid": 0,
+            "args": args,
+        });
+        let mut item = base;
+        match event.request {
+            Some(request) => {
+                item["ph"] = json!("n");
+                item["cat"] = json!("request");
+                item["id"] = json!(request.to_string());
+            }
+            None => {
+                item["ph"] = json!("i");
+                item["s"] = json!("p");
+            }
+        }
+        item
+    }));
+    items.extend(build_spans(events));
+    json!({"traceEvents": items}).to_string()
+}
+
+fn build_spans(events: &[Event]) -> Vec<Value> {
+    let requests: BTreeSet<_> = events.iter().filter_map(|event| event.request).collect();
+    let spans = requests.into_iter().flat_map(|request| {
+        let mut of_request = events.iter().filter(|event| event.request == Some(request));
+        let first = of_request.next().map_or(0, find_micros);
+        let last = of_request.next_back().map_or(first, find_micros);
+        [("b", first), ("e", last)].map(|(phase, at)| {
+            json!({
+                "name": "request", "ph": phase, "cat": "request", "ts": at, "pid": 0,
+                "id": request.to_string(),
+            })
+        })
+    });
+    spans.collect()
+}
+
+fn find_micros(event: &Event) -> u64 {
+    let time = NTP64(event.stamp).to_duration();
+    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::core::RequestId;
+    use crate::timeline::EventKind;
+    use crate::timeline::EventQuery;
+    use crate::timeline::Recorder;
+
+    fn make_events() -> Vec<Event> {
+        let recorder = Recorder::new("e1");
+        let request = Some(RequestId::from_bits(1));
+        recorder.record(None, EventKind::Started);
+        recorder.record(request, EventKind::Admitted(Some("desk".into())));
+        recorder.record(request, EventKind::FirstToken);
+        recorder.page(&EventQuery::default()).events
+    }
+
+    #[test]
+    fn write_table_line_an_event() {
+        let table = write_table(&make_events());
+        let lines: Vec<&str> = table.lines().collect();
+        assert_eq!(lines.len(), 3);
+        assert!(lines[1].ends_with("admitted for account desk"), "{table}");
+    }
+
+    #[test]
+    fn write_json_lines_parse() {
+        let text = write_json_lines(&make_events());
+        let kinds: Vec<String> = text
+            .lines()
+            .map(|line| serde_json::from_str::<Value>(line).expect("JSON"))
+            .map(|value| value["kind"].as_str().expect("a kind").into())
+            .collect();
+        assert_eq!(kinds, ["started", "admitted", "first-token"]);
+    }
+
+    #[test]
+    fn write_trace_spans() {
+        let value: Value = serde_json::from_str(&write_trace(&make_events())).expect("JSON");
+        let items = value["traceEvents"].as_array().expect("a list");
+        let phases: Vec<&str> = items
+            .iter()
+            .map(|item| item["ph"].as_str().expect("a phase"))
+            .collect();
+        assert_eq!(phases, ["M", "i", "n", "n", "b", "e"]);
+    }
+}
