--- a/src/core/limit/home.rs
+++ b/src/core/limit/home.rs
@@ -267,3 +267,83 @@
             .for_each(|(_, bucket)| bucket.restart(since));
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const ACCOUNT: AccountId = AccountId(0);
+    const ALLOWANCE: Allowance = Allowance {
+        rate: 100,
+        burst: 1_000,
+    };
+    const LOAN: Duration = Duration::from_secs(4);
+    const KEEPER: ProcessIncarnation = ProcessIncarnation(9);
+
+    fn at(seconds: u64) -> MonotonicTime {
+        MonotonicTime::ZERO + Duration::from_secs(seconds)
+    }
+
+    /// Holds the only slot from 0 s to 100 s.
+    fn make_home() -> Home {
+        let mut home = Home::new(1, 1, LOAN);
+        home.set_slots(1, at(100), at(0));
+        home.fill(ACCOUNT, ALLOWANCE, at(0));
+        home
+    }
+
+    fn lend(home: &mut Home, seconds: u64) -> Option<(LoanItem, Vec<LevelItem>)> {
+        home.lend(0, KEEPER, &[(ACCOUNT, ALLOWANCE)], at(seconds))
+    }
+
+    #[test]
+    fn level_after_lease_is_zero() {
+        let mut home = make_home();
+        assert_eq!(home.level(ACCOUNT, ALLOWANCE, at(99)), 1_000 * MICRO);
+        assert_eq!(home.level(ACCOUNT, ALLOWANCE, at(100)), 0);
+    }
+
+    #[test]
+    fn set_slots_after_lease_starts_empty() {
+        let mut home = make_home();
+        home.fill(ACCOUNT, ALLOWANCE, at(99));
+        home.set_slots(1, at(300), at(101));
+        assert_eq!(home.level(ACCOUNT, ALLOWANCE, at(101)), 0);
+        assert_eq!(home.level(ACCOUNT, ALLOWANCE, at(103)), 200 * MICRO);
+    }
+
+    #[test]
+    fn lend_ends_within_lease() {
+        let mut home = make_home();
+        assert!(lend(&mut home, 94).is_some());
+        assert!(lend(&mut home, 96).is_none(), "prolonged beyond the lease");
+        let mut home = make_home();
+        assert!(lend(&mut home, 96).is_none(), "lent beyond the lease");
+    }
+
+    #[test]
+    fn lend_takes_level_along_once() {
+        let mut home = make_home();
+        let (loan, levels) = lend(&mut home, 2).expect("a loan");
+        assert_eq!(levels[0].tokens, 200);
+        assert_eq!(lend(&mut home, 4), Some((loan, Vec::new())));
+        assert_eq!(home.level(ACCOUNT, ALLOWANCE, at(5)), 0);
+    }
+
+    #[test]
+    fn level_after_loan_starts_empty() {
+        let mut home = make_home();
+        lend(&mut home, 50).expect("a loan");
+        assert!(home.level(ACCOUNT, ALLOWANCE, at(55)) < 100 * MICRO);
+    }
+
+    #[test]
+    fn take_back_of_earlier_loan_is_ignored() {
+        let mut home = make_home();
+        let (first, levels) = lend(&mut home, 10).expect("a loan");
+        home.take_back(first, KEEPER, &levels, at(11));
+        lend(&mut home, 12).expect("a loan");
+        home.take_back(first, KEEPER, &levels, at(13));
+        assert_eq!(home.level(ACCOUNT, ALLOWANCE, at(13)), 0);
+    }
+}
--- a/src/core/limit/limiter.rs
+++ b/src/core/limit/limiter.rs
@@ -435,3 +435,161 @@
     let wait = Duration::from_micros(state.needed() / rate);
     wait.clamp(LEAST_RETRY, MOST_RETRY)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::super::CloseItem;
+    use super::super::Closes;
+    use super::super::Peer;
+    use super::super::message::LoanItem;
+    use super::*;
+    use crate::core::ProcessIncarnation;
+
+    const RATE: u64 = 100;
+    const BURST: u64 = 1_000;
+
+    fn at(seconds: u64) -> MonotonicTime {
+        MonotonicTime::ZERO + Duration::from_secs(seconds)
+    }
+
+    fn make_origin(node: u64) -> Origin {
+        Origin {
+            node: NodeId(node),
+            run: ProcessIncarnation(node),
+        }
+    }
+
+    fn make_roster(nodes: &[u64]) -> Roster {
+        let peers = nodes.iter().map(|node| Peer {
+            node: NodeId(*node),
+            zone: 0,
+        });
+        Roster::new(peers.collect())
+    }
+
+    /// Makes two limiters that share two slots, one each, and an account that
+    /// the first of them keeps.
+    fn make_pair() -> (Limiter, Limiter, AccountId) {
+        let terms = ShareTerms {
+            slots: 2,
+            groups: 1,
+            ..ShareTerms::default()
+        };
+        let roster = make_roster(&[1, 2]);
+        let first = roster.keeper(0).map_or(0, |keeper| keeper.0);
+        let allowance = Allowance {
+            rate: RATE,
+            burst: BURST,
+        };
+        let make = |node: u64| {
+            let mut limiter = Limiter::new(make_origin(node), 0, terms, node << 32);
+            limiter.set_allowances([(AccountId(0), allowance)].into(), at(0));
+            limiter.set_roster(roster.clone());
+            limiter.set_slots(1, at(3_600), at(0));
+            limiter
+        };
+        (make(first), make(3 - first), AccountId(0))
+    }
+
+    fn exchange(first: &mut Limiter, second: &mut Limiter, now: MonotonicTime) {
+        for _ in 0..4 {
+            first.tick(now);
+            second.tick(now);
+            for outgoing in first.take_outgoing() {
+                second.receive(first.origin, outgoing.message, now);
+            }
+            for outgoing in second.take_outgoing() {
+                first.receive(second.origin, outgoing.message, now);
+            }
+        }
+    }
+
+    #[test]
+    fn admit_all_at_one_entry() {
+        let (mut keeper, mut other, account) = make_pair();
+        (0..20).for_each(|second| exchange(&mut keeper, &mut other, at(second)));
+        assert_eq!(other.admit(Ticket(1), account, BURST, at(20)), None);
+        exchange(&mut keeper, &mut other, at(20));
+        let verdicts = other.take_verdicts();
+        assert!(matches!(verdicts[..], [(Ticket(1), Verdict::Admitted(_))]));
+    }
+
+    #[test]
+    fn admit_without_peers_lives_on_own_share() {
+        let (_, mut other, account) = make_pair();
+        let half = BURST / 2;
+        let verdict = other.admit(Ticket(1), account, half, at(20));
+        assert!(matches!(verdict, Some(Verdict::Admitted(_))));
+        assert_eq!(other.admit(Ticket(2), account, half, at(20)), None);
+        other.tick(at(23));
+        let verdicts = other.take_verdicts();
+        assert!(matches!(verdicts[..], [(Ticket(2), Verdict::Refused(_))]));
+    }
+
+    #[test]
+    fn admit_more_than_burst() {
+        let (mut keeper, _, account) = make_pair();
+        let verdict = keeper.admit(Ticket(1), account, BURST + 1, at(1));
+        assert_eq!(verdict, Some(Verdict::TooLarge));
+    }
+
+    #[test]
+    fn settle_more_than_charged_is_owed() {
+        let (mut keeper, _, account) = make_pair();
+        let verdict = keeper.admit(Ticket(1), account, 100, at(8));
+        let Some(Verdict::Admitted(charge)) = verdict else {
+            panic!("admitted at once");
+        };
+        keeper.settle(charge, 250, at(8));
+        keeper.admit(Ticket(2), account, 50, at(8));
+        assert_eq!(keeper.available(account, at(8)), 400 - 100 - 200);
+    }
+
+    #[test]
+    fn receive_closes_of_earlier_run() {
+        let (mut keeper, mut other, account) = make_pair();
+        exchange(&mut keeper, &mut other, at(0));
+        other.admit(Ticket(1), account, 10, at(1));
+        exchange(&mut keeper, &mut other, at(1));
+        let before = keeper.available(account, at(1));
+        for run in [77, keeper.origin.run.0] {
+            let closes = Closes {
+                run: ProcessIncarnation(run),
+                items: vec![CloseItem {
+                    account,
+                    grant: 1,
+                    unused: 10,
+                }],
+            };
+            let ask = ShareMessage::Ask {
+                number: run,
+                items: Vec::new(),
+                life_ms: 1,
+                closes: Some(closes),
+            };
+            keeper.receive(other.origin, ask, at(1));
+            let gained = keeper.available(account, at(1)) - before;
+            assert_eq!(gained, if run == 77 { 0 } else { 10 });
+        }
+    }
+
+    #[test]
+    fn receive_loan_after_giving_back() {
+        let (mut keeper, mut other, account) = make_pair();
+        exchange(&mut keeper, &mut other, at(0));
+        keeper.tick(at(1));
+        let number = keeper.borrows.keys().next_back().copied();
+        let late = ShareMessage::Lend {
+            number: number.expect("a renewal is under way"),
+            slots: 1,
+            loans: vec![LoanItem { group: 0, loan: 1 }],
+            levels: Vec::new(),
+        };
+        keeper.set_roster(make_roster(&[other.origin.node.0]));
+        keeper.tick(at(1));
+        keeper.set_roster(make_roster(&[1, 2]));
+        keeper.receive(other.origin, late, at(1));
+        let own_slot_for_two_seconds = RATE / 2 * 2;
+        assert_eq!(keeper.available(account, at(2)), own_slot_for_two_seconds);
+    }
+}
--- a/src/core/limit/pool.rs
+++ b/src/core/limit/pool.rs
@@ -272,3 +272,76 @@
     /// Time for which its receiver may use it.
     pub life: Duration,
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const ACCOUNT: AccountId = AccountId(0);
+    const ALLOWANCE: Allowance = Allowance {
+        rate: 100,
+        burst: 1_000,
+    };
+    const GRANT: Duration = Duration::from_secs(2);
+    const ITEM: LoanItem = LoanItem { group: 0, loan: 1 };
+
+    fn at(millis: u64) -> MonotonicTime {
+        MonotonicTime::ZERO + Duration::from_millis(millis)
+    }
+
+    /// Has borrowed the only slot from 0 s to 10 s.
+    fn make_pool() -> Pool {
+        let members = [(ACCOUNT, ALLOWANCE)];
+        let mut pool = Pool::new(0, 1, GRANT);
+        pool.fill(ACCOUNT, ALLOWANCE, at(0));
+        pool.add_loan(NodeId(1), 1, ITEM, at(10_000), &members, at(0));
+        pool
+    }
+
+    fn issue(pool: &mut Pool, grant: u64, tokens: u64, millis: u64) -> bool {
+        let issue = Issue {
+            grant,
+            micros: tokens * MICRO,
+            life: GRANT,
+        };
+        pool.issue(ACCOUNT, ALLOWANCE, issue, at(millis))
+    }
+
+    #[test]
+    fn issue_ends_before_loan() {
+        let mut pool = make_pool();
+        assert!(issue(&mut pool, 1, 1, 7_900));
+        assert!(!issue(&mut pool, 2, 1, 8_000));
+    }
+
+    #[test]
+    fn issue_counts_against_burst() {
+        let members = [(ACCOUNT, ALLOWANCE)];
+        let mut pool = make_pool();
+        pool.add_loan(NodeId(1), 1, ITEM, at(60_000), &members, at(0));
+        pool.put(ACCOUNT, ALLOWANCE, 1_000, at(0));
+        assert!(issue(&mut pool, 1, 600, 0));
+        assert_eq!(pool.level(ACCOUNT, ALLOWANCE, at(2_000)), 400 * MICRO);
+        assert_eq!(pool.level(ACCOUNT, ALLOWANCE, at(4_050)), 600 * MICRO + 5 * MICRO);
+    }
+
+    #[test]
+    fn close_twice_counts_once() {
+        let mut pool = make_pool();
+        assert!(issue(&mut pool, 1, 100, 1_000));
+        pool.close(ACCOUNT, ALLOWANCE, 1, 100 * MICRO, at(1_000));
+        pool.close(ACCOUNT, ALLOWANCE, 1, 100 * MICRO, at(1_000));
+        assert_eq!(pool.level(ACCOUNT, ALLOWANCE, at(1_000)), 100 * MICRO);
+    }
+
+    #[test]
+    fn give_back_waits_for_grants() {
+        let mut pool = make_pool();
+        assert!(issue(&mut pool, 1, 100, 2_000));
+        let members = [(ACCOUNT, ALLOWANCE)];
+        assert!(pool.give_back(&members, at(3_000)).is_none());
+        let returns = pool.give_back(&members, at(4_100)).expect("grants ended");
+        assert_eq!(returns[0].1, ITEM);
+        assert_eq!(pool.level(ACCOUNT, ALLOWANCE, at(5_000)), 0);
+    }
+}
--- a/src/core/limit/purse.rs
+++ b/src/core/limit/purse.rs
@@ -177,3 +177,68 @@
         closed
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const GIVER: Origin = Origin {
+        node: NodeId(1),
+        run: ProcessIncarnation(1),
+    };
+
+    fn at(millis: u64) -> MonotonicTime {
+        MonotonicTime::ZERO + Duration::from_millis(millis)
+    }
+
+    fn make_part(micros: u64) -> Issue {
+        Issue {
+            grant: 5,
+            micros,
+            life: Duration::from_millis(500),
+        }
+    }
+
+    #[test]
+    fn take_only_while_grant_lives() {
+        let mut purse = Purse::default();
+        purse.add(1, GIVER, 1, 100, at(1_000));
+        assert!(purse.take(60, at(999)).is_some());
+        assert!(purse.take(40, at(1_000)).is_none());
+    }
+
+    #[test]
+    fn issue_ends_before_its_grant() {
+        let mut purse = Purse::default();
+        purse.add(1, GIVER, 1, 100, at(1_000));
+        assert_eq!(purse.issue(make_part(60), at(400)), 60);
+        assert_eq!(purse.issue(make_part(40), at(490)), 0);
+    }
+
+    #[test]
+    fn close_done_waits_for_parts() {
+        let mut purse = Purse::default();
+        purse.add(1, GIVER, 7, 100, at(1_000));
+        purse.issue(make_part(60), at(0));
+        let least = Duration::from_secs(1);
+        assert!(purse.close_done(GIVER, least, at(100)).is_empty());
+        purse.close(5, 10, at(200));
+        let closed = Closed {
+            grant: 7,
+            unused: 50,
+        };
+        assert_eq!(purse.close_done(GIVER, least, at(300)), [closed]);
+    }
+
+    #[test]
+    fn put_back_only_while_grant_lives() {
+        let mut purse = Purse::default();
+        purse.add(1, GIVER, 1, 100, at(1_000));
+        let part = purse.take(100, at(0)).flatten().expect("a part");
+        purse.put_back(part, at(999));
+        assert_eq!(purse.usable(Duration::ZERO, at(999)), 100);
+        purse.take(100, at(999));
+        purse.put_back(part, at(1_000));
+        assert!(purse.is_empty(at(1_000)));
+    }
+}
--- a/src/core/limit/terms.rs
+++ b/src/core/limit/terms.rs
@@ -52,3 +52,18 @@
 pub(super) fn hold(span: Duration) -> Duration {
     span + span / DRIFT_DIVISOR + MARGIN
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn hold_outlasts_clocks_that_run_apart() {
+        for millis in [1, 200, 2_000, 60_000] {
+            let span = Duration::from_millis(millis);
+            let slow_use = span.mul_f64(1.0 / 0.995);
+            let fast_hold = hold(span).mul_f64(1.0 / 1.005);
+            assert!(fast_hold > slow_use);
+        }
+    }
+}
