--- a/src/core/limit/pool.rs
+++ b/src/core/limit/pool.rs
@@ -322,7 +322,10 @@
         pool.put(ACCOUNT, ALLOWANCE, 1_000, at(0));
         assert!(issue(&mut pool, 1, 600, 0));
         assert_eq!(pool.level(ACCOUNT, ALLOWANCE, at(2_000)), 400 * MICRO);
-        assert_eq!(pool.level(ACCOUNT, ALLOWANCE, at(4_050)), 600 * MICRO + 5 * MICRO);
+        assert_eq!(
+            pool.level(ACCOUNT, ALLOWANCE, at(4_050)),
+            600 * MICRO + 5 * MICRO
+        );
     }
 
     #[test]
