Admit requests by shares of rates and stop withdrawn keys

Entries admit by the limiter: prompt at four bytes a token plus the most output, settled by reported usage; 429 with Retry-After and not-run. Slots are leases in the store, handed over on drain; shares travel over the peer service. An entry without store that does not say it is the only one has no share. Waiting requests, attempts and streams end when their key is withdrawn.

--- a/lab/src/cli/bench.rs
+++ b/lab/src/cli/bench.rs
@@ -5,6 +5,7 @@
 
 use super::named_bench::NamedBench;
 use crate::bench::policy::PolicyCommand;
+use crate::bench::rate::RateCommand;
 
 /// Run one bench and print what it measured.
 #[derive(Debug, FromArgs)]
@@ -18,6 +19,7 @@
 #[argh(subcommand)]
 enum BenchChoice {
     Policy(PolicyCommand),
+    Rate(RateCommand),
     #[argh(dynamic)]
     Named(NamedBench),
 }
@@ -27,6 +29,7 @@
     pub fn run(self) -> Exit {
         match self.bench {
             BenchChoice::Policy(command) => command.run(),
+            BenchChoice::Rate(command) => command.run(),
             BenchChoice::Named(bench) => bench.run(),
         }
     }
--- a/lab/tests/once.rs
+++ b/lab/tests/once.rs
@@ -131,6 +131,7 @@
         "listen": {"traffic": "127.0.0.1:0"},
         "traffic": {"threads": 2, "drain_linger_ms": 20, "drain_timeout_ms": 500},
         "platform": {"store": [store], "call_timeout_ms": 200},
+        "share": {"sole": true},
     });
     let settings = EntrySettings::parse(&value).expect("valid settings");
     Running::start(move |stop, ready| serve_entry(settings, stop, ready).expect("entry starts"))
--- a/src/agent/control.rs
+++ b/src/agent/control.rs
@@ -10,12 +10,15 @@
 use crate::core::Revision;
 use crate::core::config::RulesRecord;
 use crate::core::config::RulesUpdate;
+use crate::core::limit::Origin;
+use crate::core::limit::ShareMessage;
 use crate::peer::ControlThread;
 use crate::peer::Peer;
 use crate::peer::PeerError;
 use crate::peer::PeerStatus;
 use crate::peer::RevisionNotice;
 use crate::peer::Role;
+use crate::peer::ShareReply;
 use crate::peer::accept_peers;
 use crate::peer::serve_connection;
 use crate::threads::StartError;
@@ -101,4 +104,13 @@
     async fn offer_rules(self, _: Context, record: RulesRecord) -> Result<Revision, PeerError> {
         self.0.rules.take_offer(record)
     }
+
+    async fn exchange_shares(
+        self,
+        _: Context,
+        _: Origin,
+        _: ShareMessage,
+    ) -> Result<ShareReply, PeerError> {
+        Err(PeerError::NotServed)
+    }
 }
--- a/src/core/limit/charge.rs
+++ b/src/core/limit/charge.rs
@@ -1,6 +1,7 @@
 //! Tokens charged for one request.
 
 use super::AccountId;
+use super::bucket::MICRO;
 
 /// Tokens charged for one request at its admission.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -13,6 +14,21 @@
     pub(super) grant: Option<GrantPart>,
 }
 
+impl Charge {
+    /// Returns the charge after it has been settled to the tokens used.
+    pub fn settled_to(self, used: u64) -> Self {
+        let grant = self.grant.map(|part| GrantPart {
+            micros: part.micros.min(used.saturating_mul(MICRO)),
+            ..part
+        });
+        Self {
+            tokens: used,
+            grant,
+            ..self
+        }
+    }
+}
+
 /// What a grant gave to a charge.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct GrantPart {
--- a/src/core/limit/granting.rs
+++ b/src/core/limit/granting.rs
@@ -26,9 +26,6 @@
 /// ahead of need.
 const REQUESTS_AHEAD: f64 = 1.5;
 
-/// Time for which an entry that does not answer is passed by.
-const PASS_BY: Duration = Duration::from_secs(3);
-
 /// Whom to ask for tokens.
 #[derive(Debug, Clone, Copy)]
 struct Source {
@@ -145,7 +142,7 @@
 
     /// Asks ahead of need for an account that is in steady use.
     pub(super) fn plan_ahead(&mut self, account: AccountId, now: MonotonicTime) {
-        let Some(source) = self.source(account, now) else {
+        let Some(source) = self.source(account) else {
             return;
         };
         let Some(state) = self.accounts.get_mut(&account) else {
@@ -167,7 +164,7 @@
         let accounts = std::mem::take(&mut self.to_ask);
         let mut asks: BTreeMap<NodeId, (Source, Vec<AskItem>)> = BTreeMap::new();
         for account in accounts {
-            let Some(source) = self.source(account, now) else {
+            let Some(source) = self.source(account) else {
                 continue;
             };
             if let Some(item) = self.build_ask(account, source, now) {
@@ -287,7 +284,6 @@
             until,
         };
         self.asks.insert(number, pending);
-        self.note_asked(source.node, now);
         let closes = self.collect_closes(source, &items, now);
         let ask = ShareMessage::Ask {
             number,
@@ -334,7 +330,7 @@
 
     /// Returns whom to ask for tokens of an account; nobody if this entry
     /// keeps them itself.
-    fn source(&self, account: AccountId, now: MonotonicTime) -> Option<Source> {
+    fn source(&self, account: AccountId) -> Option<Source> {
         let group = usize::from(account.group(self.terms.groups));
         let own = self.origin.node;
         let keeper = self.keepers[group].filter(|keeper| *keeper != own)?;
@@ -348,7 +344,7 @@
                 life: grant,
                 ahead: grant - part,
             }),
-            Some(node) if node != keeper && !self.is_passed_by(node, now) => Some(Source {
+            Some(node) if node != keeper => Some(Source {
                 node,
                 life: part,
                 ahead: part * 2 / 3,
@@ -360,22 +356,6 @@
             }),
         }
     }
-
-    /// Notes since when an entry has left a request without any sign of life.
-    fn note_asked(&mut self, node: NodeId, now: MonotonicTime) {
-        let since = self.silent_since.entry(node).or_insert(now);
-        if now.since(*since) >= PASS_BY {
-            *since = now;
-        }
-    }
-
-    /// Tells whether an entry has not answered for a while.
-    fn is_passed_by(&self, node: NodeId, now: MonotonicTime) -> bool {
-        self.silent_since.get(&node).is_some_and(|since| {
-            let silence = now.since(*since);
-            silence > self.terms.part && silence < PASS_BY
-        })
-    }
 }
 
 /// Chooses how much of a level to grant.
--- a/src/core/limit/limiter.rs
+++ b/src/core/limit/limiter.rs
@@ -28,6 +28,9 @@
 /// Time between two offers of the same parts.
 const OFFER_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Time for which an entry that does not answer is passed by.
+const PASS_BY: Duration = Duration::from_secs(15);
+
 const LEAST_RETRY: Duration = Duration::from_secs(1);
 const MOST_RETRY: Duration = Duration::from_secs(60);
 
@@ -61,7 +64,7 @@
     pub(super) asks: BTreeMap<u64, PendingAsk>,
     pub(super) borrows: BTreeMap<u64, PendingBorrow>,
     pub(super) borrowed_at: BTreeMap<NodeId, MonotonicTime>,
-    pub(super) silent_since: BTreeMap<NodeId, MonotonicTime>,
+    unreachable: BTreeMap<NodeId, MonotonicTime>,
     pub(super) offered_at: Option<MonotonicTime>,
     pub(super) next_number: u64,
     pub(super) next_grant: u64,
@@ -96,7 +99,7 @@
             asks: BTreeMap::new(),
             borrows: BTreeMap::new(),
             borrowed_at: BTreeMap::new(),
-            silent_since: BTreeMap::new(),
+            unreachable: BTreeMap::new(),
             offered_at: None,
             next_number: first_number,
             next_grant: 0,
@@ -105,14 +108,36 @@
         }
     }
 
+    /// Takes over the availability zone of this entry.
+    pub fn set_zone(&mut self, zone: u16) {
+        self.zone = zone;
+    }
+
+    /// Passes an entry by for a while, because a call to it failed.
+    pub fn note_unreachable(&mut self, node: NodeId, now: MonotonicTime) {
+        self.unreachable.insert(node, now + PASS_BY);
+        self.asks.retain(|_, ask| ask.to != node);
+        self.choose_keepers();
+        for (account, state) in &mut self.accounts {
+            if state.needed() > 0 {
+                state.asking_until = None;
+                self.to_ask.insert(*account);
+            }
+        }
+        self.offered_at = None;
+        self.send_asks(now);
+    }
+
+    /// Returns the entry that keeps an account, as far as this one knows.
+    pub fn keeper_of(&self, account: AccountId) -> Option<NodeId> {
+        let group = account.group(self.terms.groups);
+        self.keepers.get(usize::from(group)).copied().flatten()
+    }
+
     /// Takes over which entries live.
     pub fn set_roster(&mut self, roster: Roster) {
-        let groups = 0..self.terms.groups;
-        self.keepers = groups.clone().map(|group| roster.keeper(group)).collect();
-        self.zone_keepers = groups
-            .map(|group| roster.zone_keeper(group, self.zone))
-            .collect();
         self.roster = roster;
+        self.choose_keepers();
     }
 
     /// Takes over the allowances of a rules revision.
@@ -244,6 +269,7 @@
 
     /// Does what time demands; to be called every 50 ms or so.
     pub fn tick(&mut self, now: MonotonicTime) {
+        self.forgive(None, now);
         self.offer(now);
         self.renew_loans(now);
         self.give_back_pools(now);
@@ -266,7 +292,7 @@
 
     /// Handles a message of another entry.
     pub fn receive(&mut self, from: Origin, message: ShareMessage, now: MonotonicTime) {
-        self.silent_since.remove(&from.node);
+        self.forgive(Some(from.node), now);
         match message {
             ShareMessage::Offer { groups } => self.hear_offer(from, &groups, now),
             ShareMessage::Borrow { number, groups } => self.lend(from, number, &groups, now),
@@ -355,6 +381,27 @@
         !self.leaving && keeper == Some(self.origin.node)
     }
 
+    /// Chooses the keepers of all groups among the entries that live and
+    /// answer.
+    fn choose_keepers(&mut self) {
+        let roster = self.roster.without(&self.unreachable);
+        let groups = 0..self.terms.groups;
+        self.keepers = groups.clone().map(|group| roster.keeper(group)).collect();
+        self.zone_keepers = groups
+            .map(|group| roster.zone_keeper(group, self.zone))
+            .collect();
+    }
+
+    /// Trusts an entry again that answers, or has been passed by long enough.
+    fn forgive(&mut self, node: Option<NodeId>, now: MonotonicTime) {
+        let count = self.unreachable.len();
+        self.unreachable
+            .retain(|passed, until| *until > now && Some(*passed) != node);
+        if self.unreachable.len() != count {
+            self.choose_keepers();
+        }
+    }
+
     /// Returns the accounts of a group.
     pub(super) fn members_of(&self, group: u16) -> Vec<(AccountId, Allowance)> {
         self.members
--- a/src/core/limit/roster.rs
+++ b/src/core/limit/roster.rs
@@ -1,8 +1,11 @@
 //! Entries that live, and which of them keeps a group.
 
+use std::collections::BTreeMap;
+
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::NodeId;
+use crate::core::MonotonicTime;
 
 /// An entry that lives.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -26,6 +29,13 @@
         Self { peers }
     }
 
+    /// Returns the roster without some entries.
+    pub(super) fn without(&self, passed: &BTreeMap<NodeId, MonotonicTime>) -> Self {
+        let peers = self.peers.iter().copied();
+        let peers = peers.filter(|peer| !passed.contains_key(&peer.node));
+        Self::new(peers.collect())
+    }
+
     /// Returns the number of entries.
     pub fn len(&self) -> usize {
         self.peers.len()
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -7,7 +7,12 @@
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 
+use tokio::sync::mpsc::UnboundedReceiver;
+
 use super::Servers;
+use super::shares::Posted;
+use super::shares::Shares;
+use super::slot_keeper::HeldSlots;
 use crate::config::RulesInForce;
 use crate::core::ProcessIncarnation;
 use crate::core::Report;
@@ -41,6 +46,10 @@
     pub timeline: Arc<Recorder>,
     /// Memory that bodies of callers' requests may take.
     pub body_budget: Arc<BodyBudget>,
+    /// Limiter of the accounts' rates.
+    pub shares: Shares,
+    share_queue: Mutex<Option<UnboundedReceiver<Posted>>>,
+    slots: Mutex<Option<HeldSlots>>,
     retry_budget: Mutex<RetryBudget>,
 }
 
@@ -62,8 +71,10 @@
     /// Creates the context of an entry that starts with the given rules.
     pub fn new(settings: EntrySettings, rules: RuleSet) -> Self {
         let timeline = Arc::new(Recorder::new(&settings.name));
+        let incarnation = ProcessIncarnation::draw();
+        let (shares, share_queue) = Shares::new(&settings.name, incarnation);
         Self {
-            incarnation: ProcessIncarnation::draw(),
+            incarnation,
             draining: AtomicBool::new(false),
             rules: Arc::new(RulesInForce::new(rules, Arc::clone(&timeline))),
             peers: Arc::default(),
@@ -71,11 +82,25 @@
             servers: Servers::new(&settings),
             body_budget: Arc::new(BodyBudget::new(settings.max_buffered_bytes)),
             timeline,
+            shares,
+            share_queue: Mutex::new(Some(share_queue)),
+            slots: Mutex::default(),
             retry_budget: Mutex::default(),
             settings,
         }
     }
 
+    /// Takes the queue of messages about shares; the first caller gets it.
+    pub(super) fn take_share_queue(&self) -> Option<UnboundedReceiver<Posted>> {
+        let queue = self.share_queue.lock();
+        queue.unwrap_or_else(PoisonError::into_inner).take()
+    }
+
+    /// Slots of rates that this entry holds.
+    pub(super) fn lock_slots(&self) -> MutexGuard<'_, Option<HeldSlots>> {
+        self.slots.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Bound on the retries of this entry.
     pub fn lock_retry_budget(&self) -> MutexGuard<'_, RetryBudget> {
         let budget = self.retry_budget.lock();
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -6,16 +6,20 @@
 use tarpc::context::Context;
 
 use super::EntryContext;
+use super::share_exchange::spawn_share_tasks;
 use crate::config::ConfigKeeper;
 use crate::core::Revision;
 use crate::core::config::RulesRecord;
 use crate::core::config::RulesUpdate;
+use crate::core::limit::Origin;
+use crate::core::limit::ShareMessage;
 use crate::peer::ControlThread;
 use crate::peer::Peer;
 use crate::peer::PeerError;
 use crate::peer::PeerStatus;
 use crate::peer::RevisionNotice;
 use crate::peer::Role;
+use crate::peer::ShareReply;
 use crate::peer::accept_peers;
 use crate::peer::serve_connection;
 use crate::threads::StartError;
@@ -60,6 +64,9 @@
     keeper.spawn(&control);
     let hosts = Arc::clone(&cx.hosts);
     control.spawn(hosts.follow(cx.settings.platform.clone()));
+    if let Some(queue) = cx.take_share_queue() {
+        spawn_share_tasks(cx, &control, queue);
+    }
     Ok(control)
 }
 
@@ -101,4 +108,17 @@
     async fn offer_rules(self, _: Context, record: RulesRecord) -> Result<Revision, PeerError> {
         self.0.rules.take_offer(record)
     }
+
+    async fn exchange_shares(
+        self,
+        _: Context,
+        from: Origin,
+        message: ShareMessage,
+    ) -> Result<ShareReply, PeerError> {
+        let shares = &self.0.shares;
+        Ok(ShareReply {
+            run: shares.origin().run,
+            messages: shares.receive(from, vec![message]),
+        })
+    }
 }
--- a/src/entry/handle.rs
+++ b/src/entry/handle.rs
@@ -14,9 +14,14 @@
 use super::ErrorCode;
 use super::authenticate::authenticate;
 use super::caller_request::CallerRequest;
+use super::key_watch::KeyWatch;
+use super::key_watch::refuse_withdrawn;
+use super::meter::Meter;
+use super::meter::estimate_tokens;
 use super::once::serve_once;
 use super::once_store::OnceStore;
 use super::planner::Planner;
+use crate::core::Outcome;
 use crate::core::RequestId;
 use crate::http::AnswerBody;
 use crate::http::BodyReadError;
@@ -81,6 +86,22 @@
         &mut share,
     );
     let body = body.await.map_err(explain_body_error)?;
+    let mut req = CallerRequest::new(&head, body);
+    let pool = rules.find_pool(&route.pool);
+    let is_for_engine = pool.is_some_and(|pool| pool.model.is_some());
+    let mut key = KeyWatch::new(&cx.rules, principal.clone());
+    let meter = match &principal {
+        Some(principal) => {
+            let output = cx.settings.share.output_tokens;
+            let tokens = estimate_tokens(&req.body, is_for_engine, output);
+            let admitted = tokio::select! {
+                admitted = Meter::admit(cx, &principal.account, tokens) => admitted,
+                () = key.wait() => Err(refuse_withdrawn(Outcome::NotRun)),
+            };
+            Some(admitted?)
+        }
+        None => None,
+    };
     let account = principal
         .as_ref()
         .map(|principal| principal.account.clone());
@@ -95,17 +116,16 @@
         principal,
         request,
         deadline,
+        key,
     };
-    let mut req = CallerRequest::new(&head, body);
-    let pool = rules.find_pool(&route.pool);
-    if pool.is_some_and(|pool| pool.model.is_some()) {
+    if is_for_engine {
         let limit = cx.settings.max_prompt_bytes;
         req.prepare_for_engine(planner.cache_salt(), route.priority, limit)?;
     }
     if route.once {
-        serve_once(planner, reach.once.as_ref(), req).await
+        serve_once(planner, reach.once.as_ref(), req, meter).await
     } else {
-        planner.run(req).await
+        planner.run(req, meter).await
     }
 }
 
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -10,6 +10,8 @@
 mod control;
 mod error_code;
 mod handle;
+mod key_watch;
+mod meter;
 mod once;
 mod once_lease;
 mod once_store;
@@ -18,6 +20,9 @@
 mod resumer;
 mod run;
 mod servers;
+mod share_exchange;
+mod shares;
+mod slot_keeper;
 
 pub use answer_error::AnswerError;
 pub use context::EntryContext;
--- a/src/entry/once.rs
+++ b/src/entry/once.rs
@@ -14,6 +14,7 @@
 use super::attempt::Answer;
 use super::caller_request::CallerRequest;
 use super::choice::Choice;
+use super::meter::Meter;
 use super::once_store::OnceStore;
 use super::planner::Planner;
 use super::planner::refuse_without_server;
@@ -52,6 +53,7 @@
     planner: Planner,
     store: Option<&OnceStore>,
     req: CallerRequest,
+    meter: Option<Meter>,
 ) -> CallerAnswer {
     let key = read_key(&planner, &req)?;
     let store = store.ok_or_else(|| explain(OnceError::StoreDown))?;
@@ -68,6 +70,7 @@
         choice: None,
         pending: None,
         reply: Some(reply),
+        meter,
     };
     store.spawn(run.run());
     answer.await.unwrap_or_else(|_| {
@@ -111,6 +114,8 @@
     /// attempt is made.
     pending: Option<CallerAnswer>,
     reply: Option<oneshot::Sender<CallerAnswer>>,
+    /// Charge of the request; none on an open route.
+    meter: Option<Meter>,
 }
 
 impl OnceRun {
@@ -135,6 +140,7 @@
                 OnceAction::Send(attempt) => self.send(attempt).await,
                 OnceAction::Answer(kept) => {
                     self.pending = Some(Ok(build_response(&kept, self.planner.request)));
+                    self.refund();
                     self.reply_pending();
                     OnceEvent::Refused
                 }
@@ -195,6 +201,10 @@
         drop(choice);
         match body {
             Ok(body) => {
+                if let Some(meter) = &mut self.meter {
+                    meter.read_chunk(&body);
+                    meter.finish();
+                }
                 self.record(EventKind::Ended(Outcome::Ran));
                 let whole = KeptAnswer {
                     status,
@@ -220,10 +230,20 @@
         };
         let answer = self.pending.take();
         let answer = answer.unwrap_or_else(|| Err(explain(OnceError::StoreDown)));
+        if matches!(&answer, Err(e) if e.outcome == Outcome::NotRun) {
+            self.refund();
+        }
         // A caller that went away needs no answer.
         let _ = reply.send(answer);
     }
 
+    /// Returns the charge of a request that did not run this time.
+    fn refund(&mut self) {
+        if let Some(meter) = self.meter.take() {
+            meter.refund();
+        }
+    }
+
     fn record(&self, kind: EventKind) {
         let timeline = &self.planner.cx.timeline;
         timeline.record(Some(self.planner.request), kind);
--- a/src/entry/planner.rs
+++ b/src/entry/planner.rs
@@ -16,6 +16,10 @@
 use super::authenticate::Principal;
 use super::caller_request::CallerRequest;
 use super::choice::Choice;
+use super::key_watch::KeyWatch;
+use super::key_watch::refuse_withdrawn;
+use super::meter::Meter;
+use super::relay_answer::Watched;
 use super::relay_answer::relay_answer;
 use super::resumer::Resumer;
 use crate::core::CacheSalt;
@@ -51,6 +55,8 @@
     pub request: RequestId,
     /// When the answer must have begun.
     pub deadline: Instant,
+    /// Whether the key of the request still opens its account.
+    pub key: KeyWatch,
 }
 
 impl Planner {
@@ -61,21 +67,51 @@
     /// # Errors
     ///
     /// No attempt was answered.
-    pub async fn run(&self, req: CallerRequest) -> Result<Response<AnswerBody>, AnswerError> {
+    pub async fn run(
+        &self,
+        req: CallerRequest,
+        meter: Option<Meter>,
+    ) -> Result<Response<AnswerBody>, AnswerError> {
+        let answered = self.find_answer(&req).await;
+        let (answer, resumer) = match answered {
+            Ok(found) => found,
+            Err(error) => {
+                if let Some(meter) = meter.filter(|_| error.outcome == Outcome::NotRun) {
+                    meter.refund();
+                }
+                return Err(error);
+            }
+        };
+        let cx = Arc::clone(&self.cx);
+        let key = self.key.clone();
+        let watched = Watched { key, meter };
+        Ok(relay_answer(cx, resumer, answer, watched))
+    }
+
+    /// Makes attempts until one is answered.
+    async fn find_answer(&self, req: &CallerRequest) -> Result<(Answer, Resumer), AnswerError> {
         let mut tried = Vec::new();
         let mut attempt = 1;
         let mut may_have_run = false;
         let mut was_cut_off = false;
         loop {
-            let mut choice = self.choose(&req, &mut tried);
+            if self.key.is_withdrawn() {
+                return Err(refuse_withdrawn(Outcome::NotRun).or_unknown(may_have_run));
+            }
+            let mut choice = self.choose(req, &mut tried);
             if choice.is_none() && was_cut_off {
                 tried.clear();
-                choice = self.choose(&req, &mut tried);
+                choice = self.choose(req, &mut tried);
             }
             let Some(choice) = choice else {
                 return Err(refuse_without_server().or_unknown(may_have_run));
             };
-            let e = match self.attempt(attempt, &choice, &req).await {
+            let mut key = self.key.clone();
+            let attempted = tokio::select! {
+                attempted = self.attempt(attempt, &choice, req) => attempted,
+                () = key.wait() => return Err(refuse_withdrawn(Outcome::Unknown)),
+            };
+            let e = match attempted {
                 Ok(answer) => {
                     let resumer = Resumer {
                         client: self.client.clone(),
@@ -83,7 +119,7 @@
                         choice,
                         resumes: 0,
                     };
-                    return Ok(relay_answer(Arc::clone(&self.cx), resumer, answer));
+                    return Ok((answer, resumer));
                 }
                 Err(e) => e,
             };
--- a/src/entry/relay_answer.rs
+++ b/src/entry/relay_answer.rs
@@ -12,8 +12,12 @@
 use super::answer_error::OUTCOME_HEADER;
 use super::answer_error::REQUEST_ID_HEADER;
 use super::attempt::Answer;
+use super::key_watch::KeyWatch;
+use super::key_watch::refuse_withdrawn;
+use super::meter::Meter;
 use super::resumer::Resumer;
 use crate::core::Outcome;
+use crate::core::Refusal;
 use crate::core::RequestId;
 use crate::http::AnswerBody;
 use crate::http::BodySender;
@@ -33,6 +37,7 @@
     cx: Arc<EntryContext>,
     resumer: Resumer,
     answer: Answer,
+    watched: Watched,
 ) -> Response<AnswerBody> {
     let request = resumer.envelope.request;
     let (tx, body) = ChannelBody::new(CHUNKS_IN_FLIGHT);
@@ -51,6 +56,7 @@
         next_number: 0,
         saw_end: false,
         tx,
+        watched,
     };
     tokio::spawn(relay.run(answer.frames));
     builder.body(body.boxed_unsync()).unwrap_or_else(|_| {
@@ -59,6 +65,15 @@
     })
 }
 
+/// What is watched while an answer is passed on.
+#[derive(Debug)]
+pub struct Watched {
+    /// Whether the key of the request still opens its account.
+    pub key: KeyWatch,
+    /// Charge of the request; none on an open route.
+    pub meter: Option<Meter>,
+}
+
 struct Relay {
     cx: Arc<EntryContext>,
     request: RequestId,
@@ -67,6 +82,7 @@
     next_number: u64,
     saw_end: bool,
     tx: BodySender,
+    watched: Watched,
 }
 
 /// What to do after a frame.
@@ -74,6 +90,7 @@
     Continue,
     Complete,
     Fail(String),
+    KeyWithdrawn,
     CallerGone,
 }
 
@@ -85,6 +102,7 @@
                 () = self.tx.closed() => {
                     return self.end(EventKind::CallerGone);
                 }
+                () = self.watched.key.wait() => return self.withdraw().await,
             };
             let step = match frame {
                 Ok(frame) => self.pass(frame).await,
@@ -104,6 +122,7 @@
                     return frames.finish().await;
                 }
                 Step::Fail(reason) => return self.fail(&reason).await,
+                Step::KeyWithdrawn => return self.withdraw().await,
                 Step::CallerGone => return self.end(EventKind::CallerGone),
             }
         }
@@ -132,19 +151,31 @@
                     return Step::Fail("event is not text".into());
                 };
                 self.saw_end = data == END_OF_STREAM;
+                if let Some(meter) = &mut self.watched.meter {
+                    meter.read_event(data);
+                }
                 let written = write_event(&event.number.to_string(), "", data);
                 self.forward(written).await
             }
-            Frame::Body(chunk) => self.forward(chunk).await,
+            Frame::Body(chunk) => {
+                if let Some(meter) = &mut self.watched.meter {
+                    meter.read_chunk(&chunk);
+                }
+                self.forward(chunk).await
+            }
             Frame::End(report) => {
                 self.cx.observe(&self.resumer.choice.name, report);
                 if self.streamed && !self.saw_end {
                     return Step::Fail("stream without its end".into());
                 }
+                if let Some(meter) = &mut self.watched.meter {
+                    meter.finish();
+                }
                 Step::Complete
             }
             Frame::Heartbeat => Step::Continue,
             Frame::Failed(_, reason) => Step::Fail(reason),
+            Frame::Refused(Refusal::KeyWithdrawn, _) => Step::KeyWithdrawn,
             Frame::Accepted(_) | Frame::Refused(..) | Frame::Head(_) => {
                 Step::Fail("second head".into())
             }
@@ -159,13 +190,23 @@
         }
     }
 
-    /// Ends a stream with an error event; cuts any other body.
     async fn fail(self, reason: &str) {
         log::warn!("entry: Answer of request {} broke: {reason}.", self.request);
-        self.end(EventKind::Ended(Outcome::Unknown));
+        let message = format!("The answer broke off: {reason}.");
+        let error = AnswerError::new(ErrorCode::AnswerCut, Outcome::Unknown, message);
+        self.end_with(error).await;
+    }
+
+    /// Stops a request whose key has been withdrawn.
+    async fn withdraw(self) {
+        log::info!("entry: Key of request {} was withdrawn.", self.request);
+        self.end_with(refuse_withdrawn(Outcome::Ran)).await;
+    }
+
+    /// Ends a stream with an error event; cuts any other body.
+    async fn end_with(self, error: AnswerError) {
+        self.end(EventKind::Ended(error.outcome));
         if self.streamed {
-            let message = format!("The answer broke off: {reason}.");
-            let error = AnswerError::new(ErrorCode::AnswerCut, Outcome::Unknown, message);
             self.tx.send(error.to_event(self.request)).await;
         } else {
             self.tx.cut().await;
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -14,6 +14,7 @@
 use super::handle::Reach;
 use super::handle::handle_request;
 use super::once_store::OnceStore;
+use super::slot_keeper::hand_over_slots;
 use crate::core::Revision;
 use crate::http::Client;
 use crate::http::serve;
@@ -97,10 +98,12 @@
         cx.draining.store(true, Ordering::Release);
         cx.timeline.record(None, EventKind::Draining);
         log::info!("entry: Draining.");
+        cx.shares.change(|limiter, now| limiter.leave(now));
         sleep(linger).await;
     });
     drain_tx.send_replace(true);
     join_threads(threads);
+    build_runtime()?.block_on(hand_over_slots(&cx));
     drop(control);
     log::info!("entry: Stopped.");
     Ok(())
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -21,6 +21,7 @@
 mod revision_exchange;
 mod serve_peers;
 mod service;
+mod share_reply;
 mod status;
 
 pub use call_error::CallError;
@@ -34,5 +35,8 @@
 pub use serve_peers::serve_connection;
 pub use service::Peer;
 pub use service::PeerClient;
+pub use service::PeerRequest;
+pub use service::PeerResponse;
+pub use share_reply::ShareReply;
 pub use status::PeerStatus;
 pub use status::Role;
--- a/src/peer/peers.rs
+++ b/src/peer/peers.rs
@@ -210,11 +210,14 @@
     use tokio::net::TcpListener;
     use tokio::task::JoinHandle;
 
+    use super::super::ShareReply;
     use super::*;
     use crate::core::ProcessIncarnation;
     use crate::core::Revision;
     use crate::core::config::RulesRecord;
     use crate::core::config::RulesUpdate;
+    use crate::core::limit::Origin;
+    use crate::core::limit::ShareMessage;
     use crate::peer::Peer;
     use crate::peer::PeerStatus;
     use crate::peer::RevisionNotice;
@@ -272,6 +275,15 @@
         async fn offer_rules(self, _: Context, _: RulesRecord) -> Result<Revision, PeerError> {
             Err(PeerError::NotServed)
         }
+
+        async fn exchange_shares(
+            self,
+            _: Context,
+            _: Origin,
+            _: ShareMessage,
+        ) -> Result<ShareReply, PeerError> {
+            Err(PeerError::NotServed)
+        }
     }
 
     struct Server {
--- a/src/peer/service.rs
+++ b/src/peer/service.rs
@@ -5,9 +5,12 @@
 use super::PeerError;
 use super::PeerStatus;
 use super::RevisionNotice;
+use super::ShareReply;
 use crate::core::Revision;
 use crate::core::config::RulesRecord;
 use crate::core::config::RulesUpdate;
+use crate::core::limit::Origin;
+use crate::core::limit::ShareMessage;
 use crate::timeline::EventPage;
 use crate::timeline::EventQuery;
 
@@ -29,4 +32,8 @@
 
     /// Hands over rules; the reply is the revision in force afterwards.
     async fn offer_rules(record: RulesRecord) -> Result<Revision, PeerError>;
+
+    /// Hands over a message about shares of rates; the reply carries those
+    /// messages that answer it.
+    async fn exchange_shares(from: Origin, message: ShareMessage) -> Result<ShareReply, PeerError>;
 }
--- a/src/settings/entry.rs
+++ b/src/settings/entry.rs
@@ -13,6 +13,7 @@
 use super::Section;
 use super::ServerSettings;
 use super::SettingsError;
+use super::ShareSettings;
 use super::TrafficSettings;
 use super::section::read_json;
 
@@ -44,6 +45,8 @@
     pub max_prompt_bytes: usize,
     /// Bytes that the bodies of all requests being read take together.
     pub max_buffered_bytes: usize,
+    /// Part in the rates of client accounts.
+    pub share: ShareSettings,
     /// Time for which records of requests that may run at most once are kept.
     pub once_retention: Duration,
     /// Rules that are in force until the platform's store has given newer ones.
@@ -97,6 +100,7 @@
                 DEFAULT_MAX_BUFFERED_BYTES,
                 MIN_BUFFERED_BYTES..=MAX_BUFFERED_BYTES,
             ),
+            share: section.take_section("share", ShareSettings::read),
             once_retention: Duration::from_secs(section.take_number(
                 "once_retention_s",
                 DEFAULT_RETENTION_S,
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -9,6 +9,7 @@
 mod platform;
 mod section;
 mod server;
+mod share;
 mod traffic;
 
 pub use agent::AgentSettings;
@@ -22,4 +23,5 @@
 pub use platform::PlatformSettings;
 pub use section::Section;
 pub use server::ServerSettings;
+pub use share::ShareSettings;
 pub use traffic::TrafficSettings;
