Index an engine's cache from its events

Late, reordered and lost events: a gap drops all that was known before it, events of another run are left out, a change of run or weights drops all.

Guards taken out once, each seen to fail its tests: dropping at a gap (apply_gap_*), the run of a batch (apply_late_event_of_dead_run), the number of a late event (apply_late_batch_*), the order within a batch (apply_reordered_events), dropping on another identity (set_identity_other_drops_all).

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -13,6 +13,7 @@
 pub mod once;
 mod outcome;
 pub mod placement;
+pub mod prefix_index;
 mod process_incarnation;
 mod refusal;
 mod report;
--- /dev/null
+++ b/src/core/prefix_index/index.rs
@@ -0,0 +1,272 @@
+//! Index of the blocks that an engine has cached.
+
+use std::collections::HashSet;
+
+use super::CacheEvent;
+use super::CacheEventBatch;
+use crate::core::placement::BlockHash;
+use crate::core::placement::CacheIdentity;
+
+/// Index of the blocks that an engine has cached, from its events, which come
+/// late, with gaps and out of order. It may miss blocks that are cached; it
+/// holds none of which an eviction may have been lost, and none of another run
+/// of the engine or of other weights.
+#[derive(Debug, Default)]
+pub struct PrefixIndex {
+    identity: CacheIdentity,
+    next: u64,
+    blocks: HashSet<BlockHash>,
+}
+
+/// What became of a batch of events.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Applied {
+    /// All new events were taken in.
+    Whole,
+    /// Events were lost before some of them; all that was known before the
+    /// loss is dropped.
+    AfterGap,
+    /// They are of another run of the engine, and were left out.
+    OtherRun,
+}
+
+impl PrefixIndex {
+    /// Sets the run and weights of the engine. Where they differ from before,
+    /// all blocks are dropped; events of another run are left out from now on.
+    pub fn set_identity(&mut self, identity: CacheIdentity) {
+        if self.identity == identity {
+            return;
+        }
+        if self.identity.engine != identity.engine {
+            self.next = 0;
+        }
+        self.identity = identity;
+        self.blocks.clear();
+    }
+
+    /// Returns the run and weights of the engine.
+    pub fn identity(&self) -> CacheIdentity {
+        self.identity
+    }
+
+    /// Returns the number of the event to ask for next.
+    pub fn next(&self) -> u64 {
+        self.next
+    }
+
+    /// Returns the number of blocks known to be cached.
+    pub fn len(&self) -> usize {
+        self.blocks.len()
+    }
+
+    /// Tells whether no block is known to be cached.
+    pub fn is_empty(&self) -> bool {
+        self.blocks.is_empty()
+    }
+
+    /// Takes in events.
+    pub fn apply(&mut self, batch: &CacheEventBatch) -> Applied {
+        if self.identity.engine != Some(batch.incarnation) {
+            return Applied::OtherRun;
+        }
+        let mut applied = self.skip_to(batch.first);
+        let mut events: Vec<&CacheEvent> = batch.events.iter().collect();
+        events.sort_by_key(|event| event.seq);
+        for event in events {
+            if event.seq < self.next {
+                continue;
+            }
+            if self.skip_to(event.seq) == Applied::AfterGap {
+                applied = Applied::AfterGap;
+            }
+            self.take_in(event);
+            self.next = event.seq + 1;
+        }
+        if self.skip_to(batch.next) == Applied::AfterGap {
+            applied = Applied::AfterGap;
+        }
+        applied
+    }
+
+    /// Returns how many leading blocks of a prompt are known to be cached.
+    pub fn count_prefix(&self, blocks: &[BlockHash]) -> usize {
+        let held = blocks.iter();
+        held.take_while(|block| self.blocks.contains(block)).count()
+    }
+
+    /// Goes on at a number; if that leaves events out, evictions may be among
+    /// them, and no block is trusted any more.
+    fn skip_to(&mut self, seq: u64) -> Applied {
+        if seq <= self.next {
+            return Applied::Whole;
+        }
+        self.blocks.clear();
+        self.next = seq;
+        Applied::AfterGap
+    }
+
+    fn take_in(&mut self, event: &CacheEvent) {
+        if event.cleared {
+            self.blocks.clear();
+        }
+        for block in &event.removed {
+            self.blocks.remove(block);
+        }
+        self.blocks.extend(&event.stored);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use rstest::rstest;
+
+    use super::*;
+    use crate::core::CacheSalt;
+    use crate::core::EngineIncarnation;
+    use crate::core::WeightsVersion;
+    use crate::core::placement::hash_blocks;
+
+    fn identity(engine: u64, weights: u64) -> CacheIdentity {
+        CacheIdentity {
+            engine: Some(EngineIncarnation(engine)),
+            weights: Some(WeightsVersion(weights)),
+        }
+    }
+
+    fn make_index() -> PrefixIndex {
+        let mut index = PrefixIndex::default();
+        index.set_identity(identity(1, 1));
+        index
+    }
+
+    fn blocks(numbers: &[u64]) -> Vec<BlockHash> {
+        numbers.iter().copied().map(BlockHash).collect()
+    }
+
+    fn store(seq: u64, numbers: &[u64]) -> CacheEvent {
+        CacheEvent {
+            seq,
+            stored: blocks(numbers),
+            ..CacheEvent::default()
+        }
+    }
+
+    fn remove(seq: u64, numbers: &[u64]) -> CacheEvent {
+        CacheEvent {
+            seq,
+            removed: blocks(numbers),
+            ..CacheEvent::default()
+        }
+    }
+
+    fn batch(engine: u64, first: u64, next: u64, events: Vec<CacheEvent>) -> CacheEventBatch {
+        CacheEventBatch {
+            incarnation: EngineIncarnation(engine),
+            first,
+            next,
+            events,
+        }
+    }
+
+    #[test]
+    fn apply_stored_and_removed() {
+        let mut index = make_index();
+        let events = vec![store(0, &[1, 2, 3]), remove(1, &[3])];
+        assert_eq!(index.apply(&batch(1, 0, 2, events)), Applied::Whole);
+        assert_eq!(index.count_prefix(&blocks(&[1, 2, 3])), 2);
+        assert_eq!(index.next(), 2);
+    }
+
+    #[test]
+    fn apply_gap_before_batch_drops_all() {
+        let mut index = make_index();
+        index.apply(&batch(1, 0, 1, vec![store(0, &[1])]));
+        let after = batch(1, 3, 4, vec![store(3, &[2])]);
+        assert_eq!(index.apply(&after), Applied::AfterGap);
+        assert_eq!(index.count_prefix(&blocks(&[1])), 0);
+        assert_eq!(index.count_prefix(&blocks(&[2])), 1);
+    }
+
+    #[test]
+    fn apply_gap_within_batch_drops_all() {
+        let mut index = make_index();
+        let events = vec![store(0, &[1]), store(2, &[2])];
+        assert_eq!(index.apply(&batch(1, 0, 3, events)), Applied::AfterGap);
+        assert_eq!(index.count_prefix(&blocks(&[1])), 0);
+    }
+
+    #[test]
+    fn apply_gap_at_end_drops_all() {
+        let mut index = make_index();
+        let lost_last = batch(1, 0, 3, vec![store(0, &[1])]);
+        assert_eq!(index.apply(&lost_last), Applied::AfterGap);
+        assert_eq!(index.count_prefix(&blocks(&[1])), 0);
+    }
+
+    #[test]
+    fn apply_reordered_events() {
+        let mut index = make_index();
+        let events = vec![remove(1, &[1]), store(0, &[1])];
+        assert_eq!(index.apply(&batch(1, 0, 2, events)), Applied::Whole);
+        assert_eq!(index.count_prefix(&blocks(&[1])), 0);
+    }
+
+    #[test]
+    fn apply_late_batch_does_not_bring_evicted_block_back() {
+        let mut index = make_index();
+        let early = batch(1, 0, 1, vec![store(0, &[1])]);
+        index.apply(&early);
+        index.apply(&batch(1, 1, 2, vec![remove(1, &[1])]));
+        index.apply(&early);
+        assert_eq!(index.count_prefix(&blocks(&[1])), 0);
+    }
+
+    #[rstest]
+    #[case::engine_restarted(identity(2, 1))]
+    #[case::weights_changed(identity(1, 2))]
+    fn set_identity_other_drops_all(#[case] other: CacheIdentity) {
+        let mut index = make_index();
+        index.apply(&batch(1, 0, 1, vec![store(0, &[1])]));
+        index.set_identity(other);
+        assert_eq!(index.count_prefix(&blocks(&[1])), 0);
+    }
+
+    #[test]
+    fn apply_late_event_of_dead_run() {
+        let mut index = make_index();
+        index.set_identity(identity(2, 1));
+        let late = batch(1, 0, 1, vec![store(0, &[1])]);
+        assert_eq!(index.apply(&late), Applied::OtherRun);
+        assert_eq!(index.count_prefix(&blocks(&[1])), 0);
+    }
+
+    #[test]
+    fn apply_cleared() {
+        let mut index = make_index();
+        index.apply(&batch(1, 0, 1, vec![store(0, &[1])]));
+        let cleared = CacheEvent {
+            seq: 1,
+            cleared: true,
+            ..CacheEvent::default()
+        };
+        index.apply(&batch(1, 1, 2, vec![cleared]));
+        assert!(index.is_empty());
+    }
+
+    #[test]
+    fn count_prefix_same_prompt_of_two_accounts() {
+        let text = vec![b'm'; 1_024];
+        let hash = |account: &str| -> Vec<BlockHash> {
+            let salt = CacheSalt::of_account(&account.into());
+            hash_blocks(Some(salt), &text).collect()
+        };
+        let mut index = make_index();
+        let stored = CacheEvent {
+            stored: hash("guild"),
+            ..CacheEvent::default()
+        };
+        index.apply(&batch(1, 0, 1, vec![stored]));
+        assert_eq!(index.count_prefix(&hash("guild")), 4);
+        assert_eq!(index.count_prefix(&hash("other")), 0);
+    }
+}
