--- a/src/core/placement/cost_rates.rs
+++ b/src/core/placement/cost_rates.rs
@@ -11,9 +11,13 @@
     pub wait_per_running: Duration,
     /// Round trip to a server in another availability zone.
     pub zone_round_trip: Duration,
-    /// Weight of the time an engine spends on recomputation: above one, as
-    /// that time also delays the requests after this one.
+    /// Weight of the time an engine spends on recomputation beyond its own
+    /// delay: that time also delays the requests after this one, and what is
+    /// computed evicts something else.
     pub recompute_weight: f64,
+    /// Recent requests with a prefix at which that weight is halved: the more
+    /// of them, the more will use a new copy.
+    pub reuse_requests: f64,
     /// Share of a prefix that the rendezvous winner is expected to hold
     /// though this entry never sent it there.
     pub rendezvous_share: f64,
@@ -35,7 +39,8 @@
             prefill_tokens_per_second: 15_000.0,
             wait_per_running: Duration::from_millis(2),
             zone_round_trip: Duration::from_millis(1),
-            recompute_weight: 8.0,
+            recompute_weight: 48.0,
+            reuse_requests: 3.0,
             rendezvous_share: 0.9,
             second_share: 0.5,
             home_share: 1.0,
@@ -44,3 +49,23 @@
         }
     }
 }
+
+impl CostRates {
+    /// Returns the weight of the time to compute a prefix that recently came
+    /// with so many requests.
+    pub fn weigh_recompute(&self, requests: f64) -> f64 {
+        1.0 + self.recompute_weight / (1.0 + requests / self.reuse_requests)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn weigh_recompute_falls_with_use() {
+        let rates = CostRates::default();
+        assert!(rates.weigh_recompute(100.0) < rates.weigh_recompute(1.0) / 10.0);
+        assert!(rates.weigh_recompute(1e9) >= 1.0);
+    }
+}
--- a/src/core/placement/learned_table.rs
+++ b/src/core/placement/learned_table.rs
@@ -29,13 +29,22 @@
     used_ms: u32,
 }
 
+/// Recent traffic of a prefix.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Traffic {
+    /// Recent requests, older ones faded.
+    pub requests: f64,
+    /// They are too many for one server.
+    pub is_heavy: bool,
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Slot {
     hash: BlockHash,
     used_ms: u32,
     /// Recent requests, each fading by [`TRAFFIC_FADE_MS`].
     traffic: f32,
-    is_split: bool,
+    is_heavy: bool,
     holders: [Option<Holder>; HOLDERS],
 }
 
@@ -72,18 +81,21 @@
 
     /// Counts a request with a prefix, and tells whether the prefix brings too
     /// much traffic for one server: more than `most`, with some hysteresis.
-    pub fn count_traffic(&mut self, hash: BlockHash, most: f64, now: MonotonicTime) -> bool {
+    pub fn count_traffic(&mut self, hash: BlockHash, most: f64, now: MonotonicTime) -> Traffic {
         let used_ms = to_millis(now);
         let slot = self.take_slot(hash, used_ms);
         slot.traffic = fade(slot.traffic, used_ms.saturating_sub(slot.used_ms)) + 1.0;
         slot.used_ms = used_ms;
-        let factor = if slot.is_split {
+        let factor = if slot.is_heavy {
             1.0 - SPLIT_MARGIN
         } else {
             1.0 + SPLIT_MARGIN
         };
-        slot.is_split = f64::from(slot.traffic) > most * factor;
-        slot.is_split
+        slot.is_heavy = f64::from(slot.traffic) > most * factor;
+        Traffic {
+            requests: f64::from(slot.traffic),
+            is_heavy: slot.is_heavy,
+        }
     }
 
     /// Forgets that a server holds a prefix.
@@ -134,7 +146,7 @@
             hash,
             used_ms,
             traffic: 0.0,
-            is_split: false,
+            is_heavy: false,
             holders: [None; HOLDERS],
         })
     }
@@ -249,9 +261,9 @@
     #[test]
     fn count_traffic_splits_heavy_prefix() {
         let mut table = LearnedTable::new(64);
-        let is_split = (0..30).any(|_| table.count_traffic(BlockHash(1), 20.0, at(1)));
-        assert!(is_split);
-        assert!(!table.count_traffic(BlockHash(2), 20.0, at(1)));
+        let is_heavy = (0..30).any(|_| table.count_traffic(BlockHash(1), 20.0, at(1)).is_heavy);
+        assert!(is_heavy);
+        assert!(!table.count_traffic(BlockHash(2), 20.0, at(1)).is_heavy);
     }
 
     #[test]
@@ -260,7 +272,7 @@
         for _ in 0..30 {
             table.count_traffic(BlockHash(1), 20.0, at(1));
         }
-        assert!(table.count_traffic(BlockHash(1), 20.0, at(2)));
-        assert!(!table.count_traffic(BlockHash(1), 20.0, at(60)));
+        assert!(table.count_traffic(BlockHash(1), 20.0, at(2)).is_heavy);
+        assert!(!table.count_traffic(BlockHash(1), 20.0, at(60)).is_heavy);
     }
 }
--- a/src/core/placement/planned_pool.rs
+++ b/src/core/placement/planned_pool.rs
@@ -6,7 +6,7 @@
 
 /// Requests that an entry is taken to have seen before its first, so that the
 /// first ones do not look like heavy traffic.
-const PRIOR_TRAFFIC: f32 = 100.0;
+const PRIOR_TRAFFIC: f32 = 20.0;
 
 /// Servers of one pool and the traffic to them.
 #[derive(Debug, Default)]
--- a/src/core/placement/planner.rs
+++ b/src/core/placement/planner.rs
@@ -1,5 +1,6 @@
 //! Chooses servers by the predicted time to the first token.
 
+use std::cmp::Reverse;
 use std::collections::HashMap;
 
 use slotmap::SecondaryMap;
@@ -26,6 +27,28 @@
 /// shorter.
 const MIN_HOME_BLOCKS: u32 = 32;
 
+/// Share of a prompt that a heavy prefix must cover to be spread over several
+/// home servers.
+const LEAST_SHARED: f64 = 0.75;
+
+/// Home servers of one prefix at most.
+const MAX_HOMES: usize = 16;
+
+/// What chooses the home servers of a prompt.
+#[derive(Debug, Clone, Copy)]
+struct Home {
+    prefix: BlockHash,
+    servers: usize,
+    /// Recent requests with the prefix.
+    requests: f64,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct RankedServer {
+    score: u64,
+    key: ServerKey,
+}
+
 /// Chooses servers by the predicted time to the first token, from what this
 /// entry has learned.
 #[derive(Debug)]
@@ -101,9 +124,9 @@
     /// Chooses the server with the least predicted cost; none if no server
     /// of the pool takes new work.
     pub fn plan(&mut self, request: &PlanRequest, now: MonotonicTime) -> Option<Plan> {
-        if let Some(prefix) = request.prefix {
-            self.expect_cached(prefix, request, now);
-        }
+        let prefix = request.prefix;
+        let reuse = prefix.map_or(0.0, |prefix| self.expect_cached(prefix, request, now));
+        let weight = self.rates.weigh_recompute(reuse);
         let tokens = request.prefix.map_or(0, |prefix| prefix.tokens);
         let keys = &self.pools.get(request.pool)?.keys;
         let best = keys
@@ -111,7 +134,7 @@
             .filter(|key| !request.tried.contains(key))
             .filter_map(|&key| Some((key, self.servers.get(key)?)))
             .filter(|(_, view)| view.takes_work(now))
-            .map(|(key, view)| (self.predict_cost(key, view, tokens, now), key))
+            .map(|(key, view)| (self.predict_cost(key, view, tokens, weight, now), key))
             .min_by(|a, b| a.0.total_cmp(&b.0))
             .map(|(_, key)| key);
         let plan = best.and_then(|key| self.make_plan(key, tokens, now));
@@ -157,8 +180,14 @@
 
     /// Computes for each server the tokens of a prompt that it is expected to
     /// hold: what this entry sent there, and at the home servers of the prompt
-    /// what other entries are expected to have sent.
-    fn expect_cached(&mut self, prefix: &PromptPrefix, request: &PlanRequest, now: MonotonicTime) {
+    /// what other entries are expected to have sent. Returns the recent
+    /// requests with the prefix that chose the home servers.
+    fn expect_cached(
+        &mut self,
+        prefix: &PromptPrefix,
+        request: &PlanRequest,
+        now: MonotonicTime,
+    ) -> f64 {
         self.expected.clear();
         let mut most_known = 0;
         for level in &prefix.levels {
@@ -173,70 +202,83 @@
                 }
             }
         }
-        if let Some(home) = self.find_home_level(prefix, request.pool, now) {
-            self.expect_at_homes(home, prefix.tokens, most_known, request, now);
-        }
+        let Some(home) = self.find_home(prefix, request.pool, now) else {
+            return 0.0;
+        };
+        self.expect_at_homes(home, prefix.tokens, most_known, request, now);
+        home.requests
     }
 
-    /// Finds the level that chooses the home servers of a prompt: the first
-    /// one whose traffic one server can bear. All entries see about the same
+    /// Finds what chooses the home servers of a prompt: the first level whose
+    /// traffic one server can bear, or a heavier one with several servers where
+    /// little of the prompt comes after it. All entries see about the same
     /// traffic and so agree on it.
-    fn find_home_level(
-        &mut self,
-        prefix: &PromptPrefix,
-        pool: &str,
-        now: MonotonicTime,
-    ) -> Option<BlockHash> {
+    fn find_home(&mut self, prefix: &PromptPrefix, pool: &str, now: MonotonicTime) -> Option<Home> {
         let pool = self.pools.get_mut(pool)?;
         pool.count_traffic(now);
         let most = self.rates.home_share * pool.even_traffic();
+        let mut heavy = None;
         let eligible = prefix
             .levels
             .iter()
             .filter(|level| level.blocks >= MIN_HOME_BLOCKS);
         for level in eligible {
-            if !self.learned.count_traffic(level.hash, most, now) {
-                return Some(level.hash);
+            let traffic = self.learned.count_traffic(level.hash, most, now);
+            if !traffic.is_heavy {
+                return Some(heavy.unwrap_or(Home {
+                    prefix: level.hash,
+                    servers: 1,
+                    requests: traffic.requests,
+                }));
+            }
+            if f64::from(level.tokens()) >= LEAST_SHARED * f64::from(prefix.tokens) {
+                let servers = (traffic.requests / most).ceil() as usize;
+                heavy = Some(Home {
+                    prefix: level.hash,
+                    servers: servers.clamp(1, MAX_HOMES),
+                    requests: traffic.requests,
+                });
             }
         }
-        prefix.levels.last().map(|level| level.hash)
+        let last = prefix.levels.last().map(|level| Home {
+            prefix: level.hash,
+            servers: 1,
+            requests: 1.0,
+        });
+        heavy.or(last)
     }
 
-    /// Expects a prompt at its home server, the rendezvous winner, and a part
-    /// of it at the second.
+    /// Expects a prompt at its home servers, the rendezvous winners, and a
+    /// part of it at the next in the order.
     fn expect_at_homes(
         &mut self,
-        home: BlockHash,
+        home: Home,
         tokens: u32,
         most_known: u32,
         request: &PlanRequest,
         now: MonotonicTime,
     ) {
-        let mut first = None;
-        let mut second = None;
-        for key in self
-            .pools
-            .get(request.pool)
+        let pool = self.pools.get(request.pool);
+        let mut ranked: Vec<RankedServer> = pool
             .into_iter()
             .flat_map(|pool| &pool.keys)
-        {
-            let Some(view) = self.servers.get(*key).filter(|view| view.takes_work(now)) else {
-                continue;
-            };
-            let scored = Some((score_rendezvous(home, view.seed), *key));
-            if scored > first {
-                second = first;
-                first = scored;
-            } else if scored > second {
-                second = scored;
-            }
+            .filter_map(|&key| Some((key, self.servers.get(key)?)))
+            .filter(|(_, view)| view.takes_work(now))
+            .map(|(key, view)| RankedServer {
+                score: score_rendezvous(home.prefix, view.seed),
+                key,
+            })
+            .collect();
+        let last = home.servers.min(ranked.len().saturating_sub(1));
+        if !ranked.is_empty() {
+            ranked.select_nth_unstable_by_key(last, |server| Reverse(server.score));
         }
         let share = self.rates.rendezvous_share * f64::from(tokens);
-        if let Some((_, key)) = first {
-            self.raise_expected(key, most_known.max(share as u32));
+        for server in ranked.iter().take(home.servers) {
+            self.raise_expected(server.key, most_known.max(share as u32));
         }
-        if let Some((_, key)) = second {
-            self.raise_expected(key, (share * self.rates.second_share) as u32);
+        if let Some(server) = ranked.get(home.servers) {
+            self.raise_expected(server.key, (share * self.rates.second_share) as u32);
         }
     }
 
@@ -250,11 +292,12 @@
         key: ServerKey,
         view: &ServerView,
         tokens: u32,
+        weight: f64,
         now: MonotonicTime,
     ) -> f64 {
         let compute = self.predict_compute(key, tokens);
         let wait = view.load.predict_wait(&self.rates, now);
-        wait + compute * self.rates.recompute_weight + self.predict_trip(view)
+        wait + compute * weight + self.predict_trip(view)
     }
 
     fn predict_compute(&self, key: ServerKey, tokens: u32) -> f64 {
