--- /dev/null
+++ b/lab/src/bench/policy/agent_model.rs
@@ -0,0 +1,154 @@
+//! The agent beside one engine: its fair queue and its index of the cache.
+
+use rand::RngExt;
+use rand::rngs::StdRng;
+use teaseldrum::core::EngineIncarnation;
+use teaseldrum::core::LoadReport;
+use teaseldrum::core::WeightsVersion;
+use teaseldrum::core::fair_queue::FairQueue;
+use teaseldrum::core::fair_queue::WaitingCost;
+use teaseldrum::core::placement::BLOCK_TOKENS;
+use teaseldrum::core::placement::CacheIdentity;
+use teaseldrum::core::prefix_index::CacheEvent;
+use teaseldrum::core::prefix_index::CacheEventBatch;
+use teaseldrum::core::prefix_index::PrefixIndex;
+
+use super::trace::TracedRequest;
+use crate::engine::CacheChange;
+
+const MAX_WAITING: usize = 10_000;
+
+/// Prompts that an agent lets its engine hold before their first token.
+const MAX_PREFILLS: usize = 2;
+
+/// A request that waits at an agent.
+#[derive(Debug, Clone, Copy)]
+pub struct Waiting {
+    /// Number of the attempt.
+    pub attempt: usize,
+    /// Prompt tokens expected to be computed.
+    pub uncached_tokens: u32,
+}
+
+/// The agent beside one engine.
+#[derive(Debug)]
+pub struct AgentModel {
+    queue: FairQueue<usize, Waiting>,
+    index: PrefixIndex,
+    next_event: u64,
+    prefills: usize,
+}
+
+impl AgentModel {
+    /// Creates the agent of an engine that has just started.
+    pub fn new() -> Self {
+        let mut index = PrefixIndex::default();
+        index.set_identity(identify(1));
+        Self {
+            queue: FairQueue::new(MAX_WAITING),
+            index,
+            next_event: 0,
+            prefills: 0,
+        }
+    }
+
+    /// Lets a request wait for its account's turn, at the cost that the
+    /// agent's own index tells.
+    pub fn push(&mut self, attempt: usize, request: &TracedRequest) {
+        let cached = self.index.count_prefix(&request.blocks) * BLOCK_TOKENS;
+        let uncached_tokens = request.tokens().saturating_sub(cached as u32);
+        let cost = WaitingCost {
+            tokens: u64::from(uncached_tokens) + u64::from(request.output_tokens),
+            weight: 1,
+            priority: 0,
+        };
+        let waiting = Waiting {
+            attempt,
+            uncached_tokens,
+        };
+        let pushed = self.queue.push(&request.account, cost, waiting);
+        pushed.expect("the queue has room for all requests of a run");
+    }
+
+    /// Takes the request whose turn it is, if the engine is to have another.
+    pub fn pop(&mut self) -> Option<usize> {
+        if self.prefills >= MAX_PREFILLS {
+            return None;
+        }
+        let waiting = self.queue.pop()?;
+        self.prefills += 1;
+        Some(waiting.attempt)
+    }
+
+    /// Takes note of a first token.
+    pub fn note_first_token(&mut self) {
+        self.prefills = self.prefills.saturating_sub(1);
+    }
+
+    /// Adds what waits here to the load of the engine.
+    pub fn add_load(&self, load: &mut LoadReport) {
+        load.queued += self.queue.len() as u32;
+        let tokens = self.queue.iter().map(|waiting| waiting.uncached_tokens);
+        load.queued_prompt_tokens += tokens.map(u64::from).sum::<u64>();
+    }
+
+    /// Takes in cache events.
+    pub fn apply(&mut self, batch: &CacheEventBatch) {
+        self.index.apply(batch);
+    }
+
+    /// Takes note of the engine's new run, and returns the requests that
+    /// waited.
+    pub fn restart(&mut self, incarnation: u64) -> Vec<usize> {
+        self.index.set_identity(identify(incarnation));
+        self.next_event = 0;
+        self.prefills = 0;
+        self.queue.drain().map(|waiting| waiting.attempt).collect()
+    }
+
+    /// Writes changes of the engine's cache as events, each of which is lost
+    /// with a probability.
+    pub fn write_events(
+        &mut self,
+        incarnation: u64,
+        changes: Vec<CacheChange>,
+        loss: f64,
+        rng: &mut StdRng,
+    ) -> CacheEventBatch {
+        let mut events = Vec::new();
+        let first = self.next_event;
+        for change in changes {
+            let seq = self.next_event;
+            self.next_event += 1;
+            if loss == 0.0 || !rng.random_bool(loss) {
+                events.push(make_event(seq, change));
+            }
+        }
+        CacheEventBatch {
+            incarnation: EngineIncarnation(incarnation),
+            first: events.first().map_or(first, |event| event.seq),
+            next: events.last().map_or(first, |event| event.seq + 1),
+            events,
+        }
+    }
+}
+
+fn identify(engine: u64) -> CacheIdentity {
+    CacheIdentity {
+        engine: Some(EngineIncarnation(engine)),
+        weights: Some(WeightsVersion(1)),
+    }
+}
+
+fn make_event(seq: u64, change: CacheChange) -> CacheEvent {
+    let mut event = CacheEvent {
+        seq,
+        ..CacheEvent::default()
+    };
+    match change {
+        CacheChange::Stored { blocks, .. } => event.stored = blocks,
+        CacheChange::Removed(blocks) => event.removed = blocks,
+        CacheChange::Cleared => event.cleared = true,
+    }
+    event
+}
--- a/lab/src/bench/policy/command.rs
+++ b/lab/src/bench/policy/command.rs
@@ -16,7 +16,7 @@
     /// guild or sabarmati
     #[argh(option)]
     workload: Workload,
-    /// teaseldrum, round-robin, least-loaded, consistent-hash or consistent-hash-bounded
+    /// teaseldrum, round-robin, least-loaded, consistent-hash or consistent-hash-plain
     #[argh(option)]
     policy: PolicyName,
     /// none, engine-crash, event-loss, entry-restarts, hot-shift, zone-loss or noisy-account
--- a/lab/src/bench/policy/event.rs
+++ b/lab/src/bench/policy/event.rs
@@ -3,6 +3,7 @@
 use std::cmp::Ordering;
 
 use teaseldrum::core::MonotonicTime;
+use teaseldrum::core::prefix_index::CacheEventBatch;
 
 use super::chooser::LoadNews;
 
@@ -20,6 +21,8 @@
     Report(usize),
     /// Load of a server comes to an entry, or to all.
     Learn(Option<usize>, LoadNews),
+    /// Cache events of an engine come to its agent.
+    CacheEvents(usize, CacheEventBatch),
     /// Load of an engine comes to its agent.
     EngineLoad(LoadNews),
     /// An entry learns that an attempt failed.
--- a/lab/src/bench/policy/trace.rs
+++ b/lab/src/bench/policy/trace.rs
@@ -66,6 +66,8 @@
     /// Documents of each account, the most popular first.
     ranked: Vec<Vec<usize>>,
     next_own: u64,
+    /// Makes the texts of two seeds differ.
+    text_seed: u64,
 }
 
 struct Document {
@@ -82,6 +84,7 @@
             documents: Vec::new(),
             ranked: vec![Vec::new(); sizes.account_shares.len()],
             next_own: 1 << 32,
+            text_seed: seed.wrapping_mul(0x9e37_79b9_7f4a_7c15),
         };
         source.draw_documents();
         source
@@ -128,7 +131,7 @@
         let salt = CacheSalt::of_account(&name_account(account));
         let mut blocks = prefix.to_vec();
         for number in 0..tokens as usize / BLOCK_TOKENS {
-            let text = (text_id, number as u64);
+            let text = (self.text_seed ^ text_id, number as u64);
             let mut bytes = [0; 16];
             bytes[..8].copy_from_slice(&text.0.to_le_bytes());
             bytes[8..].copy_from_slice(&text.1.to_le_bytes());
