Give orders to servers from the agent beside them

Operators write orders with teaseldrum order, by compare-and-swap; the agent follows them, compares them with the server's state again and again and gives what is due, one at a time, under a lease and with the highest store revision it knows as fencing number. For a server that ignores fencing (orders.fenced false, the default) an agent that takes the lease after another one waits out the longest order time, and a late old order is made good by the next comparison. Weight loads queue for a few places in the store (the usual etcd semaphore), and the agent sends traffic away before its load. The agent now follows the engine's state, reports its incarnation and weights and refuses attempts planned for others.

Taken out once and seen failing: wait for the predecessor, place in the queue, comparison with the state, compare-and-swap of operators, fencing number, adapter tied to the engine's run.

--- a/src/agent/context.rs
+++ b/src/agent/context.rs
@@ -10,13 +10,16 @@
 
 use super::resumes::Resumes;
 use crate::config::RulesInForce;
+use crate::core::EngineIncarnation;
 use crate::core::Envelope;
 use crate::core::LoadReport;
 use crate::core::MonotonicTime;
 use crate::core::ProcessIncarnation;
 use crate::core::Report;
+use crate::core::WeightsVersion;
 use crate::core::once::SeenAttempts;
 use crate::core::once::Sighting;
+use crate::core::order::ServerState;
 use crate::peer::HostTable;
 use crate::peer::Peers;
 use crate::rules::RuleSet;
@@ -32,6 +35,8 @@
     pub incarnation: ProcessIncarnation,
     /// The backend server takes no new work.
     pub leaving: AtomicBool,
+    /// The backend server takes no new work until it has new weights.
+    pub reloading: AtomicBool,
     /// Rules in force.
     pub rules: Arc<RulesInForce>,
     /// Calls to other processes.
@@ -44,6 +49,7 @@
     pub timeline: Arc<Recorder>,
     /// Streams that entries resumed.
     pub resumes: Resumes,
+    engine: Mutex<Option<ServerState>>,
     started: Instant,
     seen: Mutex<SeenAttempts>,
 }
@@ -57,6 +63,8 @@
             incarnation: ProcessIncarnation::draw(),
             leaving: AtomicBool::new(false),
             rules: Arc::new(rules),
+            reloading: AtomicBool::new(false),
+            engine: Mutex::default(),
             peers: Arc::default(),
             hosts: Arc::new(HostTable::new(settings.find_peers())),
             running: AtomicU32::new(0),
@@ -68,10 +76,32 @@
         }
     }
 
+    /// Tells whether the backend server takes no new work now.
+    pub fn takes_no_work(&self) -> bool {
+        self.leaving.load(Ordering::Acquire) || self.reloading.load(Ordering::Acquire)
+    }
+
+    /// Returns what the engine told about itself last, if it did.
+    pub fn engine_state(&self) -> Option<ServerState> {
+        let engine = self.engine.lock().unwrap_or_else(PoisonError::into_inner);
+        engine.clone()
+    }
+
+    /// Takes note of what the engine tells about itself.
+    pub fn note_engine_state(&self, state: ServerState) {
+        let mut engine = self.engine.lock().unwrap_or_else(PoisonError::into_inner);
+        *engine = Some(state);
+    }
+
+    /// Returns the time since the agent started.
+    pub fn now(&self) -> MonotonicTime {
+        let micros = u64::try_from(self.started.elapsed().as_micros()).unwrap_or(u64::MAX);
+        MonotonicTime::from_micros(micros)
+    }
+
     /// Takes note of an attempt of a request that may run at most once.
     pub fn note_attempt(&self, envelope: &Envelope) -> Sighting {
-        let micros = u64::try_from(self.started.elapsed().as_micros()).unwrap_or(u64::MAX);
-        let now = MonotonicTime::from_micros(micros);
+        let now = self.now();
         let mut seen = self.seen.lock().unwrap_or_else(PoisonError::into_inner);
         seen.note(envelope.request, envelope.attempt, now)
     }
@@ -84,14 +114,16 @@
 
     /// Returns what the agent tells with an answer to an attempt.
     pub fn report(&self, envelope: &Envelope) -> Report {
+        let engine = self.engine_state();
+        let engine = engine.as_ref();
         Report {
             request: envelope.request,
             attempt: envelope.attempt,
             revision: self.rules.revision(),
             agent: self.incarnation,
-            engine: None,
-            weights: None,
-            leaving: self.leaving.load(Ordering::Acquire),
+            engine: engine.map(|state| EngineIncarnation(state.incarnation)),
+            weights: engine.map(|state| WeightsVersion(state.weights)),
+            leaving: self.takes_no_work(),
             load: LoadReport {
                 running: self.running.load(Ordering::Acquire),
                 ..LoadReport::default()
--- a/src/agent/control.rs
+++ b/src/agent/control.rs
@@ -6,6 +6,8 @@
 use tarpc::context::Context;
 
 use super::AgentContext;
+use super::engine_state::follow_state;
+use super::orders::give_orders;
 use crate::config::ConfigKeeper;
 use crate::core::Revision;
 use crate::core::config::RulesRecord;
@@ -61,6 +63,10 @@
         hosts: Arc::clone(&cx.hosts),
     };
     keeper.spawn(&control);
+    if cx.settings.engine {
+        control.spawn(follow_state(Arc::clone(cx)));
+        control.spawn(give_orders(Arc::clone(cx)));
+    }
     let hosts = Arc::clone(&cx.hosts);
     control.spawn(hosts.follow(cx.settings.platform.clone()));
     Ok(control)
--- a/src/agent/gate.rs
+++ b/src/agent/gate.rs
@@ -1,7 +1,5 @@
 //! Whether an attempt may still run.
 
-use std::sync::atomic::Ordering;
-
 use super::AgentContext;
 use crate::core::Envelope;
 use crate::core::Refusal;
@@ -22,9 +20,10 @@
     if envelope.once && envelope.agent.is_none() {
         return Err(Refusal::AgentRestarted);
     }
-    if cx.leaving.load(Ordering::Acquire) {
+    if cx.takes_no_work() {
         return Err(Refusal::Leaving);
     }
+    judge_engine(cx, envelope)?;
     if is_key_withdrawn(cx, envelope) {
         return Err(Refusal::KeyWithdrawn);
     }
@@ -34,6 +33,27 @@
     Ok(())
 }
 
+/// Refuses what was planned on cache entries of another run of the engine or
+/// of other weights.
+fn judge_engine(cx: &AgentContext, envelope: &Envelope) -> Result<(), Refusal> {
+    let Some(state) = cx.engine_state() else {
+        return Ok(());
+    };
+    if envelope
+        .engine
+        .is_some_and(|run| run.0 != state.incarnation)
+    {
+        return Err(Refusal::EngineRestarted);
+    }
+    if envelope
+        .weights
+        .is_some_and(|version| version.0 != state.weights)
+    {
+        return Err(Refusal::WeightsChanged);
+    }
+    Ok(())
+}
+
 /// Judges the key anew where the agent has newer rules than the entry had;
 /// an entry with newer rules than the agent knows better.
 fn is_key_withdrawn(cx: &AgentContext, envelope: &Envelope) -> bool {
@@ -49,16 +69,21 @@
 
 #[cfg(test)]
 mod tests {
+    use std::sync::atomic::Ordering;
+
     use rstest::rstest;
     use serde_json::json;
 
     use super::*;
     use crate::core::AccountName;
+    use crate::core::EngineIncarnation;
     use crate::core::KeyDigest;
     use crate::core::ProcessIncarnation;
     use crate::core::RequestId;
     use crate::core::Revision;
+    use crate::core::WeightsVersion;
     use crate::core::config::RulesRecord;
+    use crate::core::order::ServerState;
     use crate::settings::AgentSettings;
 
     fn make_context() -> AgentContext {
@@ -113,6 +138,34 @@
         assert_eq!(judge_attempt(&cx, &envelope), Err(Refusal::AgentRestarted));
     }
 
+    #[test]
+    fn judge_attempt_other_engine_or_weights() {
+        let cx = make_context();
+        cx.note_engine_state(ServerState {
+            incarnation: 7,
+            weights: 3,
+            role: String::new(),
+        });
+        let mut envelope = make_envelope(&cx);
+        envelope.engine = Some(EngineIncarnation(7));
+        envelope.weights = Some(WeightsVersion(3));
+        assert_eq!(judge_attempt(&cx, &envelope), Ok(()));
+        envelope.weights = Some(WeightsVersion(2));
+        assert_eq!(judge_attempt(&cx, &envelope), Err(Refusal::WeightsChanged));
+        envelope.engine = Some(EngineIncarnation(6));
+        assert_eq!(judge_attempt(&cx, &envelope), Err(Refusal::EngineRestarted));
+    }
+
+    #[test]
+    fn judge_attempt_while_weights_load() {
+        let cx = make_context();
+        cx.reloading.store(true, Ordering::Release);
+        assert_eq!(
+            judge_attempt(&cx, &make_envelope(&cx)),
+            Err(Refusal::Leaving)
+        );
+    }
+
     #[test]
     fn judge_attempt_leaving() {
         let cx = make_context();
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -7,6 +7,7 @@
 mod exit;
 mod fleet;
 mod history;
+mod order;
 mod places;
 mod rules;
 mod run_role;
@@ -20,6 +21,7 @@
 use argh::FromArgs;
 
 pub use exit::Exit;
+pub use order::write_order;
 
 /// Router for language-model traffic with long shared prompts.
 #[derive(Debug, FromArgs)]
@@ -37,6 +39,7 @@
 enum Command {
     Agent(agent::AgentCommand),
     Entry(entry::EntryCommand),
+    Order(order::OrderCommand),
     Rules(rules::RulesCommand),
     Settings(settings::SettingsCommand),
     Status(status::StatusCommand),
@@ -69,6 +72,7 @@
         match self.command {
             Some(Command::Agent(command)) => command.run(),
             Some(Command::Entry(command)) => command.run(),
+            Some(Command::Order(command)) => command.run(),
             Some(Command::Rules(command)) => command.run(),
             Some(Command::Settings(command)) => command.run(),
             Some(Command::Status(command)) => command.run(),
--- /dev/null
+++ b/src/cli/order.rs
@@ -0,0 +1,104 @@
+//! `teaseldrum order`: gives an order to a backend server.
+
+use std::net::SocketAddr;
+
+use argh::FromArgs;
+use serde_json::json;
+
+use super::Exit;
+use crate::core::ServerName;
+use crate::core::order::ServerOrder;
+use crate::platform::BlockingStore;
+use crate::platform::Compare;
+use crate::platform::KeyRange;
+use crate::platform::Operation;
+use crate::platform::StoreError;
+use crate::platform::Txn;
+use crate::settings::PlatformSettings;
+use crate::settings::Section;
+
+/// Give an order to a backend server; its agent carries it out.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "order")]
+pub struct OrderCommand {
+    /// address of the platform's store; may be repeated
+    #[argh(option)]
+    store: Vec<SocketAddr>,
+    /// name of the backend server
+    #[argh(option)]
+    server: String,
+    /// version of the weights to serve
+    #[argh(option)]
+    weights: Option<u64>,
+    /// adapter to load
+    #[argh(option)]
+    adapter: Option<String>,
+    /// role to take on
+    #[argh(option)]
+    role: Option<String>,
+}
+
+impl OrderCommand {
+    /// Writes the order, unless another operator wrote one meanwhile.
+    pub fn run(self) -> Exit {
+        let Some(order) = self.read_order() else {
+            eprintln!("One of --weights, --adapter and --role is needed.");
+            return Exit::Faulty;
+        };
+        let mut section = Section::open("platform", json!({"store": self.store}));
+        let store = BlockingStore::new(&PlatformSettings::read(&mut section));
+        let server = ServerName::from(self.server.as_str());
+        match write_order(&store, &server, &order) {
+            Ok(Some(revision)) => {
+                println!("Order written at revision {revision}.");
+                Exit::Done
+            }
+            Ok(None) => {
+                eprintln!("Another order came in between; look at it and order again.");
+                Exit::Failed
+            }
+            Err(e) => {
+                eprintln!("{e}");
+                Exit::Failed
+            }
+        }
+    }
+
+    fn read_order(&self) -> Option<ServerOrder> {
+        match (self.weights, &self.adapter, &self.role) {
+            (Some(version), None, None) => Some(ServerOrder::LoadWeights { version }),
+            (None, Some(adapter), None) => Some(ServerOrder::LoadAdapter {
+                adapter: adapter.clone(),
+            }),
+            (None, None, Some(role)) => Some(ServerOrder::ChangeRole { role: role.clone() }),
+            _ => None,
+        }
+    }
+}
+
+/// Writes an order over the one that was there when this began. Returns the
+/// revision, none if another order came in between.
+///
+/// # Errors
+///
+/// The store did not say; see [`StoreError`] for what is known.
+pub fn write_order(
+    store: &BlockingStore,
+    server: &ServerName,
+    order: &ServerOrder,
+) -> Result<Option<i64>, StoreError> {
+    let key = order.store_key(server);
+    let found = store.range(&KeyRange::Key(key.clone().into()))?;
+    let compare = match found.first() {
+        None => Compare::Absent(key.clone().into()),
+        Some(pair) => Compare::ModRevision(key.clone().into(), pair.mod_revision),
+    };
+    let value = serde_json::to_vec(order).map_err(|e| StoreError::NotReached(e.to_string()))?;
+    let txn = Txn {
+        compares: vec![compare],
+        success: vec![Operation::Put(key.into(), value.into(), None)],
+        failure: Vec::new(),
+    };
+    let answer = store.txn(&txn)?;
+    Ok(answer.succeeded.then_some(answer.revision))
+}
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -11,6 +11,7 @@
 mod load_report;
 mod monotonic_time;
 pub mod once;
+pub mod order;
 mod outcome;
 pub mod placement;
 pub mod prefix_index;
--- /dev/null
+++ b/src/core/order/desired_orders.rs
@@ -0,0 +1,127 @@
+//! Orders that stand for one server.
+
+use std::collections::BTreeMap;
+
+use super::OrderKind;
+use super::ServerOrder;
+use super::ServerState;
+
+/// Orders that stand for one server, at most one of each kind, with the store
+/// revisions at which they were given.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct DesiredOrders {
+    orders: BTreeMap<OrderKind, (i64, ServerOrder)>,
+    /// Adapter that the given run of the server has loaded.
+    adapter: Option<(u64, String)>,
+}
+
+/// An order that the server has yet to carry out.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct DueOrder {
+    /// Order.
+    pub order: ServerOrder,
+    /// Fencing number: the highest store revision of the orders that stand,
+    /// so that whoever knows only older ones is refused.
+    pub fencing: i64,
+}
+
+impl DesiredOrders {
+    /// Takes note of an order; an older one than known of its kind is
+    /// ignored.
+    pub fn note(&mut self, revision: i64, order: ServerOrder) {
+        let known = self.orders.entry(order.kind());
+        let current = known.or_insert_with(|| (revision, order.clone()));
+        if current.0 < revision {
+            *current = (revision, order);
+        }
+    }
+
+    /// Takes note that a run of the server has loaded an adapter, which its
+    /// state does not show.
+    pub fn note_done(&mut self, incarnation: u64, order: &ServerOrder) {
+        if let ServerOrder::LoadAdapter { adapter } = order {
+            self.adapter = Some((incarnation, adapter.clone()));
+        }
+    }
+
+    /// Returns the oldest order that the server's state does not fulfil.
+    pub fn find_due(&self, state: &ServerState) -> Option<DueOrder> {
+        let fencing = self.fencing()?;
+        let due = self.orders.values();
+        let due = due.filter(|(_, order)| !self.is_done(order, state));
+        let (_, order) = due.min_by_key(|(revision, _)| *revision)?;
+        Some(DueOrder {
+            order: order.clone(),
+            fencing,
+        })
+    }
+
+    fn fencing(&self) -> Option<i64> {
+        self.orders.values().map(|(revision, _)| *revision).max()
+    }
+
+    fn is_done(&self, order: &ServerOrder, state: &ServerState) -> bool {
+        match order {
+            ServerOrder::LoadWeights { version } => state.weights == *version,
+            ServerOrder::ChangeRole { role } => state.role == *role,
+            ServerOrder::LoadAdapter { adapter } => {
+                self.adapter.as_ref() == Some(&(state.incarnation, adapter.clone()))
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn weights(version: u64) -> ServerOrder {
+        ServerOrder::LoadWeights { version }
+    }
+
+    fn make_state(weights: u64) -> ServerState {
+        ServerState {
+            incarnation: 1,
+            weights,
+            role: "mixed".into(),
+        }
+    }
+
+    #[test]
+    fn find_due_newest_of_kind() {
+        let mut desired = DesiredOrders::default();
+        desired.note(7, weights(3));
+        desired.note(5, weights(2));
+        let due = desired.find_due(&make_state(2)).expect("an order");
+        assert_eq!(due.order, weights(3));
+        assert_eq!(due.fencing, 7);
+        assert_eq!(desired.find_due(&make_state(3)), None);
+    }
+
+    #[test]
+    fn find_due_oldest_first_with_highest_fencing() {
+        let mut desired = DesiredOrders::default();
+        let role = ServerOrder::ChangeRole { role: "x".into() };
+        desired.note(9, role);
+        desired.note(5, weights(2));
+        let due = desired.find_due(&make_state(1)).expect("an order");
+        assert_eq!(due.order, weights(2));
+        assert_eq!(due.fencing, 9);
+    }
+
+    #[test]
+    fn find_due_adapter_again_after_restart() {
+        let mut desired = DesiredOrders::default();
+        let order = ServerOrder::LoadAdapter {
+            adapter: "a".into(),
+        };
+        desired.note(5, order.clone());
+        desired.note_done(1, &order);
+        assert_eq!(desired.find_due(&make_state(0)), None);
+        let restarted = ServerState {
+            incarnation: 2,
+            ..make_state(0)
+        };
+        assert!(desired.find_due(&restarted).is_some());
+    }
+}
--- /dev/null
+++ b/src/core/order/mod.rs
@@ -0,0 +1,13 @@
+//! Orders to backend servers: load weights or adapters, change role.
+
+mod desired_orders;
+mod send_guard;
+mod server_order;
+mod server_state;
+
+pub use desired_orders::DesiredOrders;
+pub use desired_orders::DueOrder;
+pub use send_guard::SendGuard;
+pub use server_order::OrderKind;
+pub use server_order::ServerOrder;
+pub use server_state::ServerState;
--- /dev/null
+++ b/src/core/order/server_order.rs
@@ -0,0 +1,67 @@
+//! One order to a backend server.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::core::ServerName;
+
+const PREFIX: &str = "/teaseldrum/orders/";
+
+/// One order to a backend server, in the form in which the server takes it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "kind", rename_all = "snake_case")]
+pub enum ServerOrder {
+    /// Serve this version of the weights.
+    LoadWeights {
+        /// Version of the weights.
+        version: u64,
+    },
+    /// Serve this adapter too.
+    LoadAdapter {
+        /// Name of the adapter.
+        adapter: String,
+    },
+    /// Take on this role.
+    ChangeRole {
+        /// Name of the role.
+        role: String,
+    },
+}
+
+/// What an order is about; a newer order takes the place of an older one of
+/// its kind.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum OrderKind {
+    /// [`ServerOrder::LoadWeights`].
+    Weights,
+    /// [`ServerOrder::LoadAdapter`].
+    Adapter,
+    /// [`ServerOrder::ChangeRole`].
+    Role,
+}
+
+impl ServerOrder {
+    /// Returns what the order is about.
+    pub fn kind(&self) -> OrderKind {
+        match self {
+            Self::LoadWeights { .. } => OrderKind::Weights,
+            Self::LoadAdapter { .. } => OrderKind::Adapter,
+            Self::ChangeRole { .. } => OrderKind::Role,
+        }
+    }
+
+    /// Returns the store key under which the order to a server stands.
+    pub fn store_key(&self, server: &ServerName) -> String {
+        let kind = match self.kind() {
+            OrderKind::Weights => "weights",
+            OrderKind::Adapter => "adapter",
+            OrderKind::Role => "role",
+        };
+        format!("{}{kind}", Self::store_prefix(server))
+    }
+
+    /// Returns the prefix of the store keys of all orders to a server.
+    pub fn store_prefix(server: &ServerName) -> String {
+        format!("{PREFIX}{server}/")
+    }
+}
--- a/src/settings/agent.rs
+++ b/src/settings/agent.rs
@@ -7,6 +7,7 @@
 
 use super::ListenSettings;
 use super::LogSettings;
+use super::OrderSettings;
 use super::PlatformSettings;
 use super::Section;
 use super::SettingsError;
@@ -33,6 +34,8 @@
     pub traffic: TrafficSettings,
     /// What is logged and how.
     pub log: LogSettings,
+    /// How orders are given to the backend server.
+    pub orders: OrderSettings,
     /// Where the platform's services are.
     pub platform: PlatformSettings,
     /// Peer addresses known besides those on the platform's host list.
@@ -74,6 +77,7 @@
             listen: section.take_section("listen", ListenSettings::read),
             traffic: section.take_section("traffic", TrafficSettings::read_for_agent),
             log: section.take_section("log", LogSettings::read),
+            orders: section.take_section("orders", OrderSettings::read),
             platform: section.take_section("platform", PlatformSettings::read),
             peers: section.take("peers", Vec::new()),
         }
