--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -88,6 +88,7 @@
             "zone": "a",
             "rules_file": write_rules(name, &rules),
             "servers": servers,
+            "share": {"sole": true},
             "traffic": {"drain_linger_ms": 500},
         });
         Self::start("entry", settings)
