Read orders by polls in place of a watch for each agent

watch_store_few_of_many failed with a watch on the orders from every agent, and rightly so: a waiting watch counts as a call of the store, and 2,000 agents would hold 2,000. Agents now read their orders every orders.poll_ms (5 s by default).

--- a/lab/tests/orders.rs
+++ b/lab/tests/orders.rs
@@ -65,7 +65,7 @@
         "traffic": {"threads": 1, "drain_linger_ms": 20, "drain_timeout_ms": 200},
         "platform": {"store": [store.address()]},
         "orders": {"fenced": fenced, "weight_loads": 2, "max_order_time_ms": 600,
-            "interval_ms": 50},
+            "interval_ms": 50, "poll_ms": 20},
     });
     let settings = AgentSettings::parse(&value).expect("valid settings");
     Running::start(move |stop, ready| serve_agent(settings, stop, ready).expect("agent starts"))
--- a/src/agent/orders.rs
+++ b/src/agent/orders.rs
@@ -27,12 +27,9 @@
 use crate::http::Client;
 use crate::http::ClientTimeouts;
 use crate::http::full_body;
-use crate::platform::Change;
 use crate::platform::KeyRange;
 use crate::platform::KeyValue;
 use crate::platform::Store;
-use crate::platform::StoreError;
-use crate::platform::WatchError;
 
 const ORDERS_PATH: &str = "/orders";
 const MAX_ANSWER_BYTES: usize = 65_536;
@@ -83,52 +80,17 @@
         }
     }
 
+    /// Reads the orders from time to time: a watch for each of many agents
+    /// would cost the store more.
     async fn follow_orders(&self) {
         let prefix = ServerOrder::store_prefix(&self.cx.settings.name);
         let range = KeyRange::Prefix(prefix.into());
-        let mut from = None;
         loop {
-            from = match self.follow_once(&range, from).await {
-                Ok(next) => next,
-                Err(e) => {
-                    log::warn!("agent: Orders not followed: {e}.");
-                    sleep(self.cx.settings.orders.interval).await;
-                    None
-                }
-            };
-        }
-    }
-
-    /// Follows changes until the watch ends. Returns the revision from which
-    /// to go on, none if the orders have to be read anew.
-    async fn follow_once(
-        &self,
-        range: &KeyRange,
-        from: Option<i64>,
-    ) -> Result<Option<i64>, StoreError> {
-        let mut next = match from {
-            Some(next) => next,
-            None => {
-                let (revision, orders) = self.store.range_at_revision(range).await?;
-                orders.into_iter().for_each(|pair| self.note(&pair));
-                revision + 1
-            }
-        };
-        let mut watch = self.store.watch(range, next).await?;
-        loop {
-            match watch.next().await {
-                Ok(change) => {
-                    next = change.revision() + 1;
-                    if let Change::Put(pair) = change {
-                        self.note(&pair);
-                    }
-                }
-                Err(WatchError::Connection(_) | WatchError::Ended) => return Ok(Some(next)),
-                Err(e) => {
-                    log::warn!("agent: Watch on orders ended: {e}.");
-                    return Ok(None);
-                }
+            match self.store.range(&range).await {
+                Ok(orders) => orders.iter().for_each(|pair| self.note(pair)),
+                Err(e) => log::warn!("agent: Orders not read: {e}."),
             }
+            sleep(self.cx.settings.orders.poll_interval).await;
         }
     }
 
@@ -137,8 +99,9 @@
             log::error!("agent: Order is malformed.");
             return;
         };
-        self.lock_desired().note(pair.mod_revision, order);
-        self.changed.notify_one();
+        if self.lock_desired().note(pair.mod_revision, order) {
+            self.changed.notify_one();
+        }
     }
 
     async fn run(&self) {
--- a/src/core/order/desired_orders.rs
+++ b/src/core/order/desired_orders.rs
@@ -27,13 +27,14 @@
 
 impl DesiredOrders {
     /// Takes note of an order; an older one than known of its kind is
-    /// ignored.
-    pub fn note(&mut self, revision: i64, order: ServerOrder) {
-        let known = self.orders.entry(order.kind());
-        let current = known.or_insert_with(|| (revision, order.clone()));
-        if current.0 < revision {
-            *current = (revision, order);
+    /// ignored. Returns whether the order is new.
+    pub fn note(&mut self, revision: i64, order: ServerOrder) -> bool {
+        let known = self.orders.get(&order.kind());
+        let is_new = known.is_none_or(|(known, _)| *known < revision);
+        if is_new {
+            self.orders.insert(order.kind(), (revision, order));
         }
+        is_new
     }
 
     /// Takes note that a run of the server has loaded an adapter, which its
--- a/src/settings/orders.rs
+++ b/src/settings/orders.rs
@@ -13,6 +13,8 @@
     pub max_order_time: Duration,
     /// Loads that the weight store bears at once.
     pub weight_loads: usize,
+    /// Time between two reads of the orders in the store.
+    pub poll_interval: Duration,
     /// Time between two comparisons of orders and state.
     pub interval: Duration,
 }
@@ -28,6 +30,7 @@
         Self {
             fenced,
             max_order_time: millis("max_order_time_ms", 30_000),
+            poll_interval: millis("poll_ms", 5_000),
             weight_loads: usize::try_from(weight_loads).unwrap_or(usize::MAX),
             interval: millis("interval_ms", 1_000),
         }
