Test that a shutdown of real processes cuts nothing

Entry and agents run as processes; six callers stream without pause while an agent, or the entry once its callers stop asking, gets SIGTERM. A system's kill command by process id sends the signal.

--- /dev/null
+++ b/lab/tests/drain.rs
@@ -0,0 +1,239 @@
+//! Graceful shutdown of real processes under load: nothing is cut.
+
+use std::io::BufRead;
+use std::io::BufReader;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::thread::JoinHandle;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde_json::Value;
+use serde_json::json;
+use teaseldrum_lab::engine::EngineSettings;
+use teaseldrum_lab::engine::start_model_engine;
+
+const RULES: &str = "pool drafting model cedar # asked by Asha\n\
+    route /v1/ pool drafting open # asked by Asha\n";
+const TOKENS: u64 = 60;
+const CALLERS: usize = 6;
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// A process of the product; dropping it kills it.
+struct Process {
+    child: Child,
+    settings: PathBuf,
+}
+
+impl Process {
+    fn start(role: &str, name: &str, settings: &Value) -> Self {
+        let path = temporary(&format!("{name}.json"), &settings.to_string());
+        let child = Command::new(binary())
+            .args([role, "--settings"])
+            .arg(&path)
+            .spawn()
+            .expect("the binary");
+        Self {
+            child,
+            settings: path,
+        }
+    }
+
+    /// Sends SIGTERM by the system's command and waits for the end.
+    fn stop(&mut self) {
+        let pid = self.child.id().to_string();
+        let sent = Command::new("kill").args(["-TERM", &pid]).status();
+        assert!(sent.expect("kill runs").success());
+        let status = self.child.wait().expect("it ends");
+        assert!(status.success(), "{status}");
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // It may have ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.settings);
+    }
+}
+
+/// The binary stands beside the directory of the test's own.
+fn binary() -> PathBuf {
+    let test = std::env::current_exe().expect("a path");
+    let directory = test.parent().and_then(|deps| deps.parent());
+    directory.expect("a directory").join("teaseldrum")
+}
+
+fn temporary(name: &str, content: &str) -> PathBuf {
+    let path = std::env::temp_dir().join(format!("drain-{}-{name}", std::process::id()));
+    std::fs::write(&path, content).expect("temporary file");
+    path
+}
+
+fn any_port() -> SocketAddr {
+    "127.0.0.1:0".parse().expect("an address")
+}
+
+fn free_port() -> SocketAddr {
+    let listener = TcpListener::bind(any_port()).expect("a port");
+    listener.local_addr().expect("an address")
+}
+
+fn start_agent(name: &str, address: SocketAddr, engine: SocketAddr) -> Process {
+    let settings = json!({
+        "name": name, "zone": "a", "pool": "drafting", "server": engine,
+        "listen": {"traffic": address},
+        "traffic": {"threads": 1, "drain_linger_ms": 300, "drain_timeout_ms": 15_000},
+    });
+    Process::start("agent", name, &settings)
+}
+
+fn start_entry(name: &str, address: SocketAddr, agents: &[SocketAddr]) -> Process {
+    let servers: Vec<Value> = agents
+        .iter()
+        .enumerate()
+        .map(|(index, address)| {
+            json!({"name": format!("s{index}"), "pool": "drafting", "zone": "a",
+                "address": address})
+        })
+        .collect();
+    let settings = json!({
+        "name": name, "zone": "a", "servers": servers,
+        "rules_file": temporary(&format!("{name}.rules"), RULES),
+        "listen": {"traffic": address},
+        "traffic": {"threads": 2, "drain_linger_ms": 300, "drain_timeout_ms": 15_000},
+    });
+    Process::start("entry", name, &settings)
+}
+
+fn wait_for_listener(address: SocketAddr) {
+    let began = Instant::now();
+    while std::net::TcpStream::connect(address).is_err() {
+        assert!(began.elapsed() < PATIENCE, "{address} never listened");
+        thread::sleep(Duration::from_millis(10));
+    }
+}
+
+/// Makes one streamed request; returns whether its answer came whole.
+fn request(entry: SocketAddr) -> Result<(), String> {
+    let body = json!({"prompt": "a file", "stream": true, "max_tokens": TOKENS});
+    let response = ureq::post(format!("http://{entry}/v1/completions"))
+        .config()
+        .http_status_as_error(false)
+        .build()
+        .send(body.to_string())
+        .map_err(|e| e.to_string())?;
+    let lines: Vec<String> = BufReader::new(response.into_body().into_reader())
+        .lines()
+        .collect::<Result<_, _>>()
+        .map_err(|e| e.to_string())?;
+    let events = lines.iter().filter(|line| line.starts_with("data: "));
+    let last = events.clone().next_back().cloned().unwrap_or_default();
+    if events.count() as u64 == TOKENS + 2 && last == "data: [DONE]" {
+        Ok(())
+    } else {
+        Err(last)
+    }
+}
+
+/// Callers that make requests one after the other until told to stop.
+struct Load {
+    stop: Arc<AtomicBool>,
+    whole: Arc<AtomicU32>,
+    callers: Vec<JoinHandle<Vec<String>>>,
+}
+
+impl Load {
+    fn start(entry: SocketAddr) -> Self {
+        let stop = Arc::new(AtomicBool::new(false));
+        let whole = Arc::new(AtomicU32::new(0));
+        let callers = (0..CALLERS)
+            .map(|_| {
+                let stop = Arc::clone(&stop);
+                let whole = Arc::clone(&whole);
+                thread::spawn(move || call_until(entry, &stop, &whole))
+            })
+            .collect();
+        Self {
+            stop,
+            whole,
+            callers,
+        }
+    }
+
+    fn wait_for(&self, count: u32) {
+        let target = self.whole.load(Ordering::Acquire) + count;
+        let began = Instant::now();
+        while self.whole.load(Ordering::Acquire) < target {
+            assert!(began.elapsed() < PATIENCE, "no progress");
+            thread::sleep(Duration::from_millis(5));
+        }
+    }
+
+    fn end(self) -> Vec<String> {
+        self.stop.store(true, Ordering::Release);
+        let failures = self.callers.into_iter();
+        failures
+            .flat_map(|caller| caller.join().expect("no panic"))
+            .collect()
+    }
+}
+
+fn call_until(entry: SocketAddr, stop: &AtomicBool, whole: &AtomicU32) -> Vec<String> {
+    let mut failures = Vec::new();
+    while !stop.load(Ordering::Acquire) {
+        match request(entry) {
+            Ok(()) => {
+                whole.fetch_add(1, Ordering::AcqRel);
+            }
+            Err(e) => failures.push(e),
+        }
+    }
+    failures
+}
+
+#[test]
+fn drain_agent_under_load() {
+    let engines = [(); 2].map(|()| start_model_engine(any_port(), EngineSettings::default()));
+    let agents = [free_port(), free_port()];
+    let mut first = start_agent("s0", agents[0], engines[0].address());
+    let _second = start_agent("s1", agents[1], engines[1].address());
+    let entry_address = free_port();
+    let _entry = start_entry("e1", entry_address, &agents);
+    for address in [agents[0], agents[1], entry_address] {
+        wait_for_listener(address);
+    }
+    let load = Load::start(entry_address);
+    load.wait_for(20);
+    first.stop();
+    load.wait_for(20);
+    let failures = load.end();
+    assert_eq!(failures, Vec::<String>::new());
+}
+
+#[test]
+fn drain_entry_cuts_nothing() {
+    let engine = start_model_engine(any_port(), EngineSettings::default());
+    let agent = free_port();
+    let _agent = start_agent("s2", agent, engine.address());
+    let entry_address = free_port();
+    let mut entry = start_entry("e2", entry_address, &[agent]);
+    wait_for_listener(agent);
+    wait_for_listener(entry_address);
+    let load = Load::start(entry_address);
+    load.wait_for(10);
+    // What the platform's balancer does before an entry is stopped.
+    load.stop.store(true, Ordering::Release);
+    entry.stop();
+    let failures = load.end();
+    assert_eq!(failures, Vec::<String>::new());
+}
