--- /dev/null
+++ b/lab/tests/first_event.rs
@@ -0,0 +1,63 @@
+//! A stream's first event reaches its caller before the engine sends a second.
+
+use std::io::BufRead;
+use std::io::BufReader;
+use std::time::Duration;
+
+use serde_json::json;
+use teaseldrum_lab::deployment::describe_server;
+use teaseldrum_lab::deployment::start_agent_with;
+use teaseldrum_lab::deployment::start_entry_with;
+use teaseldrum_lab::deployment::write_rules;
+use teaseldrum_lab::engine::EngineScript;
+use teaseldrum_lab::engine::start_engine;
+
+const RULES: &str = "pool drafting model cedar # asked by Asha\n\
+                     route /v1/ pool drafting open # asked by Asha\n";
+const HOUR: Duration = Duration::from_secs(3_600);
+const PATIENCE: Duration = Duration::from_secs(20);
+
+#[test]
+fn first_event_before_second_is_sent() {
+    let engine = start_engine(EngineScript {
+        first_event: Duration::ZERO,
+        gap: HOUR,
+        events: 2,
+        sends_end: true,
+    });
+    let traffic = json!({
+        "threads": 1,
+        "gap_timeout_ms": 3_600_000,
+        "drain_linger_ms": 1,
+        "drain_timeout_ms": 100,
+    });
+    let agent = start_agent_with(&json!({
+        "name": "s1",
+        "zone": "a",
+        "pool": "drafting",
+        "server": engine.address,
+        "listen": {"traffic": "127.0.0.1:0"},
+        "traffic": traffic,
+    }));
+    let entry = start_entry_with(&json!({
+        "name": "first-event",
+        "zone": "a",
+        "rules_file": write_rules("first-event", RULES),
+        "servers": [describe_server("s1", "drafting", agent.address)],
+        "listen": {"traffic": "127.0.0.1:0"},
+        "traffic": traffic,
+    }));
+    let url = format!("http://{}/v1/completions", entry.address);
+    let response = ureq::post(&url)
+        .config()
+        .timeout_global(Some(PATIENCE))
+        .build()
+        .send(r#"{"prompt":"x","stream":true}"#)
+        .expect("an answer");
+    let mut lines = BufReader::new(response.into_body().into_reader()).lines();
+    let first = lines.find_map(|line| {
+        let line = line.expect("the first event, not held back");
+        line.strip_prefix("data: ").map(String::from)
+    });
+    assert!(first.is_some_and(|data| data.contains("w0 ")));
+}
