--- a/lab/src/cli/bench.rs
+++ b/lab/src/cli/bench.rs
@@ -4,6 +4,7 @@
 use teaseldrum::cli::Exit;
 
 use super::named_bench::NamedBench;
+use crate::bench::decide::DecideCommand;
 use crate::bench::policy::PolicyCommand;
 use crate::bench::rate::RateCommand;
 
@@ -18,6 +19,7 @@
 #[derive(Debug, FromArgs)]
 #[argh(subcommand)]
 enum BenchChoice {
+    Decide(DecideCommand),
     Policy(PolicyCommand),
     Rate(RateCommand),
     #[argh(dynamic)]
@@ -28,6 +30,7 @@
     /// Runs the bench.
     pub fn run(self) -> Exit {
         match self.bench {
+            BenchChoice::Decide(command) => command.run(),
             BenchChoice::Policy(command) => command.run(),
             BenchChoice::Rate(command) => command.run(),
             BenchChoice::Named(bench) => bench.run(),
--- a/src/core/placement/learned_table.rs
+++ b/src/core/placement/learned_table.rs
@@ -4,6 +4,9 @@
 use super::ServerKey;
 use crate::core::MonotonicTime;
 
+/// Prefixes that an entry remembers.
+pub const LEARNED_PREFIXES: usize = 200_000;
+
 /// Servers remembered for one prefix.
 const HOLDERS: usize = 4;
 
--- a/src/core/placement/mod.rs
+++ b/src/core/placement/mod.rs
@@ -27,6 +27,7 @@
 pub use block_hash::hash_blocks;
 pub use cache_identity::CacheIdentity;
 pub use cost_rates::CostRates;
+pub use learned_table::LEARNED_PREFIXES;
 pub use learned_table::LearnedTable;
 pub use plan::Plan;
 pub use plan::PlanRequest;
--- a/src/core/placement/planner.rs
+++ b/src/core/placement/planner.rs
@@ -115,10 +115,15 @@
         self.servers.iter()
     }
 
-    /// Returns the memory of the learned prefixes, in bytes.
+    /// Returns the memory of all state, in bytes.
     pub fn memory_bytes(&self) -> usize {
-        let views = self.servers.capacity() * size_of::<ServerView>();
-        self.learned.memory_bytes() + views
+        self.learned.memory_bytes() + self.server_bytes()
+    }
+
+    /// Returns the memory of the state that grows with the servers, in bytes.
+    pub fn server_bytes(&self) -> usize {
+        let views = self.servers.values().map(ServerView::memory_bytes);
+        views.sum()
     }
 
     /// Chooses the server with the least predicted cost; none if no server
--- a/src/core/placement/server_load.rs
+++ b/src/core/placement/server_load.rs
@@ -32,6 +32,11 @@
         self.in_flight
     }
 
+    /// Returns the memory beside the load itself, in bytes.
+    pub fn memory_bytes(&self) -> usize {
+        self.recent.capacity() * size_of::<SentWork>()
+    }
+
     /// Takes note of a request sent, with the prompt tokens to be computed.
     pub fn begin(&mut self, tokens: u32, now: MonotonicTime) {
         self.in_flight += 1;
--- a/src/core/placement/server_view.rs
+++ b/src/core/placement/server_view.rs
@@ -3,6 +3,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::CacheIdentity;
+use super::ServerKey;
 use super::ServerLoad;
 use crate::core::MonotonicTime;
 use crate::core::ServerName;
@@ -52,6 +53,14 @@
         !self.leaving && now >= self.avoided_until
     }
 
+    /// Returns the memory of the view, in bytes, its place in the pool and in
+    /// the scratch space of a plan included.
+    pub fn memory_bytes(&self) -> usize {
+        let texts = self.name.as_str().len() + self.pool.len() + self.zone.len();
+        let places = size_of::<ServerKey>() + size_of::<u64>();
+        size_of::<Self>() + texts + places + self.load.memory_bytes()
+    }
+
     /// Returns the identity of the server's cache.
     pub fn identity(&self) -> CacheIdentity {
         self.identity
--- a/src/entry/servers.rs
+++ b/src/entry/servers.rs
@@ -15,6 +15,7 @@
 use crate::core::ServerName;
 use crate::core::placement::CacheIdentity;
 use crate::core::placement::CostRates;
+use crate::core::placement::LEARNED_PREFIXES;
 use crate::core::placement::PlanRequest;
 use crate::core::placement::Planner;
 use crate::core::placement::PromptPrefix;
@@ -23,9 +24,6 @@
 use crate::core::retry::AttemptFailure;
 use crate::settings::EntrySettings;
 
-/// Prefixes that an entry remembers.
-const LEARNED_PREFIXES: usize = 200_000;
-
 /// Time for which a server that was not reached gets no new work.
 const AVOID_UNREACHED: Duration = Duration::from_secs(1);
 
