Let a draining process outlast the connections kept to it

Cause: a request sent on a kept connection in the instant a draining process closes it may be reset, and its outcome is then unknown. Unused connections are now given up after 2 s (10 s before), and a drain lingers 3 s (0.5 s before), so an entry has either learnt that the server leaves or has given the connection up. Reasoned, not measured; the order of the two defaults has a test.

--- a/src/settings/traffic.rs
+++ b/src/settings/traffic.rs
@@ -29,7 +29,9 @@
     pub gap_timeout: Duration,
     /// Time for which an unused connection is kept.
     pub idle_timeout: Duration,
-    /// Time between leaving the list and closing the listener.
+    /// Time between leaving the list and closing the listener; longer than
+    /// others keep a connection unused, so that none of them sends on one
+    /// that is being closed.
     pub drain_linger: Duration,
     /// Time that a drain waits for running requests.
     pub drain_timeout: Duration,
@@ -73,8 +75,8 @@
         let connect_timeout = millis("connect_timeout_ms", 500);
         let answer_timeout = millis("answer_timeout_ms", waits.answer_ms);
         let gap_timeout = millis("gap_timeout_ms", waits.gap_ms);
-        let idle_timeout = millis("idle_timeout_ms", 10_000);
-        let drain_linger = millis("drain_linger_ms", 500);
+        let idle_timeout = millis("idle_timeout_ms", 2_000);
+        let drain_linger = millis("drain_linger_ms", 3_000);
         let drain_timeout = millis("drain_timeout_ms", 60_000);
         let mut count = |name: &str, default: u64, least: u64, most: u64| {
             usize::try_from(section.take_number(name, default, least..=most)).unwrap_or(usize::MAX)
@@ -116,3 +118,17 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use serde_json::json;
+
+    use super::*;
+
+    #[test]
+    fn read_linger_outlasts_idle_connections() {
+        let mut section = Section::open("traffic", json!({}));
+        let settings = TrafficSettings::read(&mut section);
+        assert!(settings.drain_linger > settings.idle_timeout);
+    }
+}
