Make keys, refuse doubled digests, and strip keys from queries

`teaseldrum key new` prints a key once with its rule line. The parser refuses a digest that stands twice, names with one short id, and numbers out of bounds. Query and body fields in which callers send keys travel no further, nor do x-api-key and api-key headers.

--- a/lab/src/bench/rate/fleet.rs
+++ b/lab/src/bench/rate/fleet.rs
@@ -7,6 +7,7 @@
 use teaseldrum::core::ProcessIncarnation;
 use teaseldrum::core::limit::AccountId;
 use teaseldrum::core::limit::Allowance;
+use teaseldrum::core::limit::LevelItem;
 use teaseldrum::core::limit::Limiter;
 use teaseldrum::core::limit::NodeId;
 use teaseldrum::core::limit::Origin;
@@ -65,6 +66,8 @@
             entry.slots = u16::try_from(own).unwrap_or(0);
             let start = MonotonicTime::ZERO;
             entry.limiter.set_slots(entry.slots, start + LEASE, start);
+            let levels = fleet.find_full_levels(entry.slots);
+            entry.limiter.take_over(&levels, start);
             fleet.entries.push(entry);
         }
         fleet
@@ -91,6 +94,18 @@
         self.entries.iter().filter(holds).count()
     }
 
+    /// Returns the part of all bursts that some slots hold after a quiet time.
+    fn find_full_levels(&self, slots: u16) -> Vec<LevelItem> {
+        let part = |burst: u64| burst * u64::from(slots) / u64::from(self.terms.slots);
+        self.allowances
+            .iter()
+            .map(|(account, allowance)| LevelItem {
+                account: *account,
+                tokens: part(allowance.burst),
+            })
+            .collect()
+    }
+
     fn make_entry(&mut self, index: usize, count: usize, now: Duration) -> Entry {
         self.runs += 1;
         let origin = Origin {
--- /dev/null
+++ b/src/cli/key.rs
@@ -0,0 +1,108 @@
+//! `teaseldrum key`: makes keys.
+
+use argh::FromArgs;
+use base64::Engine;
+use base64::engine::general_purpose::URL_SAFE_NO_PAD;
+
+use super::Exit;
+use crate::core::KeyDigest;
+
+const KEY_PREFIX: &str = "tdk_";
+const KEY_BYTES: usize = 32;
+
+/// Work with the keys of client accounts.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "key")]
+pub struct KeyCommand {
+    #[argh(subcommand)]
+    command: Subcommand,
+}
+
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+enum Subcommand {
+    New(NewCommand),
+}
+
+/// Make a key. It is printed once and kept nowhere; the rules hold its digest.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "new")]
+struct NewCommand {
+    /// client account that the key opens
+    #[argh(option)]
+    account: String,
+    /// id of the key, which logs may hold; drawn where left out
+    #[argh(option)]
+    id: Option<String>,
+    /// who asked for the key
+    #[argh(option, default = "String::from(\"asked by NAME\")")]
+    comment: String,
+}
+
+impl KeyCommand {
+    /// Runs the subcommand.
+    pub fn run(self) -> Exit {
+        match self.command {
+            Subcommand::New(command) => command.run(),
+        }
+    }
+}
+
+impl NewCommand {
+    fn run(self) -> Exit {
+        if !is_word(&self.account) || !self.id.as_deref().is_none_or(is_word) {
+            eprintln!("Account and id must be words without blanks and `#`.");
+            return Exit::Faulty;
+        }
+        let key = draw_key();
+        println!("Key, shown only now: {key}");
+        println!("Rule line: {}", self.build_rule(&key));
+        Exit::Done
+    }
+
+    fn build_rule(&self, key: &str) -> String {
+        let digest = KeyDigest::of_key(key.as_bytes());
+        let drawn = || format!("{}-{:08x}", self.account, rand::random::<u32>());
+        let id = self.id.clone().unwrap_or_else(drawn);
+        let account = &self.account;
+        let comment = self.comment.replace(['\n', '\r'], " ");
+        format!("key {id} account {account} digest {digest} # {comment}")
+    }
+}
+
+fn draw_key() -> String {
+    let bytes: [u8; KEY_BYTES] = rand::random();
+    format!("{KEY_PREFIX}{}", URL_SAFE_NO_PAD.encode(bytes))
+}
+
+fn is_word(text: &str) -> bool {
+    !text.is_empty() && !text.contains(|c: char| c.is_whitespace() || c == '#')
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::core::Revision;
+    use crate::rules::parse_rules;
+
+    #[test]
+    fn build_rule_opens_account() {
+        let command = NewCommand {
+            account: "desk".into(),
+            id: None,
+            comment: "asked by Asha".into(),
+        };
+        let key = draw_key();
+        let rule = command.build_rule(&key);
+        assert!(!rule.contains(&key));
+        let text = format!("account desk rate 1 burst 1 # Asha\n{rule}\n");
+        let rules = parse_rules(&text, Revision(1)).expect("valid rules");
+        let found = rules.find_key(&KeyDigest::of_key(key.as_bytes()));
+        assert!(found.is_some());
+    }
+
+    #[test]
+    fn draw_key_differs() {
+        assert_ne!(draw_key(), draw_key());
+    }
+}
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -7,6 +7,7 @@
 mod exit;
 mod fleet;
 mod history;
+mod key;
 mod order;
 mod places;
 mod rules;
@@ -40,6 +41,7 @@
     Agent(agent::AgentCommand),
     Entry(entry::EntryCommand),
     Order(order::OrderCommand),
+    Key(key::KeyCommand),
     Rules(rules::RulesCommand),
     Settings(settings::SettingsCommand),
     Status(status::StatusCommand),
@@ -73,6 +75,7 @@
             Some(Command::Agent(command)) => command.run(),
             Some(Command::Entry(command)) => command.run(),
             Some(Command::Order(command)) => command.run(),
+            Some(Command::Key(command)) => command.run(),
             Some(Command::Rules(command)) => command.run(),
             Some(Command::Settings(command)) => command.run(),
             Some(Command::Status(command)) => command.run(),
--- a/src/entry/caller_request.rs
+++ b/src/entry/caller_request.rs
@@ -28,12 +28,17 @@
     header::UPGRADE,
 ];
 
-const KEY_HEADERS: [HeaderName; 3] = [
+const KEY_HEADERS: [HeaderName; 5] = [
     header::AUTHORIZATION,
     header::PROXY_AUTHORIZATION,
     header::COOKIE,
+    HeaderName::from_static("x-api-key"),
+    HeaderName::from_static("api-key"),
 ];
 
+/// Names under which callers send keys in a query or in a body for an engine.
+const KEY_FIELDS: [&str; 5] = ["key", "api_key", "api-key", "apikey", "access_token"];
+
 /// A caller's request as it travels on.
 #[derive(Debug, Clone)]
 pub struct CallerRequest {
@@ -58,7 +63,7 @@
             .map_or("/", |target| target.as_str());
         Self {
             method: head.method.clone(),
-            target: target.into(),
+            target: strip_query(target),
             headers: strip_headers(&head.headers),
             body,
             prefix: None,
@@ -96,12 +101,31 @@
             Some(salt) => fields.insert("cache_salt".into(), salt.to_string().into()),
             None => fields.remove("cache_salt"),
         };
+        fields.retain(|name, _| !KEY_FIELDS.contains(&name.as_str()));
         fields.insert("priority".into(), priority.into());
         self.body = Value::Object(fields).to_string().into();
         Ok(())
     }
 }
 
+/// Drops the fields of a query in which callers send keys.
+fn strip_query(target: &str) -> String {
+    let Some((path, query)) = target.split_once('?') else {
+        return target.into();
+    };
+    let is_kept = |field: &&str| {
+        let name = field.split('=').next().unwrap_or_default();
+        let name = name.to_ascii_lowercase();
+        // An escaped name may hide one of them.
+        !name.contains('%') && !KEY_FIELDS.contains(&name.as_str())
+    };
+    let kept: Vec<&str> = query.split('&').filter(is_kept).collect();
+    if kept.is_empty() {
+        return path.into();
+    }
+    format!("{path}?{}", kept.join("&"))
+}
+
 fn strip_headers(headers: &HeaderMap) -> HeaderMap {
     let named_by_connection = list_connection_headers(headers);
     let mut kept = headers.clone();
@@ -131,6 +155,7 @@
 #[cfg(test)]
 mod tests {
     use http::Request;
+    use rstest::rstest;
 
     use super::*;
 
@@ -156,6 +181,23 @@
         assert_eq!(req.target, "/v1/completions?x=1");
     }
 
+    #[rstest]
+    #[case::none("/a?x=1&y=2", "/a?x=1&y=2")]
+    #[case::some("/a?key=s&x=1&API_KEY=s", "/a?x=1")]
+    #[case::all("/a?api_key=s", "/a")]
+    #[case::escaped("/a?%6bey=s&x=%6b", "/a?x=%6b")]
+    fn strip_query_keys(#[case] target: &str, #[case] kept: &str) {
+        assert_eq!(strip_query(target), kept);
+    }
+
+    #[test]
+    fn prepare_for_engine_drops_key() {
+        let mut req = make_request(r#"{"api_key":"secret","prompt":"x"}"#);
+        req.prepare_for_engine(None, 0, 1_000).expect("an object");
+        let body: Value = serde_json::from_slice(&req.body).expect("JSON");
+        assert!(body.get("api_key").is_none());
+    }
+
     #[test]
     fn prepare_for_engine_overwrites_salt() {
         let mut req = make_request(r#"{"cache_salt":"mine","priority":99}"#);
--- a/src/rules/parse.rs
+++ b/src/rules/parse.rs
@@ -1,5 +1,6 @@
 //! Rules from text, all faults at once.
 
+use std::ops::RangeInclusive;
 use std::str::FromStr;
 
 use super::Account;
@@ -15,6 +16,13 @@
 use crate::core::CacheSalt;
 use crate::core::KeyDigest;
 use crate::core::Revision;
+use crate::core::limit::AccountId;
+
+/// Weights that an account may have.
+const WEIGHTS: RangeInclusive<u32> = 1..=1_000;
+
+/// Most tokens that a rate, each second, or a burst may have.
+const MAX_TOKENS: u64 = 1_000_000_000_000;
 
 /// Reads the rules of a revision.
 ///
@@ -113,6 +121,26 @@
             self.fault(name.column(), "account stands twice");
             return;
         }
+        let id = AccountId::of_name(&account_name);
+        let mut known = self.rules.accounts.values();
+        if let Some(other) = known.find(|known| AccountId::of_name(&known.name) == id) {
+            let problem = format!("name has the same short id as `{}`", other.name);
+            self.fault(name.column(), problem);
+        }
+        if weight.is_some_and(|weight| !WEIGHTS.contains(&weight)) {
+            let problem = format!(
+                "`weight` must be from {} to {}",
+                WEIGHTS.start(),
+                WEIGHTS.end()
+            );
+            self.fault(name.column(), problem);
+        }
+        if rate.is_some_and(|rate| rate > MAX_TOKENS)
+            || burst.is_some_and(|burst| burst > MAX_TOKENS)
+        {
+            let problem = format!("`rate` and `burst` must be at most {MAX_TOKENS}");
+            self.fault(name.column(), problem);
+        }
         let (Some(rate), Some(burst)) = (rate, burst) else {
             return;
         };
@@ -131,6 +159,9 @@
         if self.rules.keys.iter().any(|key| key.id == name.text) {
             self.fault(name.column(), "key id stands twice");
         }
+        if digest.is_some_and(|digest| self.rules.keys.iter().any(|key| key.digest == digest)) {
+            self.fault(name.column(), "digest stands twice");
+        }
         let (Some(account), Some(digest)) = (account, digest) else {
             return;
         };
@@ -279,6 +310,27 @@
         assert!(route.open);
     }
 
+    #[test]
+    fn parse_rules_digest_twice() {
+        let digest = KeyDigest::of_key(b"secret");
+        let text = format!(
+            "account desk rate 1 burst 1 # Asha\n\
+             key k1 account desk digest {digest} # Asha\n\
+             key k2 account desk digest {digest} # Asha\n"
+        );
+        let faults = parse(&text).expect_err("faults");
+        assert_eq!((faults[0].line, faults[0].column), (3, 5));
+    }
+
+    #[test]
+    fn parse_rules_numbers_out_of_bounds() {
+        let text = "account a rate 1 burst 1 weight 0 # Asha\n\
+                    account b rate 2000000000000 burst 1 # Asha\n";
+        let faults = parse(text).expect_err("faults");
+        let lines: Vec<usize> = faults.iter().map(|fault| fault.line).collect();
+        assert_eq!(lines, [1, 2]);
+    }
+
     #[test]
     fn parse_rules_every_fault_at_once() {
         let text = "account desk rate x burst 4 # Asha\n\
