--- /dev/null
+++ b/lab/src/bench/config/process_fleet.rs
@@ -0,0 +1,245 @@
+//! Entries and agents as processes of the built binary.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::sync::Arc;
+use std::thread::sleep;
+use std::time::Duration;
+use std::time::Instant;
+
+use futures::StreamExt;
+use serde_json::json;
+use teaseldrum::core::Revision;
+use teaseldrum::core::config::RulesRecord;
+use teaseldrum::peer::ControlThread;
+use teaseldrum::peer::PeerClient;
+use teaseldrum::peer::PeerStatus;
+use teaseldrum::peer::Peers;
+use teaseldrum::platform::Host;
+use teaseldrum::platform::HostRole;
+use teaseldrum::platform::HostState;
+use teaseldrum::timeline::Event;
+use teaseldrum::timeline::EventQuery;
+
+use crate::hosts::HostsHandle;
+use crate::hosts::start_hosts;
+use crate::loopback::take_address;
+use crate::store::StoreHandle;
+use crate::store::start_store;
+
+const CALL_LIMIT: Duration = Duration::from_secs(1);
+const CALLS_AT_ONCE: usize = 32;
+const ASK_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Entries and agents as processes of the built binary, before stand-ins of
+/// the platform. Dropping it kills the processes.
+#[derive(Debug)]
+pub struct ProcessFleet {
+    /// Stand-in of the store.
+    pub store: StoreHandle,
+    hosts: HostsHandle,
+    binary: PathBuf,
+    folder: PathBuf,
+    processes: Vec<Process>,
+    control: ControlThread,
+    peers: Arc<Peers>,
+}
+
+#[derive(Debug)]
+struct Process {
+    role: HostRole,
+    name: String,
+    peer: SocketAddr,
+    child: Option<Child>,
+}
+
+impl ProcessFleet {
+    /// Starts all processes.
+    ///
+    /// # Panics
+    ///
+    /// The binary cannot be run.
+    pub fn start(binary: PathBuf, entries: usize, agents: usize) -> Self {
+        let control = ControlThread::start().expect("a thread");
+        let peers = Arc::new(Peers::new());
+        peers.attach(control.runtime().clone());
+        let folder = std::env::temp_dir().join(format!("bench-config-{}", std::process::id()));
+        fs::create_dir_all(&folder).expect("a folder");
+        let roles = [(HostRole::Entry, entries), (HostRole::Agent, agents)];
+        let processes = roles.into_iter().flat_map(|(role, count)| {
+            (0..count).map(move |index| Process {
+                role,
+                name: format!("{role:?}{index}").to_lowercase(),
+                peer: take_address(),
+                child: None,
+            })
+        });
+        let mut fleet = Self {
+            store: start_store(take_address()),
+            hosts: start_hosts(take_address(), Duration::ZERO),
+            binary,
+            folder,
+            processes: processes.collect(),
+            control,
+            peers,
+        };
+        fleet
+            .hosts
+            .set_hosts(fleet.processes.iter().map(describe).collect());
+        for index in 0..fleet.processes.len() {
+            fleet.start_process(index);
+        }
+        fleet
+    }
+
+    /// Number of processes.
+    pub fn len(&self) -> usize {
+        self.processes.len()
+    }
+
+    /// Identifiers of the processes.
+    pub fn pids(&self) -> Vec<u32> {
+        let children = self
+            .processes
+            .iter()
+            .filter_map(|process| process.child.as_ref());
+        children.map(Child::id).collect()
+    }
+
+    /// Kills a process and starts it again.
+    pub fn restart(&mut self, index: usize) {
+        if let Some(mut child) = self.processes[index].child.take() {
+            kill(&mut child);
+        }
+        self.start_process(index);
+    }
+
+    /// Pauses a process, or lets it go on.
+    pub fn signal(&self, index: usize, signal: &str) {
+        let child = self.processes[index].child.as_ref();
+        let pid = child.map(Child::id).expect("a running process");
+        let sent = Command::new("kill")
+            .args([signal, &pid.to_string()])
+            .status();
+        assert!(sent.is_ok_and(|status| status.success()), "signal sent");
+    }
+
+    /// Hands a record to one process, as `teaseldrum rules accept` does.
+    pub fn offer(&self, index: usize, record: &RulesRecord) -> bool {
+        let call =
+            |client: PeerClient, cx| async move { client.offer_rules(cx, record.clone()).await };
+        let offered = self
+            .peers
+            .call(self.processes[index].peer, CALL_LIMIT, call);
+        self.control.runtime().block_on(offered).is_ok()
+    }
+
+    /// Asks all processes how they are.
+    pub fn get_status(&self) -> Vec<PeerStatus> {
+        let calls = self.processes.iter().map(|process| {
+            let call = |client: PeerClient, cx| async move { client.get_status(cx).await };
+            self.peers.call(process.peer, CALL_LIMIT, call)
+        });
+        let answers = futures::stream::iter(calls).buffer_unordered(CALLS_AT_ONCE);
+        let answers: Vec<_> = self.control.runtime().block_on(answers.collect());
+        answers.into_iter().filter_map(Result::ok).collect()
+    }
+
+    /// Waits until all processes have a revision in force. Returns whether
+    /// they did in time.
+    pub fn await_everywhere(&self, revision: Revision, limit: Duration) -> bool {
+        let begin = Instant::now();
+        while begin.elapsed() < limit {
+            let status = self.get_status();
+            let current = status.iter().filter(|status| status.revision >= revision);
+            if current.count() == self.processes.len() {
+                return true;
+            }
+            sleep(ASK_INTERVAL);
+        }
+        false
+    }
+
+    /// Collects the events of each process that are newer than a stamp.
+    pub fn collect_events(&self, after: u64) -> Vec<Vec<Event>> {
+        let query = EventQuery {
+            after,
+            request: None,
+        };
+        let calls = self.processes.iter().map(|process| {
+            let call =
+                move |client: PeerClient, cx| async move { client.get_events(cx, query).await };
+            self.peers.call(process.peer, CALL_LIMIT, call)
+        });
+        let answers = futures::stream::iter(calls).buffered(CALLS_AT_ONCE);
+        let answers: Vec<_> = self.control.runtime().block_on(answers.collect());
+        answers
+            .into_iter()
+            .map(|answer| answer.map(|page| page.events).unwrap_or_default())
+            .collect()
+    }
+
+    fn start_process(&mut self, index: usize) {
+        let process = &mut self.processes[index];
+        let mut settings = json!({
+            "name": process.name,
+            "zone": "a",
+            "listen": {"traffic": "127.0.0.1:0", "peers": process.peer},
+            "traffic": {"threads": 1, "drain_linger_ms": 1},
+            "platform": {"store": [self.store.address()], "hosts": self.hosts.address()},
+        });
+        let role = match process.role {
+            HostRole::Entry => "entry",
+            HostRole::Agent => {
+                settings["pool"] = json!("p0");
+                settings["server"] = json!("127.0.0.1:1");
+                "agent"
+            }
+        };
+        let path = self.folder.join(format!("{}.json", process.name));
+        fs::write(&path, settings.to_string()).expect("a file");
+        let child = Command::new(&self.binary)
+            .args([role, "--settings"])
+            .arg(&path)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("the binary runs");
+        process.child = Some(child);
+    }
+}
+
+impl Drop for ProcessFleet {
+    fn drop(&mut self) {
+        let children = self.processes.iter_mut();
+        children
+            .filter_map(|process| process.child.take())
+            .for_each(|mut child| kill(&mut child));
+        // A folder that stays in the temporary directory does no harm.
+        let _ = fs::remove_dir_all(&self.folder);
+    }
+}
+
+fn describe(process: &Process) -> Host {
+    Host {
+        name: process.name.clone(),
+        role: process.role,
+        zone: "a".into(),
+        pool: "p0".into(),
+        traffic: process.peer,
+        peers: Some(process.peer),
+        state: HostState::Live,
+    }
+}
+
+/// Kills a process that this one started.
+fn kill(child: &mut Child) {
+    // It may have ended by itself.
+    let _ = child.kill();
+    let _ = child.wait();
+}
--- /dev/null
+++ b/lab/src/bench/config/rules_text.rs
@@ -0,0 +1,30 @@
+//! Rules of the size that many accounts need.
+
+use teaseldrum::core::KeyDigest;
+
+const KEYS_PER_ACCOUNT: usize = 2;
+const POOLS: usize = 29;
+
+/// Returns rules with so many accounts; `change` makes each text differ from
+/// the one before by one rate.
+pub fn write_rules(accounts: usize, change: usize) -> String {
+    let mut text = String::new();
+    for account in 0..accounts {
+        let rate = if account == change % accounts {
+            change + 1
+        } else {
+            1
+        };
+        text += &format!("account a{account} rate {rate} burst 1000 # asked by Asha\n");
+        for key in 0..KEYS_PER_ACCOUNT {
+            let id = format!("a{account}-{key}");
+            let digest = KeyDigest::of_key(id.as_bytes());
+            text += &format!("key {id} account a{account} digest {digest} # asked by Asha\n");
+        }
+    }
+    for pool in 0..POOLS {
+        text += &format!("pool p{pool} model m{pool} # asked by Asha\n");
+        text += &format!("route /v1/p{pool}/ pool p{pool} # asked by Asha\n");
+    }
+    text
+}
--- a/lab/src/bench/mod.rs
+++ b/lab/src/bench/mod.rs
@@ -1,5 +1,6 @@
 //! Benches: one bench a file or folder, each returning its figures.
 
+pub mod config;
 pub mod decide;
 mod overhead;
 pub mod policy;
--- a/lab/src/cli/bench.rs
+++ b/lab/src/cli/bench.rs
@@ -4,6 +4,7 @@
 use teaseldrum::cli::Exit;
 
 use super::named_bench::NamedBench;
+use crate::bench::config::ConfigCommand;
 use crate::bench::decide::DecideCommand;
 use crate::bench::policy::PolicyCommand;
 use crate::bench::rate::RateCommand;
@@ -20,6 +21,7 @@
 #[argh(subcommand)]
 enum BenchChoice {
     Decide(DecideCommand),
+    Config(ConfigCommand),
     Policy(PolicyCommand),
     Rate(RateCommand),
     #[argh(dynamic)]
@@ -31,6 +33,7 @@
     pub fn run(self) -> Exit {
         match self.bench {
             BenchChoice::Decide(command) => command.run(),
+            BenchChoice::Config(command) => command.run(),
             BenchChoice::Policy(command) => command.run(),
             BenchChoice::Rate(command) => command.run(),
             BenchChoice::Named(bench) => bench.run(),
--- a/src/timeline/event.rs
+++ b/src/timeline/event.rs
@@ -1,7 +1,10 @@
 //! One event of one process.
 
+use std::time::Duration;
+
 use serde::Deserialize;
 use serde::Serialize;
+use uhlc::NTP64;
 
 use super::EventKind;
 use crate::core::RequestId;
@@ -19,3 +22,15 @@
     /// What happened.
     pub kind: EventKind,
 }
+
+impl Event {
+    /// Returns the time of the event since the epoch, as its stamp tells it.
+    pub fn time(&self) -> Duration {
+        NTP64(self.stamp).to_duration()
+    }
+
+    /// Returns the stamp of a time since the epoch.
+    pub fn stamp_of(time: Duration) -> u64 {
+        NTP64::from(time).as_u64()
+    }
+}
