Follow the platform's host list in the entry's table of servers

Cause: the entry chose only among servers named in its settings; servers on the platform's list were never added, moved or taken away, and a server listed as leaving kept its work. The table now follows the list each time it was read anew: a server leaves if either the list or its own report says so, and an empty list changes nothing. Conclusion: 6 unit tests and a whole-path test with the host list stand-in.

--- /dev/null
+++ b/lab/tests/membership.rs
@@ -0,0 +1,102 @@
+//! Backend servers that join and leave by the platform's host list.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde_json::json;
+use teaseldrum::core::KeyDigest;
+use teaseldrum::platform::Host;
+use teaseldrum::platform::HostRole;
+use teaseldrum::platform::HostState;
+use teaseldrum_lab::deployment::start_agent;
+use teaseldrum_lab::deployment::start_entry_with;
+use teaseldrum_lab::deployment::write_rules;
+use teaseldrum_lab::engine::EngineScript;
+use teaseldrum_lab::engine::start_engine;
+use teaseldrum_lab::hosts::start_hosts;
+use teaseldrum_lab::running::Running;
+
+const KEY: &str = "secret-of-desk";
+const PATIENCE: Duration = Duration::from_secs(20);
+const STEP: Duration = Duration::from_millis(20);
+
+fn make_host(name: &str, agent: &Running) -> Host {
+    Host {
+        name: name.into(),
+        role: HostRole::Agent,
+        zone: "a".into(),
+        pool: "drafting".into(),
+        traffic: agent.address,
+        peers: None,
+        state: HostState::Live,
+    }
+}
+
+fn start_quick_engine() -> Running {
+    start_engine(EngineScript {
+        first_event: Duration::ZERO,
+        gap: Duration::ZERO,
+        events: 1,
+        sends_end: true,
+    })
+}
+
+fn start_listed_entry(hosts: SocketAddr) -> Running {
+    let rules = format!(
+        "account desk rate 100000 burst 100000 # asked by Asha\n\
+         key desk-1 account desk digest {} # asked by Asha\n\
+         pool drafting model cedar # asked by Asha\n\
+         route /v1/ pool drafting # asked by Asha\n",
+        KeyDigest::of_key(KEY.as_bytes())
+    );
+    start_entry_with(&json!({
+        "name": "membership",
+        "zone": "a",
+        "rules_file": write_rules("membership", &rules),
+        "platform": {"hosts": hosts},
+        "listen": {"traffic": "127.0.0.1:0"},
+        "traffic": {"threads": 1, "drain_linger_ms": 20},
+    }))
+}
+
+fn post(entry: &Running) -> u16 {
+    let url = format!("http://{}/v1/completions", entry.address);
+    let answer = ureq::post(&url)
+        .config()
+        .http_status_as_error(false)
+        .build()
+        .header("authorization", &format!("Bearer {KEY}"))
+        .send(r#"{"prompt":"x","max_tokens":1}"#);
+    answer.expect("an answer").status().as_u16()
+}
+
+fn wait_until(what: &str, mut is_met: impl FnMut() -> bool) {
+    let begin = Instant::now();
+    while !is_met() {
+        assert!(begin.elapsed() < PATIENCE, "not met: {what}");
+        std::thread::sleep(STEP);
+    }
+}
+
+#[test]
+fn servers_join_move_and_leave_by_list() {
+    let any_port = "127.0.0.1:0".parse().expect("an address");
+    let engine = start_quick_engine();
+    let first = start_agent("s1", "drafting", engine.address);
+    let hosts = start_hosts(any_port, Duration::ZERO);
+    let entry = start_listed_entry(hosts.address());
+    assert_eq!(post(&entry), 503);
+
+    hosts.set_hosts(vec![make_host("s1", &first)]);
+    wait_until("the server joins", || post(&entry) == 200);
+
+    drop(first);
+    wait_until("the server is gone", || post(&entry) == 503);
+    let moved = start_agent("s1", "drafting", engine.address);
+    hosts.set_hosts(vec![make_host("s1", &moved)]);
+    wait_until("the server moves", || post(&entry) == 200);
+
+    hosts.set_state("s1", HostState::Leaving);
+    wait_until("the server leaves", || post(&entry) == 503);
+}
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -2,8 +2,10 @@
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use tarpc::context::Context;
+use tokio::time::sleep;
 
 use super::EntryContext;
 use super::share_exchange::spawn_share_tasks;
@@ -27,6 +29,9 @@
 use crate::timeline::EventPage;
 use crate::timeline::EventQuery;
 
+/// Time between looks for a list that was read anew.
+const HOSTS_CHECK: Duration = Duration::from_millis(100);
+
 /// Starts the control thread and what runs on it.
 ///
 /// # Errors
@@ -64,12 +69,26 @@
     keeper.spawn(&control);
     let hosts = Arc::clone(&cx.hosts);
     control.spawn(hosts.follow(cx.settings.platform.clone()));
+    control.spawn(follow_hosts(Arc::clone(cx)));
     if let Some(queue) = cx.take_share_queue() {
         spawn_share_tasks(cx, &control, queue);
     }
     Ok(control)
 }
 
+/// Hands the platform's list to the table of servers whenever it was read anew.
+async fn follow_hosts(cx: Arc<EntryContext>) {
+    let mut applied = cx.hosts.hosts();
+    loop {
+        sleep(HOSTS_CHECK).await;
+        let hosts = cx.hosts.hosts();
+        if !Arc::ptr_eq(&hosts, &applied) {
+            cx.servers.apply_hosts(&hosts);
+            applied = hosts;
+        }
+    }
+}
+
 #[derive(Debug, Clone)]
 struct EntryPeer(Arc<EntryContext>);
 
--- a/src/entry/servers.rs
+++ b/src/entry/servers.rs
@@ -1,5 +1,6 @@
 //! Backend servers as this entry knows them.
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -22,6 +23,9 @@
 use crate::core::placement::ServerKey;
 use crate::core::placement::ServerView;
 use crate::core::retry::AttemptFailure;
+use crate::platform::Host;
+use crate::platform::HostRole;
+use crate::platform::HostState;
 use crate::settings::EntrySettings;
 
 /// Time for which a server that was not reached gets no new work.
@@ -44,6 +48,27 @@
 struct Link {
     address: SocketAddr,
     report: Option<Report>,
+    /// The settings name the server, so it stays though no list shows it.
+    is_fixed: bool,
+    /// The platform's list shows the server as leaving.
+    is_listed_leaving: bool,
+}
+
+impl Link {
+    fn new(address: SocketAddr, is_fixed: bool) -> Self {
+        Self {
+            address,
+            report: None,
+            is_fixed,
+            is_listed_leaving: false,
+        }
+    }
+
+    /// Tells whether the list or the server's own report says that it leaves.
+    fn is_leaving(&self) -> bool {
+        let is_reported = self.report.as_ref().is_some_and(|report| report.leaving);
+        self.is_listed_leaving || is_reported
+    }
 }
 
 impl Servers {
@@ -54,10 +79,7 @@
         let mut links = SecondaryMap::new();
         for server in &settings.servers {
             let view = ServerView::new(server.name.clone(), &server.pool, &server.zone);
-            let link = Link {
-                address: server.address,
-                report: None,
-            };
+            let link = Link::new(server.address, true);
             links.insert(planner.add_server(view), link);
         }
         Arc::new(Self {
@@ -109,7 +131,6 @@
         };
         known.planner.observe_load(key, report.load, now);
         if let Some(view) = known.planner.server_mut(key) {
-            view.leaving = report.leaving;
             view.set_identity(CacheIdentity {
                 engine: report.engine,
                 weights: report.weights,
@@ -118,6 +139,23 @@
         if let Some(link) = known.links.get_mut(key) {
             link.report = Some(report);
         }
+        known.refresh_leaving(key);
+    }
+
+    /// Takes over the platform's list: adds servers that are new on it, follows
+    /// changed addresses and states, and removes servers that are no longer on
+    /// it. An empty list, as of a platform that has just started, changes
+    /// nothing.
+    pub fn apply_hosts(&self, hosts: &[Host]) {
+        if hosts.is_empty() {
+            return;
+        }
+        let mut known = self.lock_known();
+        known.remove_unlisted(hosts);
+        let agents = hosts.iter().filter(|host| host.role == HostRole::Agent);
+        for host in agents {
+            known.apply_host(host);
+        }
     }
 
     /// Takes note that an attempt failed: what did not run was not cached, and
@@ -147,6 +185,55 @@
     }
 }
 
+impl Known {
+    fn remove_unlisted(&mut self, hosts: &[Host]) {
+        let listed: HashSet<&str> = hosts
+            .iter()
+            .filter(|host| host.role == HostRole::Agent)
+            .map(|host| host.name.as_str())
+            .collect();
+        let gone: Vec<ServerKey> = self
+            .planner
+            .servers()
+            .filter(|(_, view)| !listed.contains(view.name.as_str()))
+            .map(|(key, _)| key)
+            .filter(|key| self.links.get(*key).is_some_and(|link| !link.is_fixed))
+            .collect();
+        for key in gone {
+            self.planner.remove_server(key);
+            self.links.remove(key);
+        }
+    }
+
+    fn apply_host(&mut self, host: &Host) {
+        let name = ServerName::from(host.name.as_str());
+        let key = self.planner.find_server(&name);
+        let key = key.unwrap_or_else(|| self.add_listed(name, host));
+        if let Some(link) = self.links.get_mut(key) {
+            if link.address != host.traffic {
+                link.address = host.traffic;
+                link.report = None;
+            }
+            link.is_listed_leaving = host.state == HostState::Leaving;
+        }
+        self.refresh_leaving(key);
+    }
+
+    fn add_listed(&mut self, name: ServerName, host: &Host) -> ServerKey {
+        let view = ServerView::new(name, &host.pool, &host.zone);
+        let key = self.planner.add_server(view);
+        self.links.insert(key, Link::new(host.traffic, false));
+        key
+    }
+
+    fn refresh_leaving(&mut self, key: ServerKey) {
+        let is_leaving = self.links.get(key).is_some_and(Link::is_leaving);
+        if let Some(view) = self.planner.server_mut(key) {
+            view.leaving = is_leaving;
+        }
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use serde_json::json;
@@ -237,4 +324,87 @@
         let report = choice.report.as_ref().expect("a report");
         assert_eq!(report.engine, Some(EngineIncarnation(2)));
     }
+
+    fn make_host(name: &str, port: u16, state: HostState) -> Host {
+        Host {
+            name: name.into(),
+            role: HostRole::Agent,
+            zone: "a".into(),
+            pool: POOL.into(),
+            traffic: SocketAddr::from(([127, 0, 0, 1], port)),
+            peers: None,
+            state,
+        }
+    }
+
+    fn choose_address(servers: &Arc<Servers>) -> Option<SocketAddr> {
+        let choice = servers.choose(POOL, None, &[])?;
+        Some(choice.address)
+    }
+
+    #[test]
+    fn apply_hosts_adds_and_removes() {
+        let servers = make_servers(0);
+        assert_eq!(choose_address(&servers), None);
+        let first = make_host("n1", 11, HostState::Live);
+        let second = make_host("n2", 12, HostState::Live);
+        servers.apply_hosts(std::slice::from_ref(&first));
+        assert_eq!(choose_address(&servers), Some(first.traffic));
+        servers.apply_hosts(std::slice::from_ref(&second));
+        assert_eq!(choose_address(&servers), Some(second.traffic));
+    }
+
+    #[test]
+    fn apply_hosts_empty_list_changes_nothing() {
+        let servers = make_servers(0);
+        let first = make_host("n1", 11, HostState::Live);
+        servers.apply_hosts(std::slice::from_ref(&first));
+        servers.apply_hosts(&[]);
+        assert_eq!(choose_address(&servers), Some(first.traffic));
+    }
+
+    #[test]
+    fn apply_hosts_keeps_servers_of_settings() {
+        let servers = make_servers(1);
+        let leaving = make_host("n1", 11, HostState::Leaving);
+        servers.apply_hosts(&[leaving]);
+        let choice = servers.choose(POOL, None, &[]).expect("a server");
+        assert_eq!(choice.name.as_str(), "s0");
+    }
+
+    #[test]
+    fn apply_hosts_lags_behind_leaving_report() {
+        let servers = make_servers(0);
+        let live = [make_host("n1", 11, HostState::Live)];
+        servers.apply_hosts(&live);
+        let report = Report {
+            leaving: true,
+            ..make_report(1)
+        };
+        servers.observe(&"n1".into(), report);
+        servers.apply_hosts(&live);
+        assert_eq!(choose_address(&servers), None);
+    }
+
+    #[test]
+    fn apply_hosts_listed_leaving_outweighs_report() {
+        let servers = make_servers(0);
+        servers.apply_hosts(&[make_host("n1", 11, HostState::Leaving)]);
+        servers.observe(&"n1".into(), make_report(1));
+        assert_eq!(choose_address(&servers), None);
+    }
+
+    #[test]
+    fn apply_hosts_moved_server() {
+        let servers = make_servers(0);
+        servers.apply_hosts(&[make_host("n1", 11, HostState::Live)]);
+        let report = Report {
+            leaving: true,
+            ..make_report(1)
+        };
+        servers.observe(&"n1".into(), report);
+        let moved = make_host("n1", 12, HostState::Live);
+        servers.apply_hosts(std::slice::from_ref(&moved));
+        assert_eq!(choose_address(&servers), Some(moved.traffic));
+    }
 }
