Serve health, readiness and metrics on the operator port

Cause: listen.operator was read and checked but nothing listened there. rouille serves /healthz, /readyz (503 while draining) and /metrics in the OpenMetrics format: answers by code and outcome, time to the first token, prompt and cached tokens as engines report them, the revision in force. The administration API is still to come.

--- a/src/agent/context.rs
+++ b/src/agent/context.rs
@@ -20,6 +20,8 @@
 use crate::core::once::SeenAttempts;
 use crate::core::once::Sighting;
 use crate::core::order::ServerState;
+use crate::metrics::AgentMetrics;
+use crate::operator::Observed;
 use crate::peer::HostTable;
 use crate::peer::Peers;
 use crate::rules::RuleSet;
@@ -37,6 +39,8 @@
     pub leaving: AtomicBool,
     /// The backend server takes no new work until it has new weights.
     pub reloading: AtomicBool,
+    /// Figures for operators.
+    pub metrics: AgentMetrics,
     /// Rules in force.
     pub rules: Arc<RulesInForce>,
     /// Calls to other processes.
@@ -64,6 +68,7 @@
             leaving: AtomicBool::new(false),
             rules: Arc::new(rules),
             reloading: AtomicBool::new(false),
+            metrics: AgentMetrics::new(),
             engine: Mutex::default(),
             peers: Arc::default(),
             hosts: Arc::new(HostTable::new(settings.find_peers())),
@@ -132,3 +137,14 @@
         }
     }
 }
+
+impl Observed for AgentContext {
+    fn is_ready(&self) -> bool {
+        !self.leaving.load(Ordering::Acquire)
+    }
+
+    fn write_metrics(&self) -> String {
+        let running = self.running.load(Ordering::Acquire);
+        self.metrics.write(running, self.rules.revision())
+    }
+}
--- a/src/agent/run.rs
+++ b/src/agent/run.rs
@@ -17,6 +17,8 @@
 use crate::http::Client;
 use crate::http::ClientTimeouts;
 use crate::http::serve;
+use crate::operator::Observed;
+use crate::operator::OperatorPort;
 use crate::settings::AgentSettings;
 use crate::threads::StartError;
 use crate::threads::build_runtime;
@@ -55,6 +57,10 @@
     let address = listener.local_addr().map_err(StartError::Thread)?;
     let cx = Arc::new(AgentContext::new(settings));
     let control = start_control(&cx)?;
+    let observed = Arc::clone(&cx) as Arc<dyn Observed>;
+    let operator = cx.settings.listen.operator;
+    let operator = operator.map(|address| OperatorPort::start(address, observed));
+    let operator = operator.transpose()?;
     let (drain_tx, drain_rx) = watch::channel(false);
     let threads = spawn_threads(&cx, &listener, &drain_rx)?;
     drop(listener);
@@ -71,6 +77,7 @@
     });
     drain_tx.send_replace(true);
     join_threads(threads);
+    drop(operator);
     drop(control);
     log::info!("agent: Stopped.");
     Ok(())
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -6,6 +6,7 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 
 use tokio::sync::mpsc::UnboundedReceiver;
 
@@ -19,6 +20,8 @@
 use crate::core::ServerName;
 use crate::core::retry::RetryBudget;
 use crate::http::BodyBudget;
+use crate::metrics::EntryMetrics;
+use crate::operator::Observed;
 use crate::peer::HostTable;
 use crate::peer::Peers;
 use crate::rules::RuleSet;
@@ -44,6 +47,8 @@
     pub servers: Arc<Servers>,
     /// Events of this process.
     pub timeline: Arc<Recorder>,
+    /// Figures for operators.
+    pub metrics: EntryMetrics,
     /// Memory that bodies of callers' requests may take.
     pub body_budget: Arc<BodyBudget>,
     /// Limiter of the accounts' rates.
@@ -81,6 +86,7 @@
             hosts: Arc::new(HostTable::new(settings.find_peers())),
             servers: Servers::new(&settings),
             body_budget: Arc::new(BodyBudget::new(settings.max_buffered_bytes)),
+            metrics: EntryMetrics::new(),
             timeline,
             shares,
             share_queue: Mutex::new(Some(share_queue)),
@@ -107,3 +113,13 @@
         budget.unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+impl Observed for EntryContext {
+    fn is_ready(&self) -> bool {
+        !self.draining.load(Ordering::Acquire)
+    }
+
+    fn write_metrics(&self) -> String {
+        self.metrics.write(self.rules.revision())
+    }
+}
--- a/src/entry/handle.rs
+++ b/src/entry/handle.rs
@@ -56,9 +56,10 @@
     match serve_request(&cx, &reach, request, req).await {
         Ok(response) => response,
         Err(error) => {
-            let code = error.code.as_str().into();
+            let code = error.code.as_str();
+            cx.metrics.count_answer(code, error.outcome);
             cx.timeline
-                .record(Some(request), EventKind::RequestRefused(code));
+                .record(Some(request), EventKind::RequestRefused(code.into()));
             error.to_response(request)
         }
     }
@@ -70,6 +71,7 @@
     request: RequestId,
     req: Request<Incoming>,
 ) -> Result<Response<AnswerBody>, AnswerError> {
+    let begun = Instant::now();
     let (head, body) = req.into_parts();
     let rules = cx.rules.load_full();
     let route = rules
@@ -115,6 +117,7 @@
         rules: Arc::clone(&rules),
         principal,
         request,
+        begun,
         deadline,
         key,
     };
--- a/src/entry/meter.rs
+++ b/src/entry/meter.rs
@@ -27,6 +27,7 @@
     cx: Arc<EntryContext>,
     charge: Charge,
     answer: BytesMut,
+    prompt: PromptUsage,
 }
 
 /// Usage as engines report it.
@@ -40,6 +41,19 @@
     prompt_tokens: Option<u64>,
     completion_tokens: Option<u64>,
     total_tokens: Option<u64>,
+    prompt_tokens_details: Option<PromptDetails>,
+}
+
+#[derive(Debug, Deserialize)]
+struct PromptDetails {
+    cached_tokens: Option<u64>,
+}
+
+/// Prompt tokens by the latest report, and those among them that were cached.
+#[derive(Debug, Clone, Copy, Default)]
+struct PromptUsage {
+    tokens: u64,
+    cached: u64,
 }
 
 impl Meter {
@@ -59,6 +73,7 @@
                 cx: Arc::clone(cx),
                 charge,
                 answer: BytesMut::new(),
+                prompt: PromptUsage::default(),
             }),
             Verdict::Refused(wait) => {
                 let message = "The account has used up its rate.";
@@ -100,8 +115,11 @@
 
     fn settle(&mut self, report: &[u8]) {
         let report: Option<UsageReport> = serde_json::from_slice(report).ok();
-        let usage = report.and_then(|report| report.usage);
-        if let Some(used) = usage.and_then(|usage| usage.total()) {
+        let Some(usage) = report.and_then(|report| report.usage) else {
+            return;
+        };
+        self.prompt = usage.prompt();
+        if let Some(used) = usage.total() {
             self.cx.shares.settle(self.charge, used);
             // A later report of the same request counts from here.
             self.charge = self.charge.settled_to(used);
@@ -109,7 +127,23 @@
     }
 }
 
+impl Drop for Meter {
+    fn drop(&mut self) {
+        let prompt = self.prompt;
+        self.cx.metrics.count_prompt(prompt.tokens, prompt.cached);
+    }
+}
+
 impl Usage {
+    fn prompt(&self) -> PromptUsage {
+        let details = self.prompt_tokens_details.as_ref();
+        let cached = details.and_then(|details| details.cached_tokens);
+        PromptUsage {
+            tokens: self.prompt_tokens.unwrap_or(0),
+            cached: cached.unwrap_or(0),
+        }
+    }
+
     fn total(&self) -> Option<u64> {
         let parts = || Some(self.prompt_tokens? + self.completion_tokens?);
         self.total_tokens.or_else(parts)
--- a/src/entry/planner.rs
+++ b/src/entry/planner.rs
@@ -53,6 +53,8 @@
     pub principal: Option<Principal>,
     /// Identity of the request.
     pub request: RequestId,
+    /// When the head of the request came.
+    pub begun: Instant,
     /// When the answer must have begun.
     pub deadline: Instant,
     /// Whether the key of the request still opens its account.
@@ -84,7 +86,8 @@
         };
         let cx = Arc::clone(&self.cx);
         let key = self.key.clone();
-        let watched = Watched { key, meter };
+        let begun = self.begun;
+        let watched = Watched { begun, key, meter };
         Ok(relay_answer(cx, resumer, answer, watched))
     }
 
--- a/src/entry/relay_answer.rs
+++ b/src/entry/relay_answer.rs
@@ -5,6 +5,7 @@
 use http::header::CONTENT_TYPE;
 use http_body_util::BodyExt;
 use hyper::Response;
+use tokio::time::Instant;
 
 use super::AnswerError;
 use super::EntryContext;
@@ -29,6 +30,12 @@
 
 const CHUNKS_IN_FLIGHT: usize = 64;
 
+/// Code under which whole answers are counted.
+const COMPLETE: &str = "complete";
+
+/// Code under which answers are counted that no caller waited for.
+const CALLER_GONE: &str = "caller-gone";
+
 /// Last event of a complete stream.
 const END_OF_STREAM: &str = "[DONE]";
 
@@ -68,6 +75,8 @@
 /// What is watched while an answer is passed on.
 #[derive(Debug)]
 pub struct Watched {
+    /// When the head of the request came.
+    pub begun: Instant,
     /// Whether the key of the request still opens its account.
     pub key: KeyWatch,
     /// Charge of the request; none on an open route.
@@ -99,9 +108,7 @@
         loop {
             let frame = tokio::select! {
                 frame = frames.next() => frame,
-                () = self.tx.closed() => {
-                    return self.end(EventKind::CallerGone);
-                }
+                () = self.tx.closed() => return self.end_without_caller(),
                 () = self.watched.key.wait() => return self.withdraw().await,
             };
             let step = match frame {
@@ -117,13 +124,13 @@
             match step {
                 Step::Continue => {}
                 Step::Complete => {
-                    self.end(EventKind::Ended(Outcome::Ran));
+                    self.end(COMPLETE, Outcome::Ran);
                     drop(self.tx);
                     return frames.finish().await;
                 }
                 Step::Fail(reason) => return self.fail(&reason).await,
                 Step::KeyWithdrawn => return self.withdraw().await,
-                Step::CallerGone => return self.end(EventKind::CallerGone),
+                Step::CallerGone => return self.end_without_caller(),
             }
         }
     }
@@ -145,6 +152,8 @@
                 }
                 if self.next_number == 0 {
                     self.record(EventKind::FirstToken);
+                    let elapsed = self.watched.begun.elapsed();
+                    self.cx.metrics.count_first_token(elapsed);
                 }
                 self.next_number += 1;
                 let Ok(data) = std::str::from_utf8(&event.data) else {
@@ -205,7 +214,7 @@
 
     /// Ends a stream with an error event; cuts any other body.
     async fn end_with(self, error: AnswerError) {
-        self.end(EventKind::Ended(error.outcome));
+        self.end(error.code.as_str(), error.outcome);
         if self.streamed {
             self.tx.send(error.to_event(self.request)).await;
         } else {
@@ -213,8 +222,14 @@
         }
     }
 
-    fn end(&self, kind: EventKind) {
-        self.record(kind);
+    fn end_without_caller(self) {
+        self.cx.metrics.count_answer(CALLER_GONE, Outcome::Unknown);
+        self.record(EventKind::CallerGone);
+    }
+
+    fn end(&self, code: &'static str, outcome: Outcome) {
+        self.cx.metrics.count_answer(code, outcome);
+        self.record(EventKind::Ended(outcome));
     }
 
     fn record(&self, kind: EventKind) {
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -18,6 +18,8 @@
 use crate::core::Revision;
 use crate::http::Client;
 use crate::http::serve;
+use crate::operator::Observed;
+use crate::operator::OperatorPort;
 use crate::rules::RuleFault;
 use crate::rules::RuleSet;
 use crate::rules::parse_rules;
@@ -86,6 +88,10 @@
     let address = listener.local_addr().map_err(StartError::Thread)?;
     let cx = Arc::new(EntryContext::new(settings, rules));
     let control = start_control(&cx)?;
+    let observed = Arc::clone(&cx) as Arc<dyn Observed>;
+    let operator = cx.settings.listen.operator;
+    let operator = operator.map(|address| OperatorPort::start(address, observed));
+    let operator = operator.transpose()?;
     let (drain_tx, drain_rx) = watch::channel(false);
     let threads = spawn_threads(&cx, &listener, &drain_rx)?;
     drop(listener);
@@ -104,6 +110,7 @@
     drain_tx.send_replace(true);
     join_threads(threads);
     build_runtime()?.block_on(hand_over_slots(&cx));
+    drop(operator);
     drop(control);
     log::info!("entry: Stopped.");
     Ok(())
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,8 @@
 pub mod entry;
 pub mod http;
 pub mod logs;
+pub mod metrics;
+pub mod operator;
 pub mod peer;
 pub mod platform;
 pub mod relay;
--- /dev/null
+++ b/src/metrics/mod.rs
@@ -0,0 +1,24 @@
+//! Figures that each role shows on its operator port.
+
+mod agent_metrics;
+mod answer_labels;
+mod entry_metrics;
+
+pub use agent_metrics::AgentMetrics;
+pub use answer_labels::AnswerLabels;
+pub use entry_metrics::EntryMetrics;
+
+use prometheus_client::encoding::text::encode;
+use prometheus_client::registry::Registry;
+
+/// Prefix of the names of all metrics.
+const PREFIX: &str = "teaseldrum";
+
+/// Writes a registry in the OpenMetrics text format.
+fn write_registry(registry: &Registry) -> String {
+    let mut text = String::new();
+    if let Err(e) = encode(&mut text, registry) {
+        log::error!("metrics: Not written: {e}.");
+    }
+    text
+}
