--- a/lab/src/cli/mod.rs
+++ b/lab/src/cli/mod.rs
@@ -10,6 +10,7 @@
 
 use argh::FromArgs;
 use teaseldrum::cli::Exit;
+use teaseldrum::cli::read_arguments;
 use teaseldrum::threads::build_runtime;
 use teaseldrum::threads::wait_for_stop;
 use tokio::sync::watch;
@@ -33,18 +34,9 @@
 
 /// Reads the arguments of the process and runs the command they name.
 pub fn run() -> ExitCode {
-    let words: Vec<String> = std::env::args().collect();
-    let words: Vec<&str> = words.iter().map(String::as_str).collect();
-    match Arguments::from_args(&words[..1], &words[1..]) {
+    match read_arguments::<Arguments>() {
         Ok(arguments) => arguments.run().into(),
-        Err(early) if early.status.is_ok() => {
-            println!("{}", early.output);
-            Exit::Done.into()
-        }
-        Err(early) => {
-            eprintln!("{}", early.output);
-            Exit::Faulty.into()
-        }
+        Err(exit) => exit.into(),
     }
 }
 
--- a/lab/tests/config.rs
+++ b/lab/tests/config.rs
@@ -169,6 +169,17 @@
     }
 }
 
+impl Drop for Fleet {
+    /// Tells all processes to stop before the first one is waited for.
+    fn drop(&mut self) {
+        let running = self
+            .processes
+            .iter()
+            .filter_map(|process| process.running.as_ref());
+        running.for_each(Running::begin_stop);
+    }
+}
+
 fn make_proposal(parent: u64, pool: &str, accept_id: &str) -> Proposal {
     Proposal {
         text: format!("pool {pool} # Asha\n"),
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -2,6 +2,7 @@
 
 mod accept;
 mod agent;
+mod arguments;
 mod diff;
 mod entry;
 mod exit;
@@ -21,6 +22,7 @@
 
 use argh::FromArgs;
 
+pub use arguments::read_arguments;
 pub use exit::Exit;
 pub use order::write_order;
 
@@ -50,18 +52,9 @@
 
 /// Reads the arguments of the process and runs the command they name.
 pub fn run() -> ExitCode {
-    let words: Vec<String> = std::env::args().collect();
-    let words: Vec<&str> = words.iter().map(String::as_str).collect();
-    match Arguments::from_args(&words[..1], &words[1..]) {
+    match read_arguments::<Arguments>() {
         Ok(arguments) => arguments.run().into(),
-        Err(early) if early.status.is_ok() => {
-            println!("{}", early.output);
-            Exit::Done.into()
-        }
-        Err(early) => {
-            eprintln!("{}", early.output);
-            Exit::Faulty.into()
-        }
+        Err(exit) => exit.into(),
     }
 }
 
