--- a/src/cli/fleet.rs
+++ b/src/cli/fleet.rs
@@ -2,6 +2,7 @@
 
 use std::future::Future;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -9,6 +10,7 @@
 use tarpc::client::RpcError;
 use tarpc::context::Context;
 
+use super::Exit;
 use super::places::Places;
 use crate::peer::CallError;
 use crate::peer::ControlThread;
@@ -31,6 +33,24 @@
 }
 
 impl Fleet {
+    /// Finds the processes that a command's options or settings file name.
+    ///
+    /// # Errors
+    ///
+    /// The settings file is faulty or the system refuses a thread; the fault
+    /// has been printed.
+    pub fn find_named(
+        settings: Option<&Path>,
+        hosts: Option<SocketAddr>,
+        peers: &[SocketAddr],
+    ) -> Result<Self, Exit> {
+        let places = Places::find(settings, &[], hosts, peers)?;
+        Self::find(&places).map_err(|e| {
+            eprintln!("{e}");
+            Exit::Failed
+        })
+    }
+
     /// Finds the processes on the host list and among the named peers.
     ///
     /// # Errors
--- a/src/cli/status.rs
+++ b/src/cli/status.rs
@@ -7,7 +7,6 @@
 
 use super::Exit;
 use super::fleet::Fleet;
-use super::places::Places;
 use crate::peer::PeerStatus;
 
 /// List all processes with their rules revision; fails if one does not
@@ -29,16 +28,10 @@
 impl StatusCommand {
     /// Prints the list.
     pub fn run(self) -> Exit {
-        let places = match Places::find(self.settings.as_deref(), &[], self.hosts, &self.peers) {
-            Ok(places) => places,
-            Err(exit) => return exit,
-        };
-        let fleet = match Fleet::find(&places) {
+        let found = Fleet::find_named(self.settings.as_deref(), self.hosts, &self.peers);
+        let fleet = match found {
             Ok(fleet) => fleet,
-            Err(e) => {
-                eprintln!("{e}");
-                return Exit::Failed;
-            }
+            Err(exit) => return exit,
         };
         let mut answers = fleet.get_status(fleet.addresses());
         answers.sort_by_key(|(address, _)| *address);
--- a/src/cli/timeline.rs
+++ b/src/cli/timeline.rs
@@ -12,7 +12,6 @@
 
 use super::Exit;
 use super::fleet::Fleet;
-use super::places::Places;
 use crate::core::RequestId;
 use crate::timeline::Event;
 use crate::timeline::EventFilter;
@@ -80,16 +79,10 @@
 impl TimelineCommand {
     /// Prints the events; fails if a process does not answer.
     pub fn run(self) -> Exit {
-        let places = match Places::find(self.settings.as_deref(), &[], self.hosts, &self.peers) {
-            Ok(places) => places,
-            Err(exit) => return exit,
-        };
-        let fleet = match Fleet::find(&places) {
+        let found = Fleet::find_named(self.settings.as_deref(), self.hosts, &self.peers);
+        let fleet = match found {
             Ok(fleet) => fleet,
-            Err(e) => {
-                eprintln!("{e}");
-                return Exit::Failed;
-            }
+            Err(exit) => return exit,
         };
         let query = EventQuery {
             after: self.since.map_or(0, find_stamp),
