--- a/lab/src/bench/config/command.rs
+++ b/lab/src/bench/config/command.rs
@@ -14,7 +14,7 @@
 use teaseldrum::config::accept_rules;
 use teaseldrum::core::Revision;
 use teaseldrum::core::config::RulesRecord;
-use teaseldrum::platform::BlockingStore;
+use teaseldrum::registry::BlockingStore;
 use teaseldrum::settings::PlatformSettings;
 use teaseldrum::settings::Section;
 use teaseldrum::timeline::Event;
--- a/lab/src/bench/config/process_fleet.rs
+++ b/lab/src/bench/config/process_fleet.rs
@@ -19,9 +19,9 @@
 use teaseldrum::peer::PeerClient;
 use teaseldrum::peer::PeerStatus;
 use teaseldrum::peer::Peers;
-use teaseldrum::platform::Host;
-use teaseldrum::platform::HostRole;
-use teaseldrum::platform::HostState;
+use teaseldrum::registry::Host;
+use teaseldrum::registry::HostRole;
+use teaseldrum::registry::HostState;
 use teaseldrum::timeline::Event;
 use teaseldrum::timeline::EventQuery;
 
--- a/lab/src/cli/hosts.rs
+++ b/lab/src/cli/hosts.rs
@@ -7,7 +7,7 @@
 
 use argh::FromArgs;
 use teaseldrum::cli::Exit;
-use teaseldrum::platform::Host;
+use teaseldrum::registry::Host;
 
 use super::wait_for_signal;
 use crate::hosts::start_hosts;
--- a/lab/src/demo/fleet.rs
+++ b/lab/src/demo/fleet.rs
@@ -6,9 +6,9 @@
 use serde_json::Value;
 use serde_json::json;
 use teaseldrum::core::KeyDigest;
-use teaseldrum::platform::Host;
-use teaseldrum::platform::HostRole;
-use teaseldrum::platform::HostState;
+use teaseldrum::registry::Host;
+use teaseldrum::registry::HostRole;
+use teaseldrum::registry::HostState;
 
 use super::Customer;
 use crate::deployment::start_agent_with;
--- a/lab/src/hosts/mod.rs
+++ b/lab/src/hosts/mod.rs
@@ -13,8 +13,8 @@
 use hyper::Request;
 use hyper::body::Incoming;
 use serde_json::json;
-use teaseldrum::platform::Host;
-use teaseldrum::platform::HostState;
+use teaseldrum::registry::Host;
+use teaseldrum::registry::HostState;
 use tokio::time::sleep;
 
 use crate::running::Running;
--- a/lab/tests/membership.rs
+++ b/lab/tests/membership.rs
@@ -6,9 +6,9 @@
 
 use serde_json::json;
 use teaseldrum::core::KeyDigest;
-use teaseldrum::platform::Host;
-use teaseldrum::platform::HostRole;
-use teaseldrum::platform::HostState;
+use teaseldrum::registry::Host;
+use teaseldrum::registry::HostRole;
+use teaseldrum::registry::HostState;
 use teaseldrum_lab::deployment::start_agent;
 use teaseldrum_lab::deployment::start_entry_with;
 use teaseldrum_lab::deployment::write_rules;
--- a/lab/tests/orders.rs
+++ b/lab/tests/orders.rs
@@ -9,7 +9,7 @@
 use teaseldrum::agent::serve_agent;
 use teaseldrum::cli::write_order;
 use teaseldrum::core::order::ServerOrder;
-use teaseldrum::platform::BlockingStore;
+use teaseldrum::registry::BlockingStore;
 use teaseldrum::settings::AgentSettings;
 use teaseldrum::settings::PlatformSettings;
 use teaseldrum::settings::Section;
--- a/lab/tests/withdrawal.rs
+++ b/lab/tests/withdrawal.rs
@@ -11,7 +11,7 @@
 use teaseldrum::config::accept_rules;
 use teaseldrum::core::KeyDigest;
 use teaseldrum::core::Revision;
-use teaseldrum::platform::BlockingStore;
+use teaseldrum::registry::BlockingStore;
 use teaseldrum::settings::PlatformSettings;
 use teaseldrum::settings::Section;
 use teaseldrum_lab::deployment::describe_server;
--- a/src/agent/order_lease.rs
+++ b/src/agent/order_lease.rs
@@ -6,13 +6,13 @@
 
 use super::AgentContext;
 use crate::core::order::SendGuard;
-use crate::platform::Compare;
-use crate::platform::KeyRange;
-use crate::platform::LeaseId;
-use crate::platform::Operation;
-use crate::platform::Store;
-use crate::platform::StoreError;
-use crate::platform::Txn;
+use crate::registry::Compare;
+use crate::registry::KeyRange;
+use crate::registry::LeaseId;
+use crate::registry::Operation;
+use crate::registry::Store;
+use crate::registry::StoreError;
+use crate::registry::Txn;
 
 /// Time for which the lease is granted and kept alive.
 const TTL: Duration = Duration::from_secs(10);
--- a/src/agent/orders.rs
+++ b/src/agent/orders.rs
@@ -27,9 +27,9 @@
 use crate::http::Client;
 use crate::http::ClientTimeouts;
 use crate::http::full_body;
-use crate::platform::KeyRange;
-use crate::platform::KeyValue;
-use crate::platform::Store;
+use crate::registry::KeyRange;
+use crate::registry::KeyValue;
+use crate::registry::Store;
 
 const ORDERS_PATH: &str = "/orders";
 const MAX_ANSWER_BYTES: usize = 65_536;
--- a/src/agent/weight_slot.rs
+++ b/src/agent/weight_slot.rs
@@ -7,12 +7,12 @@
 use tokio::time::timeout;
 
 use super::AgentContext;
-use crate::platform::Change;
-use crate::platform::KeyRange;
-use crate::platform::KeyValue;
-use crate::platform::LeaseId;
-use crate::platform::Store;
-use crate::platform::StoreError;
+use crate::registry::Change;
+use crate::registry::KeyRange;
+use crate::registry::KeyValue;
+use crate::registry::LeaseId;
+use crate::registry::Store;
+use crate::registry::StoreError;
 
 const QUEUE_PREFIX: &str = "/teaseldrum/weight-queue/";
 
--- a/src/cli/accept.rs
+++ b/src/cli/accept.rs
@@ -17,7 +17,7 @@
 use crate::config::accept_rules;
 use crate::core::Revision;
 use crate::core::config::RulesRecord;
-use crate::platform::BlockingStore;
+use crate::registry::BlockingStore;
 
 const PEERS_TOLD: usize = 3;
 const ASK_INTERVAL: Duration = Duration::from_millis(100);
--- a/src/cli/diff.rs
+++ b/src/cli/diff.rs
@@ -11,7 +11,7 @@
 use super::places::Places;
 use super::show::read_text;
 use crate::core::Revision;
-use crate::platform::BlockingStore;
+use crate::registry::BlockingStore;
 
 /// Compare a rules file, or the rules in force, with an accepted revision.
 #[derive(Debug, FromArgs)]
--- a/src/cli/fleet.rs
+++ b/src/cli/fleet.rs
@@ -18,7 +18,7 @@
 use crate::peer::PeerError;
 use crate::peer::PeerStatus;
 use crate::peer::Peers;
-use crate::platform::HostList;
+use crate::registry::HostList;
 use crate::threads::StartError;
 
 const CALL_LIMIT: Duration = Duration::from_secs(1);
--- a/src/cli/history.rs
+++ b/src/cli/history.rs
@@ -8,7 +8,7 @@
 use super::Exit;
 use super::places::Places;
 use crate::config::read_history;
-use crate::platform::BlockingStore;
+use crate::registry::BlockingStore;
 
 /// List accepted revisions, newest first: number, milliseconds since the
 /// epoch, who and why.
--- a/src/cli/order.rs
+++ b/src/cli/order.rs
@@ -8,12 +8,12 @@
 use super::Exit;
 use crate::core::ServerName;
 use crate::core::order::ServerOrder;
-use crate::platform::BlockingStore;
-use crate::platform::Compare;
-use crate::platform::KeyRange;
-use crate::platform::Operation;
-use crate::platform::StoreError;
-use crate::platform::Txn;
+use crate::registry::BlockingStore;
+use crate::registry::Compare;
+use crate::registry::KeyRange;
+use crate::registry::Operation;
+use crate::registry::StoreError;
+use crate::registry::Txn;
 use crate::settings::PlatformSettings;
 use crate::settings::Section;
 
--- a/src/cli/show.rs
+++ b/src/cli/show.rs
@@ -11,7 +11,7 @@
 use crate::config::read_record;
 use crate::config::read_text_at;
 use crate::core::Revision;
-use crate::platform::BlockingStore;
+use crate::registry::BlockingStore;
 
 /// Print the rules in force, or those of an earlier revision.
 #[derive(Debug, FromArgs)]
--- a/src/config/accept_rules.rs
+++ b/src/config/accept_rules.rs
@@ -17,12 +17,12 @@
 use crate::core::Revision;
 use crate::core::config::HistoryEntry;
 use crate::core::config::RulesRecord;
-use crate::platform::BlockingStore;
-use crate::platform::Compare;
-use crate::platform::KeyRange;
-use crate::platform::Operation;
-use crate::platform::StoreError;
-use crate::platform::Txn;
+use crate::registry::BlockingStore;
+use crate::registry::Compare;
+use crate::registry::KeyRange;
+use crate::registry::Operation;
+use crate::registry::StoreError;
+use crate::registry::Txn;
 use crate::rules::RuleFault;
 use crate::rules::parse_rules;
 
--- a/src/config/config_keeper.rs
+++ b/src/config/config_keeper.rs
@@ -25,9 +25,9 @@
 use crate::peer::PeerClient;
 use crate::peer::Peers;
 use crate::peer::RevisionNotice;
-use crate::platform::Change;
-use crate::platform::Store;
-use crate::platform::StoreError;
+use crate::registry::Change;
+use crate::registry::Store;
+use crate::registry::StoreError;
 use crate::settings::PlatformSettings;
 
 const EXCHANGE_LIMIT: Duration = Duration::from_secs(1);
--- a/src/config/read_rules.rs
+++ b/src/config/read_rules.rs
@@ -11,9 +11,9 @@
 use crate::core::Revision;
 use crate::core::config::HistoryEntry;
 use crate::core::config::RulesRecord;
-use crate::platform::BlockingStore;
-use crate::platform::KeyRange;
-use crate::platform::StoreError;
+use crate::registry::BlockingStore;
+use crate::registry::KeyRange;
+use crate::registry::StoreError;
 
 /// Failure of reading accepted rules.
 #[derive(Debug)]
--- a/src/config/stored_rules.rs
+++ b/src/config/stored_rules.rs
@@ -5,8 +5,8 @@
 use crate::core::Revision;
 use crate::core::config::HistoryEntry;
 use crate::core::config::RulesRecord;
-use crate::platform::KeyRange;
-use crate::platform::KeyValue;
+use crate::registry::KeyRange;
+use crate::registry::KeyValue;
 
 /// Record in force.
 pub(super) const CURRENT_KEY: &[u8] = b"teaseldrum/rules/current";
--- a/src/entry/once_lease.rs
+++ b/src/entry/once_lease.rs
@@ -7,9 +7,9 @@
 
 use tokio::time::Instant;
 
-use crate::platform::LeaseId;
-use crate::platform::Store;
-use crate::platform::StoreError;
+use crate::registry::LeaseId;
+use crate::registry::Store;
+use crate::registry::StoreError;
 
 /// Parts of the retention after which a new lease is taken.
 const LEASES_PER_RETENTION: u32 = 24;
--- a/src/entry/servers.rs
+++ b/src/entry/servers.rs
@@ -23,9 +23,9 @@
 use crate::core::placement::ServerKey;
 use crate::core::placement::ServerView;
 use crate::core::retry::AttemptFailure;
-use crate::platform::Host;
-use crate::platform::HostRole;
-use crate::platform::HostState;
+use crate::registry::Host;
+use crate::registry::HostRole;
+use crate::registry::HostState;
 use crate::settings::EntrySettings;
 
 /// Time for which a server that was not reached gets no new work.
--- a/src/entry/share_exchange.rs
+++ b/src/entry/share_exchange.rs
@@ -18,9 +18,9 @@
 use crate::core::limit::Origin;
 use crate::core::limit::Peer;
 use crate::peer::ControlThread;
-use crate::platform::Host;
-use crate::platform::HostRole;
-use crate::platform::HostState;
+use crate::registry::Host;
+use crate::registry::HostRole;
+use crate::registry::HostState;
 
 const CALL_LIMIT: Duration = Duration::from_millis(800);
 const ROSTER_INTERVAL: Duration = Duration::from_secs(1);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,7 +16,7 @@
 pub mod metrics;
 pub mod operator;
 pub mod peer;
-pub mod platform;
+pub mod registry;
 pub mod relay;
 pub mod rules;
 pub mod settings;
--- a/src/peer/host_table.rs
+++ b/src/peer/host_table.rs
@@ -9,9 +9,9 @@
 use rand::seq::IteratorRandom;
 use tokio::time::sleep;
 
-use crate::platform::Host;
-use crate::platform::HostList;
-use crate::platform::HostRole;
+use crate::registry::Host;
+use crate::registry::HostList;
+use crate::registry::HostRole;
 use crate::settings::PlatformSettings;
 
 const READ_INTERVAL: Duration = Duration::from_secs(1);
@@ -110,7 +110,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::platform::HostState;
+    use crate::registry::HostState;
 
     fn make_host(name: &str, port: u16) -> Host {
         Host {
--- a/tests/cli_rules.rs
+++ b/tests/cli_rules.rs
@@ -9,9 +9,9 @@
 
 use serde_json::json;
 use teaseldrum::entry::serve_entry;
-use teaseldrum::platform::Host;
-use teaseldrum::platform::HostRole;
-use teaseldrum::platform::HostState;
+use teaseldrum::registry::Host;
+use teaseldrum::registry::HostRole;
+use teaseldrum::registry::HostState;
 use teaseldrum::settings::EntrySettings;
 use teaseldrum_lab::hosts::HostsHandle;
 use teaseldrum_lab::hosts::start_hosts;
