--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -7,6 +7,7 @@
 mod entry;
 mod exit;
 mod fleet;
+mod gateway;
 mod history;
 mod key;
 mod order;
@@ -15,6 +16,7 @@
 mod run_role;
 mod settings;
 mod show;
+mod sidecar;
 mod status;
 mod timeline;
 
@@ -42,10 +44,12 @@
 enum Command {
     Agent(agent::AgentCommand),
     Entry(entry::EntryCommand),
+    Gateway(gateway::GatewayCommand),
     Order(order::OrderCommand),
     Key(key::KeyCommand),
     Rules(rules::RulesCommand),
     Settings(settings::SettingsCommand),
+    Sidecar(sidecar::SidecarCommand),
     Status(status::StatusCommand),
     Timeline(timeline::TimelineCommand),
 }
@@ -67,10 +71,12 @@
         match self.command {
             Some(Command::Agent(command)) => command.run(),
             Some(Command::Entry(command)) => command.run(),
+            Some(Command::Gateway(command)) => command.run(),
             Some(Command::Order(command)) => command.run(),
             Some(Command::Key(command)) => command.run(),
             Some(Command::Rules(command)) => command.run(),
             Some(Command::Settings(command)) => command.run(),
+            Some(Command::Sidecar(command)) => command.run(),
             Some(Command::Status(command)) => command.run(),
             Some(Command::Timeline(command)) => command.run(),
             None => {
--- a/src/cli/run_role.rs
+++ b/src/cli/run_role.rs
@@ -1,7 +1,9 @@
 //! What the commands of the long-running roles share.
 
+use std::env;
 use std::fmt::Display;
 use std::path::Path;
+use std::path::PathBuf;
 
 use super::Exit;
 use crate::logs::start_logging;
@@ -34,3 +36,22 @@
         }
     }
 }
+
+/// Finds the settings file that the arguments name, directly or by a variable
+/// of the environment; says what is missing.
+pub fn find_settings(file: Option<PathBuf>, variable: Option<String>) -> Option<PathBuf> {
+    match (file, variable) {
+        (Some(file), None) => Some(file),
+        (None, Some(variable)) => {
+            let path = env::var_os(&variable).map(PathBuf::from);
+            if path.is_none() {
+                eprintln!("The variable `{variable}` is not set.");
+            }
+            path
+        }
+        _ => {
+            eprintln!("One of --settings and --settings-from is needed.");
+            None
+        }
+    }
+}
--- /dev/null
+++ b/src/core/fleet/backend_load.rs
@@ -0,0 +1,82 @@
+//! How busy a backend server is, from reports and own calls.
+
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::core::MonotonicTime;
+
+/// Age at which a report says nothing any more of others' calls.
+const REPORT_MEMORY: Duration = Duration::from_millis(1_500);
+
+/// Load that a server reports.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadFigures {
+    /// Calls being worked on.
+    pub running: u32,
+    /// Calls that wait for a slot.
+    pub waiting: u32,
+}
+
+/// How busy a backend server is: what it reported, corrected by what this
+/// process has sent and seen end since.
+#[derive(Debug, Default)]
+pub(super) struct BackendLoad {
+    own: u32,
+    own_prefill: u64,
+    others: u32,
+    others_waiting: u32,
+    reported_at: Option<MonotonicTime>,
+}
+
+impl BackendLoad {
+    /// Takes note of a call sent, with prompt tokens that it has to read.
+    pub fn begin(&mut self, prefill_tokens: u32) {
+        self.own += 1;
+        self.own_prefill += u64::from(prefill_tokens);
+    }
+
+    /// Takes note that the prompt of a call has been read.
+    pub fn end_prefill(&mut self, prefill_tokens: u32) {
+        self.own_prefill = self.own_prefill.saturating_sub(u64::from(prefill_tokens));
+    }
+
+    /// Takes note that a call has ended.
+    pub fn end(&mut self) {
+        self.own = self.own.saturating_sub(1);
+    }
+
+    /// Takes note of a report.
+    pub fn observe(&mut self, figures: LoadFigures, now: MonotonicTime) {
+        self.others = (figures.running + figures.waiting).saturating_sub(self.own);
+        self.others_waiting = figures.waiting.min(self.others);
+        self.reported_at = Some(now);
+    }
+
+    /// Estimates the calls at the server, running and waiting.
+    pub fn calls(&self, now: MonotonicTime) -> f64 {
+        f64::from(self.own) + f64::from(self.others) * self.trust(now)
+    }
+
+    /// Estimates the prompt tokens that the server still has to read.
+    pub fn prefill_tokens(&self, mean_tokens: f64, now: MonotonicTime) -> f64 {
+        self.own_prefill as f64 + f64::from(self.others_waiting) * mean_tokens * self.trust(now)
+    }
+
+    /// Own calls at the server.
+    pub fn own(&self) -> u32 {
+        self.own
+    }
+
+    /// Age of the last report.
+    pub fn report_age(&self, now: MonotonicTime) -> Option<Duration> {
+        self.reported_at.map(|at| now.since(at))
+    }
+
+    fn trust(&self, now: MonotonicTime) -> f64 {
+        self.report_age(now).map_or(0.0, |age| {
+            1.0 - (age.as_secs_f64() / REPORT_MEMORY.as_secs_f64()).min(1.0)
+        })
+    }
+}
--- /dev/null
+++ b/src/core/fleet/dispatcher.rs
@@ -0,0 +1,535 @@
+//! Where a call goes.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use slotmap::SlotMap;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::AgentFacts;
+use super::BackendKey;
+use super::BackendView;
+use super::HeldChange;
+use super::HeldParts;
+use super::LoadFigures;
+use super::Member;
+use super::ModelName;
+use super::Prompt;
+use super::SaltText;
+use super::WantedVersion;
+use super::fetch_plan::FetchPlan;
+use super::fetch_plan::PartSources;
+use crate::core::AccountName;
+use crate::core::MonotonicTime;
+use crate::core::ServerName;
+use crate::core::WeightsVersion;
+
+/// Prompt tokens that an engine reads in a millisecond. The engines of both
+/// deployments read 85 to 101.
+const PREFILL_TOKENS_PER_MS: f64 = 85.0;
+
+/// Mean prompt tokens of a waiting call of which nothing is known.
+const MEAN_PROMPT_TOKENS: f64 = 4_000.0;
+
+/// Tokens fetched in a millisecond over a link between engines; 1,100 Gbit/s
+/// carry 420 tokens of 328 KB.
+const FETCH_TOKENS_PER_MS: f64 = 300.0;
+
+/// Cost of reading a token again that another engine has read, in
+/// milliseconds of delay that are as bad.
+const READ_AGAIN_MS_PER_TOKEN: f64 = 0.12;
+
+/// Cost of an engine that is not the first choice for a part that nobody has
+/// read, in milliseconds: entries that choose alone agree by it.
+const NOT_HOME_MS: f64 = 60.0;
+
+/// Cost of each call that runs beside, in milliseconds: it lengthens steps.
+const BESIDE_MS: f64 = 0.6;
+
+/// Time that a call keeps a slot, in milliseconds, when slots are full.
+const ENGINE_RUN_MS: f64 = 350.0;
+const PLAIN_RUN_MS: f64 = 70.0;
+
+/// Cost of a server in another availability zone, in milliseconds.
+const OTHER_ZONE_MS: f64 = 2.0;
+
+/// Cost of a server all of whose calls fail, in milliseconds.
+const FAILING_MS: f64 = 1_500.0;
+
+/// Cost of an engine without room for the prompt in memory, in milliseconds.
+const NO_ROOM_MS: f64 = 600.0;
+
+/// Time after a newer version was named in which engines on the older one are
+/// as good, since answers are still worth all.
+const OLD_VERSION_FREE: Duration = Duration::from_millis(1_300);
+
+/// Time after which no call is sent to an engine on an older version.
+const OLD_VERSION_LIMIT: Duration = Duration::from_millis(4_500);
+
+/// Cost of an older version between these, in milliseconds.
+const OLD_VERSION_MS: f64 = 250.0;
+
+/// Time to come back after when no server can be asked now.
+const NO_SERVER_RETRY: Duration = Duration::from_millis(400);
+
+/// Part of the time left by which the first token must be predicted.
+const LATEST_START: f64 = 0.8;
+
+/// A call that needs a server.
+#[derive(Debug)]
+pub struct DispatchRequest<'a> {
+    /// Service that it goes to.
+    pub service: &'a str,
+    /// The prompt, of a call to a model.
+    pub prompt: Option<&'a Prompt>,
+    /// The account, if it shares no cached parts with others.
+    pub isolated: Option<&'a AccountName>,
+    /// Servers that were asked before.
+    pub tried: &'a [BackendKey],
+    /// Time that the caller still waits.
+    pub time_left: Duration,
+}
+
+/// Where a call goes and how.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Choice {
+    /// The server.
+    pub key: BackendKey,
+    /// Its name.
+    pub name: ServerName,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Salt of its cached parts, for a call to a model.
+    pub salt: Option<SaltText>,
+    /// Weights version that the call is planned for.
+    pub version: Option<WeightsVersion>,
+    /// Where the server gets parts that it does not hold.
+    pub fetch_from: Option<SocketAddr>,
+    /// Store that the server saves parts to.
+    pub save_to: Option<SocketAddr>,
+    /// Prompt tokens that the server has to read.
+    pub prefill_tokens: u32,
+    /// Tokens among them that another engine has read.
+    pub read_again: u32,
+    /// Predicted time to the first token.
+    pub predicted: Duration,
+    /// Calls that are believed to be at the server.
+    pub load: f64,
+    /// Age of the server's last load report.
+    pub report_age: Option<Duration>,
+}
+
+/// Reason for which no server is chosen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NoBackend {
+    /// No server may take the call now.
+    None(Duration),
+    /// No server can begin before the caller leaves.
+    TooBusy(Duration),
+}
+
+/// Chooses servers for calls by predicted time to the first token and by what
+/// reading parts again costs the fleet.
+#[derive(Debug)]
+pub struct Dispatcher {
+    zone: String,
+    backends: SlotMap<BackendKey, BackendView>,
+    names: HashMap<ServerName, BackendKey>,
+    services: HashMap<String, Vec<BackendKey>>,
+    wanted: HashMap<ModelName, (WantedVersion, Option<MonotonicTime>)>,
+    store: Option<SocketAddr>,
+    store_lost: bool,
+    store_parts: HeldParts,
+}
+
+impl Dispatcher {
+    /// Creates a dispatcher for an entry in an availability zone.
+    pub fn new(zone: &str) -> Self {
+        Self {
+            zone: zone.into(),
+            backends: SlotMap::with_key(),
+            names: HashMap::new(),
+            services: HashMap::new(),
+            wanted: HashMap::new(),
+            store: None,
+            store_lost: false,
+            store_parts: HeldParts::default(),
+        }
+    }
+
+    /// Takes over a server's record.
+    pub fn put_member(&mut self, member: Member) -> BackendKey {
+        if let Some(&key) = self.names.get(&member.name) {
+            let is_moved = self
+                .backends
+                .get(key)
+                .is_some_and(|view| view.member.service != member.service);
+            if !is_moved {
+                if let Some(view) = self.backends.get_mut(key) {
+                    view.update(member);
+                }
+                return key;
+            }
+            self.remove_member(&member.name);
+        }
+        let (name, service) = (member.name.clone(), member.service.clone());
+        let key = self.backends.insert(BackendView::new(member));
+        self.names.insert(name, key);
+        self.services.entry(service).or_default().push(key);
+        key
+    }
+
+    /// Removes a server.
+    pub fn remove_member(&mut self, name: &ServerName) {
+        let Some(key) = self.names.remove(name) else {
+            return;
+        };
+        if let Some(view) = self.backends.remove(key)
+            && let Some(keys) = self.services.get_mut(&view.member.service)
+        {
+            keys.retain(|&other| other != key);
+        }
+    }
+
+    /// Takes note of a wanted version; `learned_at` is unknown where it was
+    /// named before this process ran. True if it is newer than what is known.
+    pub fn want_version(
+        &mut self,
+        wanted: &WantedVersion,
+        learned_at: Option<MonotonicTime>,
+    ) -> bool {
+        let known = self.wanted.get(&wanted.model);
+        if known.is_some_and(|(known, _)| known.version >= wanted.version) {
+            return false;
+        }
+        let entry = (wanted.clone(), learned_at);
+        self.wanted.insert(wanted.model.clone(), entry);
+        true
+    }
+
+    /// Lists the wanted versions.
+    pub fn list_wanted(&self) -> Vec<WantedVersion> {
+        self.wanted.values().map(|(w, _)| w.clone()).collect()
+    }
+
+    /// Takes over where the store of kept KV cache is, if there is one.
+    pub fn set_store(&mut self, store: Option<SocketAddr>) {
+        if self.store != store {
+            self.store = store;
+            self.store_parts.clear();
+        }
+    }
+
+    /// Returns where the store of kept KV cache is.
+    pub fn store(&self) -> Option<SocketAddr> {
+        self.store
+    }
+
+    /// Takes note that the store does not answer: fetches from it would only
+    /// cost time until it does.
+    pub fn note_store_lost(&mut self) {
+        self.store_lost = true;
+    }
+
+    /// Takes note of parts that the store holds; `is_whole` tells that it
+    /// holds nothing else.
+    pub fn observe_store(&mut self, changes: &[HeldChange], is_whole: bool) {
+        self.store_lost = false;
+        if is_whole {
+            self.store_parts.clear();
+        }
+        for change in changes {
+            self.store_parts.apply(*change);
+        }
+    }
+
+    /// Takes note of what an agent says of its engine.
+    pub fn observe_agent(&mut self, name: &ServerName, facts: AgentFacts, now: MonotonicTime) {
+        if let Some(view) = self.find_mut(name) {
+            view.observe_agent(facts, now);
+        }
+    }
+
+    /// Takes note of parts that an engine holds.
+    pub fn observe_held(&mut self, name: &ServerName, changes: &[HeldChange], is_whole: bool) {
+        if let Some(view) = self.find_mut(name) {
+            view.observe_held(changes, is_whole);
+        }
+    }
+
+    /// Takes note of the load in an answer.
+    pub fn observe_load(&mut self, key: BackendKey, figures: LoadFigures, now: MonotonicTime) {
+        if let Some(view) = self.backends.get_mut(key) {
+            view.load.observe(figures, now);
+        }
+    }
+
+    /// Takes note of the weights version in an answer.
+    pub fn observe_version(&mut self, key: BackendKey, model: &ModelName, version: WeightsVersion) {
+        if let Some(view) = self.backends.get_mut(key) {
+            view.observe_version(model, version);
+        }
+    }
+
+    /// Returns a server.
+    pub fn backend(&self, key: BackendKey) -> Option<&BackendView> {
+        self.backends.get(key)
+    }
+
+    /// Lists the servers of a service.
+    pub fn list_service(&self, service: &str) -> impl Iterator<Item = &BackendView> {
+        let keys = self.services.get(service).map_or(&[][..], Vec::as_slice);
+        keys.iter().filter_map(|&key| self.backends.get(key))
+    }
+
+    /// Lists all servers.
+    pub fn backends(&self) -> impl Iterator<Item = &BackendView> {
+        self.backends.values()
+    }
+
+    /// Chooses the server of a call.
+    ///
+    /// # Errors
+    ///
+    /// No server may take the call, or none can begin in time.
+    pub fn choose(
+        &self,
+        req: &DispatchRequest<'_>,
+        now: MonotonicTime,
+    ) -> Result<Choice, NoBackend> {
+        let keys = self.services.get(req.service);
+        let keys = keys.map_or(&[][..], Vec::as_slice);
+        let mut sources: HashMap<u64, PartSources<'_>> = HashMap::new();
+        let mut best: Option<(f64, Choice)> = None;
+        for &key in keys.iter().filter(|key| !req.tried.contains(key)) {
+            let Some(view) = self.backends.get(key).filter(|v| v.takes_work(now)) else {
+                continue;
+            };
+            let rated = match req.prompt {
+                None => Some(self.rate_plain(key, view, now)),
+                Some(prompt) => self.rate_engine(key, view, prompt, req, &mut sources, now),
+            };
+            let Some((cost, choice)) = rated else {
+                continue;
+            };
+            if best.as_ref().is_none_or(|(least, _)| cost < *least) {
+                best = Some((cost, choice));
+            }
+        }
+        let (_, choice) = best.ok_or(NoBackend::None(NO_SERVER_RETRY))?;
+        if choice.predicted > req.time_left.mul_f64(LATEST_START) {
+            return Err(NoBackend::TooBusy(choice.predicted));
+        }
+        Ok(choice)
+    }
+
+    /// Takes note that a call was sent.
+    pub fn begin(&mut self, choice: &Choice, prompt: Option<&Prompt>, now: MonotonicTime) {
+        let Some(view) = self.backends.get_mut(choice.key) else {
+            return;
+        };
+        view.load.begin(choice.prefill_tokens);
+        if let (Some(prompt), Some(salt)) = (prompt, &choice.salt) {
+            let space = salt.space(&prompt.model);
+            for part in prompt.shared_parts() {
+                view.expect_part(space, part.id, now);
+            }
+        }
+    }
+
+    /// Takes note that the first token of a call came, or that none will.
+    pub fn end_prefill(&mut self, choice: &Choice) {
+        if let Some(view) = self.backends.get_mut(choice.key) {
+            view.load.end_prefill(choice.prefill_tokens);
+        }
+    }
+
+    /// Takes note that a call has ended.
+    pub fn end(&mut self, choice: &Choice) {
+        if let Some(view) = self.backends.get_mut(choice.key) {
+            view.load.end();
+        }
+    }
+
+    /// Takes note that a call did not run, so that its parts were not read.
+    pub fn forget(&mut self, choice: &Choice, prompt: Option<&Prompt>) {
+        let Some(view) = self.backends.get_mut(choice.key) else {
+            return;
+        };
+        if let (Some(prompt), Some(salt)) = (prompt, &choice.salt) {
+            let space = salt.space(&prompt.model);
+            for part in prompt.shared_parts() {
+                view.forget_part(space, part.id);
+            }
+        }
+    }
+
+    /// Takes note of how a call went.
+    pub fn note_outcome(&mut self, key: BackendKey, is_failure: bool) {
+        if let Some(view) = self.backends.get_mut(key) {
+            view.note_outcome(is_failure);
+        }
+    }
+
+    /// Passes a server by for a while, after it could not be reached.
+    pub fn note_unreachable(&mut self, key: BackendKey, now: MonotonicTime) {
+        if let Some(view) = self.backends.get_mut(key) {
+            view.note_unreachable(now);
+        }
+    }
+
+    /// Drops what time has made void; to be called about once a second.
+    pub fn tick(&mut self, now: MonotonicTime) {
+        for view in self.backends.values_mut() {
+            view.tick(now);
+        }
+    }
+
+    fn usable_store(&self) -> Option<SocketAddr> {
+        self.store.filter(|_| !self.store_lost)
+    }
+
+    fn find_mut(&mut self, name: &ServerName) -> Option<&mut BackendView> {
+        let key = self.names.get(name)?;
+        self.backends.get_mut(*key)
+    }
+
+    fn rate_plain(&self, key: BackendKey, view: &BackendView, now: MonotonicTime) -> (f64, Choice) {
+        let load = view.load.calls(now);
+        let wait = wait_for_slot(load, view.member.slots, PLAIN_RUN_MS);
+        let spread = load / f64::from(view.member.slots.max(1)) * PLAIN_RUN_MS / 4.0;
+        let cost = wait + spread + self.extra_cost(view);
+        let choice = make_choice(key, view, load, wait, now);
+        (cost, choice)
+    }
+
+    fn rate_engine<'a>(
+        &self,
+        key: BackendKey,
+        view: &BackendView,
+        prompt: &'a Prompt,
+        req: &DispatchRequest<'_>,
+        sources: &mut HashMap<u64, PartSources<'a>>,
+        now: MonotonicTime,
+    ) -> Option<(f64, Choice)> {
+        let version = view.version(&prompt.model, now)?;
+        let version_cost = self.rate_version(&prompt.model, version, now)?;
+        let salt = SaltText::new(version, req.isolated);
+        let space = salt.space(&prompt.model);
+        let sources = sources.entry(space).or_insert_with(|| {
+            let store = self.usable_store();
+            let store = store.map(|address| (address, &self.store_parts));
+            let engines = self.list_service(req.service);
+            PartSources::find(prompt, space, store, engines, now)
+        });
+        let plan = sources.plan(view, now);
+        let load = view.load.calls(now);
+        let prefill = plan.read_again + plan.read_first;
+        let queued = view.load.prefill_tokens(MEAN_PROMPT_TOKENS, now);
+        let wait =
+            queued / PREFILL_TOKENS_PER_MS + wait_for_slot(load, view.member.slots, ENGINE_RUN_MS);
+        let start = wait
+            + f64::from(prefill) / PREFILL_TOKENS_PER_MS
+            + f64::from(plan.fetched) / FETCH_TOKENS_PER_MS;
+        let cost = start
+            + version_cost
+            + load * BESIDE_MS
+            + f64::from(plan.read_again) * READ_AGAIN_MS_PER_TOKEN
+            + rate_home(prompt, &plan, view)
+            + rate_memory(prompt, view, now)
+            + self.extra_cost(view);
+        let save_to = self.usable_store().filter(|_| sources.is_store_behind());
+        let choice = Choice {
+            salt: Some(salt),
+            version: Some(version),
+            fetch_from: plan.source,
+            save_to,
+            prefill_tokens: prefill,
+            read_again: plan.read_again,
+            ..make_choice(key, view, load, start, now)
+        };
+        Some((cost, choice))
+    }
+
+    /// Rates a weights version; none if it may not be used any more.
+    fn rate_version(
+        &self,
+        model: &ModelName,
+        version: WeightsVersion,
+        now: MonotonicTime,
+    ) -> Option<f64> {
+        let Some((wanted, learned_at)) = self.wanted.get(model) else {
+            return Some(0.0);
+        };
+        if version >= wanted.version {
+            return Some(0.0);
+        }
+        let age = now.since((*learned_at)?);
+        if age < OLD_VERSION_FREE {
+            Some(0.0)
+        } else if age < OLD_VERSION_LIMIT {
+            Some(OLD_VERSION_MS)
+        } else {
+            None
+        }
+    }
+
+    fn extra_cost(&self, view: &BackendView) -> f64 {
+        let zone = if view.member.zone == self.zone {
+            0.0
+        } else {
+            OTHER_ZONE_MS
+        };
+        zone + view.failures * FAILING_MS
+    }
+}
+
+fn make_choice(
+    key: BackendKey,
+    view: &BackendView,
+    load: f64,
+    start_ms: f64,
+    now: MonotonicTime,
+) -> Choice {
+    Choice {
+        key,
+        name: view.member.name.clone(),
+        address: view.member.address,
+        salt: None,
+        version: None,
+        fetch_from: None,
+        save_to: None,
+        prefill_tokens: 0,
+        read_again: 0,
+        predicted: Duration::from_secs_f64(start_ms.max(0.0) / 1_000.0),
+        load,
+        report_age: view.load.report_age(now),
+    }
+}
+
+fn wait_for_slot(load: f64, slots: u32, run_ms: f64) -> f64 {
+    let slots = f64::from(slots.max(1));
+    ((load + 1.0 - slots).max(0.0) / slots) * run_ms
+}
+
+/// Rates an engine for shared parts that nobody has read: the first choice of
+/// every entry is the same.
+fn rate_home(prompt: &Prompt, plan: &FetchPlan, view: &BackendView) -> f64 {
+    let Some(last) = prompt.shared_parts().last() else {
+        return 0.0;
+    };
+    if plan.shared_first == 0 {
+        return 0.0;
+    }
+    let seed = xxh3_64_with_seed(view.member.name.as_str().as_bytes(), last.id.0);
+    NOT_HOME_MS * (seed as f64 / u64::MAX as f64)
+}
+
+fn rate_memory(prompt: &Prompt, view: &BackendView, now: MonotonicTime) -> f64 {
+    let needed = u64::from(prompt.prompt_tokens);
+    match view.free_tokens(now) {
+        Some(free) if free < needed => NO_ROOM_MS,
+        _ => 0.0,
+    }
+}
--- /dev/null
+++ b/src/core/fleet/fetch_plan.rs
@@ -0,0 +1,116 @@
+//! Where an engine gets the cached parts of a prompt from.
+
+use std::net::SocketAddr;
+
+use super::BackendView;
+use super::HeldParts;
+use super::PartId;
+use super::Prompt;
+use crate::core::MonotonicTime;
+
+/// How the shared parts of a prompt stand at one engine.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub(super) struct FetchPlan {
+    /// Tokens that the engine holds or is about to.
+    pub cached: u32,
+    /// Tokens that it can fetch.
+    pub fetched: u32,
+    /// Tokens that it has to read although another has read them.
+    pub read_again: u32,
+    /// Tokens that it has to read: the first to do so, and the call's own.
+    pub read_first: u32,
+    /// Shared tokens among these.
+    pub shared_first: u32,
+    /// Where to fetch from.
+    pub source: Option<SocketAddr>,
+}
+
+/// Where each shared part of one prompt lies, over all engines and the store.
+#[derive(Debug)]
+pub(super) struct PartSources<'a> {
+    prompt: &'a Prompt,
+    space: u64,
+    in_store: Vec<bool>,
+    store: Option<SocketAddr>,
+    holder: Option<(SocketAddr, usize)>,
+    read: Vec<bool>,
+}
+
+impl<'a> PartSources<'a> {
+    /// Finds where the shared parts lie.
+    pub fn find<'b>(
+        prompt: &'a Prompt,
+        space: u64,
+        store: Option<(SocketAddr, &HeldParts)>,
+        engines: impl Iterator<Item = &'b BackendView>,
+        now: MonotonicTime,
+    ) -> Self {
+        let shared = prompt.shared_parts();
+        let holds = |part: PartId| store.is_some_and(|(_, held)| held.tokens(space, part) > 0);
+        let in_store: Vec<bool> = shared.iter().map(|part| holds(part.id)).collect();
+        let mut read = in_store.clone();
+        let mut holder: Option<(SocketAddr, usize)> = None;
+        for view in engines {
+            let mut prefix = 0;
+            for (index, part) in shared.iter().enumerate() {
+                read[index] |= view.holds(space, part.id, now);
+                if prefix == index && view.has_read(space, part.id) {
+                    prefix += 1;
+                }
+            }
+            if prefix > 0 && holder.is_none_or(|(_, best)| prefix > best) {
+                holder = Some((view.member.address, prefix));
+            }
+        }
+        Self {
+            prompt,
+            space,
+            in_store,
+            store: store.map(|(address, _)| address),
+            holder,
+            read,
+        }
+    }
+
+    /// Tells whether the store lacks a shared part.
+    pub fn is_store_behind(&self) -> bool {
+        self.store.is_some() && self.in_store.iter().any(|held| !held)
+    }
+
+    /// Plans how one engine gets the prompt.
+    pub fn plan(&self, view: &BackendView, now: MonotonicTime) -> FetchPlan {
+        let shared = self.prompt.shared_parts();
+        let cached_parts = shared
+            .iter()
+            .take_while(|part| view.holds(self.space, part.id, now))
+            .count();
+        let stored_parts = self.in_store.iter().take_while(|held| **held).count();
+        let holder = self
+            .holder
+            .filter(|(address, _)| *address != view.member.address);
+        let (source, fetched_to) = match (self.store, holder) {
+            (Some(store), Some((_, parts))) if stored_parts >= parts => (Some(store), stored_parts),
+            (_, Some((address, parts))) => (Some(address), parts),
+            (store, None) => (store, stored_parts),
+        };
+        let mut plan = FetchPlan {
+            source: source.filter(|_| cached_parts < shared.len()),
+            ..FetchPlan::default()
+        };
+        for (index, part) in shared.iter().enumerate() {
+            if index < cached_parts {
+                plan.cached += part.tokens;
+            } else if index < fetched_to {
+                plan.fetched += part.tokens;
+            } else if self.read[index] {
+                plan.read_again += part.tokens;
+            } else {
+                plan.read_first += part.tokens;
+                plan.shared_first += part.tokens;
+            }
+        }
+        let known = plan.cached + plan.fetched + plan.read_again + plan.read_first;
+        plan.read_first += self.prompt.prompt_tokens.saturating_sub(known);
+        plan
+    }
+}
--- /dev/null
+++ b/src/core/fleet/fleet_quota.rs
@@ -0,0 +1,219 @@
+//! Rates of client accounts across all entries, by exchange of what each
+//! entry has admitted.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::AccountRule;
+use super::token_bucket::TokenBucket;
+use crate::core::AccountName;
+use crate::core::MonotonicTime;
+
+/// Silence after which a peer is assumed to use its even share of every rate:
+/// six of the exchanges that peers make ten times a second.
+const PEER_SILENCE: Duration = Duration::from_millis(600);
+
+/// Silence after which a peer is taken as gone. Longer than the partitions
+/// that the limits must bear, since both sides of one go on admitting.
+const PEER_FORGOTTEN: Duration = Duration::from_secs(15);
+
+/// Part of a burst that a process starts with: an earlier run of it may have
+/// used the burst a moment ago.
+const FIRST_LEVEL: f64 = 0.3;
+
+/// Part of the allowed overage that the enforced rate uses; the rest covers
+/// what entries admit before they hear of each other.
+const USED_OVERAGE: f64 = 0.3;
+
+/// What one entry has admitted since it started.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerUsage {
+    /// Name of the entry.
+    pub name: String,
+    /// Differs in each run of the entry.
+    pub incarnation: u64,
+    /// Tokens admitted for each account since that run began.
+    pub admitted: Vec<(AccountName, u64)>,
+}
+
+/// Rates of client accounts across all entries. Every entry keeps each
+/// account's whole bucket, takes its own admissions from it at once, and
+/// takes those of its peers when it hears of them. A silent peer is charged
+/// with an even share of the rate, so that entries which cannot hear each
+/// other admit no more than the rate together.
+#[derive(Debug)]
+pub struct FleetQuota {
+    overage: f64,
+    slack: f64,
+    accounts: HashMap<AccountName, AccountQuota>,
+    peers: HashMap<String, Peer>,
+    charged_at: MonotonicTime,
+}
+
+#[derive(Debug)]
+struct AccountQuota {
+    bucket: TokenBucket,
+    rate: f64,
+    admitted: u64,
+}
+
+#[derive(Debug)]
+struct Peer {
+    incarnation: u64,
+    heard_at: MonotonicTime,
+    admitted: HashMap<AccountName, u64>,
+    assumed: HashMap<AccountName, f64>,
+}
+
+impl FleetQuota {
+    /// Creates limits without accounts. `overage` is the part above a rate,
+    /// and `slack` the tokens above a burst, that the operator tolerates.
+    pub fn new(overage: f64, slack: f64) -> Self {
+        Self {
+            overage,
+            slack,
+            accounts: HashMap::new(),
+            peers: HashMap::new(),
+            charged_at: MonotonicTime::ZERO,
+        }
+    }
+
+    /// Takes over the accounts of a configuration.
+    pub fn set_accounts(&mut self, rules: &[AccountRule], now: MonotonicTime) {
+        let limited: HashMap<&AccountName, &AccountRule> = rules
+            .iter()
+            .filter(|rule| rule.rate.is_some())
+            .map(|rule| (&rule.name, rule))
+            .collect();
+        self.accounts.retain(|name, _| limited.contains_key(name));
+        for (name, rule) in limited {
+            let rate = rule.rate.unwrap_or(0) as f64 * (1.0 + self.overage * USED_OVERAGE);
+            let burst =
+                rule.burst as f64 * (1.0 + self.overage * USED_OVERAGE) + self.slack * USED_OVERAGE;
+            match self.accounts.get_mut(name) {
+                Some(account) => {
+                    account.rate = rate;
+                    account.bucket.set_terms(rate, burst, now);
+                }
+                None => {
+                    let account = AccountQuota {
+                        bucket: TokenBucket::new(rate, burst, burst * FIRST_LEVEL, now),
+                        rate,
+                        admitted: 0,
+                    };
+                    self.accounts.insert(name.clone(), account);
+                }
+            }
+        }
+    }
+
+    /// Admits a call, or returns when the account has tokens for it again.
+    ///
+    /// # Errors
+    ///
+    /// The account is beyond its rate.
+    pub fn admit(
+        &mut self,
+        account: &AccountName,
+        tokens: u64,
+        now: MonotonicTime,
+    ) -> Result<(), Duration> {
+        self.charge_silent_peers(now);
+        let Some(account) = self.accounts.get_mut(account) else {
+            return Ok(());
+        };
+        let wait = account.bucket.time_until(tokens as f64, now);
+        if !wait.is_zero() {
+            return Err(wait);
+        }
+        account.bucket.take(tokens as f64, now);
+        account.admitted += tokens;
+        Ok(())
+    }
+
+    /// Gives back what was admitted for a call that did not run.
+    pub fn give_back(&mut self, account: &AccountName, tokens: u64, now: MonotonicTime) {
+        if let Some(account) = self.accounts.get_mut(account) {
+            account.bucket.take(-(tokens as f64), now);
+            account.admitted = account.admitted.saturating_sub(tokens);
+        }
+    }
+
+    /// Returns what this entry has admitted.
+    pub fn usage(&self, name: &str, incarnation: u64) -> PeerUsage {
+        let admitted = self.accounts.iter();
+        PeerUsage {
+            name: name.into(),
+            incarnation,
+            admitted: admitted.map(|(n, a)| (n.clone(), a.admitted)).collect(),
+        }
+    }
+
+    /// Takes note of what a peer has admitted.
+    pub fn observe_peer(&mut self, usage: &PeerUsage, now: MonotonicTime) {
+        self.charge_silent_peers(now);
+        let is_first = !self.peers.contains_key(&usage.name);
+        let peer = self
+            .peers
+            .entry(usage.name.clone())
+            .or_insert_with(|| Peer {
+                incarnation: usage.incarnation,
+                heard_at: now,
+                admitted: HashMap::new(),
+                assumed: HashMap::new(),
+            });
+        if peer.incarnation != usage.incarnation {
+            peer.incarnation = usage.incarnation;
+            peer.admitted.clear();
+        }
+        peer.heard_at = now;
+        for (name, admitted) in &usage.admitted {
+            let Some(account) = self.accounts.get_mut(name) else {
+                continue;
+            };
+            let before = peer.admitted.insert(name.clone(), *admitted);
+            let before = match before {
+                Some(before) => before,
+                // What it admitted before the first contact is not known by time.
+                None if is_first => *admitted,
+                None => 0,
+            };
+            let assumed = peer.assumed.remove(name).unwrap_or(0.0);
+            let gained = *admitted as f64 - before as f64;
+            account.bucket.take(gained - assumed, now);
+        }
+    }
+
+    /// Forgets a peer that said it leaves.
+    pub fn remove_peer(&mut self, name: &str) {
+        self.peers.remove(name);
+    }
+
+    /// Entries known, this one included.
+    pub fn count_entries(&self) -> usize {
+        self.peers.len() + 1
+    }
+
+    fn charge_silent_peers(&mut self, now: MonotonicTime) {
+        let entries = self.count_entries() as f64;
+        self.peers
+            .retain(|_, peer| now.since(peer.heard_at) < PEER_FORGOTTEN);
+        for peer in self.peers.values_mut() {
+            let silent_from = peer.heard_at + PEER_SILENCE;
+            let from = silent_from.max(self.charged_at);
+            let span = now.since(from).as_secs_f64();
+            if span <= 0.0 {
+                continue;
+            }
+            for (name, account) in &mut self.accounts {
+                let share = account.rate / entries * span;
+                account.bucket.take(share, now);
+                *peer.assumed.entry(name.clone()).or_default() += share;
+            }
+        }
+        self.charged_at = now;
+    }
+}
--- /dev/null
+++ b/src/core/fleet/mod.rs
@@ -0,0 +1,68 @@
+//! Decisions of a fleet whose configuration, members and weights versions
+//! come from an outside store: who may call what, where a call goes, what is
+//! refused, and when an engine changes its weights.
+
+mod account_rule;
+mod backend_key;
+mod backend_load;
+mod backend_view;
+mod call_head;
+mod call_kind;
+mod configuration;
+mod directory;
+mod dispatcher;
+mod fetch_plan;
+mod fleet_quota;
+mod held_parts;
+mod member;
+mod model_name;
+mod prompt;
+mod refusal;
+mod retry_allowance;
+mod rollout;
+mod route_rule;
+mod route_table;
+mod salt_text;
+mod service_rule;
+mod token_bucket;
+mod wanted_version;
+
+pub use account_rule::AccountRule;
+pub use backend_key::BackendKey;
+pub use backend_load::LoadFigures;
+pub use backend_view::AgentFacts;
+pub use backend_view::BackendView;
+pub use call_head::CallHead;
+pub use call_kind::CallKind;
+pub use configuration::CallerLimits;
+pub use configuration::Configuration;
+pub use directory::Directory;
+pub use directory::MemberChange;
+pub use dispatcher::Choice;
+pub use dispatcher::DispatchRequest;
+pub use dispatcher::Dispatcher;
+pub use dispatcher::NoBackend;
+pub use fleet_quota::FleetQuota;
+pub use fleet_quota::PeerUsage;
+pub use held_parts::HeldChange;
+pub use held_parts::HeldParts;
+pub use member::Member;
+pub use member::MemberState;
+pub use model_name::ModelName;
+pub use prompt::PartId;
+pub use prompt::Prompt;
+pub use prompt::PromptPart;
+pub use refusal::CallRefusal;
+pub use retry_allowance::RetryAllowance;
+pub use rollout::EngineFacts;
+pub use rollout::OrderOutcome;
+pub use rollout::Rollout;
+pub use rollout::RolloutStep;
+pub use route_rule::RouteRule;
+pub use route_rule::WeightedService;
+pub use route_table::RouteTable;
+pub use salt_text::SaltText;
+pub use service_rule::EngineRule;
+pub use service_rule::KeptStore;
+pub use service_rule::ServiceRule;
+pub use wanted_version::WantedVersion;
--- a/src/core/key_digest.rs
+++ b/src/core/key_digest.rs
@@ -1,6 +1,8 @@
 //! SHA-256 digest of a caller's key.
 
 use std::fmt;
+use std::hash::Hash;
+use std::hash::Hasher;
 use std::str::FromStr;
 
 use sha2::Digest;
@@ -33,6 +35,12 @@
 
 impl Eq for KeyDigest {}
 
+impl Hash for KeyDigest {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        self.0.hash(state);
+    }
+}
+
 impl fmt::Display for KeyDigest {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -6,6 +6,7 @@
 mod engine_incarnation;
 mod envelope;
 pub mod fair_queue;
+pub mod fleet;
 mod key_digest;
 pub mod limit;
 mod load_report;
--- /dev/null
+++ b/src/gateway/attempt.rs
@@ -0,0 +1,282 @@
+//! One attempt of a call at one backend server.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::HeaderValue;
+use http::StatusCode;
+use http::header::HOST;
+use hyper::Request;
+use tokio::time::Instant;
+use tokio::time::timeout;
+use tokio::time::timeout_at;
+
+use super::context::GatewayContext;
+use super::read_call::Call;
+use crate::core::fleet::Choice;
+use crate::http::AnswerBody;
+use crate::http::Exchange;
+use crate::http::empty_body;
+use crate::http::full_body;
+use crate::http::strip_connection_headers;
+use crate::ports::AnswerFacts;
+use crate::ports::ForwardFacts;
+
+/// Most bytes of an answer that is no stream.
+const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
+
+/// Time for the body of a refusal, so that its connection can be kept.
+const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(50);
+
+/// How an attempt went.
+#[derive(Debug)]
+pub enum AttemptEnd {
+    /// A whole answer, success or not.
+    Answered(WholeAnswer),
+    /// A stream of events begins.
+    Streaming(StreamHead),
+    /// The server certainly did not run the call.
+    NotRun(&'static str),
+    /// The call may have run.
+    Unknown(&'static str),
+}
+
+/// A whole answer of a server.
+#[derive(Debug)]
+pub struct WholeAnswer {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers for the caller.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// A stream whose head has come.
+#[derive(Debug)]
+pub struct StreamHead {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers for the caller.
+    pub headers: HeaderMap,
+    /// The rest.
+    pub exchange: Exchange,
+    /// Counts the call at its server until dropped.
+    pub in_flight: InFlight,
+}
+
+/// Counts a call at its server until dropped.
+#[derive(Debug)]
+pub struct InFlight {
+    cx: Arc<GatewayContext>,
+    choice: Choice,
+    is_reading: bool,
+}
+
+impl InFlight {
+    /// Counts a call that is about to be sent.
+    pub fn begin(cx: &Arc<GatewayContext>, call: &Call, choice: Choice) -> Self {
+        let now = cx.now();
+        let prompt = call.head.prompt.as_ref();
+        cx.lock().dispatcher.begin(&choice, prompt, now);
+        Self {
+            cx: Arc::clone(cx),
+            choice,
+            is_reading: true,
+        }
+    }
+
+    /// Returns where the call is.
+    pub fn choice(&self) -> &Choice {
+        &self.choice
+    }
+
+    /// Takes note that the first token came.
+    pub fn end_prefill(&mut self) {
+        if self.is_reading {
+            self.is_reading = false;
+            self.cx.lock().dispatcher.end_prefill(&self.choice);
+        }
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.end_prefill();
+        self.cx.lock().dispatcher.end(&self.choice);
+    }
+}
+
+/// Sends a call to a server and waits for its answer until `until`; of a
+/// stream, for its head.
+pub async fn attempt_call(
+    cx: &Arc<GatewayContext>,
+    call: &Call,
+    choice: Choice,
+    last_event: Option<&str>,
+    until: Instant,
+) -> AttemptEnd {
+    let in_flight = InFlight::begin(cx, call, choice);
+    let key = in_flight.choice().key;
+    let end = exchange_call(cx, call, in_flight, last_event, until).await;
+    let now = cx.now();
+    let mut state = cx.lock();
+    match &end {
+        AttemptEnd::Answered(answer) => {
+            let is_failure = answer.status.is_server_error();
+            state.dispatcher.note_outcome(key, is_failure);
+        }
+        AttemptEnd::Streaming(_) => {}
+        AttemptEnd::NotRun(reason) => {
+            if *reason == UNREACHABLE {
+                state.dispatcher.note_unreachable(key, now);
+            }
+            state.dispatcher.note_outcome(key, *reason == UNREACHABLE);
+        }
+        AttemptEnd::Unknown(_) => state.dispatcher.note_outcome(key, true),
+    }
+    end
+}
+
+const UNREACHABLE: &str = "unreachable";
+
+async fn exchange_call(
+    cx: &Arc<GatewayContext>,
+    call: &Call,
+    in_flight: InFlight,
+    last_event: Option<&str>,
+    until: Instant,
+) -> AttemptEnd {
+    let choice = in_flight.choice().clone();
+    let req = make_request(cx, call, &choice, last_event);
+    let sent = timeout_at(until, cx.client.send(choice.address, req)).await;
+    let mut exchange = match sent {
+        Err(_) => return AttemptEnd::Unknown("silent"),
+        Ok(Err(e)) if e.is_certainly_unsent() => {
+            forget_parts(cx, call, &choice);
+            return AttemptEnd::NotRun(UNREACHABLE);
+        }
+        Ok(Err(e)) => {
+            log::debug!("call: broken id={} reason=\"{e}\"", call.id_text());
+            return AttemptEnd::Unknown("broken");
+        }
+        Ok(Ok(exchange)) => exchange,
+    };
+    let facts = cx
+        .ports
+        .dialect
+        .read_answer(exchange.status(), exchange.headers());
+    if let Some(problem) = find_foreign(call, &facts, exchange.status()) {
+        return AttemptEnd::Unknown(problem);
+    }
+    take_facts(cx, call, &choice, &facts);
+    if facts.is_not_run {
+        forget_parts(cx, call, &choice);
+        // Only the connection's reuse depends on the body.
+        let _ = timeout(REFUSAL_BODY_TIMEOUT, exchange.read_rest(MAX_ANSWER_BYTES)).await;
+        return AttemptEnd::NotRun(if facts.is_misdirected {
+            "misdirected"
+        } else {
+            "turned-away"
+        });
+    }
+    let mut headers = exchange.headers().clone();
+    strip_connection_headers(&mut headers);
+    let status = exchange.status();
+    if status.is_success() && call.route.kind.is_stream() {
+        return AttemptEnd::Streaming(StreamHead {
+            status,
+            headers,
+            exchange,
+            in_flight,
+        });
+    }
+    match timeout_at(until, exchange.read_rest(MAX_ANSWER_BYTES)).await {
+        Ok(Ok(body)) => AttemptEnd::Answered(WholeAnswer {
+            status,
+            headers,
+            body,
+        }),
+        Ok(Err(_)) => AttemptEnd::Unknown("answer-broken"),
+        Err(_) => AttemptEnd::Unknown("answer-silent"),
+    }
+}
+
+/// Finds what tells that an answer is not the server's to this call.
+fn find_foreign(call: &Call, facts: &AnswerFacts, status: StatusCode) -> Option<&'static str> {
+    let is_other = facts.call_id.as_ref().is_some_and(|id| *id != call.head.id);
+    if is_other {
+        return Some("crossed-answer");
+    }
+    if facts.is_not_run {
+        return None;
+    }
+    if !facts.is_sealed || facts.is_encoded {
+        return Some("not-the-servers-answer");
+    }
+    (status.is_success() && facts.call_id.is_none()).then_some("answer-without-identity")
+}
+
+fn take_facts(cx: &GatewayContext, call: &Call, choice: &Choice, facts: &AnswerFacts) {
+    let now = cx.now();
+    let mut state = cx.lock();
+    if let Some(load) = facts.load {
+        state.dispatcher.observe_load(choice.key, load, now);
+    }
+    if let (Some(version), Some(prompt)) = (facts.version, &call.head.prompt) {
+        state
+            .dispatcher
+            .observe_version(choice.key, &prompt.model, version);
+    }
+}
+
+fn forget_parts(cx: &GatewayContext, call: &Call, choice: &Choice) {
+    let prompt = call.head.prompt.as_ref();
+    cx.lock().dispatcher.forget(choice, prompt);
+}
+
+fn make_request(
+    cx: &GatewayContext,
+    call: &Call,
+    choice: &Choice,
+    last_event: Option<&str>,
+) -> Request<AnswerBody> {
+    let mut headers = call.headers.clone();
+    let facts = ForwardFacts {
+        account: call.account.as_ref(),
+        time_left: call.time_left(),
+        server: &choice.name,
+        version: choice.version,
+        salt: choice.salt.as_ref(),
+        fetch_from: choice.fetch_from,
+        save_to: choice.save_to,
+        priority: call.head.prompt.as_ref().map(|_| call.priority.min(9)),
+        last_event,
+    };
+    cx.ports.dialect.write_forward(&mut headers, &facts);
+    if !headers.contains_key(HOST)
+        && let Ok(host) = HeaderValue::from_str(&choice.address.to_string())
+    {
+        headers.insert(HOST, host);
+    }
+    let body = if call.body.is_empty() {
+        empty_body()
+    } else {
+        full_body(call.body.clone())
+    };
+    let mut req = Request::new(body);
+    *req.method_mut() = call.method.clone();
+    *req.uri_mut() = origin_form(call);
+    *req.headers_mut() = headers;
+    req
+}
+
+/// Returns path and query alone, also where the caller wrote a whole address.
+fn origin_form(call: &Call) -> http::Uri {
+    call.uri
+        .path_and_query()
+        .cloned()
+        .map_or_else(|| call.uri.clone(), http::Uri::from)
+}
--- /dev/null
+++ b/src/gateway/context.rs
@@ -0,0 +1,100 @@
+//! What the parts of a gateway share.
+
+use std::fmt;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+
+use super::state::GatewayState;
+use crate::clock::Clock;
+use crate::core::MonotonicTime;
+use crate::http::BodyBudget;
+use crate::http::Client;
+use crate::metrics::GatewayMetrics;
+use crate::ports::Dialect;
+use crate::ports::FleetSource;
+use crate::ports::PartsFeed;
+use crate::settings::GatewaySettings;
+
+/// The systems around a gateway.
+#[derive(Clone)]
+pub struct GatewayPorts {
+    /// How callers and backend servers speak.
+    pub dialect: Arc<dyn Dialect>,
+    /// Where configuration and members come from.
+    pub source: Arc<dyn FleetSource>,
+    /// Feeds of cached prompt parts.
+    pub parts: Arc<dyn PartsFeed>,
+}
+
+/// What the parts of a gateway share.
+pub struct GatewayContext {
+    /// Settings.
+    pub settings: GatewaySettings,
+    /// The systems around it.
+    pub ports: GatewayPorts,
+    /// Connections to backend servers.
+    pub client: Client,
+    /// Memory of request bodies.
+    pub body_budget: Arc<BodyBudget>,
+    /// Figures.
+    pub metrics: GatewayMetrics,
+    /// Differs in each run.
+    pub incarnation: u64,
+    clock: Clock,
+    state: Mutex<GatewayState>,
+    draining: AtomicBool,
+}
+
+impl GatewayContext {
+    /// Creates the context of a gateway that knows nothing yet.
+    pub fn new(settings: GatewaySettings, ports: GatewayPorts) -> Self {
+        let state = GatewayState::new(&settings.zone, &settings.bounds);
+        Self {
+            client: Client::new(settings.client_timeouts()),
+            body_budget: Arc::new(BodyBudget::new(settings.body_bytes())),
+            metrics: GatewayMetrics::new(),
+            incarnation: rand::random(),
+            clock: Clock::start(),
+            state: Mutex::new(state),
+            draining: AtomicBool::new(false),
+            settings,
+            ports,
+        }
+    }
+
+    /// Returns the time.
+    pub fn now(&self) -> MonotonicTime {
+        self.clock.now()
+    }
+
+    /// Locks what the gateway believes; never held over a wait.
+    pub fn lock(&self) -> MutexGuard<'_, GatewayState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Tells whether the gateway is about to stop.
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Acquire)
+    }
+
+    /// Begins to drain.
+    pub fn drain(&self) {
+        self.draining.store(true, Ordering::Release);
+    }
+
+    /// Tells whether the gateway serves calls.
+    pub fn is_ready(&self) -> bool {
+        let state = self.lock();
+        state.table.is_some() && state.has_members && !self.is_draining()
+    }
+}
+
+impl fmt::Debug for GatewayContext {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("GatewayContext").finish_non_exhaustive()
+    }
+}
--- /dev/null
+++ b/src/gateway/exchange_news.rs
@@ -0,0 +1,260 @@
+//! Exchanges admissions and configuration with other entries.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use tarpc::context::Context;
+use tokio::net::TcpListener;
+use tokio::time::sleep;
+
+use super::context::GatewayContext;
+use crate::core::MonotonicTime;
+use crate::mesh::EngineNews;
+use crate::mesh::EntryNews;
+use crate::mesh::KnownEntry;
+use crate::mesh::Mesh;
+use crate::mesh::MeshClient;
+use crate::mesh::ObserveRequest;
+use crate::mesh::connect_mesh;
+use crate::mesh::serve_mesh;
+use crate::peer::accept_peers;
+
+/// Time between two exchanges with one peer. Each side begins some, so that
+/// an admission is known everywhere after about half of it.
+const EXCHANGE_INTERVAL: Duration = Duration::from_millis(150);
+
+/// Exchanges a second that one entry begins at most: in a large fleet each
+/// peer is asked less often.
+const MAX_EXCHANGES_PER_S: u64 = 150;
+
+/// Time for an answer.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Pause after a peer could not be reached.
+const RECONNECT_PAUSE: Duration = Duration::from_millis(400);
+
+/// Silence after which a peer is not followed any more.
+const PEER_FORGOTTEN: Duration = Duration::from_secs(15);
+
+/// Entries that this one hears of.
+#[derive(Debug, Default)]
+pub struct EntryRoster {
+    entries: Mutex<HashMap<String, (SocketAddr, MonotonicTime)>>,
+}
+
+impl EntryRoster {
+    fn note(&self, name: &str, address: SocketAddr, now: MonotonicTime) {
+        let mut entries = self.entries.lock().unwrap_or_else(PoisonError::into_inner);
+        entries.insert(name.into(), (address, now));
+    }
+
+    fn remove(&self, name: &str) {
+        let mut entries = self.entries.lock().unwrap_or_else(PoisonError::into_inner);
+        entries.remove(name);
+    }
+
+    fn list(&self, now: MonotonicTime) -> Vec<KnownEntry> {
+        let mut entries = self.entries.lock().unwrap_or_else(PoisonError::into_inner);
+        entries.retain(|_, (_, heard_at)| now.since(*heard_at) < PEER_FORGOTTEN);
+        entries
+            .iter()
+            .map(|(name, (address, _))| KnownEntry {
+                name: name.clone(),
+                address: *address,
+            })
+            .collect()
+    }
+}
+
+/// The answering end for other entries.
+#[derive(Clone)]
+struct EntryService {
+    cx: Arc<GatewayContext>,
+    roster: Arc<EntryRoster>,
+    found: tokio::sync::mpsc::UnboundedSender<SocketAddr>,
+}
+
+impl Mesh for EntryService {
+    async fn observe(self, _: Context, _: ObserveRequest) -> Option<EngineNews> {
+        None
+    }
+
+    async fn exchange(self, _: Context, news: EntryNews) -> Option<EntryNews> {
+        let address = news.address;
+        take_news(&self.cx, &self.roster, news, &self.found);
+        // The receiver lives as long as the process.
+        let _ = self.found.send(address);
+        Some(make_news(&self.cx, &self.roster))
+    }
+
+    async fn get_configuration(self, _: Context, held: u64) -> Option<Bytes> {
+        let state = self.cx.lock();
+        (state.configuration_version() > held).then(|| state.raw_configuration.clone())
+    }
+}
+
+/// Serves other entries and follows them until dropped.
+pub async fn exchange_news(cx: Arc<GatewayContext>, listener: TcpListener) {
+    let roster = Arc::new(EntryRoster::default());
+    let (found, mut found_rx) = tokio::sync::mpsc::unbounded_channel();
+    let service = EntryService {
+        cx: Arc::clone(&cx),
+        roster: Arc::clone(&roster),
+        found: found.clone(),
+    };
+    tokio::spawn(accept_peers(listener, move |stream| {
+        serve_mesh(stream, service.clone())
+    }));
+    for seed in &cx.settings.seeds {
+        // The receiver is held below.
+        let _ = found.send(*seed);
+    }
+    let mut followed: HashMap<SocketAddr, tokio::task::JoinHandle<()>> = HashMap::new();
+    while let Some(address) = found_rx.recv().await {
+        followed.retain(|_, follower| !follower.is_finished());
+        if address == cx.settings.listen.peers || followed.contains_key(&address) {
+            continue;
+        }
+        let is_seed = cx.settings.seeds.contains(&address);
+        let follower = follow_peer(
+            Arc::clone(&cx),
+            Arc::clone(&roster),
+            address,
+            found.clone(),
+            is_seed,
+        );
+        followed.insert(address, tokio::spawn(follower));
+    }
+}
+
+/// Exchanges news with one peer; ends once a peer that is no seed is silent
+/// for long.
+async fn follow_peer(
+    cx: Arc<GatewayContext>,
+    roster: Arc<EntryRoster>,
+    address: SocketAddr,
+    found: tokio::sync::mpsc::UnboundedSender<SocketAddr>,
+    is_seed: bool,
+) {
+    let mut heard_at = cx.now();
+    while is_seed || cx.now().since(heard_at) < PEER_FORGOTTEN {
+        if let Ok(client) = connect_mesh(address).await {
+            log::info!("peers: connected address={address}");
+            let reason = exchange_over(&cx, &roster, &client, &found, &mut heard_at).await;
+            log::info!("peers: lost address={address} reason=\"{reason}\"");
+        }
+        sleep(RECONNECT_PAUSE).await;
+    }
+}
+
+async fn exchange_over(
+    cx: &GatewayContext,
+    roster: &EntryRoster,
+    client: &MeshClient,
+    found: &tokio::sync::mpsc::UnboundedSender<SocketAddr>,
+    heard_at: &mut MonotonicTime,
+) -> String {
+    loop {
+        let news = make_news(cx, roster);
+        match client.exchange(call_context(), news).await {
+            Ok(Some(news)) => {
+                *heard_at = cx.now();
+                let version = news.configuration;
+                take_news(cx, roster, news, found);
+                fetch_configuration(cx, client, version).await;
+            }
+            Ok(None) => return "it is no entry".into(),
+            Err(e) => return e.to_string(),
+        }
+        let peers = cx.lock().quota.count_entries() as u64;
+        let even = Duration::from_millis(1_000 * peers / MAX_EXCHANGES_PER_S);
+        sleep(EXCHANGE_INTERVAL.max(even)).await;
+    }
+}
+
+/// Fetches the configuration of a peer that has a newer one: the store may be
+/// out of reach for this entry alone.
+async fn fetch_configuration(cx: &GatewayContext, client: &MeshClient, version: u64) {
+    let held = cx.lock().configuration_version();
+    if version <= held {
+        return;
+    }
+    let raw = match client.get_configuration(call_context(), held).await {
+        Ok(Some(raw)) => raw,
+        Ok(None) => return,
+        Err(e) => {
+            log::warn!("config: not fetched from a peer version={version} reason=\"{e}\"");
+            return;
+        }
+    };
+    match cx.ports.source.read_configuration(&raw) {
+        Ok(configuration) => {
+            let version = configuration.version;
+            let now = cx.now();
+            if cx.lock().configure(Arc::new(configuration), raw, now) {
+                log::info!("config: in force version={version} source=peer");
+            }
+        }
+        Err(e) => log::error!("config: a peer's is malformed version={version} reason=\"{e}\""),
+    }
+}
+
+fn make_news(cx: &GatewayContext, roster: &EntryRoster) -> EntryNews {
+    let now = cx.now();
+    let state = cx.lock();
+    EntryNews {
+        address: cx.settings.listen.peers,
+        usage: state.quota.usage(&cx.settings.name, cx.incarnation),
+        configuration: state.configuration_version(),
+        wanted: state.dispatcher.list_wanted(),
+        entries: roster.list(now),
+        is_leaving: cx.is_draining(),
+    }
+}
+
+fn take_news(
+    cx: &GatewayContext,
+    roster: &EntryRoster,
+    news: EntryNews,
+    found: &tokio::sync::mpsc::UnboundedSender<SocketAddr>,
+) {
+    if news.usage.name == cx.settings.name {
+        return;
+    }
+    let now = cx.now();
+    roster.note(&news.usage.name, news.address, now);
+    for entry in &news.entries {
+        if entry.name != cx.settings.name {
+            // The receiver lives as long as the process.
+            let _ = found.send(entry.address);
+        }
+    }
+    let mut state = cx.lock();
+    state.quota.observe_peer(&news.usage, now);
+    for wanted in &news.wanted {
+        if state.dispatcher.want_version(wanted, Some(now)) {
+            log::info!(
+                "weights: wanted model={} version={} source=peer",
+                wanted.model,
+                wanted.version
+            );
+        }
+    }
+    if news.is_leaving {
+        roster.remove(&news.usage.name);
+    }
+    let entries = state.quota.count_entries();
+    state.retries.set_entries(entries, now);
+}
+
+fn call_context() -> Context {
+    let mut call = tarpc::context::current();
+    call.deadline = Instant::now() + ANSWER_TIMEOUT;
+    call
+}
--- /dev/null
+++ b/src/gateway/front_page.rs
@@ -0,0 +1,29 @@
+//! Pages for the balancer and for operators.
+
+use std::sync::Arc;
+
+use http::StatusCode;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+
+use super::context::GatewayContext;
+use crate::http::AnswerBody;
+use crate::http::full_body;
+
+/// Answers `/ready` and `/metrics`. Served by the runtime of the traffic: a
+/// thread pool for pages would take more memory than the gateway itself.
+pub async fn serve_page(cx: Arc<GatewayContext>, req: Request<Incoming>) -> Response<AnswerBody> {
+    let (status, text) = match req.uri().path() {
+        "/ready" if cx.is_ready() => (StatusCode::OK, "ready\n".into()),
+        "/ready" => (StatusCode::SERVICE_UNAVAILABLE, "not ready\n".into()),
+        "/metrics" => {
+            let version = cx.lock().configuration_version();
+            (StatusCode::OK, cx.metrics.write(version))
+        }
+        _ => (StatusCode::NOT_FOUND, "no such page\n".into()),
+    };
+    let mut response = Response::new(full_body(text));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/src/gateway/observe_engines.rs
@@ -0,0 +1,157 @@
+//! Follows the agents beside engines.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use tarpc::context::Context;
+use tokio::task::JoinHandle;
+use tokio::time::sleep;
+
+use super::context::GatewayContext;
+use crate::core::ServerName;
+use crate::core::fleet::MemberState;
+use crate::mesh::EngineNews;
+use crate::mesh::MeshClient;
+use crate::mesh::ObserveRequest;
+use crate::mesh::connect_mesh;
+
+/// Time for news of an agent, which holds them back for at most half a second.
+const NEWS_TIMEOUT: Duration = Duration::from_millis(1_200);
+
+/// Pause after an agent could not be reached.
+const RECONNECT_PAUSE: Duration = Duration::from_millis(300);
+
+/// Time between two looks at which engines there are.
+const LOOK_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Keeps one follower for each engine that is listed.
+pub async fn observe_engines(cx: Arc<GatewayContext>) {
+    let mut followers: HashMap<ServerName, JoinHandle<()>> = HashMap::new();
+    loop {
+        let engines = list_engines(&cx);
+        followers.retain(|name, follower| {
+            let is_listed = engines.iter().any(|(listed, _)| listed == name);
+            if !is_listed {
+                follower.abort();
+            }
+            is_listed
+        });
+        for (name, address) in engines {
+            if !followers.contains_key(&name) {
+                let follower = follow_engine(Arc::clone(&cx), name.clone(), address);
+                followers.insert(name, tokio::spawn(follower));
+            }
+        }
+        sleep(LOOK_INTERVAL).await;
+    }
+}
+
+/// Lists engines with the addresses of the agents beside them.
+fn list_engines(cx: &GatewayContext) -> Vec<(ServerName, SocketAddr)> {
+    let state = cx.lock();
+    state
+        .dispatcher
+        .backends()
+        .filter(|view| !view.member.models.is_empty())
+        .map(|view| {
+            let address = SocketAddr::new(view.member.address.ip(), cx.settings.agent_port);
+            (view.member.name.clone(), address)
+        })
+        .collect()
+}
+
+async fn follow_engine(cx: Arc<GatewayContext>, name: ServerName, agent: SocketAddr) {
+    let mut known = ObserveRequest {
+        incarnation: 0,
+        known_news: 0,
+        known_parts: 0,
+        engine: name.to_string(),
+        wanted: Vec::new(),
+        turn: (0, 1),
+    };
+    let mut is_lost = false;
+    loop {
+        let reason = match connect_mesh(agent).await {
+            Ok(client) => {
+                if is_lost {
+                    log::info!("agents: regained server={name} agent={agent}");
+                    is_lost = false;
+                }
+                follow_connection(&cx, &name, &client, &mut known).await
+            }
+            Err(e) => e.to_string(),
+        };
+        if !is_lost {
+            log::info!("agents: lost server={name} agent={agent} reason=\"{reason}\"");
+            is_lost = true;
+        }
+        sleep(RECONNECT_PAUSE).await;
+    }
+}
+
+/// Takes news until the connection fails; returns the reason.
+async fn follow_connection(
+    cx: &GatewayContext,
+    name: &ServerName,
+    client: &MeshClient,
+    known: &mut ObserveRequest,
+) -> String {
+    loop {
+        (known.wanted, known.turn) = find_turn(cx, name);
+        let mut call: Context = tarpc::context::current();
+        call.deadline = Instant::now() + NEWS_TIMEOUT;
+        match client.observe(call, known.clone()).await {
+            Ok(Some(news)) => take_news(cx, name, news, known),
+            Ok(None) => return "it has no engine".into(),
+            Err(e) => return e.to_string(),
+        }
+    }
+}
+
+/// Finds which weights are wanted and the place of an engine among those of
+/// its service, by name: every entry finds the same.
+fn find_turn(
+    cx: &GatewayContext,
+    name: &ServerName,
+) -> (Vec<crate::core::fleet::WantedVersion>, (u64, u64)) {
+    let state = cx.lock();
+    let wanted = state.dispatcher.list_wanted();
+    let own = state
+        .dispatcher
+        .backends()
+        .find(|view| view.member.name == *name);
+    let Some(own) = own else {
+        return (wanted, (0, 1));
+    };
+    let service = state.dispatcher.list_service(&own.member.service);
+    let (mut place, mut count) = (0, 0);
+    for view in service.filter(|view| view.member.state == MemberState::Ready) {
+        count += 1;
+        place += u64::from(view.member.name < *name);
+    }
+    (wanted, (place, count))
+}
+
+fn take_news(cx: &GatewayContext, name: &ServerName, news: EngineNews, known: &mut ObserveRequest) {
+    let now = cx.now();
+    let mut state = cx.lock();
+    for wanted in &news.wanted {
+        if state.dispatcher.want_version(wanted, Some(now)) {
+            log::info!(
+                "weights: wanted model={} version={} source=agent server={name}",
+                wanted.model,
+                wanted.version
+            );
+        }
+    }
+    known.incarnation = news.incarnation;
+    known.known_news = news.number;
+    known.known_parts = news.next_part;
+    state
+        .dispatcher
+        .observe_held(name, &news.parts, news.is_whole);
+    state.dispatcher.observe_agent(name, news.facts, now);
+}
--- /dev/null
+++ b/src/gateway/read_call.rs
@@ -0,0 +1,170 @@
+//! A call, from its head and body to its admission.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::Method;
+use http::Uri;
+use http::header::HOST;
+use http::request::Parts;
+use hyper::Request;
+use hyper::body::Incoming;
+use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::context::GatewayContext;
+use crate::core::AccountName;
+use crate::core::fleet::AccountRule;
+use crate::core::fleet::CallHead;
+use crate::core::fleet::CallRefusal;
+use crate::core::fleet::RouteRule;
+use crate::core::fleet::RouteTable;
+use crate::http::BodyReadError;
+use crate::http::BodyShare;
+use crate::http::read_body_within;
+use crate::http::strip_connection_headers;
+
+/// A call that has been read whole and may run.
+#[derive(Debug)]
+pub struct Call {
+    /// What the caller said of it.
+    pub head: CallHead,
+    /// Its route.
+    pub route: RouteRule,
+    /// Version of the configuration that it was admitted under.
+    pub configuration: u64,
+    /// Service that it goes to.
+    pub service: String,
+    /// Account that it runs for.
+    pub account: Option<AccountName>,
+    /// The account shares no cached parts with others.
+    pub is_isolated: bool,
+    /// Rank; 0 is the most urgent.
+    pub priority: u8,
+    /// Tokens admitted for it.
+    pub tokens: u64,
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub uri: Uri,
+    /// The caller's headers, without those of its connection.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+    /// When its head had arrived.
+    pub received: Instant,
+    /// When the caller stops to wait, or the route's timeout ends.
+    pub deadline: Instant,
+    /// Memory taken by the body.
+    pub share: BodyShare,
+}
+
+impl Call {
+    /// Time left until the deadline.
+    pub fn time_left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
+    /// The account, if it shares no cached parts.
+    pub fn isolated(&self) -> Option<&AccountName> {
+        self.account.as_ref().filter(|_| self.is_isolated)
+    }
+
+    /// Identity of the call as text, for logs.
+    pub fn id_text(&self) -> &str {
+        std::str::from_utf8(&self.head.id).unwrap_or("not-text")
+    }
+}
+
+/// Reads a call and admits it.
+///
+/// # Errors
+///
+/// The call is refused; it has not run.
+pub async fn read_call(
+    cx: &GatewayContext,
+    parts: Parts,
+    head: CallHead,
+    body: Incoming,
+    received: Instant,
+) -> Result<Call, CallRefusal> {
+    let table = cx.lock().table.clone();
+    let table = table.ok_or(CallRefusal::NoConfiguration)?;
+    let route = find_route(&table, &parts)?;
+    let account = table.authenticate(&route, head.key.as_ref())?;
+    let limits = &table.configuration().limits;
+    let deadline = head.patience.unwrap_or(route.timeout).min(route.timeout);
+    let mut share = cx.body_budget.share();
+    let body = read_body_within(body, limits.max_body_bytes, deadline, &mut share).await;
+    let body = body.map_err(explain_body_error)?;
+    let tokens = count_tokens(account, &head);
+    if let Some(account) = account {
+        let now = cx.now();
+        let admitted = cx.lock().quota.admit(&account.name, tokens, now);
+        admitted.map_err(CallRefusal::OverRate)?;
+    }
+    let mut headers = parts.headers;
+    strip_connection_headers(&mut headers);
+    let draw = xxh3_64(&head.id);
+    let service = route.pick_service(draw).unwrap_or_default().to_owned();
+    let rank = account.and_then(|account| account.priority);
+    Ok(Call {
+        configuration: table.configuration().version,
+        service,
+        account: account.map(|account| account.name.clone()),
+        is_isolated: account.is_some_and(|account| account.is_isolated),
+        priority: rank.unwrap_or(route.priority),
+        tokens,
+        method: parts.method,
+        uri: parts.uri,
+        headers,
+        body,
+        received,
+        deadline: received + deadline,
+        share,
+        head,
+        route,
+    })
+}
+
+/// Splits a request, whose head is read before anything else of it.
+///
+/// # Errors
+///
+/// The head cannot be used.
+pub fn split_request(
+    cx: &Arc<GatewayContext>,
+    req: Request<Incoming>,
+) -> (Parts, Incoming, Result<CallHead, CallRefusal>) {
+    let (parts, body) = req.into_parts();
+    let head = cx.ports.dialect.read_head(&parts);
+    (parts, body, head)
+}
+
+fn find_route(table: &RouteTable, parts: &Parts) -> Result<RouteRule, CallRefusal> {
+    let host = parts.uri.host().or_else(|| {
+        let host = parts.headers.get(HOST)?;
+        host.to_str().ok()
+    });
+    let host = host.ok_or(CallRefusal::BadRequest("a host is needed"))?;
+    let route = table.find_route(host, parts.uri.path());
+    route.cloned().ok_or(CallRefusal::NoRoute)
+}
+
+fn count_tokens(account: Option<&AccountRule>, head: &CallHead) -> u64 {
+    match (account, &head.prompt) {
+        (Some(account), Some(prompt)) if account.counts_tokens => prompt.charged_tokens(),
+        (Some(account), None) if account.counts_tokens => account.plain_tokens,
+        _ => 1,
+    }
+}
+
+fn explain_body_error(e: BodyReadError) -> CallRefusal {
+    match e {
+        BodyReadError::TooLarge => CallRefusal::TooLarge,
+        BodyReadError::Slow | BodyReadError::Broken => CallRefusal::SlowBody,
+        BodyReadError::NoRoom => CallRefusal::Overloaded(Duration::from_millis(500)),
+    }
+}
--- /dev/null
+++ b/src/gateway/relay_stream.rs
@@ -0,0 +1,202 @@
+//! Events of a stream on their way from servers to the caller.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use tokio::time::Instant;
+use tokio::time::timeout_at;
+
+use super::attempt::AttemptEnd;
+use super::attempt::InFlight;
+use super::attempt::StreamHead;
+use super::attempt::attempt_call;
+use super::context::GatewayContext;
+use super::log_call::CallLog;
+use super::read_call::Call;
+use crate::core::fleet::BackendKey;
+use crate::core::fleet::DispatchRequest;
+use crate::http::Exchange;
+use crate::http::StreamCut;
+
+/// Ends an event.
+const EVENT_END: &[u8] = b"\n\n";
+
+/// Begins the line with an event's number.
+const ID_LINE: &[u8] = b"id:";
+
+/// Silence, as a multiple of the route's objective, after which a stream that
+/// may be resumed goes on elsewhere, and the least such time.
+const SILENCE_OBJECTIVES: u32 = 3;
+const LEAST_SILENCE: Duration = Duration::from_millis(700);
+
+/// Events of a stream on their way from servers to the caller.
+#[derive(Debug)]
+pub struct StreamRelay {
+    cx: Arc<GatewayContext>,
+    call: Call,
+    source: Option<(Exchange, InFlight)>,
+    buf: BytesMut,
+    last_event: Option<String>,
+    tried: Vec<BackendKey>,
+    runs: u32,
+    log: CallLog,
+}
+
+impl StreamRelay {
+    /// Creates the relay of a stream whose head has come.
+    pub fn new(
+        cx: &Arc<GatewayContext>,
+        call: Call,
+        head: (Exchange, InFlight),
+        tried: Vec<BackendKey>,
+        runs: u32,
+        log: CallLog,
+    ) -> Self {
+        Self {
+            cx: Arc::clone(cx),
+            call,
+            source: Some(head),
+            buf: BytesMut::new(),
+            last_event: None,
+            tried,
+            runs,
+            log,
+        }
+    }
+
+    /// Waits for the next whole events; none at the end of the stream.
+    ///
+    /// # Errors
+    ///
+    /// The stream broke and cannot be resumed.
+    pub async fn next(&mut self) -> Result<Option<Bytes>, StreamCut> {
+        loop {
+            if let Some(events) = self.take_events() {
+                if let Some((_, in_flight)) = &mut self.source {
+                    in_flight.end_prefill();
+                }
+                self.log.note_first_event();
+                return Ok(Some(events));
+            }
+            let until = self.call.deadline.min(Instant::now() + self.silence());
+            let Some((exchange, _)) = &mut self.source else {
+                return Ok(None);
+            };
+            let problem = match timeout_at(until, exchange.next_chunk()).await {
+                Ok(Ok(Some(chunk))) => {
+                    self.buf.extend_from_slice(&chunk);
+                    continue;
+                }
+                Ok(Ok(None)) if self.buf.is_empty() => {
+                    self.finish(false);
+                    self.log.end("complete", 200);
+                    return Ok(None);
+                }
+                Ok(Ok(None)) => "ended-within-event",
+                Ok(Err(_)) => "stream-broken",
+                Err(_) => "stream-silent",
+            };
+            self.finish(true);
+            if !self.resume(problem).await {
+                self.log.end(problem, 502);
+                return Err(StreamCut);
+            }
+        }
+    }
+
+    /// Time without a chunk that is borne: to the deadline, where nothing else
+    /// can be done.
+    fn silence(&self) -> Duration {
+        if !self.call.route.kind.is_repeatable() || self.runs >= self.call.route.max_attempts {
+            return self.call.time_left();
+        }
+        (self.call.route.objective * SILENCE_OBJECTIVES).max(LEAST_SILENCE)
+    }
+
+    /// Takes the whole events that have come, and the number of the last.
+    fn take_events(&mut self) -> Option<Bytes> {
+        let end = find_last(&self.buf, EVENT_END)? + EVENT_END.len();
+        let events = self.buf.split_to(end).freeze();
+        if let Some(id) = find_last_id(&events) {
+            self.last_event = Some(id);
+        }
+        Some(events)
+    }
+
+    fn finish(&mut self, is_failure: bool) {
+        if let Some((_, in_flight)) = self.source.take() {
+            let key = in_flight.choice().key;
+            let now = self.cx.now();
+            let mut state = self.cx.lock();
+            state.dispatcher.note_outcome(key, is_failure);
+            if is_failure {
+                state.dispatcher.note_unreachable(key, now);
+            }
+        }
+        self.buf.clear();
+    }
+
+    /// Goes on at another server after the last event that was taken.
+    async fn resume(&mut self, problem: &'static str) -> bool {
+        let route = &self.call.route;
+        if !route.kind.is_repeatable() || self.runs >= route.max_attempts {
+            return false;
+        }
+        if self.call.time_left().is_zero() {
+            return false;
+        }
+        let choice = {
+            let now = self.cx.now();
+            let mut state = self.cx.lock();
+            let req = DispatchRequest {
+                service: &self.call.service,
+                prompt: self.call.head.prompt.as_ref(),
+                isolated: self.call.isolated(),
+                tried: &self.tried,
+                time_left: self.call.time_left(),
+            };
+            match state.dispatcher.choose(&req, now) {
+                Ok(choice) if state.retries.take_repeat(&self.call.service, now) => choice,
+                _ => return false,
+            }
+        };
+        self.log.note_attempt(&choice, problem);
+        self.tried.push(choice.key);
+        let until = self.call.deadline.min(Instant::now() + self.silence());
+        let last = self.last_event.clone();
+        let end = attempt_call(&self.cx, &self.call, choice, last.as_deref(), until).await;
+        match end {
+            AttemptEnd::Streaming(StreamHead {
+                exchange,
+                in_flight,
+                ..
+            }) => {
+                self.runs += 1;
+                self.source = Some((exchange, in_flight));
+                true
+            }
+            _ => false,
+        }
+    }
+}
+
+impl Drop for StreamRelay {
+    fn drop(&mut self) {
+        self.log.end("caller-gone", 499);
+    }
+}
+
+fn find_last(buf: &[u8], pattern: &[u8]) -> Option<usize> {
+    buf.windows(pattern.len()).rposition(|w| w == pattern)
+}
+
+fn find_last_id(events: &[u8]) -> Option<String> {
+    let line = events
+        .split(|&byte| byte == b'\n')
+        .rev()
+        .find_map(|line| line.strip_prefix(ID_LINE))?;
+    let id = std::str::from_utf8(line).ok()?;
+    Some(id.trim().to_owned())
+}
--- /dev/null
+++ b/src/gateway/run.rs
@@ -0,0 +1,182 @@
+//! Life of a gateway: start, serve, drain.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::time::Instant;
+use tokio::time::sleep;
+
+use super::context::GatewayContext;
+use super::context::GatewayPorts;
+use super::exchange_news::exchange_news;
+use super::follow_store::follow_store;
+use super::front_page::serve_page;
+use super::observe_engines::observe_engines;
+use super::serve_call::serve_call;
+use super::watch_kept_store::watch_kept_store;
+use crate::core::fleet::CallerLimits;
+use crate::http::ServerLimits;
+use crate::http::serve;
+use crate::ports::Area;
+use crate::settings::GatewaySettings;
+use crate::threads::StartError;
+use crate::threads::build_runtime;
+use crate::threads::open_listener;
+use crate::threads::wait_for_stop;
+
+/// Time between looks for the first configuration.
+const FIRST_LOOK: Duration = Duration::from_millis(20);
+
+/// Time that callers wait unaccepted for the first configuration.
+const FIRST_WAIT: Duration = Duration::from_millis(800);
+
+/// Time between rounds of upkeep.
+const TICK: Duration = Duration::from_millis(500);
+
+/// Time for which a draining gateway still takes connections: the balancer
+/// asks once a second and needs two refusals.
+const DRAIN_LINGER: Duration = Duration::from_millis(2_400);
+
+/// Part of the time to stop that is kept for the end itself.
+const STOP_MARGIN: Duration = Duration::from_millis(400);
+
+/// Reason for which a gateway cannot run.
+#[derive(Debug)]
+pub enum GatewayError {
+    /// A listener or the runtime cannot be had.
+    Start(StartError),
+}
+
+impl fmt::Display for GatewayError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Start(e) => e.fmt(f),
+        }
+    }
+}
+
+impl From<StartError> for GatewayError {
+    fn from(e: StartError) -> Self {
+        Self::Start(e)
+    }
+}
+
+/// Runs a gateway until SIGTERM or SIGINT, on one thread: its hosts have one
+/// core, and a second thread would only wait for it.
+///
+/// # Errors
+///
+/// The gateway cannot start.
+pub fn run_gateway(settings: GatewaySettings, ports: GatewayPorts) -> Result<(), GatewayError> {
+    let cx = Arc::new(GatewayContext::new(settings, ports));
+    build_runtime()?.block_on(live(cx))
+}
+
+async fn live(cx: Arc<GatewayContext>) -> Result<(), GatewayError> {
+    let listen = cx.settings.listen.clone();
+    log::info!(
+        "gateway: started name={} zone={} incarnation={:x}",
+        cx.settings.name,
+        cx.settings.zone,
+        cx.incarnation
+    );
+    let (stop_tx, stop) = watch::channel(false);
+    spawn_pages(&cx, listen.health, &stop)?;
+    if let Some(metrics) = listen.metrics {
+        spawn_pages(&cx, metrics, &stop)?;
+    }
+    let peers = open(listen.peers)?;
+    tokio::spawn(exchange_news(Arc::clone(&cx), peers));
+    tokio::spawn(follow_store(Arc::clone(&cx), Area::Operator));
+    tokio::spawn(follow_store(Arc::clone(&cx), Area::Members));
+    tokio::spawn(observe_engines(Arc::clone(&cx)));
+    tokio::spawn(watch_kept_store(Arc::clone(&cx)));
+    tokio::spawn(keep_up(Arc::clone(&cx)));
+    let traffic = open(listen.traffic)?;
+    let serving = tokio::spawn(serve_traffic(Arc::clone(&cx), traffic, stop.clone()));
+    let (_keep, never) = watch::channel(false);
+    wait_for_stop(never).await;
+    cx.drain();
+    log::info!("gateway: draining name={}", cx.settings.name);
+    sleep(DRAIN_LINGER).await;
+    stop_tx.send_replace(true);
+    let is_whole = serving.await.unwrap_or(false);
+    log::info!(
+        "gateway: stopped name={} all_calls_ended={is_whole}",
+        cx.settings.name
+    );
+    Ok(())
+}
+
+fn open(address: SocketAddr) -> Result<TcpListener, StartError> {
+    let listener = open_listener(address)?;
+    TcpListener::from_std(listener).map_err(|e| StartError::Listen(address, e))
+}
+
+fn spawn_pages(
+    cx: &Arc<GatewayContext>,
+    address: SocketAddr,
+    stop: &watch::Receiver<bool>,
+) -> Result<(), StartError> {
+    let listener = open(address)?;
+    let cx = Arc::clone(cx);
+    let limits = cx.settings.page_limits();
+    let stop = stop.clone();
+    tokio::spawn(async move {
+        let handle = move |req, _caller| serve_page(Arc::clone(&cx), req);
+        serve(listener, limits, handle, stop).await
+    });
+    Ok(())
+}
+
+/// Serves callers once there is a configuration; returns whether all calls
+/// ended in time after the stop.
+async fn serve_traffic(
+    cx: Arc<GatewayContext>,
+    listener: TcpListener,
+    stop: watch::Receiver<bool>,
+) -> bool {
+    let limits = wait_for_limits(&cx, &stop).await;
+    let limits = ServerLimits {
+        max_connections: cx.settings.max_connections(),
+        max_head_bytes: limits.max_head_bytes.max(8_192),
+        // hyper counts the idle time before a head as part of it.
+        head_timeout: limits.idle_timeout,
+        dead_peer_timeout: limits.idle_timeout,
+        drain_timeout: cx
+            .settings
+            .stop_timeout
+            .saturating_sub(DRAIN_LINGER + STOP_MARGIN),
+    };
+    let handle = move |req, _caller| serve_call(Arc::clone(&cx), req);
+    serve(listener, limits, handle, stop).await
+}
+
+/// Waits for the limits of the first configuration. While the store is away,
+/// callers are refused under the default ones.
+async fn wait_for_limits(cx: &GatewayContext, stop: &watch::Receiver<bool>) -> CallerLimits {
+    let deadline = Instant::now() + FIRST_WAIT;
+    while Instant::now() < deadline && !*stop.borrow() {
+        if let Some(table) = &cx.lock().table {
+            return table.configuration().limits.clone();
+        }
+        sleep(FIRST_LOOK).await;
+    }
+    CallerLimits::default()
+}
+
+/// Upkeep of what the gateway believes.
+async fn keep_up(cx: Arc<GatewayContext>) {
+    loop {
+        sleep(TICK).await;
+        let now = cx.now();
+        let mut state = cx.lock();
+        state.dispatcher.tick(now);
+        let changes = state.directory.tick(now);
+        state.apply_members(changes);
+    }
+}
--- /dev/null
+++ b/src/gateway/state.rs
@@ -0,0 +1,103 @@
+//! What a gateway believes.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+
+use crate::core::MonotonicTime;
+use crate::core::fleet::Configuration;
+use crate::core::fleet::Directory;
+use crate::core::fleet::Dispatcher;
+use crate::core::fleet::FleetQuota;
+use crate::core::fleet::MemberChange;
+use crate::core::fleet::RetryAllowance;
+use crate::core::fleet::RouteTable;
+use crate::settings::BoundSettings;
+
+/// What a gateway believes, all behind one lock: each request reads most of
+/// it, for microseconds.
+#[derive(Debug)]
+pub struct GatewayState {
+    /// Routes and keys in force; none before the first configuration.
+    pub table: Option<Arc<RouteTable>>,
+    /// The configuration in force as the store holds it, for peers.
+    pub raw_configuration: Bytes,
+    /// Backend servers.
+    pub directory: Directory,
+    /// Where calls go.
+    pub dispatcher: Dispatcher,
+    /// Rates of accounts.
+    pub quota: FleetQuota,
+    /// Bound on repeated sends.
+    pub retries: RetryAllowance,
+    /// The members have been read once.
+    pub has_members: bool,
+}
+
+impl GatewayState {
+    /// Creates the state of a gateway that knows nothing yet.
+    pub fn new(zone: &str, bounds: &BoundSettings) -> Self {
+        let window_s = bounds.retry_window.as_secs_f64();
+        Self {
+            table: None,
+            raw_configuration: Bytes::new(),
+            directory: Directory::default(),
+            dispatcher: Dispatcher::new(zone),
+            quota: FleetQuota::new(bounds.quota_overage, bounds.quota_slack),
+            retries: RetryAllowance::new(bounds.retry_ratio, bounds.retry_extra, window_s),
+            has_members: false,
+        }
+    }
+
+    /// Version of the configuration in force; zero without one.
+    pub fn configuration_version(&self) -> u64 {
+        self.table
+            .as_ref()
+            .map_or(0, |table| table.configuration().version)
+    }
+
+    /// Puts a configuration in force unless a newer one is. Returns whether
+    /// it did.
+    pub fn configure(
+        &mut self,
+        configuration: Arc<Configuration>,
+        raw: Bytes,
+        now: MonotonicTime,
+    ) -> bool {
+        if configuration.version <= self.configuration_version() {
+            return false;
+        }
+        self.quota.set_accounts(&configuration.accounts, now);
+        let store = configuration
+            .services
+            .iter()
+            .find_map(|service| service.kept_store.as_ref());
+        self.dispatcher.set_store(store.map(|store| store.address));
+        self.raw_configuration = raw;
+        self.table = Some(Arc::new(RouteTable::new(configuration)));
+        true
+    }
+
+    /// Takes over what follows from a change of the members.
+    pub fn apply_members(&mut self, changes: impl IntoIterator<Item = MemberChange>) {
+        for change in changes {
+            match change {
+                MemberChange::Listed(member) => {
+                    log::info!(
+                        "members: listed server={} service={} address={} state={:?} models={:?}",
+                        member.name,
+                        member.service,
+                        member.address,
+                        member.state,
+                        member.models,
+                    );
+                    self.dispatcher.put_member(member);
+                }
+                MemberChange::Gone(name) => {
+                    log::info!("members: gone server={name}");
+                    self.dispatcher.remove_member(&name);
+                }
+            }
+        }
+    }
+}
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -20,8 +20,16 @@
 use super::AnswerBody;
 use super::ClientError;
 use super::Exchange;
+use super::prepare_socket;
 
-const MAX_IDLE_PER_ADDRESS: usize = 16;
+const MAX_IDLE_PER_ADDRESS: usize = 64;
+
+/// Time in which a server that acknowledges nothing counts as gone.
+const DEAD_PEER_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Part of the idle time a server states after which its connection is not
+/// used any more: the request must arrive before the server closes it.
+const USED_IDLE_SHARE: f64 = 0.7;
 
 /// Bounds on the waits of a [`Client`].
 #[derive(Debug, Clone)]
@@ -47,7 +55,7 @@
 
 struct IdleConnection {
     sender: SendRequest<AnswerBody>,
-    since: Instant,
+    until: Instant,
 }
 
 impl Client {
@@ -128,8 +136,7 @@
             .await
             .map_err(|_| ClientError::Connect("timeout".into()))?
             .map_err(|e| ClientError::Connect(e.to_string()))?;
-        stream
-            .set_nodelay(true)
+        prepare_socket(&stream, DEAD_PEER_TIMEOUT)
             .map_err(|e| ClientError::Connect(e.to_string()))?;
         let (sender, connection) = http1::handshake(TokioIo::new(stream))
             .await
@@ -146,7 +153,7 @@
         let mut idle = self.lock_idle();
         let kept = idle.get_mut(&address)?;
         while let Some(connection) = kept.pop() {
-            let is_fresh = connection.since.elapsed() < self.timeouts.idle;
+            let is_fresh = Instant::now() < connection.until;
             if is_fresh && connection.sender.is_ready() {
                 return Some(connection.sender);
             }
@@ -155,8 +162,16 @@
         None
     }
 
-    /// Takes back a connection whose last answer was read whole.
-    pub(super) fn give_back(&self, address: SocketAddr, sender: SendRequest<AnswerBody>) {
+    /// Takes back a connection whose last answer was read whole; `stated` is
+    /// the idle time after which the server closes it.
+    pub(super) fn give_back(
+        &self,
+        address: SocketAddr,
+        sender: SendRequest<AnswerBody>,
+        stated: Option<Duration>,
+    ) {
+        let stated = stated.map(|idle| idle.mul_f64(USED_IDLE_SHARE));
+        let idle_time = stated.map_or(self.timeouts.idle, |idle| idle.min(self.timeouts.idle));
         let mut idle = self.lock_idle();
         let kept = idle.entry(address).or_default();
         if kept.len() >= MAX_IDLE_PER_ADDRESS {
@@ -164,7 +179,7 @@
         }
         kept.push(IdleConnection {
             sender,
-            since: Instant::now(),
+            until: Instant::now() + idle_time,
         });
     }
 
--- a/src/http/exchange.rs
+++ b/src/http/exchange.rs
@@ -112,11 +112,21 @@
 
     fn release(&mut self) {
         if let Some(connection) = self.connection.take() {
-            self.client.give_back(self.address, connection);
+            let stated = read_idle_time(&self.headers);
+            self.client.give_back(self.address, connection, stated);
         }
     }
 }
 
+/// Reads the idle time that a server states, in whole seconds.
+fn read_idle_time(headers: &HeaderMap) -> Option<Duration> {
+    let stated = headers.get("keep-alive")?.to_str().ok()?;
+    let seconds = stated
+        .split(',')
+        .find_map(|part| part.trim().strip_prefix("timeout="))?;
+    seconds.trim().parse().ok().map(Duration::from_secs)
+}
+
 impl fmt::Debug for Exchange {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("Exchange")
--- a/src/http/serve.rs
+++ b/src/http/serve.rs
@@ -15,8 +15,6 @@
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
 use hyper_util::server::graceful::GracefulShutdown;
-use socket2::SockRef;
-use socket2::TcpKeepalive;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::OwnedSemaphorePermit;
@@ -27,15 +25,13 @@
 
 use super::AnswerBody;
 use super::ServerLimits;
+use super::prepare_socket;
 
 const ACCEPT_RETRY: Duration = Duration::from_millis(20);
-const KEEPALIVE_IDLE: Duration = Duration::from_secs(5);
 /// Time for connections accepted last to send their request, before those
 /// without one are closed.
 const FIRST_READ_GRACE: Duration = Duration::from_millis(50);
 
-const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(5);
-
 /// Serves connections of `listener` until `drain` turns true, then lets
 /// running requests finish. Returns whether all of them did. Connections that
 /// the system had completed by then are served too.
@@ -99,15 +95,7 @@
 
 /// Sets what tells a dead peer from a quiet one.
 fn prepare(stream: &TcpStream, limits: &ServerLimits) {
-    let socket = SockRef::from(stream);
-    let keepalive = TcpKeepalive::new()
-        .with_time(KEEPALIVE_IDLE)
-        .with_interval(KEEPALIVE_INTERVAL);
-    let result = stream
-        .set_nodelay(true)
-        .and_then(|()| socket.set_tcp_keepalive(&keepalive))
-        .and_then(|()| socket.set_tcp_user_timeout(Some(limits.dead_peer_timeout)));
-    if let Err(e) = result {
+    if let Err(e) = prepare_socket(stream, limits.dead_peer_timeout) {
         log::warn!("http: Socket options refused: {e}.");
     }
 }
--- /dev/null
+++ b/src/mesh/engine_news.rs
@@ -0,0 +1,27 @@
+//! What an agent tells of its engine.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::core::fleet::AgentFacts;
+use crate::core::fleet::HeldChange;
+use crate::core::fleet::WantedVersion;
+
+/// What an agent tells of its engine.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct EngineNews {
+    /// Run of the agent.
+    pub incarnation: u64,
+    /// Number of these news.
+    pub number: u64,
+    /// The engine's state.
+    pub facts: AgentFacts,
+    /// Changes of the parts that the engine holds.
+    pub parts: Vec<HeldChange>,
+    /// The engine holds nothing but `parts`.
+    pub is_whole: bool,
+    /// Number of the next change.
+    pub next_part: u64,
+    /// Weights versions that the agent knows to be wanted.
+    pub wanted: Vec<WantedVersion>,
+}
--- /dev/null
+++ b/src/mesh/entry_news.rs
@@ -0,0 +1,35 @@
+//! What entries tell each other.
+
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::core::fleet::PeerUsage;
+use crate::core::fleet::WantedVersion;
+
+/// What entries tell each other.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct EntryNews {
+    /// Where the sender takes control messages.
+    pub address: SocketAddr,
+    /// What the sender has admitted.
+    pub usage: PeerUsage,
+    /// Version of the sender's configuration; zero without one.
+    pub configuration: u64,
+    /// Weights versions that the sender knows to be wanted.
+    pub wanted: Vec<WantedVersion>,
+    /// Entries that the sender hears of.
+    pub entries: Vec<KnownEntry>,
+    /// The sender is about to stop.
+    pub is_leaving: bool,
+}
+
+/// An entry that another one hears of.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KnownEntry {
+    /// Its name.
+    pub name: String,
+    /// Where it takes control messages.
+    pub address: SocketAddr,
+}
--- /dev/null
+++ b/src/mesh/link.rs
@@ -0,0 +1,39 @@
+//! Connections to other processes of the fleet.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tarpc::client;
+use tarpc::serde_transport;
+use tarpc::tokio_serde::formats::MessagePack;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+use tokio_util::codec::LengthDelimitedCodec;
+
+use super::MeshClient;
+use super::serve_mesh::MAX_MESSAGE_BYTES;
+use crate::http::prepare_socket;
+
+/// Time to make a connection; zones are milliseconds apart.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Time in which a peer that acknowledges nothing counts as gone.
+const DEAD_PEER_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Connects to a process of the fleet.
+///
+/// # Errors
+///
+/// It cannot be reached in time.
+pub async fn connect_mesh(address: SocketAddr) -> io::Result<MeshClient> {
+    let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
+        .await
+        .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+    prepare_socket(&stream, DEAD_PEER_TIMEOUT)?;
+    let framed = LengthDelimitedCodec::builder()
+        .max_frame_length(MAX_MESSAGE_BYTES)
+        .new_framed(stream);
+    let transport = serde_transport::new(framed, MessagePack::default());
+    Ok(MeshClient::new(client::Config::default(), transport).spawn())
+}
--- /dev/null
+++ b/src/mesh/service.rs
@@ -0,0 +1,25 @@
+//! The messages themselves.
+
+#![allow(missing_docs, reason = "the macro derives items without comments")]
+
+use bytes::Bytes;
+
+use super::EngineNews;
+use super::EntryNews;
+use super::ObserveRequest;
+
+/// Messages between the processes of a fleet. A process that does not serve
+/// one answers with nothing.
+#[tarpc::service]
+pub trait Mesh {
+    /// Asks an agent for news of its engine; held back for a while where there
+    /// are none.
+    async fn observe(req: ObserveRequest) -> Option<EngineNews>;
+
+    /// Tells an entry the caller's news and asks for its own.
+    async fn exchange(news: EntryNews) -> Option<EntryNews>;
+
+    /// Asks an entry for a configuration newer than `held`, as the store
+    /// holds it.
+    async fn get_configuration(held: u64) -> Option<Bytes>;
+}
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -3,10 +3,12 @@
 mod agent_metrics;
 mod answer_labels;
 mod entry_metrics;
+mod gateway_metrics;
 
 pub use agent_metrics::AgentMetrics;
 pub use answer_labels::AnswerLabels;
 pub use entry_metrics::EntryMetrics;
+pub use gateway_metrics::GatewayMetrics;
 
 use prometheus_client::encoding::text::encode;
 use prometheus_client::registry::Registry;
--- /dev/null
+++ b/src/ports/engine_port.rs
@@ -0,0 +1,52 @@
+//! What an agent asks of the engine beside it.
+
+use std::net::SocketAddr;
+
+use futures::future::BoxFuture;
+
+use super::PortError;
+use crate::core::fleet::EngineFacts;
+use crate::core::fleet::LoadFigures;
+use crate::core::fleet::OrderOutcome;
+use crate::core::fleet::WantedVersion;
+
+/// What an engine reports of itself.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct EngineReport {
+    /// What decides about orders.
+    pub facts: EngineFacts,
+    /// Its load.
+    pub load: LoadFigures,
+    /// Tokens of KV cache that cannot yield.
+    pub used_tokens: u64,
+    /// Tokens of KV cache altogether.
+    pub capacity_tokens: u64,
+    /// Unix time of its start, in milliseconds.
+    pub born: Option<u64>,
+}
+
+/// An order to change weights.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WeightsOrder {
+    /// The version to load; its revision is the fencing number.
+    pub wanted: WantedVersion,
+    /// Orders that the engine must have accepted for this one to hold.
+    pub accepted_orders: u64,
+    /// Who gives it.
+    pub holder: String,
+    /// Run of the engine that it is for, if known.
+    pub engine: Option<String>,
+}
+
+/// What an agent asks of the engine beside it.
+pub trait EnginePort: Send + Sync {
+    /// Reads the engine's report.
+    fn read_report(&self, engine: SocketAddr) -> BoxFuture<'_, Result<EngineReport, PortError>>;
+
+    /// Orders the engine to change its weights once its runs have ended.
+    fn order_weights<'a>(
+        &'a self,
+        engine: SocketAddr,
+        order: &'a WeightsOrder,
+    ) -> BoxFuture<'a, Result<OrderOutcome, PortError>>;
+}
--- /dev/null
+++ b/src/ports/fleet_source.rs
@@ -0,0 +1,67 @@
+//! Where configuration, wanted weights and members come from.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::future::BoxFuture;
+
+use super::PortError;
+use crate::core::ServerName;
+use crate::core::fleet::Configuration;
+use crate::core::fleet::Member;
+use crate::core::fleet::WantedVersion;
+
+/// A part of the source that is watched on its own.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Area {
+    /// What the operator writes: configuration and wanted weights.
+    Operator,
+    /// The records of backend servers.
+    Members,
+}
+
+/// One record that was read or changed.
+#[derive(Debug, Clone, PartialEq)]
+pub enum SourceChange {
+    /// A configuration, and the bytes it was read from.
+    Configured(Arc<Configuration>, Bytes),
+    /// A wanted weights version.
+    Wanted(WantedVersion),
+    /// A backend server's record.
+    Listed(Member),
+    /// A backend server's record is gone.
+    Gone(ServerName),
+    /// A record that cannot be read; names the record and the problem.
+    Malformed(String, String),
+}
+
+/// What a read or watch brought.
+#[derive(Debug, Clone, PartialEq)]
+pub struct SourceNews {
+    /// The records.
+    pub changes: Vec<SourceChange>,
+    /// Revision up to which they are complete.
+    pub revision: u64,
+}
+
+/// Where configuration, wanted weights and members come from.
+pub trait FleetSource: Send + Sync {
+    /// Reads every record of an area.
+    fn read_all(&self, area: Area) -> BoxFuture<'_, Result<SourceNews, PortError>>;
+
+    /// Waits for changes of an area after `revision`, for at most `wait`.
+    fn watch(
+        &self,
+        area: Area,
+        revision: u64,
+        wait: Duration,
+    ) -> BoxFuture<'_, Result<SourceNews, PortError>>;
+
+    /// Reads a configuration from the bytes that a peer passed on.
+    ///
+    /// # Errors
+    ///
+    /// The bytes are no configuration.
+    fn read_configuration(&self, bytes: &Bytes) -> Result<Configuration, PortError>;
+}
--- /dev/null
+++ b/src/ports/parts_feed.rs
@@ -0,0 +1,36 @@
+//! Feeds of cached prompt parts.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use futures::future::BoxFuture;
+
+use super::PortError;
+use crate::core::fleet::HeldChange;
+
+/// Changes of the parts that an engine or a store of kept KV cache holds.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct PartsPage {
+    /// Differs in each run of the holder.
+    pub epoch: u64,
+    /// Number to ask for next.
+    pub next: u64,
+    /// Changes before the first of these are lost.
+    pub is_gap: bool,
+    /// The changes.
+    pub changes: Vec<HeldChange>,
+}
+
+/// Feeds of cached prompt parts.
+pub trait PartsFeed: Send + Sync {
+    /// Waits for changes from number `since` on, for at most `wait`.
+    fn read_changes(
+        &self,
+        holder: SocketAddr,
+        since: u64,
+        wait: Duration,
+    ) -> BoxFuture<'_, Result<PartsPage, PortError>>;
+
+    /// Reads everything that a holder holds; it stalls the holder.
+    fn read_all(&self, holder: SocketAddr) -> BoxFuture<'_, Result<PartsPage, PortError>>;
+}
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -2,8 +2,10 @@
 //! faults reported at once with their paths.
 
 mod agent;
+mod bounds;
 mod entry;
 mod fault;
+mod gateway;
 mod listen;
 mod log;
 mod orders;
@@ -11,12 +13,16 @@
 mod section;
 mod server;
 mod share;
+mod sidecar;
 mod traffic;
 
 pub use agent::AgentSettings;
+pub use bounds::BoundSettings;
 pub use entry::EntrySettings;
 pub use fault::SettingsError;
 pub use fault::SettingsFault;
+pub use gateway::GatewayListen;
+pub use gateway::GatewaySettings;
 pub use listen::ListenSettings;
 pub use log::LogFormat;
 pub use log::LogLevel;
@@ -26,4 +32,5 @@
 pub use section::Section;
 pub use server::ServerSettings;
 pub use share::ShareSettings;
+pub use sidecar::SidecarSettings;
 pub use traffic::TrafficSettings;
--- /dev/null
+++ b/src/sidecar/context.rs
@@ -0,0 +1,93 @@
+//! What the parts of a sidecar share.
+
+use std::fmt;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use tokio::sync::watch;
+
+use crate::clock::Clock;
+use crate::core::MonotonicTime;
+use crate::core::fleet::AgentFacts;
+use crate::core::fleet::HeldParts;
+use crate::core::fleet::Rollout;
+use crate::ports::EnginePort;
+use crate::ports::PartsFeed;
+use crate::settings::SidecarSettings;
+
+/// The systems around a sidecar.
+#[derive(Clone)]
+pub struct SidecarPorts {
+    /// The engine.
+    pub engine: Arc<dyn EnginePort>,
+    /// Feed of the engine's cached parts.
+    pub parts: Arc<dyn PartsFeed>,
+}
+
+/// What a sidecar believes.
+#[derive(Debug, Default)]
+pub struct SidecarState {
+    /// When the engine's weights change.
+    pub rollout: Rollout,
+    /// Parts that the engine holds.
+    pub parts: HeldParts,
+    /// The engine's state.
+    pub facts: AgentFacts,
+    /// Name of the engine's present run, as entries know it.
+    pub engine: Option<String>,
+}
+
+/// What the parts of a sidecar share.
+pub struct SidecarContext {
+    /// Settings.
+    pub settings: SidecarSettings,
+    /// The systems around it.
+    pub ports: SidecarPorts,
+    /// Differs in each run.
+    pub incarnation: u64,
+    clock: Clock,
+    state: Mutex<SidecarState>,
+    news: watch::Sender<u64>,
+}
+
+impl SidecarContext {
+    /// Creates the context of a sidecar that knows nothing yet.
+    pub fn new(settings: SidecarSettings, ports: SidecarPorts) -> Self {
+        Self {
+            settings,
+            ports,
+            incarnation: rand::random(),
+            clock: Clock::start(),
+            state: Mutex::default(),
+            news: watch::channel(1).0,
+        }
+    }
+
+    /// Returns the time.
+    pub fn now(&self) -> MonotonicTime {
+        self.clock.now()
+    }
+
+    /// Locks what the sidecar believes; never held over a wait.
+    pub fn lock(&self) -> MutexGuard<'_, SidecarState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Wakes entries that wait for news.
+    pub fn publish(&self) {
+        self.news.send_modify(|number| *number += 1);
+    }
+
+    /// Returns the number of the latest news, and a way to wait for later ones.
+    pub fn news(&self) -> watch::Receiver<u64> {
+        self.news.subscribe()
+    }
+}
+
+impl fmt::Debug for SidecarContext {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("SidecarContext").finish_non_exhaustive()
+    }
+}
--- /dev/null
+++ b/src/sidecar/mod.rs
@@ -0,0 +1,11 @@
+//! The process beside an engine of a fleet: it alone gives the engine orders,
+//! and tells entries the engine's state and cached parts.
+
+mod context;
+mod follow_parts;
+mod run;
+mod serve_entries;
+mod tend_engine;
+
+pub use context::SidecarPorts;
+pub use run::run_sidecar;
--- /dev/null
+++ b/src/sidecar/serve_entries.rs
@@ -0,0 +1,97 @@
+//! Tells entries the news of the engine.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use tarpc::context::Context;
+use tokio::time::timeout;
+
+use super::context::SidecarContext;
+use crate::core::fleet::WantedVersion;
+use crate::mesh::EngineNews;
+use crate::mesh::EntryNews;
+use crate::mesh::Mesh;
+use crate::mesh::ObserveRequest;
+
+/// Longest time for which an entry waits for news; shorter than the silence
+/// after which it stops to trust the last ones.
+const NEWS_WAIT: Duration = Duration::from_millis(500);
+
+/// The answering end for entries.
+#[derive(Debug, Clone)]
+pub struct SidecarService {
+    /// What it tells of.
+    pub cx: Arc<SidecarContext>,
+}
+
+impl Mesh for SidecarService {
+    async fn observe(self, _: Context, req: ObserveRequest) -> Option<EngineNews> {
+        let mut news = self.cx.news();
+        self.take_request(&req);
+        let is_current = req.incarnation == self.cx.incarnation;
+        if is_current && *news.borrow_and_update() == req.known_news {
+            // Without news the entry still hears that the agent lives.
+            let _ = timeout(NEWS_WAIT, news.changed()).await;
+        }
+        let number = *news.borrow_and_update();
+        Some(self.make_news(&req, is_current, number))
+    }
+
+    async fn exchange(self, _: Context, _: EntryNews) -> Option<EntryNews> {
+        None
+    }
+
+    async fn get_configuration(self, _: Context, _: u64) -> Option<Bytes> {
+        None
+    }
+}
+
+impl SidecarService {
+    fn take_request(&self, req: &ObserveRequest) {
+        let now = self.cx.now();
+        let mut state = self.cx.lock();
+        state.rollout.set_turn(req.turn.0, req.turn.1);
+        if state.engine.as_ref() != Some(&req.engine) {
+            log::info!("engine: named server={}", req.engine);
+            state.engine = Some(req.engine.clone());
+        }
+        let newer: Vec<&WantedVersion> = req
+            .wanted
+            .iter()
+            .filter(|wanted| state.rollout.want(wanted, now))
+            .collect();
+        for wanted in &newer {
+            log::info!(
+                "weights: wanted model={} version={} revision={} place={} of={}",
+                wanted.model,
+                wanted.version,
+                wanted.revision,
+                req.turn.0,
+                req.turn.1
+            );
+        }
+        let has_newer = !newer.is_empty();
+        drop(state);
+        if has_newer {
+            self.cx.publish();
+        }
+    }
+
+    fn make_news(&self, req: &ObserveRequest, is_current: bool, number: u64) -> EngineNews {
+        let state = self.cx.lock();
+        let changes = is_current
+            .then(|| state.parts.changes_since(req.known_parts))
+            .flatten();
+        let is_whole = changes.is_none();
+        EngineNews {
+            incarnation: self.cx.incarnation,
+            number,
+            facts: state.facts.clone(),
+            parts: changes.unwrap_or_else(|| state.parts.list()),
+            is_whole,
+            next_part: state.parts.next(),
+            wanted: state.rollout.list_wanted(),
+        }
+    }
+}
--- /dev/null
+++ b/src/sidecar/tend_engine.rs
@@ -0,0 +1,118 @@
+//! Reads the engine's report and gives it orders.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::sleep;
+
+use super::context::SidecarContext;
+use crate::core::fleet::AgentFacts;
+use crate::core::fleet::OrderOutcome;
+use crate::core::fleet::RolloutStep;
+use crate::core::fleet::WantedVersion;
+use crate::ports::EngineReport;
+use crate::ports::WeightsOrder;
+
+/// Time between two reports; an entry's view of the load is as old as this
+/// and one way of the network.
+const REPORT_INTERVAL: Duration = Duration::from_millis(60);
+
+/// Time between two reports while weights change.
+const BUSY_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Reports in a row that fail before the engine counts as gone.
+const MAX_FAILURES: u32 = 2;
+
+/// Tends the engine for as long as the sidecar runs.
+pub async fn tend_engine(cx: Arc<SidecarContext>) {
+    let mut failures = 0;
+    loop {
+        match cx.ports.engine.read_report(cx.settings.engine).await {
+            Ok(report) => {
+                if failures >= MAX_FAILURES {
+                    log::info!("engine: regained address={}", cx.settings.engine);
+                }
+                failures = 0;
+                take_report(&cx, report).await;
+            }
+            Err(e) => {
+                failures += 1;
+                if failures == MAX_FAILURES {
+                    log::warn!("engine: lost address={} reason=\"{e}\"", cx.settings.engine);
+                    cx.lock().facts.is_alive = false;
+                    cx.publish();
+                }
+            }
+        }
+        let is_open = cx.lock().rollout.is_accepting();
+        sleep(if is_open {
+            REPORT_INTERVAL
+        } else {
+            BUSY_INTERVAL
+        })
+        .await;
+    }
+}
+
+async fn take_report(cx: &SidecarContext, report: EngineReport) {
+    let now = cx.now();
+    let step = {
+        let mut state = cx.lock();
+        let step = state.rollout.step(&report.facts, now);
+        let facts = AgentFacts {
+            is_accepting: state.rollout.is_accepting(),
+            is_alive: true,
+            versions: report.facts.versions.clone(),
+            load: report.load,
+            used_tokens: report.used_tokens,
+            capacity_tokens: report.capacity_tokens,
+        };
+        if state.facts != facts {
+            state.facts = facts;
+            drop(state);
+            cx.publish();
+        }
+        step
+    };
+    match step {
+        RolloutStep::Wait => {}
+        RolloutStep::Close => log::info!(
+            "weights: closing running={} waiting={}",
+            report.load.running,
+            report.load.waiting
+        ),
+        RolloutStep::Open => log::info!("weights: open versions={:?}", report.facts.versions),
+        RolloutStep::Order {
+            wanted,
+            accepted_orders,
+        } => give_order(cx, wanted, accepted_orders).await,
+    }
+}
+
+async fn give_order(cx: &SidecarContext, wanted: WantedVersion, accepted_orders: u64) {
+    let engine = cx.lock().engine.clone();
+    let order = WeightsOrder {
+        wanted,
+        accepted_orders,
+        holder: cx.settings.name.clone(),
+        engine,
+    };
+    let result = cx
+        .ports
+        .engine
+        .order_weights(cx.settings.engine, &order)
+        .await;
+    let outcome = result.unwrap_or_else(|e| {
+        log::warn!("weights: order unanswered reason=\"{e}\"");
+        OrderOutcome::Unknown
+    });
+    log::info!(
+        "weights: ordered model={} version={} fence={} accepted_before={} outcome={outcome:?}",
+        order.wanted.model,
+        order.wanted.version,
+        order.wanted.revision,
+        order.accepted_orders
+    );
+    let now = cx.now();
+    cx.lock().rollout.note_outcome(outcome, now);
+}
