Write logs without blocking, to standard output, and reload on SIGHUP

Lines now go through a bounded queue; libraries write warnings only; seeds are taken over from a changed settings file, with or without the signal.

--- a/src/cli/gateway.rs
+++ b/src/cli/gateway.rs
@@ -42,7 +42,7 @@
             |settings| &settings.log,
             |settings| {
                 let ports = connect(&settings);
-                run_gateway(settings, ports)
+                run_gateway(settings, file.clone(), ports)
             },
         )
     }
--- a/src/core/fleet/backend_load.rs
+++ b/src/core/fleet/backend_load.rs
@@ -64,11 +64,6 @@
         self.own_prefill as f64 + f64::from(self.others_waiting) * mean_tokens * self.trust(now)
     }
 
-    /// Own calls at the server.
-    pub fn own(&self) -> u32 {
-        self.own
-    }
-
     /// Age of the last report.
     pub fn report_age(&self, now: MonotonicTime) -> Option<Duration> {
         self.reported_at.map(|at| now.since(at))
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -36,7 +36,7 @@
     /// A whole answer, success or not.
     Answered(WholeAnswer),
     /// A stream of events begins.
-    Streaming(StreamHead),
+    Streaming(Box<StreamHead>),
     /// The server certainly did not run the call.
     NotRun(&'static str),
     /// The call may have run.
@@ -186,12 +186,12 @@
     strip_connection_headers(&mut headers);
     let status = exchange.status();
     if status.is_success() && call.route.kind.is_stream() {
-        return AttemptEnd::Streaming(StreamHead {
+        return AttemptEnd::Streaming(Box::new(StreamHead {
             status,
             headers,
             exchange,
             in_flight,
-        });
+        }));
     }
     match timeout_at(until, exchange.read_rest(MAX_ANSWER_BYTES)).await {
         Ok(Ok(body)) => AttemptEnd::Answered(WholeAnswer {
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -1,6 +1,7 @@
 //! What the parts of a gateway share.
 
 use std::fmt;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -8,6 +9,8 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 
+use tokio::sync::watch;
+
 use super::state::GatewayState;
 use crate::clock::Clock;
 use crate::core::MonotonicTime;
@@ -44,6 +47,8 @@
     pub metrics: GatewayMetrics,
     /// Differs in each run.
     pub incarnation: u64,
+    /// Control addresses of some other entries, as the settings name them now.
+    pub seeds: watch::Sender<Vec<SocketAddr>>,
     clock: Clock,
     state: Mutex<GatewayState>,
     draining: AtomicBool,
@@ -58,6 +63,7 @@
             body_budget: Arc::new(BodyBudget::new(settings.body_bytes())),
             metrics: GatewayMetrics::new(),
             incarnation: rand::random(),
+            seeds: watch::channel(settings.seeds.clone()).0,
             clock: Clock::start(),
             state: Mutex::new(state),
             draining: AtomicBool::new(false),
--- a/src/gateway/exchange_news.rs
+++ b/src/gateway/exchange_news.rs
@@ -11,6 +11,9 @@
 use bytes::Bytes;
 use tarpc::context::Context;
 use tokio::net::TcpListener;
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::mpsc::unbounded_channel;
+use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
 use super::context::GatewayContext;
@@ -77,7 +80,7 @@
 struct EntryService {
     cx: Arc<GatewayContext>,
     roster: Arc<EntryRoster>,
-    found: tokio::sync::mpsc::UnboundedSender<SocketAddr>,
+    found: UnboundedSender<SocketAddr>,
 }
 
 impl Mesh for EntryService {
@@ -102,7 +105,7 @@
 /// Serves other entries and follows them until dropped.
 pub async fn exchange_news(cx: Arc<GatewayContext>, listener: TcpListener) {
     let roster = Arc::new(EntryRoster::default());
-    let (found, mut found_rx) = tokio::sync::mpsc::unbounded_channel();
+    let (found, mut found_rx) = unbounded_channel();
     let service = EntryService {
         cx: Arc::clone(&cx),
         roster: Arc::clone(&roster),
@@ -111,17 +114,14 @@
     tokio::spawn(accept_peers(listener, move |stream| {
         serve_mesh(stream, service.clone())
     }));
-    for seed in &cx.settings.seeds {
-        // The receiver is held below.
-        let _ = found.send(*seed);
-    }
-    let mut followed: HashMap<SocketAddr, tokio::task::JoinHandle<()>> = HashMap::new();
+    tokio::spawn(announce_seeds(Arc::clone(&cx), found.clone()));
+    let mut followed: HashMap<SocketAddr, JoinHandle<()>> = HashMap::new();
     while let Some(address) = found_rx.recv().await {
         followed.retain(|_, follower| !follower.is_finished());
         if address == cx.settings.listen.peers || followed.contains_key(&address) {
             continue;
         }
-        let is_seed = cx.settings.seeds.contains(&address);
+        let is_seed = cx.seeds.borrow().contains(&address);
         let follower = follow_peer(
             Arc::clone(&cx),
             Arc::clone(&roster),
@@ -133,13 +133,27 @@
     }
 }
 
+/// Names the seeds, now and whenever the settings change them.
+async fn announce_seeds(cx: Arc<GatewayContext>, found: UnboundedSender<SocketAddr>) {
+    let mut seeds = cx.seeds.subscribe();
+    loop {
+        for seed in seeds.borrow_and_update().iter() {
+            // The receiver lives as long as the process.
+            let _ = found.send(*seed);
+        }
+        if seeds.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
 /// Exchanges news with one peer; ends once a peer that is no seed is silent
 /// for long.
 async fn follow_peer(
     cx: Arc<GatewayContext>,
     roster: Arc<EntryRoster>,
     address: SocketAddr,
-    found: tokio::sync::mpsc::UnboundedSender<SocketAddr>,
+    found: UnboundedSender<SocketAddr>,
     is_seed: bool,
 ) {
     let mut heard_at = cx.now();
@@ -157,7 +171,7 @@
     cx: &GatewayContext,
     roster: &EntryRoster,
     client: &MeshClient,
-    found: &tokio::sync::mpsc::UnboundedSender<SocketAddr>,
+    found: &UnboundedSender<SocketAddr>,
     heard_at: &mut MonotonicTime,
 ) -> String {
     loop {
@@ -222,7 +236,7 @@
     cx: &GatewayContext,
     roster: &EntryRoster,
     news: EntryNews,
-    found: &tokio::sync::mpsc::UnboundedSender<SocketAddr>,
+    found: &UnboundedSender<SocketAddr>,
 ) {
     if news.usage.name == cx.settings.name {
         return;
--- a/src/gateway/observe_engines.rs
+++ b/src/gateway/observe_engines.rs
@@ -40,10 +40,10 @@
             is_listed
         });
         for (name, address) in engines {
-            if !followers.contains_key(&name) {
+            followers.entry(name).or_insert_with_key(|name| {
                 let follower = follow_engine(Arc::clone(&cx), name.clone(), address);
-                followers.insert(name, tokio::spawn(follower));
-            }
+                tokio::spawn(follower)
+            });
         }
         sleep(LOOK_INTERVAL).await;
     }
--- a/src/gateway/read_call.rs
+++ b/src/gateway/read_call.rs
@@ -57,8 +57,8 @@
     pub received: Instant,
     /// When the caller stops to wait, or the route's timeout ends.
     pub deadline: Instant,
-    /// Memory taken by the body.
-    pub share: BodyShare,
+    /// Memory taken by the body, given back with the call.
+    pub _share: BodyShare,
 }
 
 impl Call {
@@ -123,7 +123,7 @@
         body,
         received,
         deadline: received + deadline,
-        share,
+        _share: share,
         head,
         route,
     })
--- a/src/gateway/relay_stream.rs
+++ b/src/gateway/relay_stream.rs
@@ -168,11 +168,12 @@
         let last = self.last_event.clone();
         let end = attempt_call(&self.cx, &self.call, choice, last.as_deref(), until).await;
         match end {
-            AttemptEnd::Streaming(StreamHead {
-                exchange,
-                in_flight,
-                ..
-            }) => {
+            AttemptEnd::Streaming(head) => {
+                let StreamHead {
+                    exchange,
+                    in_flight,
+                    ..
+                } = *head;
                 self.runs += 1;
                 self.source = Some((exchange, in_flight));
                 true
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -26,6 +27,7 @@
 use crate::threads::StartError;
 use crate::threads::build_runtime;
 use crate::threads::open_listener;
+use crate::threads::reload_on_hangup;
 use crate::threads::wait_for_stop;
 
 /// Time between looks for the first configuration.
@@ -37,6 +39,9 @@
 /// Time between rounds of upkeep.
 const TICK: Duration = Duration::from_millis(500);
 
+/// Time between looks for changed settings.
+const RELOAD_INTERVAL: Duration = Duration::from_secs(5);
+
 /// Time for which a draining gateway still takes connections: the balancer
 /// asks once a second and needs two refusals.
 const DRAIN_LINGER: Duration = Duration::from_millis(2_400);
@@ -71,12 +76,17 @@
 /// # Errors
 ///
 /// The gateway cannot start.
-pub fn run_gateway(settings: GatewaySettings, ports: GatewayPorts) -> Result<(), GatewayError> {
+pub fn run_gateway(
+    settings: GatewaySettings,
+    file: PathBuf,
+    ports: GatewayPorts,
+) -> Result<(), GatewayError> {
     let cx = Arc::new(GatewayContext::new(settings, ports));
-    build_runtime()?.block_on(live(cx))
+    build_runtime()?.block_on(live(cx, file))
 }
 
-async fn live(cx: Arc<GatewayContext>) -> Result<(), GatewayError> {
+async fn live(cx: Arc<GatewayContext>, file: PathBuf) -> Result<(), GatewayError> {
+    tokio::spawn(reload_settings(Arc::clone(&cx), file));
     let listen = cx.settings.listen.clone();
     log::info!(
         "gateway: started name={} zone={} incarnation={:x}",
@@ -156,6 +166,34 @@
     serve(listener, limits, handle, stop).await
 }
 
+/// Takes over seeds that a changed settings file names; the other settings
+/// hold until the next start.
+async fn reload_settings(cx: Arc<GatewayContext>, file: PathBuf) {
+    let mut known = cx.settings.clone();
+    let reload = move |is_signal: bool| match GatewaySettings::load(&file) {
+        Ok(settings) if settings == known => {
+            if is_signal {
+                log::info!("settings: reloaded is_changed=false");
+            }
+        }
+        Ok(settings) => {
+            let rest = GatewaySettings {
+                seeds: known.seeds.clone(),
+                ..settings.clone()
+            };
+            let needs_restart = rest != known;
+            log::info!(
+                "settings: reloaded is_changed=true seeds={:?} needs_restart={needs_restart}",
+                settings.seeds
+            );
+            cx.seeds.send_replace(settings.seeds.clone());
+            known = settings;
+        }
+        Err(e) => log::error!("settings: not reloaded, the earlier ones hold reason=\"{e}\""),
+    };
+    reload_on_hangup(RELOAD_INTERVAL, reload).await;
+}
+
 /// Waits for the limits of the first configuration. While the store is away,
 /// callers are refused under the default ones.
 async fn wait_for_limits(cx: &GatewayContext, stop: &watch::Receiver<bool>) -> CallerLimits {
--- a/src/gateway/serve_call.rs
+++ b/src/gateway/serve_call.rs
@@ -119,7 +119,7 @@
                 kept = Some(answer);
             }
             AttemptEnd::Streaming(head) => {
-                return begin_stream(cx, call, head, tried, runs + 1, log).await;
+                return begin_stream(cx, call, *head, tried, runs + 1, log).await;
             }
             AttemptEnd::NotRun(why) => {
                 reason = why;
--- /dev/null
+++ b/src/logs/bounded_writer.rs
@@ -0,0 +1,147 @@
+//! A writer of log lines that never blocks who logs.
+
+use std::io;
+use std::io::Write;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::sync::mpsc::SyncSender;
+use std::sync::mpsc::TrySendError;
+use std::sync::mpsc::sync_channel;
+use std::thread;
+
+use flexi_logger::DeferredNow;
+use flexi_logger::FormatFunction;
+use flexi_logger::writers::LogWriter;
+use log::Record;
+
+/// Lines that wait to be written; further ones are dropped and counted. At
+/// 300 bytes a line this takes about half a megabyte.
+const MAX_WAITING: usize = 2_048;
+
+/// A writer of log lines that never blocks who logs: a thread of its own
+/// writes them, and lines that it cannot keep up with are dropped. The first
+/// line after a drop tells how many were lost.
+pub struct BoundedWriter {
+    format: FormatFunction,
+    lines: SyncSender<Vec<u8>>,
+    dropped: AtomicU64,
+}
+
+impl BoundedWriter {
+    /// Starts the writing thread.
+    ///
+    /// # Errors
+    ///
+    /// The thread cannot be started.
+    pub fn start(
+        format: FormatFunction,
+        out: impl Write + Send + 'static,
+    ) -> Result<Self, io::Error> {
+        let (lines, waiting) = sync_channel::<Vec<u8>>(MAX_WAITING);
+        let mut out = out;
+        thread::Builder::new().name("logs".into()).spawn(move || {
+            while let Ok(line) = waiting.recv() {
+                // Nobody could be told that the log cannot be written.
+                let _ = out.write_all(&line);
+            }
+        })?;
+        Ok(Self {
+            format,
+            lines,
+            dropped: AtomicU64::new(0),
+        })
+    }
+
+    /// Lines dropped since the last one that was taken.
+    pub fn dropped(&self) -> u64 {
+        self.dropped.load(Ordering::Relaxed)
+    }
+}
+
+impl LogWriter for BoundedWriter {
+    fn write(&self, now: &mut DeferredNow, record: &Record<'_>) -> io::Result<()> {
+        let mut line = Vec::with_capacity(256);
+        (self.format)(&mut line, now, record)?;
+        let dropped = self.dropped.swap(0, Ordering::Relaxed);
+        if dropped > 0 {
+            line.extend_from_slice(format!(" lines_dropped_before={dropped}").as_bytes());
+        }
+        line.push(b'\n');
+        if let Err(TrySendError::Full(_)) = self.lines.try_send(line) {
+            self.dropped.fetch_add(dropped + 1, Ordering::Relaxed);
+        }
+        Ok(())
+    }
+
+    fn flush(&self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use std::sync::mpsc::Receiver;
+    use std::sync::mpsc::Sender;
+    use std::sync::mpsc::channel;
+
+    use log::Level;
+
+    use super::*;
+
+    /// An output that blocks until it is released.
+    struct StuckOutput {
+        release: Receiver<()>,
+        written: Sender<Vec<u8>>,
+    }
+
+    impl Write for StuckOutput {
+        fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
+            if self.release.recv().is_err() {
+                return Ok(buf.len());
+            }
+            // A test that has ended reads no more.
+            let _ = self.written.send(buf.to_vec());
+            Ok(buf.len())
+        }
+
+        fn flush(&mut self) -> io::Result<()> {
+            Ok(())
+        }
+    }
+
+    fn write_plain(
+        w: &mut dyn Write,
+        _: &mut DeferredNow,
+        record: &Record<'_>,
+    ) -> Result<(), io::Error> {
+        write!(w, "{}", record.args())
+    }
+
+    fn log_line(writer: &BoundedWriter) {
+        let record = Record::builder()
+            .args(format_args!("line"))
+            .level(Level::Info)
+            .build();
+        let written = writer.write(&mut DeferredNow::new(), &record);
+        written.expect("a line is taken or dropped");
+    }
+
+    #[test]
+    fn write_output_stuck_drops_and_counts() {
+        let (release, release_rx) = channel();
+        let (written, written_rx) = channel();
+        let out = StuckOutput {
+            release: release_rx,
+            written,
+        };
+        let writer = BoundedWriter::start(write_plain, out).expect("a thread");
+        for _ in 0..MAX_WAITING + 100 {
+            log_line(&writer);
+        }
+        let dropped = writer.dropped();
+        assert!((98..=100).contains(&dropped), "{dropped} dropped");
+        release.send(()).expect("the output waits");
+        let first = written_rx.recv().expect("a line");
+        assert_eq!(first, b"line\n");
+    }
+}
--- a/src/logs.rs
+++ b/src/logs/mod.rs
@@ -1,8 +1,11 @@
 //! Logging: short sentences with a fixed prefix for each part; never keys or
 //! prompts.
 
+mod bounded_writer;
+
 use std::io::Error;
 use std::io::Write;
+use std::io::stdout;
 
 use flexi_logger::DeferredNow;
 use flexi_logger::FlexiLoggerError;
@@ -17,7 +20,10 @@
 
 const TIME_FORMAT: &str = "%Y-%m-%dT%H:%M:%S%.3fZ";
 
-/// Starts logging to standard error; it stops when the handle is dropped.
+pub use bounded_writer::BoundedWriter;
+
+/// Starts logging to standard output, without ever blocking; it stops when
+/// the handle is dropped. Of libraries only warnings are written.
 ///
 /// # Errors
 ///
@@ -26,17 +32,17 @@
     let level = match settings.level {
         LogLevel::Error => "error",
         LogLevel::Warn => "warn",
-        LogLevel::Info => "info",
-        LogLevel::Debug => "info, teaseldrum=debug",
+        LogLevel::Info => "warn, teaseldrum=info",
+        LogLevel::Debug => "warn, teaseldrum=debug",
     };
     let format = match settings.format {
         LogFormat::Text => write_text,
         LogFormat::Json => write_json,
     };
+    let writer = BoundedWriter::start(format, stdout())?;
     Logger::try_with_str(level)?
         .use_utc()
-        .log_to_stderr()
-        .format(format)
+        .log_to_writer(Box::new(writer))
         .start()
 }
 
--- a/src/sidecar/run.rs
+++ b/src/sidecar/run.rs
@@ -1,6 +1,7 @@
 //! Life of a sidecar.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use tokio::net::TcpListener;
 use tokio::sync::watch;
@@ -16,8 +17,12 @@
 use crate::threads::StartError;
 use crate::threads::build_runtime;
 use crate::threads::open_listener;
+use crate::threads::reload_on_hangup;
 use crate::threads::wait_for_stop;
 
+/// Time between looks for SIGHUP.
+const RELOAD_INTERVAL: Duration = Duration::from_secs(60);
+
 /// Runs a sidecar until SIGTERM or SIGINT.
 ///
 /// # Errors
@@ -47,6 +52,12 @@
     }));
     tokio::spawn(tend_engine(Arc::clone(&cx)));
     tokio::spawn(follow_parts(Arc::clone(&cx)));
+    // The settings of a sidecar hold until its next start.
+    tokio::spawn(reload_on_hangup(RELOAD_INTERVAL, |is_signal| {
+        if is_signal {
+            log::info!("settings: unchanged until the next start");
+        }
+    }));
     let (_keep, never) = watch::channel(false);
     wait_for_stop(never).await;
     log::info!("sidecar: stopped name={}", cx.settings.name);
--- a/src/threads.rs
+++ b/src/threads.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::thread;
 use std::thread::JoinHandle;
+use std::time::Duration;
 
 use socket2::Domain;
 use socket2::Protocol;
@@ -17,6 +18,7 @@
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 use tokio::sync::watch;
+use tokio::time::timeout;
 
 const BACKLOG: i32 = 1024;
 
@@ -124,6 +126,19 @@
     }
 }
 
+/// Calls `reload` whenever SIGHUP arrives and every `interval`, since a file
+/// may change without a signal.
+pub async fn reload_on_hangup(interval: Duration, mut reload: impl FnMut(bool)) {
+    let Ok(mut hangup) = signal(SignalKind::hangup()) else {
+        log::error!("threads: SIGHUP cannot be received.");
+        return;
+    };
+    loop {
+        let is_signal = timeout(interval, hangup.recv()).await.is_ok();
+        reload(is_signal);
+    }
+}
+
 /// Waits until all threads have ended.
 pub fn join_threads(threads: Vec<JoinHandle<()>>) {
     for thread in threads {
