--- /dev/null
+++ b/tests/fleet_directory.rs
@@ -0,0 +1,63 @@
+//! Which backend servers there are while the store comes and goes.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use teaseldrum::core::MonotonicTime;
+use teaseldrum::core::ServerName;
+use teaseldrum::core::fleet::Directory;
+use teaseldrum::core::fleet::Member;
+use teaseldrum::core::fleet::MemberChange;
+use teaseldrum::core::fleet::MemberState;
+
+fn at(ms: u64) -> MonotonicTime {
+    MonotonicTime::ZERO + Duration::from_millis(ms)
+}
+
+fn member(name: &str) -> Member {
+    Member {
+        name: ServerName::from(name),
+        service: "booking".into(),
+        address: SocketAddr::from(([10, 0, 0, 1], 8_000)),
+        zone: "a".into(),
+        slots: 6,
+        state: MemberState::Ready,
+        models: Vec::new(),
+        born: None,
+    }
+}
+
+fn gone(name: &str) -> MemberChange {
+    MemberChange::Gone(ServerName::from(name))
+}
+
+#[test]
+fn apply_removal_holds_at_once_while_store_is_stable() {
+    let mut directory = Directory::default();
+    directory.apply(MemberChange::Listed(member("a")), at(0));
+    assert_eq!(directory.apply(gone("a"), at(10)), Some(gone("a")));
+}
+
+#[test]
+fn apply_lapse_around_store_trouble_waits_for_return() {
+    let mut directory = Directory::default();
+    directory.apply(MemberChange::Listed(member("a")), at(0));
+    directory.apply(MemberChange::Listed(member("b")), at(0));
+    directory.note_store_failure(at(1_000));
+    assert_eq!(directory.apply(gone("a"), at(1_500)), None);
+    assert_eq!(directory.apply(gone("b"), at(1_500)), None);
+    directory.apply(MemberChange::Listed(member("a")), at(3_000));
+    for ms in (1_500..6_000).step_by(500) {
+        assert_eq!(directory.tick(at(ms)), Vec::new(), "at {ms} ms");
+    }
+    assert_eq!(directory.tick(at(9_000)), vec![gone("b")]);
+    assert_eq!(directory.len(), 1);
+}
+
+#[test]
+fn replace_reports_only_what_changed() {
+    let mut directory = Directory::default();
+    directory.replace(vec![member("a"), member("b")], at(0));
+    let changes = directory.replace(vec![member("a"), member("c")], at(10));
+    assert_eq!(changes, vec![MemberChange::Listed(member("c")), gone("b")]);
+}
--- /dev/null
+++ b/tests/fleet_dispatch.rs
@@ -0,0 +1,231 @@
+//! Where calls go.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use teaseldrum::core::MonotonicTime;
+use teaseldrum::core::ServerName;
+use teaseldrum::core::WeightsVersion;
+use teaseldrum::core::fleet::AgentFacts;
+use teaseldrum::core::fleet::Choice;
+use teaseldrum::core::fleet::DispatchRequest;
+use teaseldrum::core::fleet::Dispatcher;
+use teaseldrum::core::fleet::HeldChange;
+use teaseldrum::core::fleet::LoadFigures;
+use teaseldrum::core::fleet::Member;
+use teaseldrum::core::fleet::MemberState;
+use teaseldrum::core::fleet::ModelName;
+use teaseldrum::core::fleet::NoBackend;
+use teaseldrum::core::fleet::PartId;
+use teaseldrum::core::fleet::Prompt;
+use teaseldrum::core::fleet::PromptPart;
+use teaseldrum::core::fleet::SaltText;
+use teaseldrum::core::fleet::WantedVersion;
+
+fn at(ms: u64) -> MonotonicTime {
+    MonotonicTime::ZERO + Duration::from_millis(ms)
+}
+
+fn address(number: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, number], 8_000))
+}
+
+fn engine(number: u8, version: u64) -> Member {
+    Member {
+        name: ServerName::from(format!("i-{number}").as_str()),
+        service: "drafting".into(),
+        address: address(number),
+        zone: "a".into(),
+        slots: 64,
+        state: MemberState::Ready,
+        models: vec![(ModelName::from("m"), WeightsVersion(version))],
+        born: Some(1),
+    }
+}
+
+fn engines(count: u8) -> Dispatcher {
+    let mut dispatcher = Dispatcher::new("a");
+    for number in 0..count {
+        dispatcher.put_member(engine(number, 1));
+    }
+    dispatcher
+}
+
+fn prompt(subject: &str) -> Prompt {
+    Prompt {
+        model: ModelName::from("m"),
+        parts: vec![
+            PromptPart {
+                id: PartId::of_name("outer"),
+                tokens: 500,
+            },
+            PromptPart {
+                id: PartId::of_name(subject),
+                tokens: 4_800,
+            },
+            PromptPart {
+                id: PartId::of_name("own"),
+                tokens: 6_700,
+            },
+        ],
+        prompt_tokens: 12_000,
+        max_output_tokens: 64,
+    }
+}
+
+fn request(prompt: &Prompt) -> DispatchRequest<'_> {
+    DispatchRequest {
+        service: "drafting",
+        prompt: Some(prompt),
+        isolated: None,
+        tried: &[],
+        time_left: Duration::from_secs(12),
+    }
+}
+
+fn choose(dispatcher: &Dispatcher, prompt: &Prompt, now: MonotonicTime) -> Choice {
+    dispatcher.choose(&request(prompt), now).expect("a server")
+}
+
+fn hold(version: u64, subject: &str) -> Vec<HeldChange> {
+    let space = SaltText::new(WeightsVersion(version), None).space(&ModelName::from("m"));
+    ["outer", subject]
+        .map(|name| HeldChange {
+            space,
+            part: PartId::of_name(name),
+            tokens: 1_000,
+        })
+        .to_vec()
+}
+
+#[test]
+fn choose_entries_agree_on_unread_parts() {
+    let (first, second) = (engines(8), engines(8));
+    for subject in ["a", "b", "c", "d"] {
+        let prompt = prompt(subject);
+        let one = choose(&first, &prompt, at(0)).name;
+        assert_eq!(one, choose(&second, &prompt, at(0)).name);
+    }
+}
+
+#[test]
+fn choose_holder_of_parts() {
+    let mut dispatcher = engines(8);
+    let prompt = prompt("a");
+    dispatcher.observe_held(&ServerName::from("i-5"), &hold(1, "a"), false);
+    let choice = choose(&dispatcher, &prompt, at(0));
+    assert_eq!(choice.name.as_str(), "i-5");
+    assert_eq!(choice.prefill_tokens, 6_700);
+}
+
+#[test]
+fn choose_busy_holder_leads_to_fetch_from_it() {
+    let mut dispatcher = engines(2);
+    let prompt = prompt("a");
+    let holder = ServerName::from("i-1");
+    dispatcher.observe_held(&holder, &hold(1, "a"), false);
+    let facts = AgentFacts {
+        is_accepting: true,
+        is_alive: true,
+        versions: vec![(ModelName::from("m"), WeightsVersion(1))],
+        load: LoadFigures {
+            running: 64,
+            waiting: 30,
+        },
+        used_tokens: 0,
+        capacity_tokens: 300_000,
+    };
+    dispatcher.observe_agent(&holder, facts, at(0));
+    let choice = choose(&dispatcher, &prompt, at(1));
+    assert_eq!(choice.name.as_str(), "i-0");
+    assert_eq!(choice.fetch_from, Some(address(1)));
+    assert_eq!(choice.read_again, 0);
+}
+
+#[test]
+fn choose_part_being_read_is_not_read_twice() {
+    let mut dispatcher = engines(8);
+    let prompt = prompt("a");
+    let first = choose(&dispatcher, &prompt, at(0));
+    dispatcher.begin(&first, Some(&prompt), at(0));
+    let second = choose(&dispatcher, &prompt, at(5));
+    assert_eq!(first.name, second.name);
+}
+
+#[test]
+fn choose_parts_of_other_weights_do_not_count() {
+    let mut dispatcher = engines(1);
+    dispatcher.observe_held(&ServerName::from("i-0"), &hold(2, "a"), false);
+    let choice = choose(&dispatcher, &prompt("a"), at(0));
+    assert_eq!(choice.prefill_tokens, 12_000);
+}
+
+#[test]
+fn choose_engine_that_closes_is_left_out() {
+    let mut dispatcher = engines(2);
+    let facts = AgentFacts {
+        is_alive: true,
+        ..AgentFacts::default()
+    };
+    dispatcher.observe_agent(&ServerName::from("i-0"), facts, at(0));
+    for ms in 0..20 {
+        let subject = format!("s{ms}");
+        let choice = choose(&dispatcher, &prompt(&subject), at(ms));
+        assert_eq!(choice.name.as_str(), "i-1");
+    }
+}
+
+#[test]
+fn choose_old_weights_only_for_a_while() {
+    let mut dispatcher = engines(2);
+    let wanted = WantedVersion {
+        model: ModelName::from("m"),
+        version: WeightsVersion(2),
+        revision: 9,
+    };
+    dispatcher.want_version(&wanted, Some(at(0)));
+    let prompt = prompt("a");
+    assert!(dispatcher.choose(&request(&prompt), at(1_000)).is_ok());
+    let none = dispatcher.choose(&request(&prompt), at(5_000));
+    assert!(matches!(none, Err(NoBackend::None(_))));
+}
+
+#[test]
+fn choose_draining_server_is_left_out() {
+    let mut dispatcher = engines(1);
+    let leaving = Member {
+        state: MemberState::Draining,
+        ..engine(0, 1)
+    };
+    dispatcher.put_member(leaving);
+    let none = dispatcher.choose(&request(&prompt("a")), at(0));
+    assert!(matches!(none, Err(NoBackend::None(_))));
+}
+
+#[test]
+fn put_member_born_again_holds_nothing() {
+    let mut dispatcher = engines(1);
+    dispatcher.observe_held(&ServerName::from("i-0"), &hold(1, "a"), false);
+    let again = Member {
+        born: Some(2),
+        ..engine(0, 1)
+    };
+    dispatcher.put_member(again);
+    let choice = choose(&dispatcher, &prompt("a"), at(0));
+    assert_eq!(choice.prefill_tokens, 12_000);
+}
+
+#[test]
+fn choose_hopeless_call_is_refused_at_once() {
+    let mut dispatcher = engines(1);
+    let long = Prompt {
+        prompt_tokens: 400_000,
+        ..prompt("a")
+    };
+    let choice = choose(&dispatcher, &long, at(0));
+    for _ in 0..4 {
+        dispatcher.begin(&choice, None, at(0));
+    }
+    let none = dispatcher.choose(&request(&long), at(0));
+    assert!(matches!(none, Err(NoBackend::TooBusy(_))));
+}
