--- a/src/core/fleet/backend_view.rs
+++ b/src/core/fleet/backend_view.rs
@@ -30,6 +30,10 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(150);
 const MAX_PAUSE: Duration = Duration::from_secs(2);
 
+/// Time without any answer of a server after which a call that waits at it
+/// takes it for dead: several times what an answer takes.
+const SUSPECT_SILENCE: Duration = Duration::from_millis(700);
+
 /// What the agent beside an engine says of it.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct AgentFacts {
@@ -57,6 +61,7 @@
     pub(super) failures: f64,
     pub(super) paused_until: Option<MonotonicTime>,
     pause: Duration,
+    answered_at: Option<MonotonicTime>,
     agent: Option<(AgentFacts, MonotonicTime)>,
     seen_versions: HashMap<ModelName, WeightsVersion>,
     held: HashMap<(u64, PartId), u32>,
@@ -72,6 +77,7 @@
             failures: 0.0,
             paused_until: None,
             pause: FIRST_PAUSE,
+            answered_at: None,
             agent: None,
             seen_versions: HashMap::new(),
             held: HashMap::new(),
@@ -189,6 +195,23 @@
         }
     }
 
+    /// Takes note that the server has answered, whatever it was.
+    pub(super) fn note_answer(&mut self, now: MonotonicTime) {
+        self.answered_at = Some(now);
+    }
+
+    /// Tells whether a call that has waited for `waited` should take the
+    /// server for dead: its agent says so, or it answers nobody.
+    pub(super) fn is_suspect(&self, waited: Duration, now: MonotonicTime) -> bool {
+        if self.fresh_agent(now).is_some_and(|facts| !facts.is_alive) {
+            return true;
+        }
+        let is_mute = self
+            .answered_at
+            .is_none_or(|at| now.since(at) >= SUSPECT_SILENCE);
+        waited >= SUSPECT_SILENCE && is_mute
+    }
+
     /// Passes the server by for a while, after it could not be reached.
     pub(super) fn note_unreachable(&mut self, now: MonotonicTime) {
         self.paused_until = Some(now + self.pause);
--- a/src/core/fleet/dispatcher.rs
+++ b/src/core/fleet/dispatcher.rs
@@ -32,9 +32,10 @@
 /// Mean prompt tokens of a waiting call of which nothing is known.
 const MEAN_PROMPT_TOKENS: f64 = 4_000.0;
 
-/// Tokens fetched in a millisecond over a link between engines; 1,100 Gbit/s
-/// carry 420 tokens of 328 KB.
-const FETCH_TOKENS_PER_MS: f64 = 300.0;
+/// Tokens fetched in a millisecond. A link of 1,100 Gbit/s carries 420 tokens
+/// of 328 KB, but all engines share the store's, and few that of an engine.
+const STORE_TOKENS_PER_MS: f64 = 60.0;
+const ENGINE_TOKENS_PER_MS: f64 = 150.0;
 
 /// Cost of reading a token again that another engine has read, in
 /// milliseconds of delay that are as bad.
@@ -365,6 +366,21 @@
         }
     }
 
+    /// Takes note that a server has answered, whatever it was.
+    pub fn note_answer(&mut self, key: BackendKey, now: MonotonicTime) {
+        if let Some(view) = self.backends.get_mut(key) {
+            view.note_answer(now);
+        }
+    }
+
+    /// Tells whether a call that has waited for `waited` at a server should
+    /// take it for dead.
+    pub fn is_suspect(&self, key: BackendKey, waited: Duration, now: MonotonicTime) -> bool {
+        self.backends
+            .get(key)
+            .is_none_or(|view| view.is_suspect(waited, now))
+    }
+
     /// Takes note of how a call went.
     pub fn note_outcome(&mut self, key: BackendKey, is_failure: bool) {
         if let Some(view) = self.backends.get_mut(key) {
@@ -431,7 +447,7 @@
             queued / PREFILL_TOKENS_PER_MS + wait_for_slot(load, view.member.slots, ENGINE_RUN_MS);
         let start = wait
             + f64::from(prefill) / PREFILL_TOKENS_PER_MS
-            + f64::from(plan.fetched) / FETCH_TOKENS_PER_MS;
+            + f64::from(plan.fetched) / fetch_rate(plan.source, self.store);
         let cost = start
             + version_cost
             + load * BESIDE_MS
@@ -485,6 +501,14 @@
     }
 }
 
+fn fetch_rate(source: Option<SocketAddr>, store: Option<SocketAddr>) -> f64 {
+    if source == store {
+        STORE_TOKENS_PER_MS
+    } else {
+        ENGINE_TOKENS_PER_MS
+    }
+}
+
 fn make_choice(
     key: BackendKey,
     view: &BackendView,
--- a/src/core/fleet/fetch_plan.rs
+++ b/src/core/fleet/fetch_plan.rs
@@ -25,6 +25,14 @@
     pub source: Option<SocketAddr>,
 }
 
+/// An engine that has read the first parts of a prompt.
+#[derive(Debug)]
+struct Holder {
+    address: SocketAddr,
+    parts: usize,
+    load: f64,
+}
+
 /// Where each shared part of one prompt lies, over all engines and the store.
 #[derive(Debug)]
 pub(super) struct PartSources<'a> {
@@ -32,7 +40,7 @@
     space: u64,
     in_store: Vec<bool>,
     store: Option<SocketAddr>,
-    holder: Option<(SocketAddr, usize)>,
+    holders: Vec<Holder>,
     read: Vec<bool>,
 }
 
@@ -49,7 +57,7 @@
         let holds = |part: PartId| store.is_some_and(|(_, held)| held.tokens(space, part) > 0);
         let in_store: Vec<bool> = shared.iter().map(|part| holds(part.id)).collect();
         let mut read = in_store.clone();
-        let mut holder: Option<(SocketAddr, usize)> = None;
+        let mut holders = Vec::new();
         for view in engines {
             let mut prefix = 0;
             for (index, part) in shared.iter().enumerate() {
@@ -58,8 +66,12 @@
                     prefix += 1;
                 }
             }
-            if prefix > 0 && holder.is_none_or(|(_, best)| prefix > best) {
-                holder = Some((view.member.address, prefix));
+            if prefix > 0 {
+                holders.push(Holder {
+                    address: view.member.address,
+                    parts: prefix,
+                    load: view.load.calls(now),
+                });
             }
         }
         Self {
@@ -67,7 +79,7 @@
             space,
             in_store,
             store: store.map(|(address, _)| address),
-            holder,
+            holders,
             read,
         }
     }
@@ -77,6 +89,18 @@
         self.store.is_some() && self.in_store.iter().any(|held| !held)
     }
 
+    /// Finds the engine that has read most of the prompt, and of those the one
+    /// with the fewest calls.
+    fn find_holder(&self, view: &BackendView) -> Option<&Holder> {
+        self.holders
+            .iter()
+            .filter(|holder| holder.address != view.member.address)
+            .max_by(|a, b| {
+                let by_parts = a.parts.cmp(&b.parts);
+                by_parts.then_with(|| b.load.total_cmp(&a.load))
+            })
+    }
+
     /// Plans how one engine gets the prompt.
     pub fn plan(&self, view: &BackendView, now: MonotonicTime) -> FetchPlan {
         let shared = self.prompt.shared_parts();
@@ -85,12 +109,11 @@
             .take_while(|part| view.holds(self.space, part.id, now))
             .count();
         let stored_parts = self.in_store.iter().take_while(|held| **held).count();
-        let holder = self
-            .holder
-            .filter(|(address, _)| *address != view.member.address);
-        let (source, fetched_to) = match (self.store, holder) {
-            (Some(store), Some((_, parts))) if stored_parts >= parts => (Some(store), stored_parts),
-            (_, Some((address, parts))) => (Some(address), parts),
+        let (source, fetched_to) = match (self.store, self.find_holder(view)) {
+            (Some(store), Some(holder)) if stored_parts > holder.parts => {
+                (Some(store), stored_parts)
+            }
+            (_, Some(holder)) => (Some(holder.address), holder.parts),
             (store, None) => (store, stored_parts),
         };
         let mut plan = FetchPlan {
--- a/src/core/fleet/rollout.rs
+++ b/src/core/fleet/rollout.rs
@@ -13,8 +13,9 @@
 const CLOSE_LEAD: Duration = Duration::from_millis(60);
 
 /// Longest time after the announcement that calls waiting at the engine put
-/// the order off.
-const MAX_CLOSE: Duration = Duration::from_millis(250);
+/// the order off: the order turns them away, and reading a full queue takes
+/// about this long.
+const MAX_CLOSE: Duration = Duration::from_millis(800);
 
 /// Time after which an order that shows no effect is given again.
 const ORDER_RETRY: Duration = Duration::from_millis(500);
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -9,12 +9,11 @@
 use http::StatusCode;
 use http::header::HOST;
 use hyper::Request;
-use tokio::time::Instant;
 use tokio::time::timeout;
-use tokio::time::timeout_at;
 
 use super::context::GatewayContext;
 use super::read_call::Call;
+use super::wait_alive::wait_alive;
 use crate::core::fleet::Choice;
 use crate::http::AnswerBody;
 use crate::http::Exchange;
@@ -109,18 +108,18 @@
     }
 }
 
-/// Sends a call to a server and waits for its answer until `until`; of a
-/// stream, for its head.
+/// Sends a call to a server and waits for its answer; of a stream, for its
+/// head. `may_leave` tells that the call may go elsewhere if the server dies.
 pub async fn attempt_call(
     cx: &Arc<GatewayContext>,
     call: &Call,
     choice: Choice,
     last_event: Option<&str>,
-    until: Instant,
+    may_leave: bool,
 ) -> AttemptEnd {
     let in_flight = InFlight::begin(cx, call, choice);
     let key = in_flight.choice().key;
-    let end = exchange_call(cx, call, in_flight, last_event, until).await;
+    let end = exchange_call(cx, call, in_flight, last_event, may_leave).await;
     let now = cx.now();
     let mut state = cx.lock();
     match &end {
@@ -147,22 +146,23 @@
     call: &Call,
     in_flight: InFlight,
     last_event: Option<&str>,
-    until: Instant,
+    may_leave: bool,
 ) -> AttemptEnd {
     let choice = in_flight.choice().clone();
     let req = make_request(cx, call, &choice, last_event);
-    let sent = timeout_at(until, cx.client.send(choice.address, req)).await;
+    let sending = cx.client.send(choice.address, req);
+    let sent = wait_alive(cx, choice.key, may_leave, call.deadline, sending).await;
     let mut exchange = match sent {
-        Err(_) => return AttemptEnd::Unknown("silent"),
-        Ok(Err(e)) if e.is_certainly_unsent() => {
+        None => return AttemptEnd::Unknown("silent"),
+        Some(Err(e)) if e.is_certainly_unsent() => {
             forget_parts(cx, call, &choice);
             return AttemptEnd::NotRun(UNREACHABLE);
         }
-        Ok(Err(e)) => {
+        Some(Err(e)) => {
             log::debug!("call: broken id={} reason=\"{e}\"", call.id_text());
             return AttemptEnd::Unknown("broken");
         }
-        Ok(Ok(exchange)) => exchange,
+        Some(Ok(exchange)) => exchange,
     };
     let facts = cx
         .ports
@@ -193,14 +193,15 @@
             in_flight,
         }));
     }
-    match timeout_at(until, exchange.read_rest(MAX_ANSWER_BYTES)).await {
-        Ok(Ok(body)) => AttemptEnd::Answered(WholeAnswer {
+    let reading = exchange.read_rest(MAX_ANSWER_BYTES);
+    match wait_alive(cx, choice.key, may_leave, call.deadline, reading).await {
+        Some(Ok(body)) => AttemptEnd::Answered(WholeAnswer {
             status,
             headers,
             body,
         }),
-        Ok(Err(_)) => AttemptEnd::Unknown("answer-broken"),
-        Err(_) => AttemptEnd::Unknown("answer-silent"),
+        Some(Err(_)) => AttemptEnd::Unknown("answer-broken"),
+        None => AttemptEnd::Unknown("answer-silent"),
     }
 }
 
@@ -222,6 +223,7 @@
 fn take_facts(cx: &GatewayContext, call: &Call, choice: &Choice, facts: &AnswerFacts) {
     let now = cx.now();
     let mut state = cx.lock();
+    state.dispatcher.note_answer(choice.key, now);
     if let Some(load) = facts.load {
         state.dispatcher.observe_load(choice.key, load, now);
     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 mod run;
 mod serve_call;
 mod state;
+mod wait_alive;
 mod watch_kept_store;
 
 pub use context::GatewayPorts;
--- a/src/gateway/relay_stream.rs
+++ b/src/gateway/relay_stream.rs
@@ -1,12 +1,9 @@
 //! Events of a stream on their way from servers to the caller.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use bytes::BytesMut;
-use tokio::time::Instant;
-use tokio::time::timeout_at;
 
 use super::attempt::AttemptEnd;
 use super::attempt::InFlight;
@@ -15,6 +12,7 @@
 use super::context::GatewayContext;
 use super::log_call::CallLog;
 use super::read_call::Call;
+use super::wait_alive::wait_alive;
 use crate::core::fleet::BackendKey;
 use crate::core::fleet::DispatchRequest;
 use crate::http::Exchange;
@@ -26,11 +24,6 @@
 /// Begins the line with an event's number.
 const ID_LINE: &[u8] = b"id:";
 
-/// Silence, as a multiple of the route's objective, after which a stream that
-/// may be resumed goes on elsewhere, and the least such time.
-const SILENCE_OBJECTIVES: u32 = 3;
-const LEAST_SILENCE: Duration = Duration::from_millis(700);
-
 /// Events of a stream on their way from servers to the caller.
 #[derive(Debug)]
 pub struct StreamRelay {
@@ -80,23 +73,27 @@
                 self.log.note_first_event();
                 return Ok(Some(events));
             }
-            let until = self.call.deadline.min(Instant::now() + self.silence());
-            let Some((exchange, _)) = &mut self.source else {
+            let may_leave = self.may_leave();
+            let Some((exchange, in_flight)) = &mut self.source else {
                 return Ok(None);
             };
-            let problem = match timeout_at(until, exchange.next_chunk()).await {
-                Ok(Ok(Some(chunk))) => {
+            let server = in_flight.choice().key;
+            let until = self.call.deadline;
+            let reading = exchange.next_chunk();
+            let problem = match wait_alive(&self.cx, server, may_leave, until, reading).await {
+                Some(Ok(Some(chunk))) => {
+                    self.note_answer(server);
                     self.buf.extend_from_slice(&chunk);
                     continue;
                 }
-                Ok(Ok(None)) if self.buf.is_empty() => {
+                Some(Ok(None)) if self.buf.is_empty() => {
                     self.finish(false);
                     self.log.end("complete", 200);
                     return Ok(None);
                 }
-                Ok(Ok(None)) => "ended-within-event",
-                Ok(Err(_)) => "stream-broken",
-                Err(_) => "stream-silent",
+                Some(Ok(None)) => "ended-within-event",
+                Some(Err(_)) => "stream-broken",
+                None => "stream-silent",
             };
             self.finish(true);
             if !self.resume(problem).await {
@@ -106,13 +103,14 @@
         }
     }
 
-    /// Time without a chunk that is borne: to the deadline, where nothing else
-    /// can be done.
-    fn silence(&self) -> Duration {
-        if !self.call.route.kind.is_repeatable() || self.runs >= self.call.route.max_attempts {
-            return self.call.time_left();
-        }
-        (self.call.route.objective * SILENCE_OBJECTIVES).max(LEAST_SILENCE)
+    /// Tells whether the stream may go on at another server.
+    fn may_leave(&self) -> bool {
+        self.call.route.kind.is_repeatable() && self.runs < self.call.route.max_attempts
+    }
+
+    fn note_answer(&self, server: BackendKey) {
+        let now = self.cx.now();
+        self.cx.lock().dispatcher.note_answer(server, now);
     }
 
     /// Takes the whole events that have come, and the number of the last.
@@ -140,11 +138,7 @@
 
     /// Goes on at another server after the last event that was taken.
     async fn resume(&mut self, problem: &'static str) -> bool {
-        let route = &self.call.route;
-        if !route.kind.is_repeatable() || self.runs >= route.max_attempts {
-            return false;
-        }
-        if self.call.time_left().is_zero() {
+        if !self.may_leave() || self.call.time_left().is_zero() {
             return false;
         }
         let choice = {
@@ -164,9 +158,9 @@
         };
         self.log.note_attempt(&choice, problem);
         self.tried.push(choice.key);
-        let until = self.call.deadline.min(Instant::now() + self.silence());
+        let may_leave = self.runs + 1 < self.call.route.max_attempts;
         let last = self.last_event.clone();
-        let end = attempt_call(&self.cx, &self.call, choice, last.as_deref(), until).await;
+        let end = attempt_call(&self.cx, &self.call, choice, last.as_deref(), may_leave).await;
         match end {
             AttemptEnd::Streaming(head) => {
                 let StreamHead {
--- a/src/gateway/serve_call.rs
+++ b/src/gateway/serve_call.rs
@@ -44,11 +44,6 @@
 /// Time to come back after for a call that servers turned away.
 const TURNED_AWAY_RETRY: Duration = Duration::from_millis(300);
 
-/// Silence, as a multiple of the route's objective, after which a call that
-/// may be repeated is sent elsewhere, and the least such time.
-const SILENCE_OBJECTIVES: u32 = 3;
-const LEAST_SILENCE: Duration = Duration::from_millis(700);
-
 /// Bounds of the time to come back after.
 const LEAST_RETRY_AFTER: Duration = Duration::from_millis(150);
 const MOST_RETRY_AFTER: Duration = Duration::from_secs(3);
@@ -104,8 +99,8 @@
         };
         log.note_attempt(&choice, reason);
         tried.push(choice.key);
-        let until = attempt_until(&call, runs);
-        match attempt_call(cx, &call, choice, None, until).await {
+        let may_leave = may_leave(&call, runs);
+        match attempt_call(cx, &call, choice, None, may_leave).await {
             AttemptEnd::Answered(answer) => {
                 runs += 1;
                 let may_repeat = answer.status.is_server_error()
@@ -244,14 +239,9 @@
     cx.lock().retries.take_repeat(&call.service, now)
 }
 
-/// Finds until when one attempt is waited for: to the deadline, where it is
-/// the last one that may run.
-fn attempt_until(call: &Call, runs: u32) -> Instant {
-    if !call.route.kind.is_repeatable() || runs + 1 >= call.route.max_attempts {
-        return call.deadline;
-    }
-    let silence = (call.route.objective * SILENCE_OBJECTIVES).max(LEAST_SILENCE);
-    call.deadline.min(Instant::now() + silence)
+/// Tells whether the call may run on another server after this one.
+fn may_leave(call: &Call, runs: u32) -> bool {
+    call.route.kind.is_repeatable() && runs + 1 < call.route.max_attempts
 }
 
 fn to_response(answer: WholeAnswer) -> Response<AnswerBody> {
--- a/tests/fleet_quota.rs
+++ b/tests/fleet_quota.rs
@@ -74,7 +74,7 @@
                 self.exchange(&hears);
             }
             for entry in 0..self.entries.len() {
-                let is_due = (self.now_ms + entry as u64 * 7) % (1_000 / calls_per_s) == 0;
+                let is_due = (self.now_ms + entry as u64 * 7).is_multiple_of(1_000 / calls_per_s);
                 if !is_due {
                     continue;
                 }
