Plan changes of weights so that calls end before them

Cause of late answers: in the mode that waits for runs, an engine stays closed for up to two seconds, what a draft takes. Agents now plan the order of each engine in batches 300 ms apart and tell entries the time; entries price what a call would make after it; running calls go on.

--- a/src/core/fleet/backend_view.rs
+++ b/src/core/fleet/backend_view.rs
@@ -42,6 +42,8 @@
     pub is_accepting: bool,
     /// The engine answers its agent.
     pub is_alive: bool,
+    /// Milliseconds until the engine changes its weights, if it is behind.
+    pub switch_in_ms: Option<u32>,
     /// Weights versions that the engine serves.
     pub versions: Vec<(ModelName, WeightsVersion)>,
     /// Load of the engine.
@@ -180,6 +182,13 @@
         self.held.contains_key(&(space, part))
     }
 
+    /// Time until the server changes its weights, if it is about to.
+    pub(super) fn switch_in(&self, now: MonotonicTime) -> Option<Duration> {
+        let (facts, heard_at) = self.agent.as_ref()?;
+        let told = Duration::from_millis(u64::from(facts.switch_in_ms?));
+        Some(told.saturating_sub(now.since(*heard_at)))
+    }
+
     /// Tokens of KV cache that are free or can yield.
     pub(super) fn free_tokens(&self, now: MonotonicTime) -> Option<u64> {
         let facts = self.fresh_agent(now)?;
--- a/src/core/fleet/dispatcher.rs
+++ b/src/core/fleet/dispatcher.rs
@@ -20,6 +20,8 @@
 use super::WantedVersion;
 use super::fetch_plan::FetchPlan;
 use super::fetch_plan::PartSources;
+use super::wanted_history::Standing;
+use super::wanted_history::WantedHistory;
 use crate::core::AccountName;
 use crate::core::MonotonicTime;
 use crate::core::ServerName;
@@ -71,6 +73,13 @@
 /// Cost of an older version between these, in milliseconds.
 const OLD_VERSION_MS: f64 = 250.0;
 
+/// Time that an engine takes for a token of an answer, in milliseconds.
+const MS_PER_OUTPUT_TOKEN: f64 = 4.5;
+
+/// Cost of a millisecond of answer that is made under changed weights, in
+/// milliseconds: a whole answer of 1,500 ms is worth about 600.
+const LOST_OUTPUT_COST: f64 = 0.4;
+
 /// Time to come back after when no server can be asked now.
 const NO_SERVER_RETRY: Duration = Duration::from_millis(400);
 
@@ -138,7 +147,7 @@
     backends: SlotMap<BackendKey, BackendView>,
     names: HashMap<ServerName, BackendKey>,
     services: HashMap<String, Vec<BackendKey>>,
-    wanted: HashMap<ModelName, (WantedVersion, Option<MonotonicTime>)>,
+    wanted: HashMap<ModelName, WantedHistory>,
     store: Option<SocketAddr>,
     store_lost: bool,
     store_parts: HeldParts,
@@ -200,18 +209,16 @@
         wanted: &WantedVersion,
         learned_at: Option<MonotonicTime>,
     ) -> bool {
-        let known = self.wanted.get(&wanted.model);
-        if known.is_some_and(|(known, _)| known.version >= wanted.version) {
-            return false;
-        }
-        let entry = (wanted.clone(), learned_at);
-        self.wanted.insert(wanted.model.clone(), entry);
-        true
+        let history = self.wanted.entry(wanted.model.clone()).or_default();
+        history.note(wanted, learned_at)
     }
 
     /// Lists the wanted versions.
     pub fn list_wanted(&self) -> Vec<WantedVersion> {
-        self.wanted.values().map(|(w, _)| w.clone()).collect()
+        self.wanted
+            .values()
+            .filter_map(|history| history.newest().cloned())
+            .collect()
     }
 
     /// Takes over where the store of kept KV cache is, if there is one.
@@ -452,6 +459,7 @@
             + version_cost
             + load * BESIDE_MS
             + f64::from(plan.read_again) * READ_AGAIN_MS_PER_TOKEN
+            + rate_switch(prompt, start, view, now)
             + rate_home(prompt, &plan, view)
             + rate_memory(prompt, view, now)
             + self.extra_cost(view);
@@ -475,13 +483,14 @@
         version: WeightsVersion,
         now: MonotonicTime,
     ) -> Option<f64> {
-        let Some((wanted, learned_at)) = self.wanted.get(model) else {
+        let standing = self
+            .wanted
+            .get(model)
+            .map_or(Standing::Current, |history| history.standing(version));
+        let Standing::Behind(since) = standing else {
             return Some(0.0);
         };
-        if version >= wanted.version {
-            return Some(0.0);
-        }
-        let age = now.since((*learned_at)?);
+        let age = now.since(since?);
         if age < OLD_VERSION_FREE {
             Some(0.0)
         } else if age < OLD_VERSION_LIMIT {
@@ -550,6 +559,17 @@
     NOT_HOME_MS * (seed as f64 / u64::MAX as f64)
 }
 
+/// Rates what a call would make after a change of weights under it, which is
+/// worth nothing.
+fn rate_switch(prompt: &Prompt, start_ms: f64, view: &BackendView, now: MonotonicTime) -> f64 {
+    let Some(switch_in) = view.switch_in(now) else {
+        return 0.0;
+    };
+    let end_ms = start_ms + f64::from(prompt.expected_output_tokens) * MS_PER_OUTPUT_TOKEN;
+    let lost_ms = end_ms - switch_in.as_secs_f64() * 1_000.0;
+    lost_ms.max(0.0) * LOST_OUTPUT_COST
+}
+
 fn rate_memory(prompt: &Prompt, view: &BackendView, now: MonotonicTime) -> f64 {
     let needed = u64::from(prompt.prompt_tokens);
     match view.free_tokens(now) {
--- a/src/core/fleet/mod.rs
+++ b/src/core/fleet/mod.rs
@@ -25,6 +25,7 @@
 mod salt_text;
 mod service_rule;
 mod token_bucket;
+mod wanted_history;
 mod wanted_version;
 
 pub use account_rule::AccountRule;
@@ -58,6 +59,7 @@
 pub use rollout::OrderOutcome;
 pub use rollout::Rollout;
 pub use rollout::RolloutStep;
+pub use rollout::RunningCalls;
 pub use route_rule::RouteRule;
 pub use route_rule::WeightedService;
 pub use route_table::RouteTable;
--- a/src/core/fleet/prompt.rs
+++ b/src/core/fleet/prompt.rs
@@ -40,6 +40,8 @@
     pub prompt_tokens: u32,
     /// Most tokens of the answer.
     pub max_output_tokens: u32,
+    /// Tokens that the caller expects of the answer.
+    pub expected_output_tokens: u32,
 }
 
 impl Prompt {
--- a/src/core/fleet/rollout.rs
+++ b/src/core/fleet/rollout.rs
@@ -5,6 +5,8 @@
 
 use super::ModelName;
 use super::WantedVersion;
+use super::wanted_history::Standing;
+use super::wanted_history::WantedHistory;
 use crate::core::MonotonicTime;
 use crate::core::WeightsVersion;
 
@@ -12,20 +14,24 @@
 /// order: entries hear of it within one round trip and their calls arrive.
 const CLOSE_LEAD: Duration = Duration::from_millis(60);
 
-/// Longest time after the announcement that calls waiting at the engine put
-/// the order off: the order turns them away, and reading a full queue takes
-/// about this long.
-const MAX_CLOSE: Duration = Duration::from_millis(800);
+/// Longest time for which calls that wait at the engine put the order off: it
+/// would turn them away.
+const MAX_CLOSE: Duration = Duration::from_millis(400);
 
 /// Time after which an order that shows no effect is given again.
 const ORDER_RETRY: Duration = Duration::from_millis(500);
 
-/// Groups into which the engines of a fleet are split for a change.
-const GROUPS: u64 = 3;
+/// Batches into which the engines of a fleet are split for a change. The
+/// deployments let a sixth of their engines load at full speed.
+const BATCHES: u64 = 6;
 
-/// Time from the start of one group to that of the next: about what runs take
-/// to end, and new weights to load.
-const GROUP_INTERVAL: Duration = Duration::from_millis(550);
+/// Time from a version's naming to the orders of the first batch: entries
+/// send long calls elsewhere meanwhile, and many that run come to an end.
+const FIRST_BATCH: Duration = Duration::from_millis(500);
+
+/// Time from the orders of one batch to those of the next: about what new
+/// weights take to load.
+const BATCH_INTERVAL: Duration = Duration::from_millis(300);
 
 /// What an engine reports of itself.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -51,6 +57,8 @@
     Order {
         /// The version to load.
         wanted: WantedVersion,
+        /// What becomes of calls that run.
+        running: RunningCalls,
         /// Orders that the engine must have accepted for this one to hold.
         accepted_orders: u64,
     },
@@ -58,6 +66,15 @@
     Open,
 }
 
+/// What becomes of calls that run while weights change.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RunningCalls {
+    /// The engine waits for their end.
+    Finish,
+    /// They go on under the new weights.
+    Continue,
+}
+
 /// How the engine answered an order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum OrderOutcome {
@@ -80,11 +97,12 @@
     Ordered { at: MonotonicTime },
 }
 
-/// Brings one engine to the newest weights: waits for the turn of its group,
-/// lets entries move their calls elsewhere, orders, and opens again.
+/// Brings one engine to the newest weights: waits for the turn of its batch,
+/// while entries send elsewhere what would not end in time, closes the engine
+/// for a moment, orders, and opens it again.
 #[derive(Debug)]
 pub struct Rollout {
-    wanted: HashMap<ModelName, (WantedVersion, MonotonicTime)>,
+    wanted: HashMap<ModelName, WantedHistory>,
     turn: (u64, u64),
     phase: Phase,
 }
@@ -101,13 +119,8 @@
 
     /// Takes note of a wanted version; true if it is newer than what is known.
     pub fn want(&mut self, wanted: &WantedVersion, now: MonotonicTime) -> bool {
-        let known = self.wanted.get(&wanted.model);
-        if known.is_some_and(|(known, _)| known.version >= wanted.version) {
-            return false;
-        }
-        self.wanted
-            .insert(wanted.model.clone(), (wanted.clone(), now));
-        true
+        let history = self.wanted.entry(wanted.model.clone()).or_default();
+        history.note(wanted, Some(now))
     }
 
     /// Takes over the engine's place among `count` engines.
@@ -117,7 +130,10 @@
 
     /// Lists the wanted versions.
     pub fn list_wanted(&self) -> Vec<WantedVersion> {
-        self.wanted.values().map(|(w, _)| w.clone()).collect()
+        self.wanted
+            .values()
+            .filter_map(|history| history.newest().cloned())
+            .collect()
     }
 
     /// Tells whether entries may send new calls.
@@ -125,35 +141,36 @@
         self.phase == Phase::Open
     }
 
+    /// Returns the time until the engine is ordered to change its weights, if
+    /// it is behind.
+    pub fn switch_in(&self, facts: &EngineFacts, now: MonotonicTime) -> Option<Duration> {
+        let (_, order_at) = self.find_behind(facts)?;
+        Some(order_at.since(now))
+    }
+
     /// Decides what is to be done now.
     pub fn step(&mut self, facts: &EngineFacts, now: MonotonicTime) -> RolloutStep {
-        let due = self.find_due(facts, now);
-        match (self.phase, due) {
-            (Phase::Open, Some(_)) if !facts.is_busy => {
+        match (self.phase, self.find_behind(facts)) {
+            (Phase::Open, Some((_, order_at))) if !facts.is_busy => {
+                if now + CLOSE_LEAD < order_at {
+                    return RolloutStep::Wait;
+                }
                 self.phase = Phase::Closing { since: now };
                 RolloutStep::Close
             }
-            (Phase::Closing { since }, Some(wanted)) => {
+            (Phase::Closing { since }, Some((wanted, _))) => {
                 let passed = now.since(since);
                 let is_empty = facts.waiting == 0 && passed >= CLOSE_LEAD;
                 if facts.is_busy || !(is_empty || passed >= MAX_CLOSE) {
                     return RolloutStep::Wait;
                 }
-                self.phase = Phase::Ordered { at: now };
-                RolloutStep::Order {
-                    wanted,
-                    accepted_orders: facts.accepted_orders,
-                }
+                self.order(wanted, facts, now)
             }
-            (Phase::Ordered { at }, Some(wanted)) => {
+            (Phase::Ordered { at }, Some((wanted, _))) => {
                 if facts.is_busy || now.since(at) < ORDER_RETRY {
                     return RolloutStep::Wait;
                 }
-                self.phase = Phase::Ordered { at: now };
-                RolloutStep::Order {
-                    wanted,
-                    accepted_orders: facts.accepted_orders,
-                }
+                self.order(wanted, facts, now)
             }
             (Phase::Closing { .. } | Phase::Ordered { .. }, None) if !facts.is_busy => {
                 self.phase = Phase::Open;
@@ -163,6 +180,20 @@
         }
     }
 
+    fn order(
+        &mut self,
+        wanted: WantedVersion,
+        facts: &EngineFacts,
+        now: MonotonicTime,
+    ) -> RolloutStep {
+        self.phase = Phase::Ordered { at: now };
+        RolloutStep::Order {
+            wanted,
+            running: RunningCalls::Continue,
+            accepted_orders: facts.accepted_orders,
+        }
+    }
+
     /// Takes note of how the engine answered an order. One that certainly did
     /// not take effect may be given again at the next step.
     pub fn note_outcome(&mut self, outcome: OrderOutcome, now: MonotonicTime) {
@@ -171,15 +202,20 @@
         }
     }
 
-    /// Finds a model whose engine is behind and whose group has its turn.
-    fn find_due(&self, facts: &EngineFacts, now: MonotonicTime) -> Option<WantedVersion> {
+    /// Finds a model whose weights are behind, its newest version and when the
+    /// order is due: by the batch of the engine, from the naming of the first
+    /// version that it lacks.
+    fn find_behind(&self, facts: &EngineFacts) -> Option<(WantedVersion, MonotonicTime)> {
         let (place, count) = self.turn;
-        let group = u32::try_from(place * GROUPS / count).unwrap_or(0);
+        let batch = u32::try_from(place * BATCHES / count).unwrap_or(0);
         facts.versions.iter().find_map(|(model, version)| {
-            let (wanted, learned_at) = self.wanted.get(model)?;
-            let is_behind = *version < wanted.version;
-            let has_turn = now >= *learned_at + GROUP_INTERVAL * group;
-            (is_behind && has_turn).then(|| wanted.clone())
+            let history = self.wanted.get(model)?;
+            let Standing::Behind(since) = history.standing(*version) else {
+                return None;
+            };
+            let since = since.unwrap_or(MonotonicTime::ZERO);
+            let order_at = since + FIRST_BATCH + BATCH_INTERVAL * batch;
+            Some((history.newest()?.clone(), order_at))
         })
     }
 }
--- a/src/ports/engine_port.rs
+++ b/src/ports/engine_port.rs
@@ -8,6 +8,7 @@
 use crate::core::fleet::EngineFacts;
 use crate::core::fleet::LoadFigures;
 use crate::core::fleet::OrderOutcome;
+use crate::core::fleet::RunningCalls;
 use crate::core::fleet::WantedVersion;
 
 /// What an engine reports of itself.
@@ -30,6 +31,8 @@
 pub struct WeightsOrder {
     /// The version to load; its revision is the fencing number.
     pub wanted: WantedVersion,
+    /// What becomes of calls that run.
+    pub running: RunningCalls,
     /// Orders that the engine must have accepted for this one to hold.
     pub accepted_orders: u64,
     /// Who gives it.
@@ -43,7 +46,7 @@
     /// Reads the engine's report.
     fn read_report(&self, engine: SocketAddr) -> BoxFuture<'_, Result<EngineReport, PortError>>;
 
-    /// Orders the engine to change its weights once its runs have ended.
+    /// Orders the engine to change its weights.
     fn order_weights<'a>(
         &'a self,
         engine: SocketAddr,
--- a/src/sidecar/tend_engine.rs
+++ b/src/sidecar/tend_engine.rs
@@ -7,9 +7,9 @@
 
 use super::context::SidecarContext;
 use crate::core::fleet::AgentFacts;
+use crate::core::fleet::LoadFigures;
 use crate::core::fleet::OrderOutcome;
 use crate::core::fleet::RolloutStep;
-use crate::core::fleet::WantedVersion;
 use crate::ports::EngineReport;
 use crate::ports::WeightsOrder;
 
@@ -62,6 +62,10 @@
         let facts = AgentFacts {
             is_accepting: state.rollout.is_accepting(),
             is_alive: true,
+            switch_in_ms: state
+                .rollout
+                .switch_in(&report.facts, now)
+                .map(|time| u32::try_from(time.as_millis()).unwrap_or(u32::MAX)),
             versions: report.facts.versions.clone(),
             load: report.load,
             used_tokens: report.used_tokens,
@@ -84,19 +88,22 @@
         RolloutStep::Open => log::info!("weights: open versions={:?}", report.facts.versions),
         RolloutStep::Order {
             wanted,
+            running,
             accepted_orders,
-        } => give_order(cx, wanted, accepted_orders).await,
+        } => {
+            let order = WeightsOrder {
+                wanted,
+                running,
+                accepted_orders,
+                holder: cx.settings.name.clone(),
+                engine: cx.lock().engine.clone(),
+            };
+            give_order(cx, order, report.load).await;
+        }
     }
 }
 
-async fn give_order(cx: &SidecarContext, wanted: WantedVersion, accepted_orders: u64) {
-    let engine = cx.lock().engine.clone();
-    let order = WeightsOrder {
-        wanted,
-        accepted_orders,
-        holder: cx.settings.name.clone(),
-        engine,
-    };
+async fn give_order(cx: &SidecarContext, order: WeightsOrder, load: LoadFigures) {
     let result = cx
         .ports
         .engine
@@ -107,11 +114,12 @@
         OrderOutcome::Unknown
     });
     log::info!(
-        "weights: ordered model={} version={} fence={} accepted_before={} outcome={outcome:?}",
+        "weights: ordered model={} version={} fence={} accepted_before={} running={} outcome={outcome:?}",
         order.wanted.model,
         order.wanted.version,
         order.wanted.revision,
-        order.accepted_orders
+        order.accepted_orders,
+        load.running
     );
     let now = cx.now();
     cx.lock().rollout.note_outcome(outcome, now);
