Know ended runs by their address; count repeats by window

Of two records with one address the later start now holds, a server that answers for another is passed by, and repeats are counted over the operator's window.

--- a/src/core/fleet/backend_view.rs
+++ b/src/core/fleet/backend_view.rs
@@ -59,6 +59,8 @@
 pub struct BackendView {
     /// What the server says of itself in the store.
     pub member: Member,
+    /// Another run of a server answers at its address.
+    pub(super) is_superseded: bool,
     pub(super) load: BackendLoad,
     pub(super) failures: f64,
     pub(super) paused_until: Option<MonotonicTime>,
@@ -75,6 +77,7 @@
     pub(super) fn new(member: Member) -> Self {
         Self {
             member,
+            is_superseded: false,
             load: BackendLoad::default(),
             failures: 0.0,
             paused_until: None,
@@ -91,6 +94,8 @@
     /// of the engine's memory.
     pub(super) fn update(&mut self, member: Member) {
         if self.member.born != member.born {
+            self.agent = None;
+            self.seen_versions.clear();
             self.held.clear();
             self.expected.clear();
             self.failures = 0.0;
@@ -105,7 +110,8 @@
         let agent_allows = self
             .fresh_agent(now)
             .is_none_or(|facts| facts.is_accepting && facts.is_alive);
-        self.member.state == MemberState::Ready && !is_paused && agent_allows
+        let is_ready = self.member.state == MemberState::Ready && !self.is_superseded;
+        is_ready && !is_paused && agent_allows
     }
 
     /// Returns the weights version that the server is believed to have.
--- a/src/core/fleet/dispatcher.rs
+++ b/src/core/fleet/dispatcher.rs
@@ -45,7 +45,7 @@
 
 /// Cost of an engine that is not the first choice for a part that nobody has
 /// read, in milliseconds: entries that choose alone agree by it.
-const NOT_HOME_MS: f64 = 60.0;
+const NOT_HOME_MS: f64 = 120.0;
 
 /// Cost of each call that runs beside, in milliseconds: it lengthens steps.
 const BESIDE_MS: f64 = 0.6;
@@ -168,8 +168,33 @@
         }
     }
 
-    /// Takes over a server's record.
+    /// Takes over a server's record. Of two records with one address, the one
+    /// of the earlier start is of a run that has ended.
     pub fn put_member(&mut self, member: Member) -> BackendKey {
+        let key = self.put_record(member);
+        self.mark_superseded(key);
+        key
+    }
+
+    fn mark_superseded(&mut self, key: BackendKey) {
+        let Some(view) = self.backends.get(key) else {
+            return;
+        };
+        let (address, born) = (view.member.address, view.member.born);
+        let mut is_superseded = false;
+        for (other_key, other) in &mut self.backends {
+            if other_key == key || other.member.address != address {
+                continue;
+            }
+            is_superseded |= other.member.born > born;
+            other.is_superseded |= other.member.born < born;
+        }
+        if let Some(view) = self.backends.get_mut(key) {
+            view.is_superseded = is_superseded;
+        }
+    }
+
+    fn put_record(&mut self, member: Member) -> BackendKey {
         if let Some(&key) = self.names.get(&member.name) {
             let is_moved = self
                 .backends
@@ -285,15 +310,17 @@
         self.backends.get(key)
     }
 
-    /// Lists the servers of a service.
+    /// Lists the servers of a service, without runs known to have ended.
     pub fn list_service(&self, service: &str) -> impl Iterator<Item = &BackendView> {
         let keys = self.services.get(service).map_or(&[][..], Vec::as_slice);
-        keys.iter().filter_map(|&key| self.backends.get(key))
+        keys.iter()
+            .filter_map(|&key| self.backends.get(key))
+            .filter(|view| !view.is_superseded)
     }
 
-    /// Lists all servers.
+    /// Lists all servers, without runs known to have ended.
     pub fn backends(&self) -> impl Iterator<Item = &BackendView> {
-        self.backends.values()
+        self.backends.values().filter(|view| !view.is_superseded)
     }
 
     /// Chooses the server of a call.
@@ -385,7 +412,7 @@
     pub fn is_suspect(&self, key: BackendKey, waited: Duration, now: MonotonicTime) -> bool {
         self.backends
             .get(key)
-            .is_none_or(|view| view.is_suspect(waited, now))
+            .is_none_or(|view| view.is_superseded || view.is_suspect(waited, now))
     }
 
     /// Takes note of how a call went.
@@ -395,6 +422,14 @@
         }
     }
 
+    /// Takes note that another server than the planned one answers at its
+    /// address: no other call goes there until its record is renewed.
+    pub fn note_replaced(&mut self, key: BackendKey) {
+        if let Some(view) = self.backends.get_mut(key) {
+            view.is_superseded = true;
+        }
+    }
+
     /// Passes a server by for a while, after it could not be reached.
     pub fn note_unreachable(&mut self, key: BackendKey, now: MonotonicTime) {
         if let Some(view) = self.backends.get_mut(key) {
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -176,11 +176,7 @@
         forget_parts(cx, call, &choice);
         // Only the connection's reuse depends on the body.
         let _ = timeout(REFUSAL_BODY_TIMEOUT, exchange.read_rest(MAX_ANSWER_BYTES)).await;
-        return AttemptEnd::NotRun(if facts.is_misdirected {
-            "misdirected"
-        } else {
-            "turned-away"
-        });
+        return AttemptEnd::NotRun(explain_not_run(cx, &choice, &facts));
     }
     let mut headers = exchange.headers().clone();
     strip_connection_headers(&mut headers);
@@ -205,6 +201,28 @@
     }
 }
 
+/// Finds why a server did not run a call, and draws the consequence.
+fn explain_not_run(cx: &GatewayContext, choice: &Choice, facts: &AnswerFacts) -> &'static str {
+    if !facts.is_misdirected {
+        return "turned-away";
+    }
+    let is_same = facts
+        .server
+        .as_ref()
+        .is_none_or(|name| *name == *choice.name.as_str());
+    if is_same {
+        return "other-weights";
+    }
+    log::info!(
+        "members: replaced server={} address={} by={:?}",
+        choice.name,
+        choice.address,
+        facts.server
+    );
+    cx.lock().dispatcher.note_replaced(choice.key);
+    "misdirected"
+}
+
 /// Finds what tells that an answer is not the server's to this call.
 fn find_foreign(call: &Call, facts: &AnswerFacts, status: StatusCode) -> Option<&'static str> {
     let is_other = facts.call_id.as_ref().is_some_and(|id| *id != call.head.id);
--- a/src/gateway/exchange_news.rs
+++ b/src/gateway/exchange_news.rs
@@ -264,7 +264,7 @@
         roster.remove(&news.usage.name);
     }
     let entries = state.quota.count_entries();
-    state.retries.set_entries(entries, now);
+    state.retries.set_entries(entries);
 }
 
 fn call_context() -> Context {
--- a/src/ports/answer_facts.rs
+++ b/src/ports/answer_facts.rs
@@ -15,6 +15,8 @@
     /// The server that answers is not the one that the call was for, or has
     /// other weights.
     pub is_misdirected: bool,
+    /// Name of the run that answers, where it says so.
+    pub server: Option<Bytes>,
     /// The answer bears the server's mark of authenticity.
     pub is_sealed: bool,
     /// Something on the way has encoded the body.
--- a/tests/fleet_dispatch.rs
+++ b/tests/fleet_dispatch.rs
@@ -268,3 +268,40 @@
     let none = dispatcher.choose(&request(&long), at(0));
     assert!(matches!(none, Err(NoBackend::TooBusy(_))));
 }
+
+/// After all hosts lose power, records of runs that have ended stay listed
+/// beside those of the new runs at the same addresses.
+#[test]
+fn put_member_later_run_at_same_address_supersedes() {
+    for order in [[0, 1], [1, 0]] {
+        let mut dispatcher = Dispatcher::new("a");
+        let runs = [
+            engine(0, 1),
+            Member {
+                name: ServerName::from("i-0-again"),
+                born: Some(2),
+                ..engine(0, 1)
+            },
+        ];
+        for index in order {
+            dispatcher.put_member(runs[index].clone());
+        }
+        for number in 0..20 {
+            let subject = format!("s{number}");
+            let choice = choose(&dispatcher, &prompt(&subject), at(0));
+            assert_eq!(choice.name.as_str(), "i-0-again");
+        }
+        assert_eq!(dispatcher.backends().count(), 1);
+    }
+}
+
+#[test]
+fn note_replaced_server_gets_no_calls() {
+    let mut dispatcher = engines(2);
+    let prompt = prompt("a");
+    let first = choose(&dispatcher, &prompt, at(0));
+    dispatcher.note_replaced(first.key);
+    for ms in 0..20 {
+        assert_ne!(choose(&dispatcher, &prompt, at(ms)).name, first.name);
+    }
+}
--- /dev/null
+++ b/tests/fleet_retries.rs
@@ -0,0 +1,67 @@
+//! The fleet-wide bound on repeated sends.
+
+use std::time::Duration;
+
+use rstest::rstest;
+use teaseldrum::core::MonotonicTime;
+use teaseldrum::core::fleet::RetryAllowance;
+
+const RATIO: f64 = 0.2;
+const EXTRA: f64 = 56.0;
+const WINDOW_MS: u64 = 10_000;
+
+fn at(ms: u64) -> MonotonicTime {
+    MonotonicTime::ZERO + Duration::from_millis(ms)
+}
+
+/// Entries that repeat every request as often as they may, with a pause of
+/// traffic in between.
+#[rstest]
+#[case::even(5, [10, 10, 10, 10, 10])]
+#[case::uneven(5, [1, 3, 50, 100, 7])]
+#[case::few(5, [400, 400, 400, 400, 400])]
+fn take_repeat_never_above_bound(#[case] entries: usize, #[case] gap_ms: [u64; 5]) {
+    let mut allowances: Vec<RetryAllowance> = (0..entries)
+        .map(|_| RetryAllowance::new(RATIO, EXTRA, 10.0))
+        .collect();
+    let (mut requests, mut repeats) = (Vec::new(), Vec::new());
+    for ms in 0..60_000 {
+        for (entry, allowance) in allowances.iter_mut().enumerate() {
+            allowance.set_entries(entries);
+            let is_pause = (20_000..33_000).contains(&ms);
+            if ms % gap_ms[entry] != 0 || is_pause {
+                continue;
+            }
+            allowance.add_request("s", at(ms));
+            requests.push(ms);
+            while allowance.take_repeat("s", at(ms)) {
+                repeats.push(ms);
+            }
+        }
+    }
+    let count = |times: &[u64], from: u64| {
+        let inside = times
+            .iter()
+            .filter(|ms| (from..from + WINDOW_MS).contains(*ms));
+        inside.count() as f64
+    };
+    for from in (0..50_000).step_by(100) {
+        let bound = RATIO * count(&requests, from) + EXTRA;
+        let sent = count(&repeats, from);
+        assert!(sent <= bound, "{sent} of {bound} from {from} ms");
+    }
+}
+
+#[test]
+fn take_repeat_burst_uses_window() {
+    let mut allowance = RetryAllowance::new(RATIO, EXTRA, 10.0);
+    for ms in 0..9_000 {
+        if ms % 30 == 0 {
+            allowance.add_request("s", at(ms));
+        }
+    }
+    let burst = (0..200)
+        .take_while(|_| allowance.take_repeat("s", at(9_000)))
+        .count();
+    assert!(burst >= 50, "{burst} repeats at once");
+}
