Agree on the first reader of a part; take over a peer's level of rates

Cause of parts read again: entries drew an engine for an unread part by a cost that differed by 3 ms from the next one's, so any difference in load made them disagree; and the lost event of an outer part hid the inner ones.

--- a/src/core/fleet/dispatcher.rs
+++ b/src/core/fleet/dispatcher.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use slotmap::SlotMap;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::AgentFacts;
 use super::BackendKey;
@@ -45,7 +44,7 @@
 
 /// Cost of an engine that is not the first choice for a part that nobody has
 /// read, in milliseconds: entries that choose alone agree by it.
-const NOT_HOME_MS: f64 = 120.0;
+const NOT_HOME_MS: f64 = 100.0;
 
 /// Cost of each call that runs beside, in milliseconds: it lengthens steps.
 const BESIDE_MS: f64 = 0.6;
@@ -495,7 +494,7 @@
             + load * BESIDE_MS
             + f64::from(plan.read_again) * READ_AGAIN_MS_PER_TOKEN
             + rate_switch(prompt, start, view, now)
-            + rate_home(prompt, &plan, view)
+            + rate_home(&plan, sources.is_home(view))
             + rate_memory(prompt, view, now)
             + self.extra_cost(view);
         let save_to = self.usable_store().filter(|_| sources.is_store_behind());
@@ -581,17 +580,13 @@
     ((load + 1.0 - slots).max(0.0) / slots) * run_ms
 }
 
-/// Rates an engine for shared parts that nobody has read: the first choice of
-/// every entry is the same.
-fn rate_home(prompt: &Prompt, plan: &FetchPlan, view: &BackendView) -> f64 {
-    let Some(last) = prompt.shared_parts().last() else {
-        return 0.0;
-    };
-    if plan.shared_first == 0 {
-        return 0.0;
+/// Rates an engine for shared parts that nobody has read.
+fn rate_home(plan: &FetchPlan, is_home: bool) -> f64 {
+    if plan.shared_first == 0 || is_home {
+        0.0
+    } else {
+        NOT_HOME_MS
     }
-    let seed = xxh3_64_with_seed(view.member.name.as_str().as_bytes(), last.id.0);
-    NOT_HOME_MS * (seed as f64 / u64::MAX as f64)
 }
 
 /// Rates what a call would make after a change of weights under it, which is
--- a/src/core/fleet/fetch_plan.rs
+++ b/src/core/fleet/fetch_plan.rs
@@ -2,10 +2,13 @@
 
 use std::net::SocketAddr;
 
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
 use super::BackendView;
 use super::HeldParts;
 use super::PartId;
 use super::Prompt;
+use super::PromptPart;
 use crate::core::MonotonicTime;
 
 /// How the shared parts of a prompt stand at one engine.
@@ -38,10 +41,14 @@
 pub(super) struct PartSources<'a> {
     prompt: &'a Prompt,
     space: u64,
-    in_store: Vec<bool>,
+    /// Leading shared parts that the store holds.
+    stored: usize,
+    /// Engine that all entries choose first for parts that nobody has read.
+    home: Option<SocketAddr>,
     store: Option<SocketAddr>,
     holders: Vec<Holder>,
-    read: Vec<bool>,
+    /// Leading shared parts that anybody has read.
+    read: usize,
 }
 
 impl<'a> PartSources<'a> {
@@ -55,29 +62,33 @@
     ) -> Self {
         let shared = prompt.shared_parts();
         let holds = |part: PartId| store.is_some_and(|(_, held)| held.tokens(space, part) > 0);
-        let in_store: Vec<bool> = shared.iter().map(|part| holds(part.id)).collect();
-        let mut read = in_store.clone();
+        let stored = count_prefix(shared, holds);
+        let mut read = stored;
         let mut holders = Vec::new();
+        let mut home: Option<(u64, SocketAddr)> = None;
         for view in engines {
-            let mut prefix = 0;
-            for (index, part) in shared.iter().enumerate() {
-                read[index] |= view.holds(space, part.id, now);
-                if prefix == index && view.has_read(space, part.id) {
-                    prefix += 1;
-                }
-            }
-            if prefix > 0 {
+            read = read.max(count_prefix(shared, |part| view.holds(space, part, now)));
+            let parts = count_prefix(shared, |part| view.has_read(space, part));
+            if parts > 0 {
                 holders.push(Holder {
                     address: view.member.address,
-                    parts: prefix,
+                    parts,
                     load: view.load.calls(now),
                 });
             }
+            if let Some(last) = shared.last().filter(|_| view.takes_work(now)) {
+                let name = view.member.name.as_str().as_bytes();
+                let score = xxh3_64_with_seed(name, last.id.0);
+                if home.is_none_or(|(best, _)| score > best) {
+                    home = Some((score, view.member.address));
+                }
+            }
         }
         Self {
             prompt,
             space,
-            in_store,
+            stored,
+            home: home.map(|(_, address)| address),
             store: store.map(|(address, _)| address),
             holders,
             read,
@@ -86,7 +97,13 @@
 
     /// Tells whether the store lacks a shared part.
     pub fn is_store_behind(&self) -> bool {
-        self.store.is_some() && self.in_store.iter().any(|held| !held)
+        self.store.is_some() && self.stored < self.prompt.shared_parts().len()
+    }
+
+    /// Tells whether all entries choose an engine first for parts that nobody
+    /// has read (rendezvous hashing, Thaler and Ravishankar, 1998).
+    pub fn is_home(&self, view: &BackendView) -> bool {
+        self.home == Some(view.member.address)
     }
 
     /// Finds the engine that has read most of the prompt, and of those the one
@@ -104,11 +121,8 @@
     /// Plans how one engine gets the prompt.
     pub fn plan(&self, view: &BackendView, now: MonotonicTime) -> FetchPlan {
         let shared = self.prompt.shared_parts();
-        let cached_parts = shared
-            .iter()
-            .take_while(|part| view.holds(self.space, part.id, now))
-            .count();
-        let stored_parts = self.in_store.iter().take_while(|held| **held).count();
+        let cached_parts = count_prefix(shared, |part| view.holds(self.space, part, now));
+        let stored_parts = self.stored;
         let (source, fetched_to) = match (self.store, self.find_holder(view)) {
             (Some(store), Some(holder)) if stored_parts > holder.parts => {
                 (Some(store), stored_parts)
@@ -125,7 +139,7 @@
                 plan.cached += part.tokens;
             } else if index < fetched_to {
                 plan.fetched += part.tokens;
-            } else if self.read[index] {
+            } else if index < self.read {
                 plan.read_again += part.tokens;
             } else {
                 plan.read_first += part.tokens;
@@ -137,3 +151,10 @@
         plan
     }
 }
+
+/// Counts the leading parts that are held: where a part is held, those before
+/// it are too, although their event may have been lost.
+fn count_prefix(parts: &[PromptPart], holds: impl Fn(PartId) -> bool) -> usize {
+    let deepest = parts.iter().rposition(|part| holds(part.id));
+    deepest.map_or(0, |index| index + 1)
+}
--- a/src/core/fleet/fleet_quota.rs
+++ b/src/core/fleet/fleet_quota.rs
@@ -22,7 +22,11 @@
 
 /// Part of a burst that a process starts with: an earlier run of it may have
 /// used the burst a moment ago.
-const FIRST_LEVEL: f64 = 0.3;
+const FIRST_LEVEL: f64 = 0.4;
+
+/// Time after the start in which levels are guesses, unless a peer that has
+/// run for longer tells its own.
+const GUESS_TIME: Duration = Duration::from_secs(3);
 
 /// Part of the allowed overage that the enforced rate uses; the rest covers
 /// what entries admit before they hear of each other.
@@ -37,6 +41,9 @@
     pub incarnation: u64,
     /// Tokens admitted for each account since that run began.
     pub admitted: Vec<(AccountName, u64)>,
+    /// Tokens that each account may use at once, as the entry believes; none
+    /// while it believes nothing of its own.
+    pub levels: Vec<(AccountName, i64)>,
 }
 
 /// Rates of client accounts across all entries. Every entry keeps each
@@ -51,6 +58,8 @@
     accounts: HashMap<AccountName, AccountQuota>,
     peers: HashMap<String, Peer>,
     charged_at: MonotonicTime,
+    /// Until when the levels are guesses that a peer's replace.
+    guesses_until: Option<MonotonicTime>,
 }
 
 #[derive(Debug)]
@@ -78,11 +87,13 @@
             accounts: HashMap::new(),
             peers: HashMap::new(),
             charged_at: MonotonicTime::ZERO,
+            guesses_until: None,
         }
     }
 
     /// Takes over the accounts of a configuration.
     pub fn set_accounts(&mut self, rules: &[AccountRule], now: MonotonicTime) {
+        self.guesses_until.get_or_insert(now + GUESS_TIME);
         let limited: HashMap<&AccountName, &AccountRule> = rules
             .iter()
             .filter(|rule| rule.rate.is_some())
@@ -142,19 +153,50 @@
         }
     }
 
-    /// Returns what this entry has admitted.
-    pub fn usage(&self, name: &str, incarnation: u64) -> PeerUsage {
+    /// Returns what this entry has admitted and what it believes is left.
+    pub fn usage(&mut self, name: &str, incarnation: u64, now: MonotonicTime) -> PeerUsage {
+        self.charge_silent_peers(now);
         let admitted = self.accounts.iter();
+        let admitted = admitted.map(|(n, a)| (n.clone(), a.admitted)).collect();
+        let levels = if self.is_guessing(now) {
+            Vec::new()
+        } else {
+            let accounts = self.accounts.iter_mut();
+            accounts
+                .map(|(name, account)| (name.clone(), account.bucket.level(now) as i64))
+                .collect()
+        };
         PeerUsage {
             name: name.into(),
             incarnation,
-            admitted: admitted.map(|(n, a)| (n.clone(), a.admitted)).collect(),
+            admitted,
+            levels,
+        }
+    }
+
+    fn is_guessing(&self, now: MonotonicTime) -> bool {
+        self.guesses_until.is_none_or(|until| now < until)
+    }
+
+    /// Takes over a peer's levels in place of guesses.
+    fn adopt_levels(&mut self, usage: &PeerUsage, now: MonotonicTime) {
+        if usage.levels.is_empty() || !self.is_guessing(now) {
+            return;
+        }
+        self.guesses_until = Some(now);
+        for (name, level) in &usage.levels {
+            if let Some(account) = self.accounts.get_mut(name) {
+                let own = account.admitted as f64;
+                let change = *level as f64 - own - account.bucket.level(now);
+                account.bucket.take(-change, now);
+            }
         }
     }
 
     /// Takes note of what a peer has admitted.
     pub fn observe_peer(&mut self, usage: &PeerUsage, now: MonotonicTime) {
         self.charge_silent_peers(now);
+        self.adopt_levels(usage, now);
         let is_first = !self.peers.contains_key(&usage.name);
         let peer = self
             .peers
--- a/src/gateway/exchange_news.rs
+++ b/src/gateway/exchange_news.rs
@@ -221,10 +221,10 @@
 
 fn make_news(cx: &GatewayContext, roster: &EntryRoster) -> EntryNews {
     let now = cx.now();
-    let state = cx.lock();
+    let mut state = cx.lock();
     EntryNews {
         address: cx.settings.listen.peers,
-        usage: state.quota.usage(&cx.settings.name, cx.incarnation),
+        usage: state.quota.usage(&cx.settings.name, cx.incarnation, now),
         configuration: state.configuration_version(),
         wanted: state.dispatcher.list_wanted(),
         entries: roster.list(now),
--- a/tests/fleet_dispatch.rs
+++ b/tests/fleet_dispatch.rs
@@ -305,3 +305,40 @@
         assert_ne!(choose(&dispatcher, &prompt, at(ms)).name, first.name);
     }
 }
+
+/// Events get lost: a held part implies those before it.
+#[test]
+fn choose_holder_although_event_of_outer_part_was_lost() {
+    let mut dispatcher = engines(8);
+    let events = &hold(1, "a")[1..];
+    dispatcher.observe_held(&ServerName::from("i-5"), events, false);
+    let choice = choose(&dispatcher, &prompt("a"), at(0));
+    assert_eq!(choice.name.as_str(), "i-5");
+    assert_eq!(choice.prefill_tokens, 6_700);
+}
+
+#[test]
+fn choose_entries_agree_in_spite_of_small_differences_in_load() {
+    let (mut first, second) = (engines(8), engines(8));
+    for number in 0..8 {
+        let figures = LoadFigures {
+            running: number % 3,
+            waiting: 0,
+        };
+        let facts = AgentFacts {
+            is_accepting: true,
+            is_alive: true,
+            versions: vec![(ModelName::from("m"), WeightsVersion(1))],
+            load: figures,
+            capacity_tokens: 300_000,
+            ..AgentFacts::default()
+        };
+        let name = ServerName::from(format!("i-{number}").as_str());
+        first.observe_agent(&name, facts, at(0));
+    }
+    for number in 0..20 {
+        let prompt = prompt(&format!("s{number}"));
+        let one = choose(&first, &prompt, at(1)).name;
+        assert_eq!(one, choose(&second, &prompt, at(1)).name);
+    }
+}
--- a/tests/fleet_quota.rs
+++ b/tests/fleet_quota.rs
@@ -90,9 +90,9 @@
         let now = self.now();
         let usages: Vec<_> = self
             .entries
-            .iter()
+            .iter_mut()
             .enumerate()
-            .map(|(index, quota)| quota.usage(&format!("e{index}"), self.incarnations[index]))
+            .map(|(index, quota)| quota.usage(&format!("e{index}"), self.incarnations[index], now))
             .collect();
         for (from, usage) in usages.iter().enumerate() {
             for to in 0..self.entries.len() {
@@ -188,3 +188,30 @@
     let later = start + wait + Duration::from_millis(1);
     assert!(quota.admit(&name, 1_000, later).is_ok());
 }
+
+#[test]
+fn observe_peer_restarted_entry_takes_over_level() {
+    let mut fleet = Fleet::new(2);
+    // The account is idle: its bucket is full everywhere.
+    fleet.run(5_000, 1, |_, _| true);
+    fleet.entries[1] = fleet.start_entry();
+    fleet.incarnations[1] += 100;
+    let name = AccountName::from("guild");
+    let now = fleet.now();
+    let most = 90_000;
+    assert!(fleet.entries[1].admit(&name, most, now).is_err());
+    fleet.exchange(|_, _| true);
+    assert!(fleet.entries[1].admit(&name, most, now).is_ok());
+}
+
+#[test]
+fn observe_peer_restarted_entry_takes_over_used_up_level() {
+    let mut fleet = Fleet::new(2);
+    fleet.run(6_000, 20, |_, _| true);
+    fleet.entries[1] = fleet.start_entry();
+    fleet.incarnations[1] += 100;
+    fleet.exchange(|_, _| true);
+    let name = AccountName::from("guild");
+    let now = fleet.now();
+    assert!(fleet.entries[1].admit(&name, 30_000, now).is_err());
+}
