--- a/src/core/fleet/dispatcher.rs
+++ b/src/core/fleet/dispatcher.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use slotmap::SlotMap;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::AgentFacts;
 use super::BackendKey;
@@ -45,7 +44,7 @@
 
 /// Cost of an engine that is not the first choice for a part that nobody has
 /// read, in milliseconds: entries that choose alone agree by it.
-const NOT_HOME_MS: f64 = 60.0;
+const NOT_HOME_MS: f64 = 100.0;
 
 /// Cost of each call that runs beside, in milliseconds: it lengthens steps.
 const BESIDE_MS: f64 = 0.6;
@@ -168,8 +167,33 @@
         }
     }
 
-    /// Takes over a server's record.
+    /// Takes over a server's record. Of two records with one address, the one
+    /// of the earlier start is of a run that has ended.
     pub fn put_member(&mut self, member: Member) -> BackendKey {
+        let key = self.put_record(member);
+        self.mark_superseded(key);
+        key
+    }
+
+    fn mark_superseded(&mut self, key: BackendKey) {
+        let Some(view) = self.backends.get(key) else {
+            return;
+        };
+        let (address, born) = (view.member.address, view.member.born);
+        let mut is_superseded = false;
+        for (other_key, other) in &mut self.backends {
+            if other_key == key || other.member.address != address {
+                continue;
+            }
+            is_superseded |= other.member.born > born;
+            other.is_superseded |= other.member.born < born;
+        }
+        if let Some(view) = self.backends.get_mut(key) {
+            view.is_superseded = is_superseded;
+        }
+    }
+
+    fn put_record(&mut self, member: Member) -> BackendKey {
         if let Some(&key) = self.names.get(&member.name) {
             let is_moved = self
                 .backends
@@ -285,15 +309,17 @@
         self.backends.get(key)
     }
 
-    /// Lists the servers of a service.
+    /// Lists the servers of a service, without runs known to have ended.
     pub fn list_service(&self, service: &str) -> impl Iterator<Item = &BackendView> {
         let keys = self.services.get(service).map_or(&[][..], Vec::as_slice);
-        keys.iter().filter_map(|&key| self.backends.get(key))
+        keys.iter()
+            .filter_map(|&key| self.backends.get(key))
+            .filter(|view| !view.is_superseded)
     }
 
-    /// Lists all servers.
+    /// Lists all servers, without runs known to have ended.
     pub fn backends(&self) -> impl Iterator<Item = &BackendView> {
-        self.backends.values()
+        self.backends.values().filter(|view| !view.is_superseded)
     }
 
     /// Chooses the server of a call.
@@ -385,7 +411,7 @@
     pub fn is_suspect(&self, key: BackendKey, waited: Duration, now: MonotonicTime) -> bool {
         self.backends
             .get(key)
-            .is_none_or(|view| view.is_suspect(waited, now))
+            .is_none_or(|view| view.is_superseded || view.is_suspect(waited, now))
     }
 
     /// Takes note of how a call went.
@@ -395,6 +421,14 @@
         }
     }
 
+    /// Takes note that another server than the planned one answers at its
+    /// address: no other call goes there until its record is renewed.
+    pub fn note_replaced(&mut self, key: BackendKey) {
+        if let Some(view) = self.backends.get_mut(key) {
+            view.is_superseded = true;
+        }
+    }
+
     /// Passes a server by for a while, after it could not be reached.
     pub fn note_unreachable(&mut self, key: BackendKey, now: MonotonicTime) {
         if let Some(view) = self.backends.get_mut(key) {
@@ -460,7 +494,7 @@
             + load * BESIDE_MS
             + f64::from(plan.read_again) * READ_AGAIN_MS_PER_TOKEN
             + rate_switch(prompt, start, view, now)
-            + rate_home(prompt, &plan, view)
+            + rate_home(&plan, sources.is_home(view))
             + rate_memory(prompt, view, now)
             + self.extra_cost(view);
         let save_to = self.usable_store().filter(|_| sources.is_store_behind());
@@ -546,17 +580,13 @@
     ((load + 1.0 - slots).max(0.0) / slots) * run_ms
 }
 
-/// Rates an engine for shared parts that nobody has read: the first choice of
-/// every entry is the same.
-fn rate_home(prompt: &Prompt, plan: &FetchPlan, view: &BackendView) -> f64 {
-    let Some(last) = prompt.shared_parts().last() else {
-        return 0.0;
-    };
-    if plan.shared_first == 0 {
-        return 0.0;
+/// Rates an engine for shared parts that nobody has read.
+fn rate_home(plan: &FetchPlan, is_home: bool) -> f64 {
+    if plan.shared_first == 0 || is_home {
+        0.0
+    } else {
+        NOT_HOME_MS
     }
-    let seed = xxh3_64_with_seed(view.member.name.as_str().as_bytes(), last.id.0);
-    NOT_HOME_MS * (seed as f64 / u64::MAX as f64)
 }
 
 /// Rates what a call would make after a change of weights under it, which is
--- a/tests/fleet_dispatch.rs
+++ b/tests/fleet_dispatch.rs
@@ -268,3 +268,77 @@
     let none = dispatcher.choose(&request(&long), at(0));
     assert!(matches!(none, Err(NoBackend::TooBusy(_))));
 }
+
+/// After all hosts lose power, records of runs that have ended stay listed
+/// beside those of the new runs at the same addresses.
+#[test]
+fn put_member_later_run_at_same_address_supersedes() {
+    for order in [[0, 1], [1, 0]] {
+        let mut dispatcher = Dispatcher::new("a");
+        let runs = [
+            engine(0, 1),
+            Member {
+                name: ServerName::from("i-0-again"),
+                born: Some(2),
+                ..engine(0, 1)
+            },
+        ];
+        for index in order {
+            dispatcher.put_member(runs[index].clone());
+        }
+        for number in 0..20 {
+            let subject = format!("s{number}");
+            let choice = choose(&dispatcher, &prompt(&subject), at(0));
+            assert_eq!(choice.name.as_str(), "i-0-again");
+        }
+        assert_eq!(dispatcher.backends().count(), 1);
+    }
+}
+
+#[test]
+fn note_replaced_server_gets_no_calls() {
+    let mut dispatcher = engines(2);
+    let prompt = prompt("a");
+    let first = choose(&dispatcher, &prompt, at(0));
+    dispatcher.note_replaced(first.key);
+    for ms in 0..20 {
+        assert_ne!(choose(&dispatcher, &prompt, at(ms)).name, first.name);
+    }
+}
+
+/// Events get lost: a held part implies those before it.
+#[test]
+fn choose_holder_although_event_of_outer_part_was_lost() {
+    let mut dispatcher = engines(8);
+    let events = &hold(1, "a")[1..];
+    dispatcher.observe_held(&ServerName::from("i-5"), events, false);
+    let choice = choose(&dispatcher, &prompt("a"), at(0));
+    assert_eq!(choice.name.as_str(), "i-5");
+    assert_eq!(choice.prefill_tokens, 6_700);
+}
+
+#[test]
+fn choose_entries_agree_in_spite_of_small_differences_in_load() {
+    let (mut first, second) = (engines(8), engines(8));
+    for number in 0..8 {
+        let figures = LoadFigures {
+            running: number % 3,
+            waiting: 0,
+        };
+        let facts = AgentFacts {
+            is_accepting: true,
+            is_alive: true,
+            versions: vec![(ModelName::from("m"), WeightsVersion(1))],
+            load: figures,
+            capacity_tokens: 300_000,
+            ..AgentFacts::default()
+        };
+        let name = ServerName::from(format!("i-{number}").as_str());
+        first.observe_agent(&name, facts, at(0));
+    }
+    for number in 0..20 {
+        let prompt = prompt(&format!("s{number}"));
+        let one = choose(&first, &prompt, at(1)).name;
+        assert_eq!(one, choose(&second, &prompt, at(1)).name);
+    }
+}
