--- a/src/cli/settings.rs
+++ b/src/cli/settings.rs
@@ -8,7 +8,9 @@
 use super::Exit;
 use crate::settings::AgentSettings;
 use crate::settings::EntrySettings;
+use crate::settings::GatewaySettings;
 use crate::settings::SettingsError;
+use crate::settings::SidecarSettings;
 
 /// Work with settings files.
 #[derive(Debug, FromArgs)]
@@ -28,7 +30,8 @@
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "check")]
 struct CheckCommand {
-    /// role the file is for: entry or agent; guessed where left out
+    /// role the file is for: entry, agent, gateway or sidecar; guessed where
+    /// left out
     #[argh(option)]
     role: Option<String>,
     /// settings file in JSON
@@ -50,11 +53,16 @@
         let result = match self.role.as_deref() {
             Some("agent") => check_agent(&self.file),
             Some("entry") => check_entry(&self.file),
+            Some("gateway") => check_gateway(&self.file),
+            Some("sidecar") => check_sidecar(&self.file),
             Some(other) => {
-                eprintln!("Unknown role `{other}`; known: agent, entry.");
+                eprintln!("Unknown role `{other}`; known: agent, entry, gateway, sidecar.");
                 return Exit::Faulty;
             }
-            None => check_agent(&self.file).or_else(|_| check_entry(&self.file)),
+            None => check_agent(&self.file)
+                .or_else(|_| check_gateway(&self.file))
+                .or_else(|_| check_sidecar(&self.file))
+                .or_else(|_| check_entry(&self.file)),
         };
         match result {
             Ok(()) => {
@@ -76,3 +84,11 @@
 fn check_entry(file: &Path) -> Result<(), SettingsError> {
     EntrySettings::load(file).map(drop)
 }
+
+fn check_gateway(file: &Path) -> Result<(), SettingsError> {
+    GatewaySettings::load(file).map(drop)
+}
+
+fn check_sidecar(file: &Path) -> Result<(), SettingsError> {
+    SidecarSettings::load(file).map(drop)
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -20,3 +20,4 @@
 pub use context::GatewayPorts;
 pub use run::GatewayError;
 pub use run::run_gateway;
+pub use run::serve_gateway;
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -80,12 +80,31 @@
     settings: GatewaySettings,
     file: PathBuf,
     ports: GatewayPorts,
+) -> Result<(), GatewayError> {
+    let (_keep, stop) = watch::channel(false);
+    serve_gateway(settings, file, ports, stop)
+}
+
+/// Runs a gateway until a signal, or until `stop` turns true.
+///
+/// # Errors
+///
+/// The gateway cannot start.
+pub fn serve_gateway(
+    settings: GatewaySettings,
+    file: PathBuf,
+    ports: GatewayPorts,
+    stop: watch::Receiver<bool>,
 ) -> Result<(), GatewayError> {
     let cx = Arc::new(GatewayContext::new(settings, ports));
-    build_runtime()?.block_on(live(cx, file))
+    build_runtime()?.block_on(live(cx, file, stop))
 }
 
-async fn live(cx: Arc<GatewayContext>, file: PathBuf) -> Result<(), GatewayError> {
+async fn live(
+    cx: Arc<GatewayContext>,
+    file: PathBuf,
+    ask_stop: watch::Receiver<bool>,
+) -> Result<(), GatewayError> {
     tokio::spawn(reload_settings(Arc::clone(&cx), file));
     let listen = cx.settings.listen.clone();
     log::info!(
@@ -108,8 +127,7 @@
     tokio::spawn(keep_up(Arc::clone(&cx)));
     let traffic = open(listen.traffic)?;
     let serving = tokio::spawn(serve_traffic(Arc::clone(&cx), traffic, stop.clone()));
-    let (_keep, never) = watch::channel(false);
-    wait_for_stop(never).await;
+    wait_for_stop(ask_stop).await;
     cx.drain();
     log::info!("gateway: draining name={}", cx.settings.name);
     sleep(DRAIN_LINGER).await;
