--- a/src/core/fleet/fleet_quota.rs
+++ b/src/core/fleet/fleet_quota.rs
@@ -73,6 +73,7 @@
 struct Peer {
     incarnation: u64,
     heard_at: MonotonicTime,
+    is_gone: bool,
     admitted: HashMap<AccountName, u64>,
     assumed: HashMap<AccountName, f64>,
 }
@@ -180,7 +181,7 @@
 
     /// Takes over a peer's levels in place of guesses.
     fn adopt_levels(&mut self, usage: &PeerUsage, now: MonotonicTime) {
-        if usage.levels.is_empty() || !self.is_guessing(now) {
+        if usage.levels.is_empty() || self.accounts.is_empty() || !self.is_guessing(now) {
             return;
         }
         self.guesses_until = Some(now);
@@ -204,6 +205,7 @@
             .or_insert_with(|| Peer {
                 incarnation: usage.incarnation,
                 heard_at: now,
+                is_gone: false,
                 admitted: HashMap::new(),
                 assumed: HashMap::new(),
             });
@@ -212,11 +214,14 @@
             peer.admitted.clear();
         }
         peer.heard_at = now;
+        peer.is_gone = false;
         for (name, admitted) in &usage.admitted {
+            // Noted for accounts without a rate as well: a process hears its
+            // peers before it has a configuration.
+            let before = peer.admitted.insert(name.clone(), *admitted);
             let Some(account) = self.accounts.get_mut(name) else {
                 continue;
             };
-            let before = peer.admitted.insert(name.clone(), *admitted);
             let before = match before {
                 Some(before) => before,
                 // What it admitted before the first contact is not known by time.
@@ -229,9 +234,12 @@
         }
     }
 
-    /// Forgets a peer that said it leaves.
-    pub fn remove_peer(&mut self, name: &str) {
-        self.peers.remove(name);
+    /// Takes note that a peer's process has ended: its host refuses
+    /// connections, so it admits nothing.
+    pub fn note_gone(&mut self, name: &str) {
+        if let Some(peer) = self.peers.get_mut(name) {
+            peer.is_gone = true;
+        }
     }
 
     /// Entries known, this one included.
@@ -247,7 +255,7 @@
             let silent_from = peer.heard_at + PEER_SILENCE;
             let from = silent_from.max(self.charged_at);
             let span = now.since(from).as_secs_f64();
-            if span <= 0.0 {
+            if span <= 0.0 || peer.is_gone {
                 continue;
             }
             for (name, account) in &mut self.accounts {
--- a/src/gateway/exchange_news.rs
+++ b/src/gateway/exchange_news.rs
@@ -1,6 +1,7 @@
 //! Exchanges admissions and configuration with other entries.
 
 use std::collections::HashMap;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -157,28 +158,49 @@
     is_seed: bool,
 ) {
     let mut heard_at = cx.now();
+    let mut name = None;
     while is_seed || cx.now().since(heard_at) < PEER_FORGOTTEN {
-        if let Ok(client) = connect_mesh(address).await {
-            log::info!("peers: connected address={address}");
-            let reason = exchange_over(&cx, &roster, &client, &found, &mut heard_at).await;
-            log::info!("peers: lost address={address} reason=\"{reason}\"");
+        match connect_mesh(address).await {
+            Ok(client) => {
+                log::info!("peers: connected address={address}");
+                let followed = Followed {
+                    heard_at: &mut heard_at,
+                    name: &mut name,
+                };
+                let reason = exchange_over(&cx, &roster, &client, &found, followed).await;
+                log::info!("peers: lost address={address} reason=\"{reason}\"");
+            }
+            Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => {
+                if let Some(name) = &name {
+                    cx.lock().quota.note_gone(name);
+                }
+            }
+            // A peer that does not answer may still admit calls.
+            Err(e) => log::debug!("peers: not reached address={address} reason=\"{e}\""),
         }
         sleep(RECONNECT_PAUSE).await;
     }
 }
 
+/// What is known of a peer over its connections.
+struct Followed<'a> {
+    heard_at: &'a mut MonotonicTime,
+    name: &'a mut Option<String>,
+}
+
 async fn exchange_over(
     cx: &GatewayContext,
     roster: &EntryRoster,
     client: &MeshClient,
     found: &UnboundedSender<SocketAddr>,
-    heard_at: &mut MonotonicTime,
+    followed: Followed<'_>,
 ) -> String {
     loop {
         let news = make_news(cx, roster);
         match client.exchange(call_context(), news).await {
             Ok(Some(news)) => {
-                *heard_at = cx.now();
+                *followed.heard_at = cx.now();
+                *followed.name = Some(news.usage.name.clone());
                 let version = news.configuration;
                 take_news(cx, roster, news, found);
                 fetch_configuration(cx, client, version).await;
--- a/tests/fleet_quota.rs
+++ b/tests/fleet_quota.rs
@@ -215,3 +215,37 @@
     let now = fleet.now();
     assert!(fleet.entries[1].admit(&name, 30_000, now).is_err());
 }
+
+/// A restarted entry often hears its peers before it has a configuration:
+/// seed inc-f697 of the Guild, where it then refused calls inside the rate.
+#[test]
+fn observe_peer_before_configuration_charges_nothing_old() {
+    let mut fleet = Fleet::new(2);
+    fleet.run(20_000, 2, |_, _| true);
+    fleet.entries[1] = FleetQuota::new(OVERAGE, SLACK);
+    fleet.incarnations[1] += 100;
+    fleet.exchange(|_, _| true);
+    let now = fleet.now();
+    fleet.entries[1].set_accounts(&[account(RATE, BURST)], now);
+    fleet.exchange(|_, _| true);
+    let name = AccountName::from("guild");
+    assert!(fleet.entries[1].admit(&name, CALL_TOKENS, now).is_ok());
+}
+
+#[test]
+fn note_gone_dead_peers_cost_nothing() {
+    let mut fleet = Fleet::new(5);
+    fleet.run(5_000, 1, |_, _| true);
+    let before = fleet.refused;
+    let now = fleet.now();
+    for dead in 1..5 {
+        fleet.entries[0].note_gone(&format!("e{dead}"));
+    }
+    let name = AccountName::from("guild");
+    // 80% of the rate at the one entry that lives.
+    let later = (1..60).map(|step| now + Duration::from_millis(step * 150));
+    for time in later {
+        fleet.refused += u64::from(fleet.entries[0].admit(&name, CALL_TOKENS, time).is_err());
+    }
+    assert_eq!(fleet.refused, before);
+}
