--- a/src/core/fleet/dispatcher.rs
+++ b/src/core/fleet/dispatcher.rs
@@ -30,6 +30,10 @@
 /// deployments read 85 to 101.
 const PREFILL_TOKENS_PER_MS: f64 = 85.0;
 
+/// Time for a pair of prompt tokens that attend to each other: 0.18 ms for a
+/// million.
+const ATTENTION_MS_PER_PAIR: f64 = 0.18e-6;
+
 /// Mean prompt tokens of a waiting call of which nothing is known.
 const MEAN_PROMPT_TOKENS: f64 = 4_000.0;
 
@@ -149,6 +153,7 @@
     wanted: HashMap<ModelName, WantedHistory>,
     store: Option<SocketAddr>,
     store_lost: bool,
+    store_unread: bool,
     store_parts: HeldParts,
 }
 
@@ -163,6 +168,7 @@
             wanted: HashMap::new(),
             store: None,
             store_lost: false,
+            store_unread: false,
             store_parts: HeldParts::default(),
         }
     }
@@ -264,10 +270,34 @@
         self.store_lost = true;
     }
 
+    /// Takes note that what the store holds cannot be followed, as it serves
+    /// only so many readers: parts that own calls save are taken as held.
+    pub fn note_store_unread(&mut self) {
+        self.store_lost = false;
+        self.store_unread = true;
+    }
+
+    /// Takes note that the prompt of a call has been read, so that what it
+    /// saves is on its way.
+    pub fn note_saved(&mut self, choice: &Choice, prompt: &Prompt) {
+        let (Some(salt), Some(_), true) = (&choice.salt, choice.save_to, self.store_unread) else {
+            return;
+        };
+        let space = salt.space(&prompt.model);
+        for part in prompt.shared_parts() {
+            self.store_parts.apply(HeldChange {
+                space,
+                part: part.id,
+                tokens: part.tokens,
+            });
+        }
+    }
+
     /// Takes note of parts that the store holds; `is_whole` tells that it
     /// holds nothing else.
     pub fn observe_store(&mut self, changes: &[HeldChange], is_whole: bool) {
         self.store_lost = false;
+        self.store_unread = false;
         if is_whole {
             self.store_parts.clear();
         }
@@ -487,7 +517,7 @@
         let wait =
             queued / PREFILL_TOKENS_PER_MS + wait_for_slot(load, view.member.slots, ENGINE_RUN_MS);
         let start = wait
-            + f64::from(prefill) / PREFILL_TOKENS_PER_MS
+            + prefill_ms(prompt, prefill)
             + f64::from(plan.fetched) / fetch_rate(plan.source, self.store);
         let cost = start
             + version_cost
@@ -544,6 +574,14 @@
     }
 }
 
+/// Predicts the time to read the last `prefill` tokens of a prompt: each also
+/// attends to all tokens before it.
+fn prefill_ms(prompt: &Prompt, prefill: u32) -> f64 {
+    let (all, read) = (f64::from(prompt.prompt_tokens), f64::from(prefill));
+    let pairs = read * (all - read / 2.0).max(0.0);
+    read / PREFILL_TOKENS_PER_MS + pairs * ATTENTION_MS_PER_PAIR
+}
+
 fn fetch_rate(source: Option<SocketAddr>, store: Option<SocketAddr>) -> f64 {
     if source == store {
         STORE_TOKENS_PER_MS
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -93,7 +93,16 @@
     }
 
     /// Takes note that the first token came.
-    pub fn end_prefill(&mut self) {
+    pub fn note_first_token(&mut self, call: &Call) {
+        if self.is_reading
+            && let Some(prompt) = &call.head.prompt
+        {
+            self.cx.lock().dispatcher.note_saved(&self.choice, prompt);
+        }
+        self.end_prefill();
+    }
+
+    fn end_prefill(&mut self) {
         if self.is_reading {
             self.is_reading = false;
             self.cx.lock().dispatcher.end_prefill(&self.choice);
--- a/src/gateway/follow_store.rs
+++ b/src/gateway/follow_store.rs
@@ -23,7 +23,7 @@
 
 /// Pause after a change of members before the next is asked for, so that many
 /// changes cost few calls; far below the time to honour a leaving server.
-const MEMBERS_PAUSE: Duration = Duration::from_millis(250);
+const MEMBERS_PAUSE: Duration = Duration::from_millis(500);
 
 /// Follows one area for as long as the gateway runs.
 pub async fn follow_store(cx: Arc<GatewayContext>, area: Area) {
--- a/src/gateway/relay_stream.rs
+++ b/src/gateway/relay_stream.rs
@@ -68,7 +68,7 @@
         loop {
             if let Some(events) = self.take_events() {
                 if let Some((_, in_flight)) = &mut self.source {
-                    in_flight.end_prefill();
+                    in_flight.note_first_token(&self.call);
                 }
                 self.log.note_first_event();
                 return Ok(Some(events));
--- a/src/gateway/watch_kept_store.rs
+++ b/src/gateway/watch_kept_store.rs
@@ -6,6 +6,7 @@
 use tokio::time::sleep;
 
 use super::context::GatewayContext;
+use crate::ports::PortError;
 
 /// Longest wait of one read; reads that wait for less than 200 ms are dear.
 const READ_WAIT: Duration = Duration::from_millis(1_000);
@@ -13,8 +14,11 @@
 /// Pause after a failed read.
 const RETRY_PAUSE: Duration = Duration::from_millis(400);
 
+/// Pause after a read that was turned away: each counts as a probe.
+const FULL_PAUSE: Duration = Duration::from_secs(5);
+
 /// Least time between two reads, so that many events cost few reads.
-const READ_PAUSE: Duration = Duration::from_millis(30);
+const READ_PAUSE: Duration = Duration::from_millis(100);
 
 /// Time between two looks at whether there is a store.
 const LOOK_INTERVAL: Duration = Duration::from_millis(500);
@@ -46,6 +50,11 @@
                 cx.lock().dispatcher.observe_store(&page.changes, false);
                 sleep(READ_PAUSE).await;
             }
+            Err(PortError::TurnedAway(_)) => {
+                // It serves only so many readers; what is known stays.
+                cx.lock().dispatcher.note_store_unread();
+                sleep(FULL_PAUSE).await;
+            }
             Err(e) => {
                 if !is_lost {
                     log::warn!("kept-store: lost address={store} reason=\"{e}\"");
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -27,6 +27,10 @@
 /// Time in which a server that acknowledges nothing counts as gone.
 const DEAD_PEER_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Longest time for which an unused connection is kept, whatever its server
+/// states.
+const MOST_IDLE: Duration = Duration::from_secs(20);
+
 /// Part of the idle time a server states after which its connection is not
 /// used any more: the request must arrive before the server closes it.
 const USED_IDLE_SHARE: f64 = 0.7;
@@ -171,7 +175,7 @@
         stated: Option<Duration>,
     ) {
         let stated = stated.map(|idle| idle.mul_f64(USED_IDLE_SHARE));
-        let idle_time = stated.map_or(self.timeouts.idle, |idle| idle.min(self.timeouts.idle));
+        let idle_time = stated.map_or(self.timeouts.idle, |idle| idle.min(MOST_IDLE));
         let mut idle = self.lock_idle();
         let kept = idle.entry(address).or_default();
         if kept.len() >= MAX_IDLE_PER_ADDRESS {
--- a/src/sidecar/context.rs
+++ b/src/sidecar/context.rs
@@ -35,6 +35,10 @@
     pub parts: HeldParts,
     /// The engine's state.
     pub facts: AgentFacts,
+    /// The state that entries were woken for last.
+    pub told: AgentFacts,
+    /// When that was.
+    pub told_at: MonotonicTime,
     /// Name of the engine's present run, as entries know it.
     pub engine: Option<String>,
 }
--- a/src/sidecar/follow_parts.rs
+++ b/src/sidecar/follow_parts.rs
@@ -14,8 +14,8 @@
 /// Pause after a failed read.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
 
-/// Least time between two reads, so that many events cost few reads.
-const READ_PAUSE: Duration = Duration::from_millis(30);
+/// Least time between two reads, so that many events cost few news.
+const READ_PAUSE: Duration = Duration::from_millis(120);
 
 /// Follows the engine's parts for as long as the sidecar runs.
 pub async fn follow_parts(cx: Arc<SidecarContext>) {
--- a/src/sidecar/tend_engine.rs
+++ b/src/sidecar/tend_engine.rs
@@ -20,6 +20,12 @@
 /// Time between two reports while weights change.
 const BUSY_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Least time between two news of the load alone.
+const LOAD_NEWS_INTERVAL: Duration = Duration::from_millis(150);
+
+/// Least change of the calls at the engine that is news.
+const LEAST_LOAD_CHANGE: u32 = 3;
+
 /// Reports in a row that fail before the engine counts as gone.
 const MAX_FAILURES: u32 = 2;
 
@@ -71,8 +77,11 @@
             used_tokens: report.used_tokens,
             capacity_tokens: report.capacity_tokens,
         };
-        if state.facts != facts {
-            state.facts = facts;
+        let is_news = is_news(&state.told, &facts, now.since(state.told_at));
+        state.facts = facts.clone();
+        if is_news {
+            state.told = facts;
+            state.told_at = now;
             drop(state);
             cx.publish();
         }
@@ -103,6 +112,25 @@
     }
 }
 
+/// Tells whether entries must hear of a change. Loads change with every call,
+/// and news cost bytes at every entry: entries know their own calls, so only
+/// larger changes count.
+fn is_news(told: &AgentFacts, facts: &AgentFacts, age: Duration) -> bool {
+    if told.is_accepting != facts.is_accepting
+        || told.is_alive != facts.is_alive
+        || told.versions != facts.versions
+        || told.switch_in_ms.is_some() != facts.switch_in_ms.is_some()
+    {
+        return true;
+    }
+    if age < LOAD_NEWS_INTERVAL {
+        return false;
+    }
+    let calls = |facts: &AgentFacts| facts.load.running + facts.load.waiting;
+    let change = calls(told).abs_diff(calls(facts));
+    change >= LEAST_LOAD_CHANGE.max(calls(told) / 4)
+}
+
 async fn give_order(cx: &SidecarContext, order: WeightsOrder, load: LoadFigures) {
     let result = cx
         .ports
