--- a/src/core/fleet/fleet_quota.rs
+++ b/src/core/fleet/fleet_quota.rs
@@ -146,6 +146,26 @@
         Ok(())
     }
 
+    /// Describes what decides about an account, for logs: its level and rate,
+    /// the entries known, those silent or gone, and whether the level is a
+    /// guess.
+    pub fn describe(&mut self, account: &AccountName, now: MonotonicTime) -> String {
+        let is_guess = self.is_guessing(now);
+        let entries = self.count_entries();
+        let is_silent = |peer: &&Peer| now.since(peer.heard_at) >= PEER_SILENCE;
+        let silent = self.peers.values().filter(is_silent).count();
+        let gone = self.peers.values().filter(|peer| peer.is_gone).count();
+        let (level, rate) = self
+            .accounts
+            .get_mut(account)
+            .map_or((0.0, 0.0), |account| {
+                (account.bucket.level(now), account.rate)
+            });
+        format!(
+            "level={level:.0} rate={rate:.0} entries={entries} silent={silent} gone={gone} guess={is_guess}"
+        )
+    }
+
     /// Gives back what was admitted for a call that did not run.
     pub fn give_back(&mut self, account: &AccountName, tokens: u64, now: MonotonicTime) {
         if let Some(account) = self.accounts.get_mut(account) {
--- a/src/gateway/read_call.rs
+++ b/src/gateway/read_call.rs
@@ -101,9 +101,7 @@
     let body = body.map_err(explain_body_error)?;
     let tokens = count_tokens(account, &head);
     if let Some(account) = account {
-        let now = cx.now();
-        let admitted = cx.lock().quota.admit(&account.name, tokens, now);
-        admitted.map_err(CallRefusal::OverRate)?;
+        admit(cx, &head, account, tokens)?;
     }
     let mut headers = parts.headers;
     strip_connection_headers(&mut headers);
@@ -129,6 +127,27 @@
     })
 }
 
+fn admit(
+    cx: &GatewayContext,
+    head: &CallHead,
+    account: &AccountRule,
+    tokens: u64,
+) -> Result<(), CallRefusal> {
+    let now = cx.now();
+    let mut state = cx.lock();
+    let Err(wait) = state.quota.admit(&account.name, tokens, now) else {
+        return Ok(());
+    };
+    let reasons = state.quota.describe(&account.name, now);
+    log::info!(
+        "quota: refused id={} account={} tokens={tokens} back_ms={} {reasons}",
+        std::str::from_utf8(&head.id).unwrap_or("not-text"),
+        account.name,
+        wait.as_millis(),
+    );
+    Err(CallRefusal::OverRate(wait))
+}
+
 /// Splits a request, whose head is read before anything else of it.
 ///
 /// # Errors
--- a/src/gateway/serve_call.rs
+++ b/src/gateway/serve_call.rs
@@ -260,8 +260,9 @@
 ) -> Response<AnswerBody> {
     let passed = received.elapsed();
     cx.metrics.count_call(refusal.code(), passed);
+    let version = cx.lock().configuration_version();
     log::info!(
-        "call: id={} outcome={} status={} ms={}",
+        "call: id={} config={version} outcome={} status={} ms={}",
         std::str::from_utf8(id).unwrap_or("not-text"),
         refusal.code(),
         refusal.status(),
