Render settings of deployments that state fewer bounds; take members from a peer

A contract that is not in force leaves its bounds out, which would have made the rendered file no JSON. A gateway that the store turns away from its start on now serves with the members that a peer knows.

--- a/src/core/fleet/directory.rs
+++ b/src/core/fleet/directory.rs
@@ -90,6 +90,11 @@
         expired.into_iter().map(MemberChange::Gone).collect()
     }
 
+    /// Lists the servers known, lapsed ones included.
+    pub fn list(&self) -> Vec<Member> {
+        self.members.values().cloned().collect()
+    }
+
     /// Servers known, lapsed ones included.
     pub fn len(&self) -> usize {
         self.members.len()
--- a/src/core/fleet/member.rs
+++ b/src/core/fleet/member.rs
@@ -2,12 +2,15 @@
 
 use std::net::SocketAddr;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use super::ModelName;
 use crate::core::ServerName;
 use crate::core::WeightsVersion;
 
 /// What a backend server says of itself in the store.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Member {
     /// Name of this run of the server.
     pub name: ServerName,
@@ -29,7 +32,7 @@
 }
 
 /// Whether a backend server takes new calls.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum MemberState {
     /// It takes new calls.
     Ready,
--- a/src/gateway/exchange_news.rs
+++ b/src/gateway/exchange_news.rs
@@ -19,6 +19,7 @@
 
 use super::context::GatewayContext;
 use crate::core::MonotonicTime;
+use crate::core::fleet::Member;
 use crate::mesh::EngineNews;
 use crate::mesh::EntryNews;
 use crate::mesh::KnownEntry;
@@ -101,6 +102,10 @@
         let state = self.cx.lock();
         (state.configuration_version() > held).then(|| state.raw_configuration.clone())
     }
+
+    async fn get_members(self, _: Context) -> Vec<Member> {
+        self.cx.lock().directory.list()
+    }
 }
 
 /// Serves other entries and follows them until dropped.
@@ -204,6 +209,7 @@
                 let version = news.configuration;
                 take_news(cx, roster, news, found);
                 fetch_configuration(cx, client, version).await;
+                fetch_members(cx, client).await;
             }
             Ok(None) => return "it is no entry".into(),
             Err(e) => return e.to_string(),
@@ -241,6 +247,31 @@
     }
 }
 
+/// Fetches the members from a peer while the store has not told them: it may
+/// be out of reach for this entry alone.
+async fn fetch_members(cx: &GatewayContext, client: &MeshClient) {
+    if cx.lock().has_members {
+        return;
+    }
+    let members = match client.get_members(call_context()).await {
+        Ok(members) if !members.is_empty() => members,
+        Ok(_) => return,
+        Err(e) => {
+            log::warn!("members: not fetched from a peer reason=\"{e}\"");
+            return;
+        }
+    };
+    let now = cx.now();
+    let mut state = cx.lock();
+    if state.has_members {
+        return;
+    }
+    log::info!("members: taken over from a peer count={}", members.len());
+    let changes = state.directory.replace(members, now);
+    state.apply_members(changes);
+    state.has_members = true;
+}
+
 fn make_news(cx: &GatewayContext, roster: &EntryRoster) -> EntryNews {
     let now = cx.now();
     let mut state = cx.lock();
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -108,10 +108,12 @@
     tokio::spawn(reload_settings(Arc::clone(&cx), file));
     let listen = cx.settings.listen.clone();
     log::info!(
-        "gateway: started name={} zone={} incarnation={:x}",
+        "gateway: started name={} zone={} incarnation={:x} seeds={:?} bounds={:?}",
         cx.settings.name,
         cx.settings.zone,
-        cx.incarnation
+        cx.incarnation,
+        cx.settings.seeds,
+        cx.settings.bounds,
     );
     let (stop_tx, stop) = watch::channel(false);
     spawn_pages(&cx, listen.health, &stop)?;
--- a/src/mesh/service.rs
+++ b/src/mesh/service.rs
@@ -7,6 +7,7 @@
 use super::EngineNews;
 use super::EntryNews;
 use super::ObserveRequest;
+use crate::core::fleet::Member;
 
 /// Messages between the processes of a fleet. A process that does not serve
 /// one answers with nothing.
@@ -22,4 +23,7 @@
     /// Asks an entry for a configuration newer than `held`, as the store
     /// holds it.
     async fn get_configuration(held: u64) -> Option<Bytes>;
+
+    /// Asks an entry for the backend servers that it knows.
+    async fn get_members() -> Vec<Member>;
 }
--- a/src/settings/bounds.rs
+++ b/src/settings/bounds.rs
@@ -23,6 +23,9 @@
     /// Reads the section.
     pub fn read(section: &mut Section) -> Self {
         let window_s: f64 = section.take("retry_window_s", 10.0);
+        // A rendered file ends the section with it, since JSON bears no
+        // comma after the last field.
+        let _: String = section.take("comment", String::new());
         Self {
             retry_ratio: section.take("retry_ratio", 0.1),
             retry_extra: section.take("retry_extra", 20.0),
--- a/src/sidecar/serve_entries.rs
+++ b/src/sidecar/serve_entries.rs
@@ -8,6 +8,7 @@
 use tokio::time::timeout;
 
 use super::context::SidecarContext;
+use crate::core::fleet::Member;
 use crate::core::fleet::WantedVersion;
 use crate::mesh::EngineNews;
 use crate::mesh::EntryNews;
@@ -45,6 +46,10 @@
     async fn get_configuration(self, _: Context, _: u64) -> Option<Bytes> {
         None
     }
+
+    async fn get_members(self, _: Context) -> Vec<Member> {
+        Vec::new()
+    }
 }
 
 impl SidecarService {
