--- a/src/gateway/log_call.rs
+++ b/src/gateway/log_call.rs
@@ -1,5 +1,6 @@
 //! The log line of one call.
 
+use std::fmt::Write;
 use std::sync::Arc;
 
 use tokio::time::Instant;
@@ -43,7 +44,6 @@
 
     /// Notes an attempt and why it is made.
     pub fn note_attempt(&mut self, choice: &Choice, reason: &str) {
-        use std::fmt::Write;
         self.attempts += 1;
         // Writing to a string cannot fail.
         let _ = write!(
--- a/src/gateway/observe_engines.rs
+++ b/src/gateway/observe_engines.rs
@@ -13,6 +13,7 @@
 use super::context::GatewayContext;
 use crate::core::ServerName;
 use crate::core::fleet::MemberState;
+use crate::core::fleet::WantedVersion;
 use crate::mesh::EngineNews;
 use crate::mesh::MeshClient;
 use crate::mesh::ObserveRequest;
@@ -113,10 +114,7 @@
 
 /// Finds which weights are wanted and the place of an engine among those of
 /// its service, by name: every entry finds the same.
-fn find_turn(
-    cx: &GatewayContext,
-    name: &ServerName,
-) -> (Vec<crate::core::fleet::WantedVersion>, (u64, u64)) {
+fn find_turn(cx: &GatewayContext, name: &ServerName) -> (Vec<WantedVersion>, (u64, u64)) {
     let state = cx.lock();
     let wanted = state.dispatcher.list_wanted();
     let own = state
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -9,3 +9,4 @@
 
 pub use context::SidecarPorts;
 pub use run::run_sidecar;
+pub use run::serve_sidecar;
--- a/src/sidecar/run.rs
+++ b/src/sidecar/run.rs
@@ -29,11 +29,25 @@
 ///
 /// The sidecar cannot start.
 pub fn run_sidecar(settings: SidecarSettings, ports: SidecarPorts) -> Result<(), StartError> {
+    let (_keep, stop) = watch::channel(false);
+    serve_sidecar(settings, ports, stop)
+}
+
+/// Runs a sidecar until a signal, or until `stop` turns true.
+///
+/// # Errors
+///
+/// The sidecar cannot start.
+pub fn serve_sidecar(
+    settings: SidecarSettings,
+    ports: SidecarPorts,
+    stop: watch::Receiver<bool>,
+) -> Result<(), StartError> {
     let cx = Arc::new(SidecarContext::new(settings, ports));
-    build_runtime()?.block_on(live(cx))
+    build_runtime()?.block_on(live(cx, stop))
 }
 
-async fn live(cx: Arc<SidecarContext>) -> Result<(), StartError> {
+async fn live(cx: Arc<SidecarContext>, stop: watch::Receiver<bool>) -> Result<(), StartError> {
     let address = cx.settings.listen;
     let listener = open_listener(address)?;
     let listener = TcpListener::from_std(listener).map_err(|e| StartError::Listen(address, e))?;
@@ -58,8 +72,7 @@
             log::info!("settings: unchanged until the next start");
         }
     }));
-    let (_keep, never) = watch::channel(false);
-    wait_for_stop(never).await;
+    wait_for_stop(stop).await;
     log::info!("sidecar: stopped name={}", cx.settings.name);
     Ok(())
 }
