--- a/src/core/fleet/dispatcher.rs
+++ b/src/core/fleet/dispatcher.rs
@@ -17,7 +17,7 @@
 use super::Prompt;
 use super::SaltText;
 use super::WantedVersion;
-use super::fetch_plan::FetchPlan;
+use super::call_costs;
 use super::fetch_plan::PartSources;
 use super::wanted_history::Standing;
 use super::wanted_history::WantedHistory;
@@ -26,46 +26,6 @@
 use crate::core::ServerName;
 use crate::core::WeightsVersion;
 
-/// Prompt tokens that an engine reads in a millisecond. The engines of both
-/// deployments read 85 to 101.
-const PREFILL_TOKENS_PER_MS: f64 = 85.0;
-
-/// Time for a pair of prompt tokens that attend to each other: 0.18 ms for a
-/// million.
-const ATTENTION_MS_PER_PAIR: f64 = 0.18e-6;
-
-/// Mean prompt tokens of a waiting call of which nothing is known.
-const MEAN_PROMPT_TOKENS: f64 = 4_000.0;
-
-/// Tokens fetched in a millisecond. A link of 1,100 Gbit/s carries 420 tokens
-/// of 328 KB, but all engines share the store's, and few that of an engine.
-const STORE_TOKENS_PER_MS: f64 = 60.0;
-const ENGINE_TOKENS_PER_MS: f64 = 150.0;
-
-/// Cost of reading a token again that another engine has read, in
-/// milliseconds of delay that are as bad.
-const READ_AGAIN_MS_PER_TOKEN: f64 = 0.12;
-
-/// Cost of an engine that is not the first choice for a part that nobody has
-/// read, in milliseconds: entries that choose alone agree by it.
-const NOT_HOME_MS: f64 = 100.0;
-
-/// Cost of each call that runs beside, in milliseconds: it lengthens steps.
-const BESIDE_MS: f64 = 0.6;
-
-/// Time that a call keeps a slot, in milliseconds, when slots are full.
-const ENGINE_RUN_MS: f64 = 350.0;
-const PLAIN_RUN_MS: f64 = 70.0;
-
-/// Cost of a server in another availability zone, in milliseconds.
-const OTHER_ZONE_MS: f64 = 2.0;
-
-/// Cost of a server all of whose calls fail, in milliseconds.
-const FAILING_MS: f64 = 1_500.0;
-
-/// Cost of an engine without room for the prompt in memory, in milliseconds.
-const NO_ROOM_MS: f64 = 600.0;
-
 /// Time after a newer version was named in which engines on the older one are
 /// as good, since answers are still worth all.
 const OLD_VERSION_FREE: Duration = Duration::from_millis(1_300);
@@ -76,13 +36,6 @@
 /// Cost of an older version between these, in milliseconds.
 const OLD_VERSION_MS: f64 = 250.0;
 
-/// Time that an engine takes for a token of an answer, in milliseconds.
-const MS_PER_OUTPUT_TOKEN: f64 = 4.5;
-
-/// Cost of a millisecond of answer that is made under changed weights, in
-/// milliseconds: a whole answer of 1,500 ms is worth about 600.
-const LOST_OUTPUT_COST: f64 = 0.4;
-
 /// Time to come back after when no server can be asked now.
 const NO_SERVER_RETRY: Duration = Duration::from_millis(400);
 
@@ -484,8 +437,8 @@
 
     fn rate_plain(&self, key: BackendKey, view: &BackendView, now: MonotonicTime) -> (f64, Choice) {
         let load = view.load.calls(now);
-        let wait = wait_for_slot(load, view.member.slots, PLAIN_RUN_MS);
-        let spread = load / f64::from(view.member.slots.max(1)) * PLAIN_RUN_MS / 4.0;
+        let wait = call_costs::wait_for_slot(load, view.member.slots, call_costs::PLAIN_RUN_MS);
+        let spread = load / f64::from(view.member.slots.max(1)) * call_costs::PLAIN_RUN_MS / 4.0;
         let cost = wait + spread + self.extra_cost(view);
         let choice = make_choice(key, view, load, wait, now);
         (cost, choice)
@@ -513,19 +466,21 @@
         let plan = sources.plan(view, now);
         let load = view.load.calls(now);
         let prefill = plan.read_again + plan.read_first;
-        let queued = view.load.prefill_tokens(MEAN_PROMPT_TOKENS, now);
-        let wait =
-            queued / PREFILL_TOKENS_PER_MS + wait_for_slot(load, view.member.slots, ENGINE_RUN_MS);
+        let queued = view
+            .load
+            .prefill_tokens(call_costs::MEAN_PROMPT_TOKENS, now);
+        let wait = queued / call_costs::PREFILL_TOKENS_PER_MS
+            + call_costs::wait_for_slot(load, view.member.slots, call_costs::ENGINE_RUN_MS);
         let start = wait
-            + prefill_ms(prompt, prefill)
-            + f64::from(plan.fetched) / fetch_rate(plan.source, self.store);
+            + call_costs::prefill_ms(prompt, prefill)
+            + f64::from(plan.fetched) / call_costs::fetch_rate(plan.source, self.store);
         let cost = start
             + version_cost
-            + load * BESIDE_MS
-            + f64::from(plan.read_again) * READ_AGAIN_MS_PER_TOKEN
-            + rate_switch(prompt, start, view, now)
-            + rate_home(&plan, sources.is_home(view))
-            + rate_memory(prompt, view, now)
+            + load * call_costs::BESIDE_MS
+            + f64::from(plan.read_again) * call_costs::READ_AGAIN_MS_PER_TOKEN
+            + call_costs::rate_switch(prompt, start, view, now)
+            + call_costs::rate_home(&plan, sources.is_home(view))
+            + call_costs::rate_memory(prompt, view, now)
             + self.extra_cost(view);
         let save_to = self.usable_store().filter(|_| sources.is_store_behind());
         let choice = Choice {
@@ -568,25 +523,9 @@
         let zone = if view.member.zone == self.zone {
             0.0
         } else {
-            OTHER_ZONE_MS
+            call_costs::OTHER_ZONE_MS
         };
-        zone + view.failures * FAILING_MS
-    }
-}
-
-/// Predicts the time to read the last `prefill` tokens of a prompt: each also
-/// attends to all tokens before it.
-fn prefill_ms(prompt: &Prompt, prefill: u32) -> f64 {
-    let (all, read) = (f64::from(prompt.prompt_tokens), f64::from(prefill));
-    let pairs = read * (all - read / 2.0).max(0.0);
-    read / PREFILL_TOKENS_PER_MS + pairs * ATTENTION_MS_PER_PAIR
-}
-
-fn fetch_rate(source: Option<SocketAddr>, store: Option<SocketAddr>) -> f64 {
-    if source == store {
-        STORE_TOKENS_PER_MS
-    } else {
-        ENGINE_TOKENS_PER_MS
+        zone + view.failures * call_costs::FAILING_MS
     }
 }
 
@@ -612,36 +551,3 @@
         report_age: view.load.report_age(now),
     }
 }
-
-fn wait_for_slot(load: f64, slots: u32, run_ms: f64) -> f64 {
-    let slots = f64::from(slots.max(1));
-    ((load + 1.0 - slots).max(0.0) / slots) * run_ms
-}
-
-/// Rates an engine for shared parts that nobody has read.
-fn rate_home(plan: &FetchPlan, is_home: bool) -> f64 {
-    if plan.shared_first == 0 || is_home {
-        0.0
-    } else {
-        NOT_HOME_MS
-    }
-}
-
-/// Rates what a call would make after a change of weights under it, which is
-/// worth nothing.
-fn rate_switch(prompt: &Prompt, start_ms: f64, view: &BackendView, now: MonotonicTime) -> f64 {
-    let Some(switch_in) = view.switch_in(now) else {
-        return 0.0;
-    };
-    let end_ms = start_ms + f64::from(prompt.expected_output_tokens) * MS_PER_OUTPUT_TOKEN;
-    let lost_ms = end_ms - switch_in.as_secs_f64() * 1_000.0;
-    lost_ms.max(0.0) * LOST_OUTPUT_COST
-}
-
-fn rate_memory(prompt: &Prompt, view: &BackendView, now: MonotonicTime) -> f64 {
-    let needed = u64::from(prompt.prompt_tokens);
-    match view.free_tokens(now) {
-        Some(free) if free < needed => NO_ROOM_MS,
-        _ => 0.0,
-    }
-}
--- a/src/core/fleet/mod.rs
+++ b/src/core/fleet/mod.rs
@@ -6,6 +6,7 @@
 mod backend_key;
 mod backend_load;
 mod backend_view;
+mod call_costs;
 mod call_head;
 mod call_kind;
 mod configuration;
