Give up watches on connections that have gone silent

Ruled out: the pause between watches of members; the restarted gateways knew of the leaving server in time.

--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -17,6 +17,7 @@
 use crate::http::BodyBudget;
 use crate::http::Client;
 use crate::metrics::GatewayMetrics;
+use crate::ports::Area;
 use crate::ports::Dialect;
 use crate::ports::FleetSource;
 use crate::ports::PartsFeed;
@@ -49,6 +50,8 @@
     pub incarnation: u64,
     /// Control addresses of some other entries, as the settings name them now.
     pub seeds: watch::Sender<Vec<SocketAddr>>,
+    /// Counts the times at which each area must be read anew.
+    pub read_anew: [watch::Sender<u64>; 2],
     clock: Clock,
     state: Mutex<GatewayState>,
     draining: AtomicBool,
@@ -64,6 +67,7 @@
             metrics: GatewayMetrics::new(),
             incarnation: rand::random(),
             seeds: watch::channel(settings.seeds.clone()).0,
+            read_anew: [watch::channel(0).0, watch::channel(0).0],
             clock: Clock::start(),
             state: Mutex::new(state),
             draining: AtomicBool::new(false),
@@ -82,6 +86,11 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Gives a running watch of an area up and has the area read anew.
+    pub fn ask_read_anew(&self, area: Area) {
+        self.read_anew[area.index()].send_modify(|count| *count += 1);
+    }
+
     /// Tells whether the gateway is about to stop.
     pub fn is_draining(&self) -> bool {
         self.draining.load(Ordering::Acquire)
--- a/src/gateway/exchange_news.rs
+++ b/src/gateway/exchange_news.rs
@@ -18,6 +18,7 @@
 use tokio::time::sleep;
 
 use super::context::GatewayContext;
+use super::state::GatewayState;
 use crate::core::MonotonicTime;
 use crate::core::fleet::Member;
 use crate::mesh::EngineNews;
@@ -29,6 +30,7 @@
 use crate::mesh::connect_mesh;
 use crate::mesh::serve_mesh;
 use crate::peer::accept_peers;
+use crate::ports::Area;
 
 /// Time between two exchanges with one peer. Each side begins some, so that
 /// an admission is known everywhere after about half of it.
@@ -44,6 +46,10 @@
 /// Pause after a peer could not be reached.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(400);
 
+/// Time for which a peer may know of a record before this entry; longer than
+/// the pause between two watches of members.
+const BEHIND_PEERS: Duration = Duration::from_millis(700);
+
 /// Silence after which a peer is not followed any more.
 const PEER_FORGOTTEN: Duration = Duration::from_secs(15);
 
@@ -279,6 +285,7 @@
         address: cx.settings.listen.peers,
         usage: state.quota.usage(&cx.settings.name, cx.incarnation, now),
         configuration: state.configuration_version(),
+        newest: state.progress.map(|progress| progress.newest),
         wanted: state.dispatcher.list_wanted(),
         entries: roster.list(now),
         is_leaving: cx.is_draining(),
@@ -313,6 +320,7 @@
             );
         }
     }
+    note_peer_progress(cx, &mut state, news.newest, now);
     if news.is_leaving {
         roster.remove(&news.usage.name);
     }
@@ -320,6 +328,31 @@
     state.retries.set_entries(entries);
 }
 
+/// Has an area read anew if a peer has known of a newer record for a while:
+/// the watch of this entry may be on a connection that has gone silent.
+fn note_peer_progress(
+    cx: &GatewayContext,
+    state: &mut GatewayState,
+    newest: [u64; 2],
+    now: MonotonicTime,
+) {
+    for area in Area::ALL {
+        let progress = &mut state.progress[area.index()];
+        if newest[area.index()] <= progress.complete {
+            continue;
+        }
+        let since = *progress.behind_since.get_or_insert(now);
+        if now.since(since) >= BEHIND_PEERS {
+            progress.behind_since = None;
+            log::info!(
+                "store: behind a peer area={area:?} complete={}",
+                progress.complete
+            );
+            cx.ask_read_anew(area);
+        }
+    }
+}
+
 fn call_context() -> Context {
     let mut call = tarpc::context::current();
     call.deadline = Instant::now() + ANSWER_TIMEOUT;
--- a/src/gateway/follow_store.rs
+++ b/src/gateway/follow_store.rs
@@ -12,10 +12,14 @@
 use crate::ports::SourceChange;
 use crate::ports::SourceNews;
 
-/// Longest wait of one watch: each costs a call, and a silent connection is
-/// found by its keepalive.
+/// Longest wait of one watch; each costs a call. A watch whose connection has
+/// gone silent is found by pings and by peers that know more.
 const WATCH_WAIT: Duration = Duration::from_secs(20);
 
+/// Time between two pings: with the time for an answer well below the bound
+/// on calls to a server that leaves.
+const PING_INTERVAL: Duration = Duration::from_millis(700);
+
 /// Pauses after failures: the first is short, since a lost connection says
 /// little about the store.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
@@ -30,10 +34,22 @@
     let mut revision = None;
     let mut pause = FIRST_PAUSE;
     let mut is_lost = false;
+    let mut anew = cx.read_anew[area.index()].subscribe();
     loop {
         let result = match revision {
             None => cx.ports.source.read_all(area).await,
-            Some(revision) => cx.ports.source.watch(area, revision, WATCH_WAIT).await,
+            Some(from) => {
+                anew.borrow_and_update();
+                let watching = cx.ports.source.watch(area, from, WATCH_WAIT);
+                tokio::select! {
+                    result = watching => result,
+                    _ = anew.changed() => {
+                        log::info!("store: watch given up area={area:?} revision={from}");
+                        revision = None;
+                        continue;
+                    }
+                }
+            }
         };
         match result {
             Ok(news) => {
@@ -70,6 +86,10 @@
 fn take_news(cx: &GatewayContext, area: Area, news: SourceNews, is_whole: bool) {
     let now = cx.now();
     let mut state = cx.lock();
+    let progress = &mut state.progress[area.index()];
+    progress.newest = progress.newest.max(news.newest);
+    progress.complete = progress.complete.max(news.revision);
+    progress.behind_since = None;
     let mut listed = Vec::new();
     for change in news.changes {
         match change {
@@ -116,3 +136,19 @@
         state.has_members = true;
     }
 }
+
+/// Asks the source for cheap answers for as long as the gateway runs. After
+/// one that does not come, watches are given up: a connection on which an
+/// answer was lost may stay open and bring nothing more.
+pub async fn ping_store(cx: Arc<GatewayContext>) {
+    loop {
+        sleep(PING_INTERVAL).await;
+        if let Err(e) = cx.ports.source.ping().await {
+            log::info!("store: ping unanswered reason=\"{e}\"");
+            cx.lock().directory.note_store_failure(cx.now());
+            Area::ALL
+                .into_iter()
+                .for_each(|area| cx.ask_read_anew(area));
+        }
+    }
+}
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -15,6 +15,7 @@
 use super::context::GatewayPorts;
 use super::exchange_news::exchange_news;
 use super::follow_store::follow_store;
+use super::follow_store::ping_store;
 use super::front_page::serve_page;
 use super::observe_engines::observe_engines;
 use super::serve_call::serve_call;
@@ -124,6 +125,7 @@
     tokio::spawn(exchange_news(Arc::clone(&cx), peers));
     tokio::spawn(follow_store(Arc::clone(&cx), Area::Operator));
     tokio::spawn(follow_store(Arc::clone(&cx), Area::Members));
+    tokio::spawn(ping_store(Arc::clone(&cx)));
     tokio::spawn(observe_engines(Arc::clone(&cx)));
     tokio::spawn(watch_kept_store(Arc::clone(&cx)));
     tokio::spawn(keep_up(Arc::clone(&cx)));
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -32,6 +32,19 @@
     pub retries: RetryAllowance,
     /// The members have been read once.
     pub has_members: bool,
+    /// How far each area of the source has been followed.
+    pub progress: [AreaProgress; 2],
+}
+
+/// How far an area of the source has been followed.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct AreaProgress {
+    /// Revision of the newest record that was seen.
+    pub newest: u64,
+    /// Revision up to which everything was seen.
+    pub complete: u64,
+    /// Since when a peer has seen a newer record than is complete here.
+    pub behind_since: Option<MonotonicTime>,
 }
 
 impl GatewayState {
@@ -46,6 +59,7 @@
             quota: FleetQuota::new(bounds.quota_overage, bounds.quota_slack),
             retries: RetryAllowance::new(bounds.retry_ratio, bounds.retry_extra, window_s),
             has_members: false,
+            progress: [AreaProgress::default(); 2],
         }
     }
 
--- a/src/mesh/entry_news.rs
+++ b/src/mesh/entry_news.rs
@@ -17,6 +17,8 @@
     pub usage: PeerUsage,
     /// Version of the sender's configuration; zero without one.
     pub configuration: u64,
+    /// Revisions of the newest records that the sender has seen, by area.
+    pub newest: [u64; 2],
     /// Weights versions that the sender knows to be wanted.
     pub wanted: Vec<WantedVersion>,
     /// Entries that the sender hears of.
--- a/src/ports/fleet_source.rs
+++ b/src/ports/fleet_source.rs
@@ -21,6 +21,19 @@
     Members,
 }
 
+impl Area {
+    /// All areas.
+    pub const ALL: [Self; 2] = [Self::Operator, Self::Members];
+
+    /// Place in tables by area.
+    pub fn index(self) -> usize {
+        match self {
+            Self::Operator => 0,
+            Self::Members => 1,
+        }
+    }
+}
+
 /// One record that was read or changed.
 #[derive(Debug, Clone, PartialEq)]
 pub enum SourceChange {
@@ -43,6 +56,8 @@
     pub changes: Vec<SourceChange>,
     /// Revision up to which they are complete.
     pub revision: u64,
+    /// Revision of the newest record among them; zero without one.
+    pub newest: u64,
 }
 
 /// Where configuration, wanted weights and members come from.
@@ -58,6 +73,9 @@
         wait: Duration,
     ) -> BoxFuture<'_, Result<SourceNews, PortError>>;
 
+    /// Asks for a cheap answer, to tell whether the source is within reach.
+    fn ping(&self) -> BoxFuture<'_, Result<(), PortError>>;
+
     /// Reads a configuration from the bytes that a peer passed on.
     ///
     /// # Errors
