Judge a removal by the store's return, not by the last failed call

A lapse now ends two seconds after the first answer of the returned store, whenever it was noticed. The test of the directory is written anew for this: it bounds the wait on both sides; the new one fails without the change.

--- a/src/core/fleet/directory.rs
+++ b/src/core/fleet/directory.rs
@@ -1,6 +1,7 @@
 //! Which backend servers there are, as the store tells it.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::time::Duration;
 
 use super::Member;
@@ -8,11 +9,9 @@
 use crate::core::ServerName;
 
 /// Time after the store's return within which a living server is listed
-/// again, by the platform's contract about two seconds, and a margin.
-const RETURN_GRACE: Duration = Duration::from_millis(2_500);
-
-/// Time after a failed call to the store in which a removal may be a lapse.
-const UNSTABLE_AFTER_FAILURE: Duration = Duration::from_secs(3);
+/// again: by the platform's contract about two seconds. The return is noticed
+/// late by up to a call's timeout, which is the margin.
+const RETURN_GRACE: Duration = Duration::from_secs(2);
 
 /// A change of what is known of backend servers.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -28,14 +27,23 @@
 #[derive(Debug, Default)]
 pub struct Directory {
     members: HashMap<ServerName, Member>,
-    lapsed: HashMap<ServerName, MonotonicTime>,
-    failed_at: Option<MonotonicTime>,
+    lapsed: HashSet<ServerName>,
+    is_store_failing: bool,
+    store_back_at: Option<MonotonicTime>,
 }
 
 impl Directory {
     /// Takes note that a call to the store failed.
-    pub fn note_store_failure(&mut self, now: MonotonicTime) {
-        self.failed_at = Some(now);
+    pub fn note_store_failure(&mut self) {
+        self.is_store_failing = true;
+    }
+
+    /// Takes note that a call to the store was answered.
+    pub fn note_store_answer(&mut self, now: MonotonicTime) {
+        if self.is_store_failing {
+            self.is_store_failing = false;
+            self.store_back_at = Some(now);
+        }
     }
 
     /// Takes note of one change and returns what follows from it.
@@ -72,19 +80,10 @@
     /// Returns the servers that lapsed and did not return in time.
     pub fn tick(&mut self, now: MonotonicTime) -> Vec<MemberChange> {
         if self.is_unstable(now) {
-            for since in self.lapsed.values_mut() {
-                *since = now;
-            }
             return Vec::new();
         }
-        let expired: Vec<ServerName> = self
-            .lapsed
-            .iter()
-            .filter(|(_, since)| now.since(**since) >= RETURN_GRACE)
-            .map(|(name, _)| name.clone())
-            .collect();
+        let expired: Vec<ServerName> = self.lapsed.drain().collect();
         for name in &expired {
-            self.lapsed.remove(name);
             self.members.remove(name);
         }
         expired.into_iter().map(MemberChange::Gone).collect()
@@ -110,7 +109,7 @@
             return None;
         }
         if self.is_unstable(now) {
-            self.lapsed.entry(name).or_insert(now);
+            self.lapsed.insert(name);
             return None;
         }
         self.lapsed.remove(&name);
@@ -119,7 +118,7 @@
     }
 
     fn is_unstable(&self, now: MonotonicTime) -> bool {
-        self.failed_at
-            .is_some_and(|at| now.since(at) < UNSTABLE_AFTER_FAILURE)
+        let is_just_back = |at| now.since(at) < RETURN_GRACE;
+        self.is_store_failing || self.store_back_at.is_some_and(is_just_back)
     }
 }
--- a/src/gateway/follow_store.rs
+++ b/src/gateway/follow_store.rs
@@ -59,6 +59,7 @@
                 }
                 pause = FIRST_PAUSE;
                 let is_whole = revision.is_none();
+                cx.lock().directory.note_store_answer(cx.now());
                 revision = Some(news.revision);
                 let has_changes = !news.changes.is_empty();
                 take_news(&cx, area, news, is_whole);
@@ -75,7 +76,7 @@
                     log::warn!("store: lost area={area:?} reason=\"{e}\"");
                 }
                 is_lost = true;
-                cx.lock().directory.note_store_failure(cx.now());
+                cx.lock().directory.note_store_failure();
                 sleep(pause).await;
                 pause = (pause * 2).min(MAX_PAUSE);
             }
@@ -143,9 +144,13 @@
 pub async fn ping_store(cx: Arc<GatewayContext>) {
     loop {
         sleep(PING_INTERVAL).await;
-        if let Err(e) = cx.ports.source.ping().await {
+        let answer = cx.ports.source.ping().await;
+        if answer.is_ok() {
+            cx.lock().directory.note_store_answer(cx.now());
+        }
+        if let Err(e) = answer {
             log::info!("store: ping unanswered reason=\"{e}\"");
-            cx.lock().directory.note_store_failure(cx.now());
+            cx.lock().directory.note_store_failure();
             Area::ALL
                 .into_iter()
                 .for_each(|area| cx.ask_read_anew(area));
--- a/tests/fleet_directory.rs
+++ b/tests/fleet_directory.rs
@@ -43,17 +43,30 @@
     let mut directory = Directory::default();
     directory.apply(MemberChange::Listed(member("a")), at(0));
     directory.apply(MemberChange::Listed(member("b")), at(0));
-    directory.note_store_failure(at(1_000));
+    directory.note_store_failure();
     assert_eq!(directory.apply(gone("a"), at(1_500)), None);
     assert_eq!(directory.apply(gone("b"), at(1_500)), None);
-    directory.apply(MemberChange::Listed(member("a")), at(3_000));
-    for ms in (1_500..6_000).step_by(500) {
+    for ms in (1_500..60_000).step_by(500) {
         assert_eq!(directory.tick(at(ms)), Vec::new(), "at {ms} ms");
     }
-    assert_eq!(directory.tick(at(9_000)), vec![gone("b")]);
+    directory.note_store_answer(at(60_000));
+    directory.apply(MemberChange::Listed(member("a")), at(61_000));
+    assert_eq!(directory.tick(at(61_900)), Vec::new());
+    assert_eq!(directory.tick(at(62_100)), vec![gone("b")]);
     assert_eq!(directory.len(), 1);
 }
 
+/// Seed 955226293657 of store-away-and-kills: a server that left 2.6 s after
+/// the store's return was taken as lapsed, and got calls for too long.
+#[test]
+fn apply_removal_after_return_grace_holds_at_once() {
+    let mut directory = Directory::default();
+    directory.apply(MemberChange::Listed(member("a")), at(0));
+    directory.note_store_failure();
+    directory.note_store_answer(at(13_400));
+    assert_eq!(directory.apply(gone("a"), at(16_000)), Some(gone("a")));
+}
+
 #[test]
 fn replace_reports_only_what_changed() {
     let mut directory = Directory::default();
