Send no calls to a server whose record turns malformed

Found by reading: a record that was good and turned malformed was logged and its server kept. It names no server now.

--- a/src/gateway/follow_store.rs
+++ b/src/gateway/follow_store.rs
@@ -126,6 +126,11 @@
                 let change = state.directory.apply(MemberChange::Gone(name), now);
                 state.apply_members(change);
             }
+            SourceChange::MalformedMember(name, problem) => {
+                log::warn!("store: malformed server={name} problem=\"{problem}\"");
+                let change = state.directory.apply(MemberChange::Gone(name), now);
+                state.apply_members(change);
+            }
             SourceChange::Malformed(key, problem) => {
                 log::warn!("store: malformed key={key} problem=\"{problem}\"");
             }
--- a/src/ports/fleet_source.rs
+++ b/src/ports/fleet_source.rs
@@ -47,6 +47,9 @@
     Gone(ServerName),
     /// A record that cannot be read; names the record and the problem.
     Malformed(String, String),
+    /// A backend server's record that cannot be read, with the problem: it
+    /// names no server to use, whatever it held before.
+    MalformedMember(ServerName, String),
 }
 
 /// What a read or watch brought.
