Say once what stood several times in the gateway

Whether a call may run again was written five times, its dispatch request twice, the table of held parts three times, and the reason of an unreachable server as two literals. The dispatcher kept a log of the store's changes that nothing read, and each call copied its route. No behaviour changes.

--- a/src/core/fleet/backend_view.rs
+++ b/src/core/fleet/backend_view.rs
@@ -13,6 +13,7 @@
 use super::ModelName;
 use super::PartId;
 use super::backend_load::BackendLoad;
+use super::part_table::PartTable;
 use crate::core::MonotonicTime;
 use crate::core::WeightsVersion;
 
@@ -68,7 +69,7 @@
     answered_at: Option<MonotonicTime>,
     agent: Option<(AgentFacts, MonotonicTime)>,
     seen_versions: HashMap<ModelName, WeightsVersion>,
-    held: HashMap<(u64, PartId), u32>,
+    held: PartTable,
     expected: HashMap<(u64, PartId), MonotonicTime>,
 }
 
@@ -85,7 +86,7 @@
             answered_at: None,
             agent: None,
             seen_versions: HashMap::new(),
-            held: HashMap::new(),
+            held: PartTable::default(),
             expected: HashMap::new(),
         }
     }
@@ -143,17 +144,9 @@
     /// Takes note of parts that the engine holds; `is_whole` tells that
     /// nothing else is held.
     pub(super) fn observe_held(&mut self, changes: &[HeldChange], is_whole: bool) {
-        if is_whole {
-            self.held.clear();
-        }
+        self.held.apply_all(changes, is_whole);
         for change in changes {
-            let key = (change.space, change.part);
-            self.expected.remove(&key);
-            if change.tokens == 0 {
-                self.held.remove(&key);
-            } else {
-                self.held.insert(key, change.tokens);
-            }
+            self.forget_part(change.space, change.part);
         }
     }
 
@@ -180,12 +173,12 @@
             .expected
             .get(&key)
             .is_some_and(|sent| now.since(*sent) < EXPECTED_FOR);
-        is_expected || self.held.contains_key(&key)
+        is_expected || self.held.holds(space, part)
     }
 
     /// Tells whether the server has read a part, as its events say.
     pub(super) fn has_read(&self, space: u64, part: PartId) -> bool {
-        self.held.contains_key(&(space, part))
+        self.held.holds(space, part)
     }
 
     /// Time until the server changes its weights, if it is about to.
--- a/src/core/fleet/configuration.rs
+++ b/src/core/fleet/configuration.rs
@@ -45,10 +45,3 @@
         }
     }
 }
-
-impl Configuration {
-    /// Finds a service by name.
-    pub fn find_service(&self, name: &str) -> Option<&ServiceRule> {
-        self.services.iter().find(|service| service.name == name)
-    }
-}
--- a/src/core/fleet/dispatcher.rs
+++ b/src/core/fleet/dispatcher.rs
@@ -10,7 +10,6 @@
 use super::BackendKey;
 use super::BackendView;
 use super::HeldChange;
-use super::HeldParts;
 use super::LoadFigures;
 use super::Member;
 use super::ModelName;
@@ -19,6 +18,7 @@
 use super::WantedVersion;
 use super::call_costs;
 use super::fetch_plan::PartSources;
+use super::part_table::PartTable;
 use super::wanted_history::Standing;
 use super::wanted_history::WantedHistory;
 use crate::core::AccountName;
@@ -107,7 +107,7 @@
     store: Option<SocketAddr>,
     store_lost: bool,
     store_unread: bool,
-    store_parts: HeldParts,
+    store_parts: PartTable,
 }
 
 impl Dispatcher {
@@ -122,7 +122,7 @@
             store: None,
             store_lost: false,
             store_unread: false,
-            store_parts: HeldParts::default(),
+            store_parts: PartTable::default(),
         }
     }
 
@@ -251,12 +251,7 @@
     pub fn observe_store(&mut self, changes: &[HeldChange], is_whole: bool) {
         self.store_lost = false;
         self.store_unread = false;
-        if is_whole {
-            self.store_parts.clear();
-        }
-        for change in changes {
-            self.store_parts.apply(*change);
-        }
+        self.store_parts.apply_all(changes, is_whole);
     }
 
     /// Takes note of what an agent says of its engine.
@@ -287,11 +282,6 @@
         }
     }
 
-    /// Returns a server.
-    pub fn backend(&self, key: BackendKey) -> Option<&BackendView> {
-        self.backends.get(key)
-    }
-
     /// Lists the servers of a service, without runs known to have ended.
     pub fn list_service(&self, service: &str) -> impl Iterator<Item = &BackendView> {
         let keys = self.services.get(service).map_or(&[][..], Vec::as_slice);
--- a/src/core/fleet/fetch_plan.rs
+++ b/src/core/fleet/fetch_plan.rs
@@ -5,10 +5,10 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::BackendView;
-use super::HeldParts;
 use super::PartId;
 use super::Prompt;
 use super::PromptPart;
+use super::part_table::PartTable;
 use crate::core::MonotonicTime;
 
 /// How the shared parts of a prompt stand at one engine.
@@ -56,12 +56,12 @@
     pub fn find<'b>(
         prompt: &'a Prompt,
         space: u64,
-        store: Option<(SocketAddr, &HeldParts)>,
+        store: Option<(SocketAddr, &PartTable)>,
         engines: impl Iterator<Item = &'b BackendView>,
         now: MonotonicTime,
     ) -> Self {
         let shared = prompt.shared_parts();
-        let holds = |part: PartId| store.is_some_and(|(_, held)| held.tokens(space, part) > 0);
+        let holds = |part: PartId| store.is_some_and(|(_, held)| held.holds(space, part));
         let stored = count_prefix(shared, holds);
         let mut read = stored;
         let mut holders = Vec::new();
--- a/src/core/fleet/held_parts.rs
+++ b/src/core/fleet/held_parts.rs
@@ -1,12 +1,12 @@
-//! Prompt parts that an engine or a store of kept KV cache holds.
+//! Prompt parts that an engine holds, and how they changed.
 
-use std::collections::HashMap;
 use std::collections::VecDeque;
 
 use serde::Deserialize;
 use serde::Serialize;
 
 use super::PartId;
+use super::part_table::PartTable;
 
 /// Changes kept for readers that ask for what is new; a reader further behind
 /// gets everything.
@@ -23,11 +23,11 @@
     pub tokens: u32,
 }
 
-/// Prompt parts that an engine or a store of kept KV cache holds, with the
-/// latest changes by number.
+/// Prompt parts that an engine holds, with the latest changes by number for
+/// readers that ask for what is new.
 #[derive(Debug, Default)]
 pub struct HeldParts {
-    parts: HashMap<(u64, PartId), u32>,
+    parts: PartTable,
     changes: VecDeque<HeldChange>,
     next: u64,
 }
@@ -35,12 +35,7 @@
 impl HeldParts {
     /// Takes note of a change.
     pub fn apply(&mut self, change: HeldChange) {
-        let key = (change.space, change.part);
-        if change.tokens == 0 {
-            self.parts.remove(&key);
-        } else {
-            self.parts.insert(key, change.tokens);
-        }
+        self.parts.apply(change);
         if self.changes.len() >= MAX_CHANGES {
             self.changes.pop_front();
         }
@@ -62,11 +57,6 @@
         self.next
     }
 
-    /// Returns the tokens that are held of a part.
-    pub fn tokens(&self, space: u64, part: PartId) -> u32 {
-        self.parts.get(&(space, part)).copied().unwrap_or(0)
-    }
-
     /// Returns the changes from number `since` on, or none where some of them
     /// are not kept any more.
     pub fn changes_since(&self, since: u64) -> Option<Vec<HeldChange>> {
@@ -80,13 +70,6 @@
 
     /// Returns everything that is held.
     pub fn list(&self) -> Vec<HeldChange> {
-        self.parts
-            .iter()
-            .map(|(&(space, part), &tokens)| HeldChange {
-                space,
-                part,
-                tokens,
-            })
-            .collect()
+        self.parts.list()
     }
 }
--- a/src/core/fleet/mod.rs
+++ b/src/core/fleet/mod.rs
@@ -17,6 +17,7 @@
 mod held_parts;
 mod member;
 mod model_name;
+mod part_table;
 mod prompt;
 mod refusal;
 mod retry_allowance;
--- a/src/core/fleet/route_table.rs
+++ b/src/core/fleet/route_table.rs
@@ -13,6 +13,7 @@
 #[derive(Debug)]
 pub struct RouteTable {
     configuration: Arc<Configuration>,
+    routes: Vec<Arc<RouteRule>>,
     hosts: HashMap<String, Vec<usize>>,
     keys: HashMap<KeyDigest, usize>,
 }
@@ -28,6 +29,7 @@
         for indexes in hosts.values_mut() {
             indexes.sort_by_key(|&index| usize::MAX - configuration.routes[index].prefix.len());
         }
+        let routes = configuration.routes.iter().cloned().map(Arc::new).collect();
         let keys = configuration
             .accounts
             .iter()
@@ -36,6 +38,7 @@
             .collect();
         Self {
             configuration,
+            routes,
             hosts,
             keys,
         }
@@ -48,12 +51,12 @@
 
     /// Finds the route with the longest prefix of `path` at `host`; a port in
     /// `host` is left out of account.
-    pub fn find_route(&self, host: &str, path: &str) -> Option<&RouteRule> {
+    pub fn find_route(&self, host: &str, path: &str) -> Option<&Arc<RouteRule>> {
         let host = host.split(':').next().unwrap_or(host);
         let indexes = self.hosts.get(&host.to_ascii_lowercase())?;
         indexes
             .iter()
-            .map(|&index| &self.configuration.routes[index])
+            .map(|&index| &self.routes[index])
             .find(|route| path.starts_with(&route.prefix))
     }
 
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -29,6 +29,10 @@
 /// Time for the body of a refusal, so that its connection can be kept.
 const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(50);
 
+/// Reason of an attempt whose server could not be reached: no byte left, so
+/// it is no send that counts against the bound on repeats.
+pub const UNREACHABLE: &str = "unreachable";
+
 /// How an attempt went.
 #[derive(Debug)]
 pub enum AttemptEnd {
@@ -148,8 +152,6 @@
     end
 }
 
-const UNREACHABLE: &str = "unreachable";
-
 async fn exchange_call(
     cx: &Arc<GatewayContext>,
     call: &Call,
--- a/src/gateway/follow_store.rs
+++ b/src/gateway/follow_store.rs
@@ -149,16 +149,15 @@
 pub async fn ping_store(cx: Arc<GatewayContext>) {
     loop {
         sleep(PING_INTERVAL).await;
-        let answer = cx.ports.source.ping().await;
-        if answer.is_ok() {
-            cx.lock().directory.note_store_answer(cx.now());
-        }
-        if let Err(e) = answer {
-            log::info!("store: ping unanswered reason=\"{e}\"");
-            cx.lock().directory.note_store_failure();
-            Area::ALL
-                .into_iter()
-                .for_each(|area| cx.ask_read_anew(area));
+        match cx.ports.source.ping().await {
+            Ok(()) => cx.lock().directory.note_store_answer(cx.now()),
+            Err(e) => {
+                log::info!("store: ping unanswered reason=\"{e}\"");
+                cx.lock().directory.note_store_failure();
+                Area::ALL
+                    .into_iter()
+                    .for_each(|area| cx.ask_read_anew(area));
+            }
         }
     }
 }
--- a/src/gateway/read_call.rs
+++ b/src/gateway/read_call.rs
@@ -9,7 +9,6 @@
 use http::Uri;
 use http::header::HOST;
 use http::request::Parts;
-use hyper::Request;
 use hyper::body::Incoming;
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
@@ -17,8 +16,10 @@
 use super::context::GatewayContext;
 use crate::core::AccountName;
 use crate::core::fleet::AccountRule;
+use crate::core::fleet::BackendKey;
 use crate::core::fleet::CallHead;
 use crate::core::fleet::CallRefusal;
+use crate::core::fleet::DispatchRequest;
 use crate::core::fleet::RouteRule;
 use crate::core::fleet::RouteTable;
 use crate::http::BodyReadError;
@@ -32,7 +33,7 @@
     /// What the caller said of it.
     pub head: CallHead,
     /// Its route.
-    pub route: RouteRule,
+    pub route: Arc<RouteRule>,
     /// Version of the configuration that it was admitted under.
     pub configuration: u64,
     /// Service that it goes to.
@@ -68,10 +69,27 @@
     }
 
     /// The account, if it shares no cached parts.
-    pub fn isolated(&self) -> Option<&AccountName> {
+    fn isolated(&self) -> Option<&AccountName> {
         self.account.as_ref().filter(|_| self.is_isolated)
     }
 
+    /// Tells whether the call may run on another server after `runs` servers
+    /// ran it or may have.
+    pub fn may_run_again(&self, runs: u32) -> bool {
+        self.route.kind.is_repeatable() && runs < self.route.max_attempts
+    }
+
+    /// Returns what decides about the call's next server.
+    pub fn dispatch_request<'a>(&'a self, tried: &'a [BackendKey]) -> DispatchRequest<'a> {
+        DispatchRequest {
+            service: &self.service,
+            prompt: self.head.prompt.as_ref(),
+            isolated: self.isolated(),
+            tried,
+            time_left: self.time_left(),
+        }
+    }
+
     /// Identity of the call as text, for logs.
     pub fn id_text(&self) -> &str {
         std::str::from_utf8(&self.head.id).unwrap_or("not-text")
@@ -148,28 +166,14 @@
     Err(CallRefusal::OverRate(wait))
 }
 
-/// Splits a request, whose head is read before anything else of it.
-///
-/// # Errors
-///
-/// The head cannot be used.
-pub fn split_request(
-    cx: &Arc<GatewayContext>,
-    req: Request<Incoming>,
-) -> (Parts, Incoming, Result<CallHead, CallRefusal>) {
-    let (parts, body) = req.into_parts();
-    let head = cx.ports.dialect.read_head(&parts);
-    (parts, body, head)
-}
-
-fn find_route(table: &RouteTable, parts: &Parts) -> Result<RouteRule, CallRefusal> {
+fn find_route(table: &RouteTable, parts: &Parts) -> Result<Arc<RouteRule>, CallRefusal> {
     let host = parts.uri.host().or_else(|| {
         let host = parts.headers.get(HOST)?;
         host.to_str().ok()
     });
     let host = host.ok_or(CallRefusal::BadRequest("a host is needed"))?;
     let route = table.find_route(host, parts.uri.path());
-    route.cloned().ok_or(CallRefusal::NoRoute)
+    route.map(Arc::clone).ok_or(CallRefusal::NoRoute)
 }
 
 fn count_tokens(account: Option<&AccountRule>, head: &CallHead) -> u64 {
--- a/src/gateway/relay_stream.rs
+++ b/src/gateway/relay_stream.rs
@@ -14,7 +14,6 @@
 use super::read_call::Call;
 use super::wait_alive::wait_alive;
 use crate::core::fleet::BackendKey;
-use crate::core::fleet::DispatchRequest;
 use crate::http::Exchange;
 use crate::http::StreamCut;
 
@@ -73,7 +72,7 @@
                 self.log.note_first_event();
                 return Ok(Some(events));
             }
-            let may_leave = self.may_leave();
+            let may_leave = self.call.may_run_again(self.runs);
             let Some((exchange, in_flight)) = &mut self.source else {
                 return Ok(None);
             };
@@ -103,11 +102,6 @@
         }
     }
 
-    /// Tells whether the stream may go on at another server.
-    fn may_leave(&self) -> bool {
-        self.call.route.kind.is_repeatable() && self.runs < self.call.route.max_attempts
-    }
-
     fn note_answer(&self, server: BackendKey) {
         let now = self.cx.now();
         self.cx.lock().dispatcher.note_answer(server, now);
@@ -138,19 +132,13 @@
 
     /// Goes on at another server after the last event that was taken.
     async fn resume(&mut self, problem: &'static str) -> bool {
-        if !self.may_leave() || self.call.time_left().is_zero() {
+        if !self.call.may_run_again(self.runs) || self.call.time_left().is_zero() {
             return false;
         }
         let choice = {
             let now = self.cx.now();
             let mut state = self.cx.lock();
-            let req = DispatchRequest {
-                service: &self.call.service,
-                prompt: self.call.head.prompt.as_ref(),
-                isolated: self.call.isolated(),
-                tried: &self.tried,
-                time_left: self.call.time_left(),
-            };
+            let req = self.call.dispatch_request(&self.tried);
             match state.dispatcher.choose(&req, now) {
                 Ok(choice) if state.retries.take_repeat(&self.call.service, now) => choice,
                 _ => return false,
@@ -158,7 +146,7 @@
         };
         self.log.note_attempt(&choice, problem);
         self.tried.push(choice.key);
-        let may_leave = self.runs + 1 < self.call.route.max_attempts;
+        let may_leave = self.call.may_run_again(self.runs + 1);
         let last = self.last_event.clone();
         let end = attempt_call(&self.cx, &self.call, choice, last.as_deref(), may_leave).await;
         match end {
--- a/src/gateway/serve_call.rs
+++ b/src/gateway/serve_call.rs
@@ -20,18 +20,17 @@
 
 use super::attempt::AttemptEnd;
 use super::attempt::StreamHead;
+use super::attempt::UNREACHABLE;
 use super::attempt::WholeAnswer;
 use super::attempt::attempt_call;
 use super::context::GatewayContext;
 use super::log_call::CallLog;
 use super::read_call::Call;
 use super::read_call::read_call;
-use super::read_call::split_request;
 use super::relay_stream::StreamRelay;
 use crate::core::fleet::BackendKey;
 use crate::core::fleet::CallRefusal;
 use crate::core::fleet::Choice;
-use crate::core::fleet::DispatchRequest;
 use crate::core::fleet::NoBackend;
 use crate::http::AnswerBody;
 use crate::http::StreamCut;
@@ -61,8 +60,8 @@
 /// Serves one call.
 pub async fn serve_call(cx: Arc<GatewayContext>, req: Request<Incoming>) -> Response<AnswerBody> {
     let received = Instant::now();
-    let (parts, body, head) = split_request(&cx, req);
-    let head = match head {
+    let (parts, body) = req.into_parts();
+    let head = match cx.ports.dialect.read_head(&parts) {
         Ok(head) => head,
         Err(refusal) => return refuse(&cx, refusal, b"", received),
     };
@@ -99,14 +98,11 @@
         };
         log.note_attempt(&choice, reason);
         tried.push(choice.key);
-        let may_leave = may_leave(&call, runs);
+        let may_leave = call.may_run_again(runs + 1);
         match attempt_call(cx, &call, choice, None, may_leave).await {
             AttemptEnd::Answered(answer) => {
                 runs += 1;
-                let may_repeat = answer.status.is_server_error()
-                    && call.route.kind.is_repeatable()
-                    && runs < call.route.max_attempts;
-                if !may_repeat {
+                if !answer.status.is_server_error() || !call.may_run_again(runs) {
                     log.end("answered", answer.status.as_u16());
                     return to_response(answer);
                 }
@@ -126,13 +122,13 @@
                 runs += 1;
                 reason = why;
                 last = Failure::Unknown(why);
-                if !call.route.kind.is_repeatable() || runs >= call.route.max_attempts {
+                if !call.may_run_again(runs) {
                     break;
                 }
             }
         }
         log.note_failure(reason);
-        if reason != "unreachable" && !take_repeat(cx, &call) {
+        if reason != UNREACHABLE && !take_repeat(cx, &call) {
             log.note_failure("no-repeats-left");
             break;
         }
@@ -219,14 +215,8 @@
 }
 
 fn choose(cx: &GatewayContext, call: &Call, tried: &[BackendKey]) -> Result<Choice, CallRefusal> {
-    let req = DispatchRequest {
-        service: &call.service,
-        prompt: call.head.prompt.as_ref(),
-        isolated: call.isolated(),
-        tried,
-        time_left: call.time_left(),
-    };
     let now = cx.now();
+    let req = call.dispatch_request(tried);
     let chosen = cx.lock().dispatcher.choose(&req, now);
     chosen.map_err(|none| match none {
         NoBackend::None(after) => CallRefusal::NoServer(after),
@@ -239,11 +229,6 @@
     cx.lock().retries.take_repeat(&call.service, now)
 }
 
-/// Tells whether the call may run on another server after this one.
-fn may_leave(call: &Call, runs: u32) -> bool {
-    call.route.kind.is_repeatable() && runs + 1 < call.route.max_attempts
-}
-
 fn to_response(answer: WholeAnswer) -> Response<AnswerBody> {
     let mut response = Response::new(full_body(answer.body));
     *response.status_mut() = answer.status;
