Resume a stream elsewhere when its next server turns it away

Cause: a resumption asked one server only. If that one was full or changing its weights, the stream was cut although another server could have gone on. It now asks as many as a first send may, within the route's and the operator's bounds.

--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -86,6 +86,17 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Takes a repeated send to a service out of the operator's bound; false
+    /// if none is left.
+    pub fn take_repeat(&self, service: &str) -> bool {
+        let now = self.now();
+        let is_taken = self.lock().retries.take_repeat(service, now);
+        if is_taken {
+            self.metrics.count_repeat();
+        }
+        is_taken
+    }
+
     /// Gives a running watch of an area up and has the area read anew.
     pub fn ask_read_anew(&self, area: Area) {
         self.read_anew[area.index()].send_modify(|count| *count += 1);
--- a/src/gateway/relay_stream.rs
+++ b/src/gateway/relay_stream.rs
@@ -7,11 +7,11 @@
 
 use super::attempt::AttemptEnd;
 use super::attempt::InFlight;
-use super::attempt::StreamHead;
 use super::attempt::attempt_call;
 use super::context::GatewayContext;
 use super::log_call::CallLog;
 use super::read_call::Call;
+use super::serve_call::MAX_SENDS;
 use super::wait_alive::wait_alive;
 use crate::core::fleet::BackendKey;
 use crate::http::Exchange;
@@ -132,36 +132,45 @@
 
     /// Goes on at another server after the last event that was taken.
     async fn resume(&mut self, problem: &'static str) -> bool {
-        if !self.call.may_run_again(self.runs) || self.call.time_left().is_zero() {
-            return false;
-        }
-        let choice = {
-            let now = self.cx.now();
-            let mut state = self.cx.lock();
-            let req = self.call.dispatch_request(&self.tried);
-            match state.dispatcher.choose(&req, now) {
-                Ok(choice) if state.retries.take_repeat(&self.call.service, now) => choice,
-                _ => return false,
+        let mut reason = problem;
+        while self.call.may_run_again(self.runs)
+            && self.tried.len() < MAX_SENDS
+            && !self.call.time_left().is_zero()
+        {
+            let chosen = {
+                let now = self.cx.now();
+                let req = self.call.dispatch_request(&self.tried);
+                self.cx.lock().dispatcher.choose(&req, now)
+            };
+            let Ok(choice) = chosen else {
+                self.log.note_failure("no-server");
+                return false;
+            };
+            if !self.cx.take_repeat(&self.call.service) {
+                self.log.note_failure("no-repeats-left");
+                return false;
             }
-        };
-        self.log.note_attempt(&choice, problem);
-        self.tried.push(choice.key);
-        let may_leave = self.call.may_run_again(self.runs + 1);
-        let last = self.last_event.clone();
-        let end = attempt_call(&self.cx, &self.call, choice, last.as_deref(), may_leave).await;
-        match end {
-            AttemptEnd::Streaming(head) => {
-                let StreamHead {
-                    exchange,
-                    in_flight,
-                    ..
-                } = *head;
-                self.runs += 1;
-                self.source = Some((exchange, in_flight));
-                true
+            self.log.note_attempt(&choice, reason);
+            self.tried.push(choice.key);
+            let may_leave = self.call.may_run_again(self.runs + 1);
+            let last = self.last_event.clone();
+            match attempt_call(&self.cx, &self.call, choice, last.as_deref(), may_leave).await {
+                AttemptEnd::Streaming(head) => {
+                    self.runs += 1;
+                    self.source = Some((head.exchange, head.in_flight));
+                    return true;
+                }
+                AttemptEnd::NotRun(why) => reason = why,
+                AttemptEnd::Unknown(why) => {
+                    self.runs += 1;
+                    reason = why;
+                }
+                // The server ran it and has no stream to give.
+                AttemptEnd::Answered(_) => return false,
             }
-            _ => false,
+            self.log.note_failure(reason);
         }
+        false
     }
 }
 
--- a/src/gateway/serve_call.rs
+++ b/src/gateway/serve_call.rs
@@ -38,7 +38,7 @@
 
 /// Servers that one call is sent to at most, those included that turn it
 /// away: by then the whole service is most likely full.
-const MAX_SENDS: usize = 4;
+pub(super) const MAX_SENDS: usize = 4;
 
 /// Time to come back after for a call that servers turned away.
 const TURNED_AWAY_RETRY: Duration = Duration::from_millis(300);
@@ -128,7 +128,7 @@
             }
         }
         log.note_failure(reason);
-        if reason != UNREACHABLE && !take_repeat(cx, &call) {
+        if reason != UNREACHABLE && !cx.take_repeat(&call.service) {
             log.note_failure("no-repeats-left");
             break;
         }
@@ -224,11 +224,6 @@
     })
 }
 
-fn take_repeat(cx: &GatewayContext, call: &Call) -> bool {
-    let now = cx.now();
-    cx.lock().retries.take_repeat(&call.service, now)
-}
-
 fn to_response(answer: WholeAnswer) -> Response<AnswerBody> {
     let mut response = Response::new(full_body(answer.body));
     *response.status_mut() = answer.status;
