Serve metrics of sidecars, and more of gateways, at an address of their own

Sidecars had none. Gateways counted ends of calls only: sends by outcome, repeats, dropped log lines and what they count on (servers, agents, entries) were missing. A metrics address that cannot be opened is logged and no reason to leave an engine untended or callers refused.

--- a/src/core/fleet/backend_view.rs
+++ b/src/core/fleet/backend_view.rs
@@ -106,7 +106,7 @@
     }
 
     /// Tells whether the server may be sent new calls.
-    pub(super) fn takes_work(&self, now: MonotonicTime) -> bool {
+    pub fn takes_work(&self, now: MonotonicTime) -> bool {
         let is_paused = self.paused_until.is_some_and(|until| now < until);
         let agent_allows = self
             .fresh_agent(now)
@@ -226,6 +226,11 @@
         self.pause = (self.pause * 2).min(MAX_PAUSE);
     }
 
+    /// Tells whether the news of the agent beside the server are fresh.
+    pub fn is_agent_heard(&self, now: MonotonicTime) -> bool {
+        self.fresh_agent(now).is_some()
+    }
+
     fn fresh_agent(&self, now: MonotonicTime) -> Option<&AgentFacts> {
         self.agent
             .as_ref()
--- a/src/core/fleet/rollout.rs
+++ b/src/core/fleet/rollout.rs
@@ -90,6 +90,19 @@
     Unknown,
 }
 
+impl OrderOutcome {
+    /// Returns the outcome's name in logs and metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Accepted => "accepted",
+            Self::Conflict => "conflict",
+            Self::Fenced => "fenced",
+            Self::Refused => "refused",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Phase {
     Open,
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -46,6 +46,17 @@
     Unknown(&'static str),
 }
 
+impl AttemptEnd {
+    /// Returns the end's name in metrics.
+    fn label(&self) -> &'static str {
+        match self {
+            Self::Answered(_) => "answered",
+            Self::Streaming(_) => "streaming",
+            Self::NotRun(reason) | Self::Unknown(reason) => reason,
+        }
+    }
+}
+
 /// A whole answer of a server.
 #[derive(Debug)]
 pub struct WholeAnswer {
@@ -133,6 +144,7 @@
     let in_flight = InFlight::begin(cx, call, choice);
     let key = in_flight.choice().key;
     let end = exchange_call(cx, call, in_flight, last_event, may_leave).await;
+    cx.metrics.count_attempt(end.label());
     let now = cx.now();
     let mut state = cx.lock();
     match &end {
--- a/src/gateway/front_page.rs
+++ b/src/gateway/front_page.rs
@@ -18,8 +18,8 @@
         "/ready" if cx.is_ready() => (StatusCode::OK, "ready\n".into()),
         "/ready" => (StatusCode::SERVICE_UNAVAILABLE, "not ready\n".into()),
         "/metrics" => {
-            let version = cx.lock().configuration_version();
-            (StatusCode::OK, cx.metrics.write(version))
+            let beliefs = cx.lock().count_beliefs(cx.now());
+            (StatusCode::OK, cx.metrics.write(&beliefs))
         }
         _ => (StatusCode::NOT_FOUND, "no such page\n".into()),
     };
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -22,6 +22,7 @@
 use super::watch_kept_store::watch_kept_store;
 use crate::core::fleet::CallerLimits;
 use crate::http::ServerLimits;
+use crate::http::page_limits;
 use crate::http::serve;
 use crate::ports::Area;
 use crate::settings::GatewaySettings;
@@ -119,7 +120,10 @@
     let (stop_tx, stop) = watch::channel(false);
     spawn_pages(&cx, listen.health, &stop)?;
     if let Some(metrics) = listen.metrics {
-        spawn_pages(&cx, metrics, &stop)?;
+        // Metrics are no reason to refuse callers.
+        if let Err(e) = spawn_pages(&cx, metrics, &stop) {
+            log::error!("gateway: metrics not served reason=\"{e}\"");
+        }
     }
     let peers = open(listen.peers)?;
     tokio::spawn(exchange_news(Arc::clone(&cx), peers));
@@ -156,12 +160,9 @@
 ) -> Result<(), StartError> {
     let listener = open(address)?;
     let cx = Arc::clone(cx);
-    let limits = cx.settings.page_limits();
     let stop = stop.clone();
-    tokio::spawn(async move {
-        let handle = move |req, _caller| serve_page(Arc::clone(&cx), req);
-        serve(listener, limits, handle, stop).await
-    });
+    let handle = move |req, _caller| serve_page(Arc::clone(&cx), req);
+    tokio::spawn(serve(listener, page_limits(), handle, stop));
     Ok(())
 }
 
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 
 use crate::core::MonotonicTime;
+use crate::core::fleet::BackendView;
 use crate::core::fleet::Configuration;
 use crate::core::fleet::Directory;
 use crate::core::fleet::Dispatcher;
@@ -12,6 +13,7 @@
 use crate::core::fleet::MemberChange;
 use crate::core::fleet::RetryAllowance;
 use crate::core::fleet::RouteTable;
+use crate::metrics::GatewayBeliefs;
 use crate::settings::BoundSettings;
 
 /// What a gateway believes, all behind one lock: each request reads most of
@@ -92,6 +94,21 @@
         true
     }
 
+    /// Counts what the gateway counts on.
+    pub fn count_beliefs(&self, now: MonotonicTime) -> GatewayBeliefs {
+        let count = |is_counted: fn(&BackendView, MonotonicTime) -> bool| {
+            let views = self.dispatcher.backends();
+            views.filter(|view| is_counted(view, now)).count() as u64
+        };
+        GatewayBeliefs {
+            configuration: self.configuration_version(),
+            servers_listed: count(|_, _| true),
+            servers_used: count(BackendView::takes_work),
+            agents_heard: count(BackendView::is_agent_heard),
+            entries: self.quota.count_entries() as u64,
+        }
+    }
+
     /// Takes over what follows from a change of the members.
     pub fn apply_members(&mut self, changes: impl IntoIterator<Item = MemberChange>) {
         for change in changes {
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -35,3 +35,4 @@
 pub use prepare_socket::prepare_socket;
 pub use serve::serve;
 pub use server_limits::ServerLimits;
+pub use server_limits::page_limits;
--- a/src/logs/bounded_writer.rs
+++ b/src/logs/bounded_writer.rs
@@ -18,6 +18,14 @@
 /// 300 bytes a line this takes about half a megabyte.
 const MAX_WAITING: usize = 2_048;
 
+/// Lines dropped since the process began.
+static TOTAL_DROPPED: AtomicU64 = AtomicU64::new(0);
+
+/// Returns the number of log lines dropped since the process began.
+pub fn dropped_lines() -> u64 {
+    TOTAL_DROPPED.load(Ordering::Relaxed)
+}
+
 /// A writer of log lines that never blocks who logs: a thread of its own
 /// writes them, and lines that it cannot keep up with are dropped. The first
 /// line after a drop tells how many were lost.
@@ -51,11 +59,6 @@
             dropped: AtomicU64::new(0),
         })
     }
-
-    /// Lines dropped since the last one that was taken.
-    pub fn dropped(&self) -> u64 {
-        self.dropped.load(Ordering::Relaxed)
-    }
 }
 
 impl LogWriter for BoundedWriter {
@@ -69,6 +72,7 @@
         line.push(b'\n');
         if let Err(TrySendError::Full(_)) = self.lines.try_send(line) {
             self.dropped.fetch_add(dropped + 1, Ordering::Relaxed);
+            TOTAL_DROPPED.fetch_add(1, Ordering::Relaxed);
         }
         Ok(())
     }
@@ -138,7 +142,7 @@
         for _ in 0..MAX_WAITING + 100 {
             log_line(&writer);
         }
-        let dropped = writer.dropped();
+        let dropped = dropped_lines();
         assert!((98..=100).contains(&dropped), "{dropped} dropped");
         release.send(()).expect("the output waits");
         let first = written_rx.recv().expect("a line");
--- a/src/metrics/gateway_metrics.rs
+++ b/src/metrics/gateway_metrics.rs
@@ -12,6 +12,7 @@
 
 use super::PREFIX;
 use super::write_registry;
+use crate::logs::dropped_lines;
 
 /// Upper bounds of the buckets of times, in seconds.
 const TIME_BUCKETS_S: [f64; 10] = [0.01, 0.03, 0.06, 0.1, 0.2, 0.3, 0.6, 1.2, 3.0, 12.0];
@@ -22,10 +23,35 @@
     outcome: &'static str,
 }
 
+/// What a belief is about.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct BeliefLabels {
+    of: &'static str,
+}
+
+/// What a gateway counts on when its figures are read.
+#[derive(Debug, Clone, Copy)]
+pub struct GatewayBeliefs {
+    /// Version of the configuration in force; zero without one.
+    pub configuration: u64,
+    /// Servers in the store.
+    pub servers_listed: u64,
+    /// Servers that may be sent calls now.
+    pub servers_used: u64,
+    /// Agents whose news are fresh.
+    pub agents_heard: u64,
+    /// Entries that share rates, this one included.
+    pub entries: u64,
+}
+
 /// Figures of a gateway.
 pub struct GatewayMetrics {
     registry: Registry,
     calls: Family<OutcomeLabels, Counter>,
+    attempts: Family<OutcomeLabels, Counter>,
+    repeats: Counter,
+    lines_dropped: Gauge,
+    beliefs: Family<BeliefLabels, Gauge>,
     first_event: Histogram,
     whole: Histogram,
     version: Gauge,
@@ -36,6 +62,26 @@
     pub fn new() -> Self {
         let mut registry = Registry::with_prefix(PREFIX);
         let calls = Family::<OutcomeLabels, Counter>::default();
+        let attempts = Family::<OutcomeLabels, Counter>::default();
+        registry.register("attempts", "Sends to servers by outcome", attempts.clone());
+        let repeats = Counter::default();
+        registry.register(
+            "repeats",
+            "Sends beyond the first of a call that the operator's bound counts",
+            repeats.clone(),
+        );
+        let lines_dropped = Gauge::default();
+        registry.register(
+            "log_lines_dropped",
+            "Log lines that standard output did not take in time",
+            lines_dropped.clone(),
+        );
+        let beliefs = Family::<BeliefLabels, Gauge>::default();
+        registry.register(
+            "beliefs",
+            "What the gateway counts on: servers, agents heard lately, entries",
+            beliefs.clone(),
+        );
         let first_event = Histogram::new(TIME_BUCKETS_S);
         let whole = Histogram::new(TIME_BUCKETS_S);
         let version = Gauge::default();
@@ -58,6 +104,10 @@
         Self {
             registry,
             calls,
+            attempts,
+            repeats,
+            lines_dropped,
+            beliefs,
             first_event,
             whole,
             version,
@@ -70,14 +120,38 @@
         self.whole.observe(passed.as_secs_f64());
     }
 
+    /// Counts a send to a server.
+    pub fn count_attempt(&self, outcome: &'static str) {
+        self.attempts
+            .get_or_create(&OutcomeLabels { outcome })
+            .inc();
+    }
+
+    /// Counts a send that the bound on repeats allowed.
+    pub fn count_repeat(&self) {
+        self.repeats.inc();
+    }
+
     /// Counts the first event of a stream.
     pub fn count_first_event(&self, passed: Duration) {
         self.first_event.observe(passed.as_secs_f64());
     }
 
     /// Writes the figures in the OpenMetrics text format.
-    pub fn write(&self, version: u64) -> String {
-        self.version.set(i64::try_from(version).unwrap_or(i64::MAX));
+    pub fn write(&self, beliefs: &GatewayBeliefs) -> String {
+        let to_gauge = |count: u64| i64::try_from(count).unwrap_or(i64::MAX);
+        self.version.set(to_gauge(beliefs.configuration));
+        self.lines_dropped.set(to_gauge(dropped_lines()));
+        for (of, count) in [
+            ("servers_listed", beliefs.servers_listed),
+            ("servers_used", beliefs.servers_used),
+            ("agents_heard", beliefs.agents_heard),
+            ("entries", beliefs.entries),
+        ] {
+            self.beliefs
+                .get_or_create(&BeliefLabels { of })
+                .set(to_gauge(count));
+        }
         write_registry(&self.registry)
     }
 }
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -4,11 +4,14 @@
 mod answer_labels;
 mod entry_metrics;
 mod gateway_metrics;
+mod sidecar_metrics;
 
 pub use agent_metrics::AgentMetrics;
 pub use answer_labels::AnswerLabels;
 pub use entry_metrics::EntryMetrics;
+pub use gateway_metrics::GatewayBeliefs;
 pub use gateway_metrics::GatewayMetrics;
+pub use sidecar_metrics::SidecarMetrics;
 
 use prometheus_client::encoding::text::encode;
 use prometheus_client::registry::Registry;
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -13,7 +13,6 @@
 use super::SettingsError;
 use super::section::read_json;
 use crate::http::ClientTimeouts;
-use crate::http::ServerLimits;
 
 /// Time to make a connection to a server: zones are milliseconds apart, and a
 /// lost packet is sent again after a fraction of a second.
@@ -33,9 +32,6 @@
 /// own; the others are split between callers and servers.
 const OWN_DESCRIPTORS: usize = 300;
 
-/// Connections of pages at once.
-const PAGE_CONNECTIONS: usize = 16;
-
 /// Settings of a gateway.
 #[derive(Debug, Clone, PartialEq)]
 pub struct GatewaySettings {
@@ -117,17 +113,6 @@
         (descriptors.saturating_sub(OWN_DESCRIPTORS) / 2).max(16)
     }
 
-    /// Bounds on readers of pages.
-    pub fn page_limits(&self) -> ServerLimits {
-        ServerLimits {
-            max_connections: PAGE_CONNECTIONS,
-            max_head_bytes: 8_192,
-            head_timeout: Duration::from_secs(10),
-            dead_peer_timeout: Duration::from_secs(5),
-            drain_timeout: Duration::ZERO,
-        }
-    }
-
     fn read(section: &mut Section) -> Self {
         let stop_s: f64 = section.take("stop_timeout_s", 8.0);
         Self {
--- a/src/settings/sidecar.rs
+++ b/src/settings/sidecar.rs
@@ -20,6 +20,8 @@
     pub zone: String,
     /// Address for control messages of entries.
     pub listen: SocketAddr,
+    /// Readers of metrics.
+    pub metrics: Option<SocketAddr>,
     /// Address of the engine.
     pub engine: SocketAddr,
     /// What is logged and how.
@@ -50,6 +52,7 @@
             name: section.take_required("name", String::new()),
             zone: section.take_required("zone", String::new()),
             listen: section.take_required("listen", ListenSettings::unset()),
+            metrics: section.take_optional("metrics"),
             engine: section.take_required("engine", ListenSettings::unset()),
             log: section.take_section("log", LogSettings::read),
         }
--- a/src/sidecar/context.rs
+++ b/src/sidecar/context.rs
@@ -13,6 +13,7 @@
 use crate::core::fleet::AgentFacts;
 use crate::core::fleet::HeldParts;
 use crate::core::fleet::Rollout;
+use crate::metrics::SidecarMetrics;
 use crate::ports::EnginePort;
 use crate::ports::PartsFeed;
 use crate::settings::SidecarSettings;
@@ -33,6 +34,8 @@
     pub rollout: Rollout,
     /// Parts that the engine holds.
     pub parts: HeldParts,
+    /// Changes of the parts that entries were not woken for yet.
+    pub has_new_parts: bool,
     /// The engine's state.
     pub facts: AgentFacts,
     /// The state that entries were woken for last.
@@ -49,6 +52,8 @@
     pub settings: SidecarSettings,
     /// The systems around it.
     pub ports: SidecarPorts,
+    /// Figures.
+    pub metrics: SidecarMetrics,
     /// Differs in each run.
     pub incarnation: u64,
     clock: Clock,
@@ -62,6 +67,7 @@
         Self {
             settings,
             ports,
+            metrics: SidecarMetrics::new(),
             incarnation: rand::random(),
             clock: Clock::start(),
             state: Mutex::default(),
--- a/src/sidecar/follow_parts.rs
+++ b/src/sidecar/follow_parts.rs
@@ -55,6 +55,6 @@
     for change in changes {
         state.parts.apply(change);
     }
-    drop(state);
-    cx.publish();
+    // Told with the next report: one message in place of two.
+    state.has_new_parts = true;
 }
--- /dev/null
+++ b/src/sidecar/front_page.rs
@@ -0,0 +1,23 @@
+//! Pages for operators.
+
+use std::sync::Arc;
+
+use http::StatusCode;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+
+use super::context::SidecarContext;
+use crate::http::AnswerBody;
+use crate::http::full_body;
+
+/// Answers `/metrics`.
+pub async fn serve_page(cx: Arc<SidecarContext>, req: Request<Incoming>) -> Response<AnswerBody> {
+    let (status, text) = match req.uri().path() {
+        "/metrics" => (StatusCode::OK, cx.metrics.write()),
+        _ => (StatusCode::NOT_FOUND, "no such page\n".into()),
+    };
+    let mut response = Response::new(full_body(text));
+    *response.status_mut() = status;
+    response
+}
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -3,6 +3,7 @@
 
 mod context;
 mod follow_parts;
+mod front_page;
 mod run;
 mod serve_entries;
 mod tend_engine;
--- a/src/sidecar/run.rs
+++ b/src/sidecar/run.rs
@@ -1,5 +1,6 @@
 //! Life of a sidecar.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -9,8 +10,11 @@
 use super::context::SidecarContext;
 use super::context::SidecarPorts;
 use super::follow_parts::follow_parts;
+use super::front_page::serve_page;
 use super::serve_entries::SidecarService;
 use super::tend_engine::tend_engine;
+use crate::http::page_limits;
+use crate::http::serve;
 use crate::mesh::serve_mesh;
 use crate::peer::accept_peers;
 use crate::settings::SidecarSettings;
@@ -47,7 +51,7 @@
     build_runtime()?.block_on(live(cx, stop))
 }
 
-async fn live(cx: Arc<SidecarContext>, stop: watch::Receiver<bool>) -> Result<(), StartError> {
+async fn live(cx: Arc<SidecarContext>, ask_stop: watch::Receiver<bool>) -> Result<(), StartError> {
     let address = cx.settings.listen;
     let listener = open_listener(address)?;
     let listener = TcpListener::from_std(listener).map_err(|e| StartError::Listen(address, e))?;
@@ -58,6 +62,12 @@
         cx.settings.engine,
         cx.incarnation
     );
+    if let Some(metrics) = cx.settings.metrics {
+        // Metrics are no reason to leave the engine untended.
+        if let Err(e) = spawn_page(&cx, metrics, &ask_stop) {
+            log::error!("sidecar: metrics not served reason=\"{e}\"");
+        }
+    }
     let service = SidecarService {
         cx: Arc::clone(&cx),
     };
@@ -72,7 +82,20 @@
             log::info!("settings: unchanged until the next start");
         }
     }));
-    wait_for_stop(stop).await;
+    wait_for_stop(ask_stop).await;
     log::info!("sidecar: stopped name={}", cx.settings.name);
     Ok(())
 }
+
+fn spawn_page(
+    cx: &Arc<SidecarContext>,
+    address: SocketAddr,
+    stop: &watch::Receiver<bool>,
+) -> Result<(), StartError> {
+    let listener = open_listener(address)?;
+    let listener = TcpListener::from_std(listener).map_err(|e| StartError::Listen(address, e))?;
+    let (cx, stop) = (Arc::clone(cx), stop.clone());
+    let handle = move |req, _caller| serve_page(Arc::clone(&cx), req);
+    tokio::spawn(serve(listener, page_limits(), handle, stop));
+    Ok(())
+}
--- a/src/sidecar/serve_entries.rs
+++ b/src/sidecar/serve_entries.rs
@@ -36,6 +36,7 @@
             let _ = timeout(NEWS_WAIT, news.changed()).await;
         }
         let number = *news.borrow_and_update();
+        self.cx.metrics.count_news();
         Some(self.make_news(&req, is_current, number))
     }
 
--- a/src/sidecar/tend_engine.rs
+++ b/src/sidecar/tend_engine.rs
@@ -1,8 +1,10 @@
 //! Reads the engine's report and gives it orders.
 
+use std::mem::take;
 use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::time::Instant;
 use tokio::time::sleep;
 
 use super::context::SidecarContext;
@@ -33,8 +35,11 @@
 pub async fn tend_engine(cx: Arc<SidecarContext>) {
     let mut failures = 0;
     loop {
+        let asked_at = Instant::now();
         match cx.ports.engine.read_report(cx.settings.engine).await {
             Ok(report) => {
+                let is_accepting = cx.lock().rollout.is_accepting();
+                cx.metrics.count_report(asked_at.elapsed(), is_accepting);
                 if failures >= MAX_FAILURES {
                     log::info!("engine: regained address={}", cx.settings.engine);
                 }
@@ -43,6 +48,7 @@
             }
             Err(e) => {
                 failures += 1;
+                cx.metrics.count_report_failure(failures < MAX_FAILURES);
                 if failures == MAX_FAILURES {
                     log::warn!("engine: lost address={} reason=\"{e}\"", cx.settings.engine);
                     cx.lock().facts.is_alive = false;
@@ -77,7 +83,8 @@
             used_tokens: report.used_tokens,
             capacity_tokens: report.capacity_tokens,
         };
-        let is_news = is_news(&state.told, &facts, now.since(state.told_at));
+        let is_news = take(&mut state.has_new_parts)
+            || is_news(&state.told, &facts, now.since(state.told_at));
         state.facts = facts.clone();
         if is_news {
             state.told = facts;
@@ -142,13 +149,15 @@
         OrderOutcome::Unknown
     });
     log::info!(
-        "weights: ordered model={} version={} fence={} accepted_before={} running={} outcome={outcome:?}",
+        "weights: ordered model={} version={} fence={} accepted_before={} running={} outcome={}",
         order.wanted.model,
         order.wanted.version,
         order.wanted.revision,
         order.accepted_orders,
-        load.running
+        load.running,
+        outcome.label()
     );
+    cx.metrics.count_order(outcome.label());
     let now = cx.now();
     cx.lock().rollout.note_outcome(outcome, now);
 }
