Explain a request from the logs of several processes

Entries and sidecars state their time of day with their news, and a gateway logs by how much a clock differs once that changes by 100 ms.

Two calls, lost with a gateway that was killed, had no line at all, since the line was written at the end. Each send is now logged before it is made; a call without an end is explained as such.

Lines are gathered for 40 ms before they are written, as each wake of the writing thread costs as much as several lines.

--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -6,6 +6,7 @@
 mod diff;
 mod entry;
 mod exit;
+mod explain;
 mod fleet;
 mod gateway;
 mod history;
@@ -44,6 +45,7 @@
 enum Command {
     Agent(agent::AgentCommand),
     Entry(entry::EntryCommand),
+    Explain(explain::ExplainCommand),
     Gateway(gateway::GatewayCommand),
     Order(order::OrderCommand),
     Key(key::KeyCommand),
@@ -71,6 +73,7 @@
         match self.command {
             Some(Command::Agent(command)) => command.run(),
             Some(Command::Entry(command)) => command.run(),
+            Some(Command::Explain(command)) => command.run(),
             Some(Command::Gateway(command)) => command.run(),
             Some(Command::Order(command)) => command.run(),
             Some(Command::Key(command)) => command.run(),
--- a/src/clock.rs
+++ b/src/clock.rs
@@ -1,6 +1,8 @@
 //! Clock of this process.
 
 use std::time::Instant;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
 use crate::core::MonotonicTime;
 
@@ -20,3 +22,11 @@
         MonotonicTime::from_micros(u64::try_from(micros).unwrap_or(u64::MAX))
     }
 }
+
+/// Reads the host's time of day, in milliseconds since the epoch: for logs
+/// alone, since it may jump.
+pub fn read_wall_clock_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    // A clock before the epoch is as wrong as one at it.
+    since.map_or(0, |since| u64::try_from(since.as_millis()).unwrap_or(0))
+}
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -11,6 +11,7 @@
 
 use tokio::sync::watch;
 
+use super::clocks::Clocks;
 use super::state::GatewayState;
 use crate::clock::Clock;
 use crate::core::MonotonicTime;
@@ -52,6 +53,8 @@
     pub seeds: watch::Sender<Vec<SocketAddr>>,
     /// Counts the times at which each area must be read anew.
     pub read_anew: [watch::Sender<u64>; 2],
+    /// Clocks of other processes.
+    pub clocks: Clocks,
     clock: Clock,
     state: Mutex<GatewayState>,
     draining: AtomicBool,
@@ -68,6 +71,7 @@
             incarnation: rand::random(),
             seeds: watch::channel(settings.seeds.clone()).0,
             read_anew: [watch::channel(0).0, watch::channel(0).0],
+            clocks: Clocks::default(),
             clock: Clock::start(),
             state: Mutex::new(state),
             draining: AtomicBool::new(false),
--- a/src/gateway/exchange_news.rs
+++ b/src/gateway/exchange_news.rs
@@ -17,8 +17,10 @@
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
+use super::clocks::ClockOf;
 use super::context::GatewayContext;
 use super::state::GatewayState;
+use crate::clock::read_wall_clock_ms;
 use crate::core::MonotonicTime;
 use crate::core::fleet::Member;
 use crate::mesh::EngineNews;
@@ -282,6 +284,7 @@
     let now = cx.now();
     let mut state = cx.lock();
     EntryNews {
+        clock_ms: read_wall_clock_ms(),
         address: cx.settings.listen.peers,
         usage: state.quota.usage(&cx.settings.name, cx.incarnation, now),
         configuration: state.configuration_version(),
@@ -302,6 +305,8 @@
         return;
     }
     let now = cx.now();
+    let label = ClockOf::Entry(&news.usage.name);
+    cx.clocks.note(label, news.clock_ms, read_wall_clock_ms());
     roster.note(&news.usage.name, news.address, now);
     for entry in &news.entries {
         if entry.name != cx.settings.name {
--- a/src/gateway/log_call.rs
+++ b/src/gateway/log_call.rs
@@ -1,6 +1,7 @@
-//! The log line of one call.
+//! The log lines of one call.
 
 use std::fmt::Write;
+use std::mem::take;
 use std::sync::Arc;
 
 use tokio::time::Instant;
@@ -9,11 +10,16 @@
 use super::read_call::Call;
 use crate::core::fleet::Choice;
 
-/// What is logged of one call when it ends: one line, with what decided it.
+/// What is logged of one call: a line for each send, written before it with
+/// what decided it, so that a process that is killed leaves it behind; and a
+/// line when the call ends.
 #[derive(Debug)]
 pub struct CallLog {
     cx: Arc<GatewayContext>,
-    line: String,
+    id: String,
+    /// What is known of the call, until a line has said it.
+    about: String,
+    failures: String,
     received: Instant,
     attempts: u32,
     first_event: Option<Instant>,
@@ -21,20 +27,22 @@
 }
 
 impl CallLog {
-    /// Begins the line of a call.
+    /// Begins the lines of a call.
     pub fn new(cx: &Arc<GatewayContext>, call: &Call) -> Self {
-        let line = format!(
-            "id={} route={} service={} account={} config={} wait_ms={}",
-            call.id_text(),
+        let about = format!(
+            " route={} service={} account={} config={} wait_ms={} objective_ms={}",
             call.route.name,
             call.service,
             call.account.as_ref().map_or("-", |a| a.as_str()),
             call.configuration,
             call.time_left().as_millis(),
+            call.route.objective.as_millis(),
         );
         Self {
             cx: Arc::clone(cx),
-            line,
+            id: call.id_text().to_owned(),
+            about,
+            failures: String::new(),
             received: call.received,
             attempts: 0,
             first_event: None,
@@ -42,13 +50,14 @@
         }
     }
 
-    /// Notes an attempt and why it is made.
-    pub fn note_attempt(&mut self, choice: &Choice, reason: &str) {
+    /// Logs a send that is about to be made, and why.
+    pub fn log_send(&mut self, choice: &Choice, reason: &str) {
         self.attempts += 1;
-        // Writing to a string cannot fail.
-        let _ = write!(
-            self.line,
-            " [{reason} server={} v={} load={:.1} age_ms={} predicted_ms={} read={} again={} fetch={}]",
+        log::info!(
+            "call: sent id={}{} attempt={} why={reason} server={} v={} load={:.1} age_ms={} predicted_ms={} read={} again={} fetch={}",
+            self.id,
+            take(&mut self.about),
+            self.attempts,
             choice.name,
             choice.version.map_or(0, |version| version.0),
             choice.load,
@@ -60,10 +69,15 @@
         );
     }
 
-    /// Notes how an attempt failed.
+    /// Notes how an attempt failed, or why none follows.
     pub fn note_failure(&mut self, reason: &str) {
-        self.line.push_str(" -> ");
-        self.line.push_str(reason);
+        let separator = if self.failures.is_empty() {
+            " failed="
+        } else {
+            ","
+        };
+        // Writing to a string cannot fail.
+        let _ = write!(self.failures, "{separator}{reason}");
     }
 
     /// Notes that the first event has gone to the caller.
@@ -76,7 +90,7 @@
         }
     }
 
-    /// Writes the line, once.
+    /// Logs the call's end, once.
     pub fn end(&mut self, outcome: &'static str, status: u16) {
         if self.is_ended {
             return;
@@ -88,8 +102,10 @@
             .first_event
             .map_or(-1, |at| at.duration_since(self.received).as_millis() as i64);
         log::info!(
-            "call: {} attempts={} outcome={outcome} status={status} first_ms={first} ms={}",
-            self.line,
+            "call: ended id={}{}{} attempts={} outcome={outcome} status={status} first_ms={first} ms={}",
+            self.id,
+            take(&mut self.about),
+            self.failures,
             self.attempts,
             passed.as_millis(),
         );
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -3,6 +3,7 @@
 //! backend servers directly, so that calls go on while agents are away.
 
 mod attempt;
+mod clocks;
 mod context;
 mod exchange_news;
 mod follow_store;
--- a/src/gateway/observe_engines.rs
+++ b/src/gateway/observe_engines.rs
@@ -10,7 +10,9 @@
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
+use super::clocks::ClockOf;
 use super::context::GatewayContext;
+use crate::clock::read_wall_clock_ms;
 use crate::core::ServerName;
 use crate::core::fleet::MemberState;
 use crate::core::fleet::WantedVersion;
@@ -134,6 +136,8 @@
 }
 
 fn take_news(cx: &GatewayContext, name: &ServerName, news: EngineNews, known: &mut ObserveRequest) {
+    let label = ClockOf::Agent(name);
+    cx.clocks.note(label, news.clock_ms, read_wall_clock_ms());
     let now = cx.now();
     let mut state = cx.lock();
     for wanted in &news.wanted {
--- a/src/gateway/relay_stream.rs
+++ b/src/gateway/relay_stream.rs
@@ -150,7 +150,7 @@
                 self.log.note_failure("no-repeats-left");
                 return false;
             }
-            self.log.note_attempt(&choice, reason);
+            self.log.log_send(&choice, reason);
             self.tried.push(choice.key);
             let may_leave = self.call.may_run_again(self.runs + 1);
             let last = self.last_event.clone();
--- a/src/gateway/serve_call.rs
+++ b/src/gateway/serve_call.rs
@@ -96,7 +96,7 @@
                 break;
             }
         };
-        log.note_attempt(&choice, reason);
+        log.log_send(&choice, reason);
         tried.push(choice.key);
         let may_leave = call.may_run_again(runs + 1);
         match attempt_call(cx, &call, choice, None, may_leave).await {
@@ -242,7 +242,7 @@
     cx.metrics.count_call(refusal.code(), passed);
     let version = cx.lock().configuration_version();
     log::info!(
-        "call: id={} config={version} outcome={} status={} ms={}",
+        "call: refused id={} config={version} outcome={} status={} ms={}",
         std::str::from_utf8(id).unwrap_or("not-text"),
         refusal.code(),
         refusal.status(),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod config;
 pub mod core;
 pub mod entry;
+pub mod explain;
 pub mod gateway;
 pub mod http;
 pub mod logs;
--- a/src/logs/bounded_writer.rs
+++ b/src/logs/bounded_writer.rs
@@ -8,6 +8,7 @@
 use std::sync::mpsc::TrySendError;
 use std::sync::mpsc::sync_channel;
 use std::thread;
+use std::time::Duration;
 
 use flexi_logger::DeferredNow;
 use flexi_logger::FormatFunction;
@@ -18,6 +19,14 @@
 /// 300 bytes a line this takes about half a megabyte.
 const MAX_WAITING: usize = 2_048;
 
+/// Time in which lines gather before they are written together: each wake of
+/// the writing thread costs as much as several lines. A process that is killed
+/// loses as much of its log.
+const GATHER_TIME: Duration = Duration::from_millis(40);
+
+/// Bytes after which no more lines are gathered for one write.
+const MAX_WRITE: usize = 64 * 1024;
+
 /// Lines dropped since the process began.
 static TOTAL_DROPPED: AtomicU64 = AtomicU64::new(0);
 
@@ -48,9 +57,15 @@
         let (lines, waiting) = sync_channel::<Vec<u8>>(MAX_WAITING);
         let mut out = out;
         thread::Builder::new().name("logs".into()).spawn(move || {
-            while let Ok(line) = waiting.recv() {
+            while let Ok(mut lines) = waiting.recv() {
+                thread::sleep(GATHER_TIME);
+                while lines.len() < MAX_WRITE
+                    && let Ok(line) = waiting.try_recv()
+                {
+                    lines.extend_from_slice(&line);
+                }
                 // Nobody could be told that the log cannot be written.
-                let _ = out.write_all(&line);
+                let _ = out.write_all(&lines);
             }
         })?;
         Ok(Self {
@@ -94,12 +109,15 @@
 
     /// An output that blocks until it is released.
     struct StuckOutput {
+        began: Sender<()>,
         release: Receiver<()>,
         written: Sender<Vec<u8>>,
     }
 
     impl Write for StuckOutput {
         fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
+            // A test that has ended waits for nothing more.
+            let _ = self.began.send(());
             if self.release.recv().is_err() {
                 return Ok(buf.len());
             }
@@ -132,18 +150,22 @@
 
     #[test]
     fn write_output_stuck_drops_and_counts() {
+        let (began, began_rx) = channel();
         let (release, release_rx) = channel();
         let (written, written_rx) = channel();
         let out = StuckOutput {
+            began,
             release: release_rx,
             written,
         };
         let writer = BoundedWriter::start(write_plain, out).expect("a thread");
+        log_line(&writer);
+        began_rx.recv().expect("the output is asked");
         for _ in 0..MAX_WAITING + 100 {
             log_line(&writer);
         }
         let dropped = dropped_lines();
-        assert!((98..=100).contains(&dropped), "{dropped} dropped");
+        assert_eq!(dropped, 100);
         release.send(()).expect("the output waits");
         let first = written_rx.recv().expect("a line");
         assert_eq!(first, b"line\n");
--- a/src/mesh/engine_news.rs
+++ b/src/mesh/engine_news.rs
@@ -12,6 +12,8 @@
 pub struct EngineNews {
     /// Run of the agent.
     pub incarnation: u64,
+    /// Milliseconds since the epoch by the clock of its host.
+    pub clock_ms: u64,
     /// Number of these news.
     pub number: u64,
     /// The engine's state.
--- a/src/mesh/entry_news.rs
+++ b/src/mesh/entry_news.rs
@@ -11,6 +11,8 @@
 /// What entries tell each other.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct EntryNews {
+    /// Milliseconds since the epoch by the clock of its host.
+    pub clock_ms: u64,
     /// Where the sender takes control messages.
     pub address: SocketAddr,
     /// What the sender has admitted.
--- a/src/sidecar/serve_entries.rs
+++ b/src/sidecar/serve_entries.rs
@@ -8,6 +8,7 @@
 use tokio::time::timeout;
 
 use super::context::SidecarContext;
+use crate::clock::read_wall_clock_ms;
 use crate::core::fleet::Member;
 use crate::core::fleet::WantedVersion;
 use crate::mesh::EngineNews;
@@ -92,6 +93,7 @@
         let is_whole = changes.is_none();
         EngineNews {
             incarnation: self.cx.incarnation,
+            clock_ms: read_wall_clock_ms(),
             number,
             facts: state.facts.clone(),
             parts: changes.unwrap_or_else(|| state.parts.list()),
--- a/src/timeline/event_kind.rs
+++ b/src/timeline/event_kind.rs
@@ -43,6 +43,8 @@
     RulesInForce(Revision),
     /// An operator called the administration API.
     Administered(String),
+    /// A line of a process's log.
+    Logged(String),
 }
 
 impl EventKind {
@@ -63,6 +65,7 @@
             Self::GateRefused(_) => "gate-refused",
             Self::RulesInForce(_) => "rules-in-force",
             Self::Administered(_) => "administered",
+            Self::Logged(_) => "logged",
         }
     }
 
@@ -89,6 +92,7 @@
             Self::GateRefused(refusal) => write!(f, "{name}: {refusal}"),
             Self::RulesInForce(revision) => write!(f, "{name}: revision {revision}"),
             Self::Administered(call) => write!(f, "{name}: {call}"),
+            Self::Logged(line) => f.write_str(line),
             _ => f.write_str(name),
         }
     }
