Tell a peer only what it lacks of an entry's admissions

Cause: each of an entry's exchanges carried every account's admissions and levels, both ways, and every entry known: at 24 entries most of the bytes between zones and a third of a gateway's processor.

An entry now says with each message up to which change it knows the other's admissions, and gets what came after; levels go only to one whose own are guesses, and the entries known with every 16th message. Counts are absolute, so lost news come with the next; overtaken news and news whose base is unknown are left out. An account that loses its rate and gets it back goes on counting: before, its count began at zero, which peers took for tokens given back. Agents leave out the versions that an entry has just named itself.

--- a/src/core/fleet/fleet_quota.rs
+++ b/src/core/fleet/fleet_quota.rs
@@ -2,12 +2,13 @@
 //! entry has admitted.
 
 use std::collections::HashMap;
+use std::mem::take;
 use std::time::Duration;
 
-use serde::Deserialize;
-use serde::Serialize;
-
 use super::AccountRule;
+use super::KnownUsage;
+use super::PeerUsage;
+use super::UsageQuery;
 use super::token_bucket::TokenBucket;
 use crate::core::AccountName;
 use crate::core::MonotonicTime;
@@ -32,20 +33,6 @@
 /// what entries admit before they hear of each other.
 const USED_OVERAGE: f64 = 0.3;
 
-/// What one entry has admitted since it started.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PeerUsage {
-    /// Name of the entry.
-    pub name: String,
-    /// Differs in each run of the entry.
-    pub incarnation: u64,
-    /// Tokens admitted for each account since that run began.
-    pub admitted: Vec<(AccountName, u64)>,
-    /// Tokens that each account may use at once, as the entry believes; none
-    /// while it believes nothing of its own.
-    pub levels: Vec<(AccountName, i64)>,
-}
-
 /// Rates of client accounts across all entries. Every entry keeps each
 /// account's whole bucket, takes its own admissions from it at once, and
 /// takes those of its peers when it hears of them. A silent peer is charged
@@ -56,6 +43,11 @@
     overage: f64,
     slack: f64,
     accounts: HashMap<AccountName, AccountQuota>,
+    /// Tokens admitted for accounts that have no rate any more: counts go on
+    /// from there if they get one again.
+    retired: HashMap<AccountName, u64>,
+    /// Number of the last change of what this entry has admitted.
+    number: u64,
     peers: HashMap<String, Peer>,
     charged_at: MonotonicTime,
     /// Until when the levels are guesses that a peer's replace.
@@ -67,11 +59,16 @@
     bucket: TokenBucket,
     rate: f64,
     admitted: u64,
+    /// Number of its last change.
+    changed_at: u64,
 }
 
 #[derive(Debug)]
 struct Peer {
     incarnation: u64,
+    /// Number of its last change that is known; none before the first news
+    /// that were complete.
+    number: Option<u64>,
     heard_at: MonotonicTime,
     is_gone: bool,
     admitted: HashMap<AccountName, u64>,
@@ -86,6 +83,8 @@
             overage,
             slack,
             accounts: HashMap::new(),
+            retired: HashMap::new(),
+            number: 0,
             peers: HashMap::new(),
             charged_at: MonotonicTime::ZERO,
             guesses_until: None,
@@ -100,7 +99,11 @@
             .filter(|rule| rule.rate.is_some())
             .map(|rule| (&rule.name, rule))
             .collect();
-        self.accounts.retain(|name, _| limited.contains_key(name));
+        let retired = self
+            .accounts
+            .extract_if(|name, _| !limited.contains_key(name));
+        self.retired
+            .extend(retired.map(|(name, account)| (name, account.admitted)));
         for (name, rule) in limited {
             let rate = rule.rate.unwrap_or(0) as f64 * (1.0 + self.overage * USED_OVERAGE);
             let burst =
@@ -114,7 +117,8 @@
                     let account = AccountQuota {
                         bucket: TokenBucket::new(rate, burst, burst * FIRST_LEVEL, now),
                         rate,
-                        admitted: 0,
+                        admitted: self.retired.remove(name).unwrap_or(0),
+                        changed_at: self.number,
                     };
                     self.accounts.insert(name.clone(), account);
                 }
@@ -143,6 +147,8 @@
         }
         account.bucket.take(tokens as f64, now);
         account.admitted += tokens;
+        self.number += 1;
+        account.changed_at = self.number;
         Ok(())
     }
 
@@ -171,15 +177,43 @@
         if let Some(account) = self.accounts.get_mut(account) {
             account.bucket.take(-(tokens as f64), now);
             account.admitted = account.admitted.saturating_sub(tokens);
+            self.number += 1;
+            account.changed_at = self.number;
         }
     }
 
-    /// Returns what this entry has admitted and what it believes is left.
-    pub fn usage(&mut self, name: &str, incarnation: u64, now: MonotonicTime) -> PeerUsage {
+    /// Returns what to ask a peer for.
+    pub fn query(&self, peer: &str, now: MonotonicTime) -> UsageQuery {
+        let known = self.peers.get(peer).and_then(|peer| {
+            Some(KnownUsage {
+                incarnation: peer.incarnation,
+                number: peer.number?,
+            })
+        });
+        UsageQuery {
+            known,
+            wants_levels: self.is_guessing(now),
+        }
+    }
+
+    /// Returns what this entry has admitted since a peer heard of it, and what
+    /// it believes is left where the peer asks for that.
+    pub fn usage(
+        &mut self,
+        name: &str,
+        incarnation: u64,
+        query: UsageQuery,
+        now: MonotonicTime,
+    ) -> PeerUsage {
         self.charge_silent_peers(now);
-        let admitted = self.accounts.iter();
-        let admitted = admitted.map(|(n, a)| (n.clone(), a.admitted)).collect();
-        let levels = if self.is_guessing(now) {
+        let known = query.known.filter(|known| known.incarnation == incarnation);
+        let base = known.map_or(0, |known| known.number);
+        let changed = self
+            .accounts
+            .iter()
+            .filter(|(_, account)| base == 0 || account.changed_at > base);
+        let admitted = changed.map(|(n, a)| (n.clone(), a.admitted)).collect();
+        let levels = if !query.wants_levels || self.is_guessing(now) {
             Vec::new()
         } else {
             let accounts = self.accounts.iter_mut();
@@ -190,6 +224,8 @@
         PeerUsage {
             name: name.into(),
             incarnation,
+            number: self.number,
+            base,
             admitted,
             levels,
         }
@@ -218,12 +254,12 @@
     pub fn observe_peer(&mut self, usage: &PeerUsage, now: MonotonicTime) {
         self.charge_silent_peers(now);
         self.adopt_levels(usage, now);
-        let is_first = !self.peers.contains_key(&usage.name);
         let peer = self
             .peers
             .entry(usage.name.clone())
             .or_insert_with(|| Peer {
                 incarnation: usage.incarnation,
+                number: None,
                 heard_at: now,
                 is_gone: false,
                 admitted: HashMap::new(),
@@ -232,25 +268,33 @@
         if peer.incarnation != usage.incarnation {
             peer.incarnation = usage.incarnation;
             peer.admitted.clear();
+            peer.number = Some(0);
         }
         peer.heard_at = now;
         peer.is_gone = false;
+        let is_complete = usage.base == 0 || peer.number.is_some_and(|held| held >= usage.base);
+        let is_overtaken = peer.number.is_some_and(|held| held > usage.number);
+        if !is_complete || is_overtaken {
+            return;
+        }
+        // What it admitted before the first contact is not known by time.
+        let is_first = peer.number.is_none();
+        peer.number = Some(usage.number);
+        let mut corrections = take(&mut peer.assumed);
+        corrections
+            .values_mut()
+            .for_each(|assumed| *assumed *= -1.0);
         for (name, admitted) in &usage.admitted {
             // Noted for accounts without a rate as well: a process hears its
             // peers before it has a configuration.
             let before = peer.admitted.insert(name.clone(), *admitted);
-            let Some(account) = self.accounts.get_mut(name) else {
-                continue;
-            };
-            let before = match before {
-                Some(before) => before,
-                // What it admitted before the first contact is not known by time.
-                None if is_first => *admitted,
-                None => 0,
-            };
-            let assumed = peer.assumed.remove(name).unwrap_or(0.0);
-            let gained = *admitted as f64 - before as f64;
-            account.bucket.take(gained - assumed, now);
+            let before = before.unwrap_or(if is_first { *admitted } else { 0 });
+            *corrections.entry(name.clone()).or_default() += *admitted as f64 - before as f64;
+        }
+        for (name, tokens) in corrections {
+            if let Some(account) = self.accounts.get_mut(&name) {
+                account.bucket.take(tokens, now);
+            }
         }
     }
 
--- a/src/gateway/exchange_news.rs
+++ b/src/gateway/exchange_news.rs
@@ -23,6 +23,7 @@
 use crate::clock::read_wall_clock_ms;
 use crate::core::MonotonicTime;
 use crate::core::fleet::Member;
+use crate::core::fleet::UsageQuery;
 use crate::mesh::EngineNews;
 use crate::mesh::EntryNews;
 use crate::mesh::KnownEntry;
@@ -42,6 +43,9 @@
 /// peer is asked less often.
 const MAX_EXCHANGES_PER_S: u64 = 150;
 
+/// Exchanges of one connection after which the entries known are told again.
+const ROSTER_EVERY: u64 = 16;
+
 /// Time for an answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -99,11 +103,17 @@
     }
 
     async fn exchange(self, _: Context, news: EntryNews) -> Option<EntryNews> {
-        let address = news.address;
+        let (address, query) = (news.address, news.query);
+        let peer = news.usage.name.clone();
+        let has_roster = !news.entries.is_empty();
         take_news(&self.cx, &self.roster, news, &self.found);
         // The receiver lives as long as the process.
         let _ = self.found.send(address);
-        Some(make_news(&self.cx, &self.roster))
+        let mut answer = make_news(&self.cx, Some(&peer), query);
+        if has_roster {
+            answer.entries = self.roster.list(self.cx.now());
+        }
+        Some(answer)
     }
 
     async fn get_configuration(self, _: Context, held: u64) -> Option<Bytes> {
@@ -208,10 +218,16 @@
     found: &UnboundedSender<SocketAddr>,
     followed: Followed<'_>,
 ) -> String {
+    let mut query = UsageQuery::default();
+    let mut round = 0_u64;
     loop {
-        let news = make_news(cx, roster);
+        let mut news = make_news(cx, followed.name.as_deref(), query);
+        if round.is_multiple_of(ROSTER_EVERY) {
+            news.entries = roster.list(cx.now());
+        }
         match client.exchange(call_context(), news).await {
             Ok(Some(news)) => {
+                query = news.query;
                 *followed.heard_at = cx.now();
                 *followed.name = Some(news.usage.name.clone());
                 let version = news.configuration;
@@ -225,6 +241,7 @@
         let peers = cx.lock().quota.count_entries() as u64;
         let even = Duration::from_millis(1_000 * peers / MAX_EXCHANGES_PER_S);
         sleep(EXCHANGE_INTERVAL.max(even)).await;
+        round = round.wrapping_add(1);
     }
 }
 
@@ -280,17 +297,22 @@
     state.has_members = true;
 }
 
-fn make_news(cx: &GatewayContext, roster: &EntryRoster) -> EntryNews {
+/// Makes the news for a peer, by its name where that is known, and what it
+/// asked for last.
+fn make_news(cx: &GatewayContext, peer: Option<&str>, query: UsageQuery) -> EntryNews {
     let now = cx.now();
     let mut state = cx.lock();
     EntryNews {
         clock_ms: read_wall_clock_ms(),
         address: cx.settings.listen.peers,
-        usage: state.quota.usage(&cx.settings.name, cx.incarnation, now),
+        usage: state
+            .quota
+            .usage(&cx.settings.name, cx.incarnation, query, now),
+        query: state.quota.query(peer.unwrap_or_default(), now),
         configuration: state.configuration_version(),
         newest: state.progress.map(|progress| progress.newest),
         wanted: state.dispatcher.list_wanted(),
-        entries: roster.list(now),
+        entries: Vec::new(),
         is_leaving: cx.is_draining(),
     }
 }
--- a/src/mesh/engine_news.rs
+++ b/src/mesh/engine_news.rs
@@ -24,6 +24,7 @@
     pub is_whole: bool,
     /// Number of the next change.
     pub next_part: u64,
-    /// Weights versions that the agent knows to be wanted.
+    /// Weights versions that the agent knows to be wanted and the entry did
+    /// not name.
     pub wanted: Vec<WantedVersion>,
 }
--- a/src/mesh/entry_news.rs
+++ b/src/mesh/entry_news.rs
@@ -6,6 +6,7 @@
 use serde::Serialize;
 
 use crate::core::fleet::PeerUsage;
+use crate::core::fleet::UsageQuery;
 use crate::core::fleet::WantedVersion;
 
 /// What entries tell each other.
@@ -15,15 +16,17 @@
     pub clock_ms: u64,
     /// Where the sender takes control messages.
     pub address: SocketAddr,
-    /// What the sender has admitted.
+    /// What the sender has admitted, as far as the receiver lacks it.
     pub usage: PeerUsage,
+    /// What the sender needs to hear of the receiver's admissions.
+    pub query: UsageQuery,
     /// Version of the sender's configuration; zero without one.
     pub configuration: u64,
     /// Revisions of the newest records that the sender has seen, by area.
     pub newest: [u64; 2],
     /// Weights versions that the sender knows to be wanted.
     pub wanted: Vec<WantedVersion>,
-    /// Entries that the sender hears of.
+    /// Entries that the sender hears of; left out of most news.
     pub entries: Vec<KnownEntry>,
     /// The sender is about to stop.
     pub is_leaving: bool,
--- a/src/sidecar/serve_entries.rs
+++ b/src/sidecar/serve_entries.rs
@@ -91,6 +91,8 @@
             .then(|| state.parts.changes_since(req.known_parts))
             .flatten();
         let is_whole = changes.is_none();
+        let mut newer = state.rollout.list_wanted();
+        newer.retain(|wanted| !req.wanted.contains(wanted));
         EngineNews {
             incarnation: self.cx.incarnation,
             clock_ms: read_wall_clock_ms(),
@@ -99,7 +101,7 @@
             parts: changes.unwrap_or_else(|| state.parts.list()),
             is_whole,
             next_part: state.parts.next(),
-            wanted: state.rollout.list_wanted(),
+            wanted: newer,
         }
     }
 }
--- a/tests/fleet_quota.rs
+++ b/tests/fleet_quota.rs
@@ -7,6 +7,8 @@
 use teaseldrum::core::MonotonicTime;
 use teaseldrum::core::fleet::AccountRule;
 use teaseldrum::core::fleet::FleetQuota;
+use teaseldrum::core::fleet::PeerUsage;
+use teaseldrum::core::fleet::UsageQuery;
 
 const RATE: u64 = 100_000;
 const BURST: u64 = 100_000;
@@ -88,19 +90,24 @@
 
     fn exchange(&mut self, hears: impl Fn(usize, usize) -> bool) {
         let now = self.now();
-        let usages: Vec<_> = self
-            .entries
-            .iter_mut()
-            .enumerate()
-            .map(|(index, quota)| quota.usage(&format!("e{index}"), self.incarnations[index], now))
-            .collect();
-        for (from, usage) in usages.iter().enumerate() {
+        let mut usages = Vec::new();
+        for from in 0..self.entries.len() {
             for to in 0..self.entries.len() {
                 if from != to && hears(from, to) {
-                    self.entries[to].observe_peer(usage, now);
+                    usages.push((to, self.tell(from, to)));
                 }
             }
         }
+        for (to, usage) in usages {
+            self.entries[to].observe_peer(&usage, now);
+        }
+    }
+
+    /// Returns what one entry tells another, which said what it knows.
+    fn tell(&mut self, from: usize, to: usize) -> PeerUsage {
+        let (name, now) = (format!("e{from}"), self.now());
+        let query = self.entries[to].query(&name, now);
+        self.entries[from].usage(&name, self.incarnations[from], query, now)
     }
 
     fn most_in_window(&self) -> u64 {
@@ -249,3 +256,110 @@
     }
     assert_eq!(fleet.refused, before);
 }
+
+impl Fleet {
+    /// Returns the tokens that the account may use at once, as an entry
+    /// believes.
+    fn level(&mut self, entry: usize) -> i64 {
+        let query = UsageQuery {
+            known: None,
+            wants_levels: true,
+        };
+        let now = self.now();
+        let usage = self.entries[entry].usage("x", 0, query, now);
+        usage.levels[0].1
+    }
+
+    fn admit(&mut self, entry: usize, tokens: u64) {
+        let now = self.now();
+        self.entries[entry]
+            .admit(&AccountName::from("guild"), tokens, now)
+            .expect("a full bucket");
+    }
+}
+
+/// Two entries that have run for long enough to believe their own levels,
+/// which are full.
+fn full_fleet() -> Fleet {
+    let mut fleet = Fleet::new(2);
+    fleet.run(6_000, 1, |_, _| true);
+    fleet.now_ms += 4_000;
+    fleet.exchange(|_, _| true);
+    fleet
+}
+
+#[test]
+fn usage_tells_only_what_changed() {
+    let mut fleet = full_fleet();
+    assert!(fleet.tell(0, 1).admitted.is_empty());
+    fleet.admit(0, 1_000);
+    assert_eq!(fleet.tell(0, 1).admitted.len(), 1);
+    assert!(fleet.tell(0, 1).levels.is_empty());
+}
+
+#[test]
+fn observe_peer_lost_news_come_with_the_next() {
+    let mut fleet = full_fleet();
+    fleet.admit(0, 10_000);
+    let _lost = fleet.tell(0, 1);
+    fleet.admit(0, 20_000);
+    fleet.exchange(|_, _| true);
+    assert_eq!(fleet.level(0), fleet.level(1));
+}
+
+#[test]
+fn observe_peer_overtaken_news_change_nothing() {
+    let mut fleet = full_fleet();
+    fleet.admit(0, 10_000);
+    let older = fleet.tell(0, 1);
+    fleet.admit(0, 20_000);
+    let newer = fleet.tell(0, 1);
+    let now = fleet.now();
+    fleet.entries[1].observe_peer(&newer, now);
+    fleet.entries[1].observe_peer(&older, now);
+    assert_eq!(fleet.level(0), fleet.level(1));
+    fleet.exchange(|_, _| true);
+    assert_eq!(fleet.level(0), fleet.level(1));
+}
+
+/// News that build on what this entry does not know any more are not taken
+/// for all that the peer has admitted; complete ones follow.
+#[test]
+fn observe_peer_news_without_their_base_wait_for_complete_ones() {
+    let mut fleet = full_fleet();
+    fleet.admit(0, 10_000);
+    let changes = fleet.tell(0, 1);
+    assert!(changes.base > 0);
+    fleet.entries[1] = fleet.start_entry();
+    fleet.incarnations[1] += 100;
+    let now = fleet.now();
+    fleet.entries[1].observe_peer(&changes, now);
+    assert_eq!(fleet.entries[1].query("e0", now).known, None);
+    let complete = fleet.tell(0, 1);
+    assert_eq!((complete.base, complete.admitted.len()), (0, 1));
+}
+
+#[test]
+fn set_accounts_rate_removed_and_back_refunds_nothing() {
+    let mut fleet = full_fleet();
+    fleet.admit(0, 60_000);
+    fleet.exchange(|_, _| true);
+    let (now, before) = (fleet.now(), fleet.level(1));
+    fleet.entries[0].set_accounts(&[], now);
+    fleet.entries[0].set_accounts(&[account(RATE, BURST)], now);
+    fleet.admit(0, 1_000);
+    fleet.exchange(|_, _| true);
+    assert_eq!(fleet.level(1), before - 1_000);
+}
+
+/// A partition that outlasts the memory of peers ends without a charge for
+/// what was admitted long ago.
+#[test]
+fn admit_inside_rate_never_refused_around_a_long_partition() {
+    let mut fleet = Fleet::new(5);
+    fleet.run(3_000, 1, |_, _| true);
+    let before = fleet.refused;
+    fleet.run(20_000, 1, |from, to| from != 0 && to != 0);
+    fleet.run(5_000, 1, |_, _| true);
+    assert_eq!(fleet.refused, before);
+}
