--- a/src/mesh/engine_news.rs
+++ b/src/mesh/engine_news.rs
@@ -12,6 +12,8 @@
 pub struct EngineNews {
     /// Run of the agent.
     pub incarnation: u64,
+    /// Milliseconds since the epoch by the clock of its host.
+    pub clock_ms: u64,
     /// Number of these news.
     pub number: u64,
     /// The engine's state.
@@ -22,6 +24,7 @@
     pub is_whole: bool,
     /// Number of the next change.
     pub next_part: u64,
-    /// Weights versions that the agent knows to be wanted.
+    /// Weights versions that the agent knows to be wanted and the entry did
+    /// not name.
     pub wanted: Vec<WantedVersion>,
 }
--- a/src/sidecar/serve_entries.rs
+++ b/src/sidecar/serve_entries.rs
@@ -8,6 +8,7 @@
 use tokio::time::timeout;
 
 use super::context::SidecarContext;
+use crate::clock::read_wall_clock_ms;
 use crate::core::fleet::Member;
 use crate::core::fleet::WantedVersion;
 use crate::mesh::EngineNews;
@@ -90,14 +91,17 @@
             .then(|| state.parts.changes_since(req.known_parts))
             .flatten();
         let is_whole = changes.is_none();
+        let mut newer = state.rollout.list_wanted();
+        newer.retain(|wanted| !req.wanted.contains(wanted));
         EngineNews {
             incarnation: self.cx.incarnation,
+            clock_ms: read_wall_clock_ms(),
             number,
             facts: state.facts.clone(),
             parts: changes.unwrap_or_else(|| state.parts.list()),
             is_whole,
             next_part: state.parts.next(),
-            wanted: state.rollout.list_wanted(),
+            wanted: newer,
         }
     }
 }
