Announce long prompts to the agent of their engine

An engine's report tells how many calls wait, not what they still have to have read.

An entry now tells the agent beside the engine of each call with 4,000 prompt tokens or more to read (47 ms), and the agent tells all entries what is left.

--- a/src/core/fleet/backend_load.rs
+++ b/src/core/fleet/backend_load.rs
@@ -5,6 +5,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::ReadingQueue;
 use crate::core::MonotonicTime;
 
 /// Age at which a report says nothing any more of others' calls.
@@ -28,6 +29,7 @@
     others: u32,
     others_waiting: u32,
     reported_at: Option<MonotonicTime>,
+    others_reading: ReadingQueue,
 }
 
 impl BackendLoad {
@@ -54,6 +56,13 @@
         self.reported_at = Some(now);
     }
 
+    /// Takes note of the prompt tokens that all entries' calls still have to
+    /// have read.
+    pub fn observe_reading(&mut self, tokens: u32, now: MonotonicTime) {
+        let own = u32::try_from(self.own_prefill).unwrap_or(u32::MAX);
+        self.others_reading.set(tokens.saturating_sub(own), now);
+    }
+
     /// Estimates the calls at the server, running and waiting.
     pub fn calls(&self, now: MonotonicTime) -> f64 {
         f64::from(self.own) + f64::from(self.others) * self.trust(now)
@@ -61,7 +70,9 @@
 
     /// Estimates the prompt tokens that the server still has to read.
     pub fn prefill_tokens(&self, mean_tokens: f64, now: MonotonicTime) -> f64 {
-        self.own_prefill as f64 + f64::from(self.others_waiting) * mean_tokens * self.trust(now)
+        let waiting = f64::from(self.others_waiting) * mean_tokens * self.trust(now);
+        let announced = f64::from(self.others_reading.left(now));
+        self.own_prefill as f64 + waiting.max(announced)
     }
 
     /// Age of the last report.
--- /dev/null
+++ b/src/gateway/agent_links.rs
@@ -0,0 +1,62 @@
+//! Connections to the agents beside engines.
+
+use std::collections::HashMap;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::core::ServerName;
+use crate::core::fleet::Choice;
+use crate::mesh::MeshClient;
+
+/// Prompt tokens from which on a call is announced: an engine reads them in
+/// 47 ms, several times what an announcement takes. Shorter ones hold up
+/// others by less than news are late.
+const ANNOUNCED_TOKENS: u32 = 4_000;
+
+/// Time after which an announcement is void.
+const ANNOUNCE_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Connections to the agents beside engines, while they hold.
+#[derive(Debug, Default)]
+pub struct AgentLinks {
+    clients: Mutex<HashMap<ServerName, MeshClient>>,
+}
+
+impl AgentLinks {
+    /// Takes over a connection.
+    pub fn put(&self, server: &ServerName, client: MeshClient) {
+        self.lock().insert(server.clone(), client);
+    }
+
+    /// Forgets a connection that has ended.
+    pub fn remove(&self, server: &ServerName) {
+        self.lock().remove(server);
+    }
+
+    /// Announces a call with a long prompt to the agent of its engine, which
+    /// tells the other entries at once: they would send theirs behind it.
+    pub fn announce(&self, choice: &Choice) {
+        if choice.prefill_tokens < ANNOUNCED_TOKENS {
+            return;
+        }
+        let Some(client) = self.lock().get(&choice.name).cloned() else {
+            return;
+        };
+        let (tokens, server) = (choice.prefill_tokens, choice.name.clone());
+        tokio::spawn(async move {
+            let mut call = tarpc::context::current();
+            call.deadline = Instant::now() + ANNOUNCE_TIMEOUT;
+            if let Err(e) = client.announce(call, tokens).await {
+                // The agent's news will be lost too, which is logged there.
+                log::debug!("agents: not told of a call server={server} reason=\"{e}\"");
+            }
+        });
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<ServerName, MeshClient>> {
+        self.clients.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -95,6 +95,7 @@
         let now = cx.now();
         let prompt = call.head.prompt.as_ref();
         cx.lock().dispatcher.begin(&choice, prompt, now);
+        cx.agents.announce(&choice);
         Self {
             cx: Arc::clone(cx),
             choice,
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -11,6 +11,7 @@
 
 use tokio::sync::watch;
 
+use super::agent_links::AgentLinks;
 use super::clocks::Clocks;
 use super::state::GatewayState;
 use crate::clock::Clock;
@@ -53,6 +54,8 @@
     pub seeds: watch::Sender<Vec<SocketAddr>>,
     /// Counts the times at which each area must be read anew.
     pub read_anew: [watch::Sender<u64>; 2],
+    /// Connections to agents.
+    pub agents: AgentLinks,
     /// Clocks of other processes.
     pub clocks: Clocks,
     clock: Clock,
@@ -71,6 +74,7 @@
             incarnation: rand::random(),
             seeds: watch::channel(settings.seeds.clone()).0,
             read_anew: [watch::channel(0).0, watch::channel(0).0],
+            agents: AgentLinks::default(),
             clocks: Clocks::default(),
             clock: Clock::start(),
             state: Mutex::new(state),
--- a/src/gateway/exchange_news.rs
+++ b/src/gateway/exchange_news.rs
@@ -102,6 +102,8 @@
         None
     }
 
+    async fn announce(self, _: Context, _: u32) {}
+
     async fn exchange(self, _: Context, news: EntryNews) -> Option<EntryNews> {
         let (address, query) = (news.address, news.query);
         let peer = news.usage.name.clone();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -2,6 +2,7 @@
 //! come from an outside store: it takes calls from callers and sends them to
 //! backend servers directly, so that calls go on while agents are away.
 
+mod agent_links;
 mod attempt;
 mod clocks;
 mod context;
--- a/src/gateway/observe_engines.rs
+++ b/src/gateway/observe_engines.rs
@@ -39,6 +39,7 @@
             let is_listed = engines.iter().any(|(listed, _)| listed == name);
             if !is_listed {
                 follower.abort();
+                cx.agents.remove(name);
             }
             is_listed
         });
@@ -83,7 +84,10 @@
                     log::info!("agents: regained server={name} agent={agent}");
                     is_lost = false;
                 }
-                follow_connection(&cx, &name, &client, &mut known).await
+                cx.agents.put(&name, client.clone());
+                let reason = follow_connection(&cx, &name, &client, &mut known).await;
+                cx.agents.remove(&name);
+                reason
             }
             Err(e) => e.to_string(),
         };
--- a/src/mesh/service.rs
+++ b/src/mesh/service.rs
@@ -17,6 +17,10 @@
     /// are none.
     async fn observe(req: ObserveRequest) -> Option<EngineNews>;
 
+    /// Announces a call with so many prompt tokens to read that was just sent
+    /// to the agent's engine.
+    async fn announce(prompt_tokens: u32);
+
     /// Tells an entry the caller's news and asks for its own.
     async fn exchange(news: EntryNews) -> Option<EntryNews>;
 
--- a/src/sidecar/context.rs
+++ b/src/sidecar/context.rs
@@ -12,6 +12,7 @@
 use crate::core::MonotonicTime;
 use crate::core::fleet::AgentFacts;
 use crate::core::fleet::HeldParts;
+use crate::core::fleet::ReadingQueue;
 use crate::core::fleet::Rollout;
 use crate::metrics::SidecarMetrics;
 use crate::ports::EnginePort;
@@ -36,6 +37,8 @@
     pub parts: HeldParts,
     /// Changes of the parts that entries were not woken for yet.
     pub has_new_parts: bool,
+    /// Prompts that the engine still has to read.
+    pub reading: ReadingQueue,
     /// The engine's state.
     pub facts: AgentFacts,
     /// The state that entries were woken for last.
--- a/src/sidecar/serve_entries.rs
+++ b/src/sidecar/serve_entries.rs
@@ -9,6 +9,7 @@
 
 use super::context::SidecarContext;
 use crate::clock::read_wall_clock_ms;
+use crate::core::fleet::AgentFacts;
 use crate::core::fleet::Member;
 use crate::core::fleet::WantedVersion;
 use crate::mesh::EngineNews;
@@ -41,6 +42,12 @@
         Some(self.make_news(&req, is_current, number))
     }
 
+    async fn announce(self, _: Context, prompt_tokens: u32) {
+        let now = self.cx.now();
+        self.cx.lock().reading.add(prompt_tokens, now);
+        self.cx.publish();
+    }
+
     async fn exchange(self, _: Context, _: EntryNews) -> Option<EntryNews> {
         None
     }
@@ -97,7 +104,10 @@
             incarnation: self.cx.incarnation,
             clock_ms: read_wall_clock_ms(),
             number,
-            facts: state.facts.clone(),
+            facts: AgentFacts {
+                reading_tokens: state.reading.left(self.cx.now()),
+                ..state.facts.clone()
+            },
             parts: changes.unwrap_or_else(|| state.parts.list()),
             is_whole,
             next_part: state.parts.next(),
--- a/src/sidecar/tend_engine.rs
+++ b/src/sidecar/tend_engine.rs
@@ -11,6 +11,7 @@
 use crate::core::fleet::AgentFacts;
 use crate::core::fleet::LoadFigures;
 use crate::core::fleet::OrderOutcome;
+use crate::core::fleet::ReadingQueue;
 use crate::core::fleet::RolloutStep;
 use crate::ports::EngineReport;
 use crate::ports::WeightsOrder;
@@ -51,7 +52,10 @@
                 cx.metrics.count_report_failure(failures < MAX_FAILURES);
                 if failures == MAX_FAILURES {
                     log::warn!("engine: lost address={} reason=\"{e}\"", cx.settings.engine);
-                    cx.lock().facts.is_alive = false;
+                    let mut state = cx.lock();
+                    state.facts.is_alive = false;
+                    state.reading = ReadingQueue::default();
+                    drop(state);
                     cx.publish();
                 }
             }
@@ -80,6 +84,7 @@
                 .map(|time| u32::try_from(time.as_millis()).unwrap_or(u32::MAX)),
             versions: report.facts.versions.clone(),
             load: report.load,
+            reading_tokens: 0,
             used_tokens: report.used_tokens,
             capacity_tokens: report.capacity_tokens,
         };
