Learn how long each model's engines take to read

The queue of prompts is now counted in time, and the pace of each model's engines is the median over calls that found no queue.

--- a/src/core/fleet/backend_load.rs
+++ b/src/core/fleet/backend_load.rs
@@ -25,7 +25,7 @@
 #[derive(Debug, Default)]
 pub(super) struct BackendLoad {
     own: u32,
-    own_prefill: u64,
+    own_reading: Duration,
     others: u32,
     others_waiting: u32,
     reported_at: Option<MonotonicTime>,
@@ -33,15 +33,15 @@
 }
 
 impl BackendLoad {
-    /// Takes note of a call sent, with prompt tokens that it has to read.
-    pub fn begin(&mut self, prefill_tokens: u32) {
+    /// Takes note of a call sent, whose prompt takes so long to read.
+    pub fn begin(&mut self, reading: Duration) {
         self.own += 1;
-        self.own_prefill += u64::from(prefill_tokens);
+        self.own_reading += reading;
     }
 
     /// Takes note that the prompt of a call has been read.
-    pub fn end_prefill(&mut self, prefill_tokens: u32) {
-        self.own_prefill = self.own_prefill.saturating_sub(u64::from(prefill_tokens));
+    pub fn end_reading(&mut self, reading: Duration) {
+        self.own_reading = self.own_reading.saturating_sub(reading);
     }
 
     /// Takes note that a call has ended.
@@ -56,11 +56,11 @@
         self.reported_at = Some(now);
     }
 
-    /// Takes note of the prompt tokens that all entries' calls still have to
-    /// have read.
-    pub fn observe_reading(&mut self, tokens: u32, now: MonotonicTime) {
-        let own = u32::try_from(self.own_prefill).unwrap_or(u32::MAX);
-        self.others_reading.set(tokens.saturating_sub(own), now);
+    /// Takes note of the time that the prompts of all entries' calls still
+    /// take to read.
+    pub fn observe_reading(&mut self, left: Duration, now: MonotonicTime) {
+        let others = left.saturating_sub(self.own_reading);
+        self.others_reading.set(others, now);
     }
 
     /// Estimates the calls at the server, running and waiting.
@@ -68,11 +68,12 @@
         f64::from(self.own) + f64::from(self.others) * self.trust(now)
     }
 
-    /// Estimates the prompt tokens that the server still has to read.
-    pub fn prefill_tokens(&self, mean_tokens: f64, now: MonotonicTime) -> f64 {
-        let waiting = f64::from(self.others_waiting) * mean_tokens * self.trust(now);
-        let announced = f64::from(self.others_reading.left(now));
-        self.own_prefill as f64 + waiting.max(announced)
+    /// Estimates the milliseconds that the server needs to read the prompts
+    /// that it has; `mean_ms` is for one of which nothing is known.
+    pub fn reading_ms(&self, mean_ms: f64, now: MonotonicTime) -> f64 {
+        let waiting = f64::from(self.others_waiting) * mean_ms * self.trust(now);
+        let announced = self.others_reading.left(now).as_secs_f64() * 1_000.0;
+        self.own_reading.as_secs_f64() * 1_000.0 + waiting.max(announced)
     }
 
     /// Age of the last report.
--- a/src/core/fleet/backend_view.rs
+++ b/src/core/fleet/backend_view.rs
@@ -49,8 +49,8 @@
     pub versions: Vec<(ModelName, WeightsVersion)>,
     /// Load of the engine.
     pub load: LoadFigures,
-    /// Prompt tokens that calls announced by entries still have to have read.
-    pub reading_tokens: u32,
+    /// Milliseconds that the prompts announced by entries still take to read.
+    pub reading_ms: u32,
     /// Tokens of KV cache that cannot yield.
     pub used_tokens: u64,
     /// Tokens of KV cache altogether.
@@ -140,7 +140,8 @@
     /// Takes note of what the agent says.
     pub(super) fn observe_agent(&mut self, facts: AgentFacts, now: MonotonicTime) {
         self.load.observe(facts.load, now);
-        self.load.observe_reading(facts.reading_tokens, now);
+        let reading = Duration::from_millis(u64::from(facts.reading_ms));
+        self.load.observe_reading(reading, now);
         self.agent = Some((facts, now));
     }
 
--- a/src/core/fleet/call_costs.rs
+++ b/src/core/fleet/call_costs.rs
@@ -10,14 +10,15 @@
 
 /// Prompt tokens that an engine reads in a millisecond. The engines of both
 /// deployments read 85 to 101.
-pub(super) const PREFILL_TOKENS_PER_MS: f64 = 85.0;
+const PREFILL_TOKENS_PER_MS: f64 = 85.0;
 
 /// Time for a pair of prompt tokens that attend to each other: 0.18 ms for a
 /// million.
 const ATTENTION_MS_PER_PAIR: f64 = 0.18e-6;
 
-/// Mean prompt tokens of a waiting call of which nothing is known.
-pub(super) const MEAN_PROMPT_TOKENS: f64 = 4_000.0;
+/// Time to read the prompt of a waiting call of which nothing is known, in
+/// milliseconds: that of 4,000 tokens.
+pub(super) const MEAN_READING_MS: f64 = 47.0;
 
 /// Tokens fetched in a millisecond. A link of 1,100 Gbit/s carries 420 tokens
 /// of 328 KB, but all engines share the store's, and few that of an engine.
--- a/src/core/fleet/dispatcher.rs
+++ b/src/core/fleet/dispatcher.rs
@@ -19,6 +19,7 @@
 use super::call_costs;
 use super::fetch_plan::PartSources;
 use super::part_table::PartTable;
+use super::reading_pace::ReadingPace;
 use super::wanted_history::Standing;
 use super::wanted_history::WantedHistory;
 use crate::core::AccountName;
@@ -78,6 +79,8 @@
     pub prefill_tokens: u32,
     /// Tokens among them that another engine has read.
     pub read_again: u32,
+    /// Predicted time to read the prompt alone.
+    pub reading: Duration,
     /// Predicted time to the first token.
     pub predicted: Duration,
     /// Calls that are believed to be at the server.
@@ -104,6 +107,7 @@
     names: HashMap<ServerName, BackendKey>,
     services: HashMap<String, Vec<BackendKey>>,
     wanted: HashMap<ModelName, WantedHistory>,
+    paces: HashMap<ModelName, ReadingPace>,
     store: Option<SocketAddr>,
     store_lost: bool,
     store_unread: bool,
@@ -119,6 +123,7 @@
             names: HashMap::new(),
             services: HashMap::new(),
             wanted: HashMap::new(),
+            paces: HashMap::new(),
             store: None,
             store_lost: false,
             store_unread: false,
@@ -336,7 +341,7 @@
         let Some(view) = self.backends.get_mut(choice.key) else {
             return;
         };
-        view.load.begin(choice.prefill_tokens);
+        view.load.begin(choice.reading);
         if let (Some(prompt), Some(salt)) = (prompt, &choice.salt) {
             let space = salt.space(&prompt.model);
             for part in prompt.shared_parts() {
@@ -345,10 +350,17 @@
         }
     }
 
-    /// Takes note that the first token of a call came, or that none will.
-    pub fn end_prefill(&mut self, choice: &Choice) {
+    /// Takes note that the first token of a call came after a time.
+    pub fn note_first_token(&mut self, choice: &Choice, model: &ModelName, passed: Duration) {
+        let pace = self.paces.entry(model.clone()).or_default();
+        pace.observe(passed, choice.reading, choice.predicted);
+    }
+
+    /// Takes note that the prompt of a call has been read, or that it will
+    /// not be.
+    pub fn end_reading(&mut self, choice: &Choice) {
         if let Some(view) = self.backends.get_mut(choice.key) {
-            view.load.end_prefill(choice.prefill_tokens);
+            view.load.end_reading(choice.reading);
         }
     }
 
@@ -456,13 +468,13 @@
         let plan = sources.plan(view, now);
         let load = view.load.calls(now);
         let prefill = plan.read_again + plan.read_first;
-        let queued = view
-            .load
-            .prefill_tokens(call_costs::MEAN_PROMPT_TOKENS, now);
-        let wait = queued / call_costs::PREFILL_TOKENS_PER_MS
-            + call_costs::wait_for_slot(load, view.member.slots, call_costs::ENGINE_RUN_MS);
+        let pace = self.paces.get(&prompt.model).copied().unwrap_or_default();
+        let reading = call_costs::prefill_ms(prompt, prefill) * pace.factor();
+        let queued = view.load.reading_ms(call_costs::MEAN_READING_MS, now);
+        let wait =
+            queued + call_costs::wait_for_slot(load, view.member.slots, call_costs::ENGINE_RUN_MS);
         let start = wait
-            + call_costs::prefill_ms(prompt, prefill)
+            + reading
             + f64::from(plan.fetched) / call_costs::fetch_rate(plan.source, self.store);
         let cost = start
             + version_cost
@@ -479,6 +491,7 @@
             fetch_from: plan.source,
             save_to,
             prefill_tokens: prefill,
+            reading: Duration::from_secs_f64(reading / 1_000.0),
             read_again: plan.read_again,
             ..make_choice(key, view, load, start, now)
         };
@@ -535,6 +548,7 @@
         fetch_from: None,
         save_to: None,
         prefill_tokens: 0,
+        reading: Duration::ZERO,
         read_again: 0,
         predicted: Duration::from_secs_f64(start_ms.max(0.0) / 1_000.0),
         load,
--- a/src/core/fleet/mod.rs
+++ b/src/core/fleet/mod.rs
@@ -20,6 +20,7 @@
 mod part_table;
 mod peer_usage;
 mod prompt;
+mod reading_pace;
 mod reading_queue;
 mod refusal;
 mod retry_allowance;
--- a/src/core/fleet/reading_queue.rs
+++ b/src/core/fleet/reading_queue.rs
@@ -1,33 +1,34 @@
-//! Prompt tokens that an engine still has to read.
+//! Time that an engine still needs to read prompts.
+
+use std::time::Duration;
 
-use super::call_costs::PREFILL_TOKENS_PER_MS;
 use crate::core::MonotonicTime;
 
-/// Prompt tokens that an engine still has to read, from the calls that entries
-/// announced: an engine's own report tells only how many calls wait, and one
-/// long prompt holds up as much as ten usual ones.
+/// Most time that is believed: calls that the engine turns away were announced
+/// as well.
+const MOST_LEFT: Duration = Duration::from_secs(3);
+
+/// Time that an engine still needs to read prompts, from the calls that
+/// entries announced: an engine's own report tells only how many calls wait,
+/// and one long prompt holds up as much as ten usual ones.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct ReadingQueue {
-    tokens: f64,
-    at: MonotonicTime,
+    ends_at: MonotonicTime,
 }
 
 impl ReadingQueue {
-    /// Takes note of a call with so many tokens to read.
-    pub fn add(&mut self, tokens: u32, now: MonotonicTime) {
-        self.tokens = f64::from(self.left(now)) + f64::from(tokens);
-        self.at = now;
+    /// Takes note of a call whose prompt takes so long to read.
+    pub fn add(&mut self, reading: Duration, now: MonotonicTime) {
+        self.ends_at = (self.ends_at.max(now) + reading).min(now + MOST_LEFT);
     }
 
-    /// Takes note that so many tokens are left.
-    pub fn set(&mut self, tokens: u32, now: MonotonicTime) {
-        self.tokens = f64::from(tokens);
-        self.at = now;
+    /// Takes note that so much time is left.
+    pub fn set(&mut self, left: Duration, now: MonotonicTime) {
+        self.ends_at = now + left;
     }
 
-    /// Estimates the tokens left, as the engine reads them one after another.
-    pub fn left(&self, now: MonotonicTime) -> u32 {
-        let read = now.since(self.at).as_secs_f64() * 1_000.0 * PREFILL_TOKENS_PER_MS;
-        (self.tokens - read).max(0.0) as u32
+    /// Returns the time left.
+    pub fn left(&self, now: MonotonicTime) -> Duration {
+        self.ends_at.since(now)
     }
 }
--- a/src/gateway/agent_links.rs
+++ b/src/gateway/agent_links.rs
@@ -11,10 +11,10 @@
 use crate::core::fleet::Choice;
 use crate::mesh::MeshClient;
 
-/// Prompt tokens from which on a call is announced: an engine reads them in
-/// 47 ms, several times what an announcement takes. Shorter ones hold up
-/// others by less than news are late.
-const ANNOUNCED_TOKENS: u32 = 4_000;
+/// Time to read a prompt from which on its call is announced: several times
+/// what an announcement takes. Shorter ones hold up others by less than news
+/// are late.
+const LEAST_ANNOUNCED: Duration = Duration::from_millis(40);
 
 /// Time after which an announcement is void.
 const ANNOUNCE_TIMEOUT: Duration = Duration::from_millis(300);
@@ -39,17 +39,17 @@
     /// Announces a call with a long prompt to the agent of its engine, which
     /// tells the other entries at once: they would send theirs behind it.
     pub fn announce(&self, choice: &Choice) {
-        if choice.prefill_tokens < ANNOUNCED_TOKENS {
+        if choice.reading < LEAST_ANNOUNCED {
             return;
         }
         let Some(client) = self.lock().get(&choice.name).cloned() else {
             return;
         };
-        let (tokens, server) = (choice.prefill_tokens, choice.name.clone());
+        let (reading, server) = (choice.reading, choice.name.clone());
         tokio::spawn(async move {
             let mut call = tarpc::context::current();
             call.deadline = Instant::now() + ANNOUNCE_TIMEOUT;
-            if let Err(e) = client.announce(call, tokens).await {
+            if let Err(e) = client.announce(call, reading).await {
                 // The agent's news will be lost too, which is logged there.
                 log::debug!("agents: not told of a call server={server} reason=\"{e}\"");
             }
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -14,6 +14,7 @@
 use super::context::GatewayContext;
 use super::read_call::Call;
 use super::wait_alive::wait_alive;
+use crate::core::MonotonicTime;
 use crate::core::fleet::Choice;
 use crate::http::AnswerBody;
 use crate::http::Exchange;
@@ -86,6 +87,7 @@
 pub struct InFlight {
     cx: Arc<GatewayContext>,
     choice: Choice,
+    begun_at: MonotonicTime,
     is_reading: bool,
 }
 
@@ -99,6 +101,7 @@
         Self {
             cx: Arc::clone(cx),
             choice,
+            begun_at: now,
             is_reading: true,
         }
     }
@@ -113,22 +116,28 @@
         if self.is_reading
             && let Some(prompt) = &call.head.prompt
         {
-            self.cx.lock().dispatcher.note_saved(&self.choice, prompt);
+            let now = self.cx.now();
+            let passed = now.since(self.begun_at);
+            let mut state = self.cx.lock();
+            state.dispatcher.note_saved(&self.choice, prompt);
+            state
+                .dispatcher
+                .note_first_token(&self.choice, &prompt.model, passed);
         }
-        self.end_prefill();
+        self.end_reading();
     }
 
-    fn end_prefill(&mut self) {
+    fn end_reading(&mut self) {
         if self.is_reading {
             self.is_reading = false;
-            self.cx.lock().dispatcher.end_prefill(&self.choice);
+            self.cx.lock().dispatcher.end_reading(&self.choice);
         }
     }
 }
 
 impl Drop for InFlight {
     fn drop(&mut self) {
-        self.end_prefill();
+        self.end_reading();
         self.cx.lock().dispatcher.end(&self.choice);
     }
 }
--- a/src/gateway/exchange_news.rs
+++ b/src/gateway/exchange_news.rs
@@ -102,7 +102,7 @@
         None
     }
 
-    async fn announce(self, _: Context, _: u32) {}
+    async fn announce(self, _: Context, _: Duration) {}
 
     async fn exchange(self, _: Context, news: EntryNews) -> Option<EntryNews> {
         let (address, query) = (news.address, news.query);
--- a/src/mesh/service.rs
+++ b/src/mesh/service.rs
@@ -2,6 +2,8 @@
 
 #![allow(missing_docs, reason = "the macro derives items without comments")]
 
+use std::time::Duration;
+
 use bytes::Bytes;
 
 use super::EngineNews;
@@ -17,9 +19,9 @@
     /// are none.
     async fn observe(req: ObserveRequest) -> Option<EngineNews>;
 
-    /// Announces a call with so many prompt tokens to read that was just sent
-    /// to the agent's engine.
-    async fn announce(prompt_tokens: u32);
+    /// Announces a call that was just sent to the agent's engine, whose prompt
+    /// takes so long to read.
+    async fn announce(reading: Duration);
 
     /// Tells an entry the caller's news and asks for its own.
     async fn exchange(news: EntryNews) -> Option<EntryNews>;
--- a/src/sidecar/serve_entries.rs
+++ b/src/sidecar/serve_entries.rs
@@ -42,9 +42,9 @@
         Some(self.make_news(&req, is_current, number))
     }
 
-    async fn announce(self, _: Context, prompt_tokens: u32) {
+    async fn announce(self, _: Context, reading: Duration) {
         let now = self.cx.now();
-        self.cx.lock().reading.add(prompt_tokens, now);
+        self.cx.lock().reading.add(reading, now);
         self.cx.publish();
     }
 
@@ -98,6 +98,7 @@
             .then(|| state.parts.changes_since(req.known_parts))
             .flatten();
         let is_whole = changes.is_none();
+        let left = state.reading.left(self.cx.now());
         let mut newer = state.rollout.list_wanted();
         newer.retain(|wanted| !req.wanted.contains(wanted));
         EngineNews {
@@ -105,7 +106,7 @@
             clock_ms: read_wall_clock_ms(),
             number,
             facts: AgentFacts {
-                reading_tokens: state.reading.left(self.cx.now()),
+                reading_ms: u32::try_from(left.as_millis()).unwrap_or(u32::MAX),
                 ..state.facts.clone()
             },
             parts: changes.unwrap_or_else(|| state.parts.list()),
--- a/src/sidecar/tend_engine.rs
+++ b/src/sidecar/tend_engine.rs
@@ -84,7 +84,7 @@
                 .map(|time| u32::try_from(time.as_millis()).unwrap_or(u32::MAX)),
             versions: report.facts.versions.clone(),
             load: report.load,
-            reading_tokens: 0,
+            reading_ms: 0,
             used_tokens: report.used_tokens,
             capacity_tokens: report.capacity_tokens,
         };
