--- a/tests/fleet_dispatch.rs
+++ b/tests/fleet_dispatch.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use rstest::rstest;
 use teaseldrum::core::MonotonicTime;
 use teaseldrum::core::ServerName;
 use teaseldrum::core::WeightsVersion;
@@ -134,6 +135,7 @@
             running: 64,
             waiting: 30,
         },
+        reading_ms: 0,
         used_tokens: 0,
         capacity_tokens: 300_000,
     };
@@ -342,3 +344,79 @@
         assert_eq!(one, choose(&second, &prompt, at(1)).name);
     }
 }
+
+/// Facts of an idle engine that reads announced prompts for so long.
+fn reading(ms: u32) -> AgentFacts {
+    AgentFacts {
+        is_accepting: true,
+        is_alive: true,
+        versions: vec![(ModelName::from("m"), WeightsVersion(1))],
+        reading_ms: ms,
+        capacity_tokens: 300_000,
+        ..AgentFacts::default()
+    }
+}
+
+/// A short prompt does not wait behind a long one that another entry has sent.
+#[test]
+fn choose_short_prompt_passes_by_engine_that_reads_a_long_one() {
+    let mut dispatcher = engines(2);
+    let prompt = prompt("a");
+    let holder = ServerName::from("i-1");
+    dispatcher.observe_held(&holder, &hold(1, "a"), false);
+    dispatcher.observe_agent(&holder, reading(900), at(0));
+    let choice = choose(&dispatcher, &prompt, at(10));
+    assert_eq!(choice.name.as_str(), "i-0");
+    // The long prompt has been read meanwhile.
+    let choice = choose(&dispatcher, &prompt, at(1_000));
+    assert_eq!(choice.name.as_str(), "i-1");
+}
+
+/// An entry's own prompts are part of what is announced, and count once.
+#[test]
+fn choose_own_prompt_announced_counts_once() {
+    let mut dispatcher = engines(1);
+    let prompt = prompt("a");
+    let first = choose(&dispatcher, &prompt, at(0));
+    dispatcher.begin(&first, Some(&prompt), at(0));
+    let before = choose(&dispatcher, &prompt, at(1)).predicted;
+    let announced = u32::try_from(first.reading.as_millis()).expect("a short time");
+    dispatcher.observe_agent(&first.name, reading(announced), at(1));
+    assert_eq!(choose(&dispatcher, &prompt, at(1)).predicted, before);
+}
+
+#[rstest]
+#[case::as_predicted(1.0)]
+#[case::slower(1.3)]
+#[case::faster(0.8)]
+fn note_first_token_pace_of_model_is_learned(#[case] pace: f64) {
+    let mut dispatcher = engines(1);
+    let prompt = prompt("a");
+    let first = choose(&dispatcher, &prompt, at(0)).reading;
+    let way = Duration::from_millis(8);
+    for _ in 0..60 {
+        let choice = choose(&dispatcher, &prompt, at(0));
+        let passed = first.mul_f64(pace) + way;
+        dispatcher.note_first_token(&choice, &prompt.model, passed);
+    }
+    let learned = choose(&dispatcher, &prompt, at(0)).reading;
+    let ratio = learned.as_secs_f64() / first.as_secs_f64();
+    assert!((ratio - pace).abs() < 0.03, "{ratio} for {pace}");
+}
+
+/// A few slow engines, or calls that had to wait, do not change the pace.
+#[test]
+fn note_first_token_few_slow_ones_count_little() {
+    let mut dispatcher = engines(1);
+    let prompt = prompt("a");
+    let first = choose(&dispatcher, &prompt, at(0)).reading;
+    let way = Duration::from_millis(8);
+    for call in 0..200 {
+        let choice = choose(&dispatcher, &prompt, at(0));
+        let slowness = if call % 6 == 0 { 8.0 } else { 1.0 };
+        let passed = first.mul_f64(slowness) + way;
+        dispatcher.note_first_token(&choice, &prompt.model, passed);
+    }
+    let learned = choose(&dispatcher, &prompt, at(0)).reading;
+    assert!(learned.as_secs_f64() < 1.05 * first.as_secs_f64());
+}
