Let large configurations arrive over slow links

One configuration is fetched from a peer at a time, after 0.7 s, with 6 s for it. A watch of the operator's records is given up after 1.4 s instead of 0.7 s.

--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -54,6 +54,8 @@
     pub seeds: watch::Sender<Vec<SocketAddr>>,
     /// Counts the times at which each area must be read anew.
     pub read_anew: [watch::Sender<u64>; 2],
+    /// Held while a configuration is fetched from a peer.
+    pub fetching: tokio::sync::Mutex<()>,
     /// Connections to agents.
     pub agents: AgentLinks,
     /// Clocks of other processes.
@@ -74,6 +76,7 @@
             incarnation: rand::random(),
             seeds: watch::channel(settings.seeds.clone()).0,
             read_anew: [watch::channel(0).0, watch::channel(0).0],
+            fetching: tokio::sync::Mutex::default(),
             agents: AgentLinks::default(),
             clocks: Clocks::default(),
             clock: Clock::start(),
--- a/src/gateway/exchange_news.rs
+++ b/src/gateway/exchange_news.rs
@@ -49,6 +49,10 @@
 /// Time for an answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Time for a configuration: a megabyte over a link of 10 Mbit/s that traffic
+/// shares.
+const CONFIGURATION_TIMEOUT: Duration = Duration::from_secs(6);
+
 /// Pause after a peer could not be reached.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(400);
 
@@ -56,6 +60,10 @@
 /// the pause between two watches of members.
 const BEHIND_PEERS: Duration = Duration::from_millis(700);
 
+/// The same for a watch of the operator's records to be given up, since a
+/// large configuration takes long to arrive; a peer is asked for it before.
+const OPERATOR_BEHIND_PEERS: Duration = Duration::from_millis(1_400);
+
 /// Silence after which a peer is not followed any more.
 const PEER_FORGOTTEN: Duration = Duration::from_secs(15);
 
@@ -250,11 +258,27 @@
 /// Fetches the configuration of a peer that has a newer one: the store may be
 /// out of reach for this entry alone.
 async fn fetch_configuration(cx: &GatewayContext, client: &MeshClient, version: u64) {
-    let held = cx.lock().configuration_version();
-    if version <= held {
+    let now = cx.now();
+    let held = {
+        let mut state = cx.lock();
+        let held = state.configuration_version();
+        if version <= held {
+            return;
+        }
+        let since = *state.outdated_since.get_or_insert(now);
+        if held > 0 && now.since(since) < BEHIND_PEERS {
+            return;
+        }
+        held
+    };
+    // One at a time: a large configuration from each peer that has it would
+    // take a slow link for many seconds.
+    let Ok(_fetching) = cx.fetching.try_lock() else {
         return;
-    }
-    let raw = match client.get_configuration(call_context(), held).await {
+    };
+    let mut call = tarpc::context::current();
+    call.deadline = Instant::now() + CONFIGURATION_TIMEOUT;
+    let raw = match client.get_configuration(call, held).await {
         Ok(Some(raw)) => raw,
         Ok(None) => return,
         Err(e) => {
@@ -371,7 +395,11 @@
             continue;
         }
         let since = *progress.behind_since.get_or_insert(now);
-        if now.since(since) >= BEHIND_PEERS {
+        let patience = match area {
+            Area::Operator => OPERATOR_BEHIND_PEERS,
+            Area::Members => BEHIND_PEERS,
+        };
+        if now.since(since) >= patience {
             progress.behind_since = None;
             log::info!(
                 "store: behind a peer area={area:?} complete={}",
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -24,6 +24,8 @@
     pub table: Option<Arc<RouteTable>>,
     /// The configuration in force as the store holds it, for peers.
     pub raw_configuration: Bytes,
+    /// Since when a peer has had a newer configuration.
+    pub outdated_since: Option<MonotonicTime>,
     /// Backend servers.
     pub directory: Directory,
     /// Where calls go.
@@ -56,6 +58,7 @@
         Self {
             table: None,
             raw_configuration: Bytes::new(),
+            outdated_since: None,
             directory: Directory::default(),
             dispatcher: Dispatcher::new(zone),
             quota: FleetQuota::new(bounds.quota_overage, bounds.quota_slack),
@@ -90,6 +93,7 @@
             .find_map(|service| service.kept_store.as_ref());
         self.dispatcher.set_store(store.map(|store| store.address));
         self.raw_configuration = raw;
+        self.outdated_since = None;
         self.table = Some(Arc::new(RouteTable::new(configuration)));
         true
     }
