--- a/src/core/fleet/backend_view.rs
+++ b/src/core/fleet/backend_view.rs
@@ -49,6 +49,8 @@
     pub versions: Vec<(ModelName, WeightsVersion)>,
     /// Load of the engine.
     pub load: LoadFigures,
+    /// Milliseconds that the prompts announced by entries still take to read.
+    pub reading_ms: u32,
     /// Tokens of KV cache that cannot yield.
     pub used_tokens: u64,
     /// Tokens of KV cache altogether.
@@ -138,6 +140,8 @@
     /// Takes note of what the agent says.
     pub(super) fn observe_agent(&mut self, facts: AgentFacts, now: MonotonicTime) {
         self.load.observe(facts.load, now);
+        let reading = Duration::from_millis(u64::from(facts.reading_ms));
+        self.load.observe_reading(reading, now);
         self.agent = Some((facts, now));
     }
 
--- a/src/sidecar/serve_entries.rs
+++ b/src/sidecar/serve_entries.rs
@@ -9,6 +9,7 @@
 
 use super::context::SidecarContext;
 use crate::clock::read_wall_clock_ms;
+use crate::core::fleet::AgentFacts;
 use crate::core::fleet::Member;
 use crate::core::fleet::WantedVersion;
 use crate::mesh::EngineNews;
@@ -41,6 +42,12 @@
         Some(self.make_news(&req, is_current, number))
     }
 
+    async fn announce(self, _: Context, reading: Duration) {
+        let now = self.cx.now();
+        self.cx.lock().reading.add(reading, now);
+        self.cx.publish();
+    }
+
     async fn exchange(self, _: Context, _: EntryNews) -> Option<EntryNews> {
         None
     }
@@ -91,13 +98,17 @@
             .then(|| state.parts.changes_since(req.known_parts))
             .flatten();
         let is_whole = changes.is_none();
+        let left = state.reading.left(self.cx.now());
         let mut newer = state.rollout.list_wanted();
         newer.retain(|wanted| !req.wanted.contains(wanted));
         EngineNews {
             incarnation: self.cx.incarnation,
             clock_ms: read_wall_clock_ms(),
             number,
-            facts: state.facts.clone(),
+            facts: AgentFacts {
+                reading_ms: u32::try_from(left.as_millis()).unwrap_or(u32::MAX),
+                ..state.facts.clone()
+            },
             parts: changes.unwrap_or_else(|| state.parts.list()),
             is_whole,
             next_part: state.parts.next(),
