--- a/tests/fleet_dispatch.rs
+++ b/tests/fleet_dispatch.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use rstest::rstest;
+use teaseldrum::core::AccountName;
 use teaseldrum::core::MonotonicTime;
 use teaseldrum::core::ServerName;
 use teaseldrum::core::WeightsVersion;
@@ -420,3 +421,27 @@
     let learned = choose(&dispatcher, &prompt, at(0)).reading;
     assert!(learned.as_secs_f64() < 1.05 * first.as_secs_f64());
 }
+
+/// Parts in the kept store, and at engines, are an isolated account's only
+/// under its own salt.
+#[rstest]
+#[case::shares(None, true)]
+#[case::isolated(Some("alone"), false)]
+fn choose_kept_parts_are_apart_by_account(#[case] isolated: Option<&str>, #[case] finds: bool) {
+    let mut dispatcher = engines(2);
+    let store = address(200);
+    dispatcher.set_store(Some(store));
+    dispatcher.observe_store(&hold(1, "a"), true);
+    dispatcher.observe_held(&ServerName::from("i-1"), &hold(1, "a"), false);
+    let prompt = prompt("a");
+    let account = isolated.map(AccountName::from);
+    let req = DispatchRequest {
+        isolated: account.as_ref(),
+        ..request(&prompt)
+    };
+    let choice = dispatcher.choose(&req, at(0)).expect("a server");
+    assert_eq!(choice.prefill_tokens, if finds { 6_700 } else { 12_000 });
+    assert_eq!(choice.read_again, 0);
+    let shared = SaltText::new(WeightsVersion(1), None);
+    assert_eq!(choice.salt == Some(shared), finds);
+}
