--- a/lab/src/cli/mod.rs
+++ b/lab/src/cli/mod.rs
@@ -4,6 +4,7 @@
 mod demo;
 mod hosts;
 mod named_bench;
+mod soak;
 mod store;
 
 use std::process::ExitCode;
@@ -29,6 +30,7 @@
     Bench(bench::BenchCommand),
     Demo(demo::DemoCommand),
     Hosts(hosts::HostsCommand),
+    Soak(soak::SoakCommand),
     Store(store::StoreCommand),
 }
 
@@ -46,6 +48,7 @@
             Command::Bench(command) => command.run(),
             Command::Demo(command) => command.run(),
             Command::Hosts(command) => command.run(),
+            Command::Soak(command) => command.run(),
             Command::Store(command) => command.run(),
         }
     }
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -11,7 +11,10 @@
 pub mod hosts;
 pub mod link;
 pub mod loopback;
+#[path = "../../platform/tests/stand_in/mod.rs"]
+pub mod platform_stand_in;
 pub mod running;
 pub mod service;
+pub mod soak;
 pub mod stand_in;
 pub mod store;
--- /dev/null
+++ b/lab/src/soak/check.rs
@@ -0,0 +1,178 @@
+//! What must hold, from what callers and backend servers have seen.
+
+use std::collections::HashMap;
+
+use serde::Serialize;
+
+use crate::platform_stand_in::EVENTS;
+use crate::platform_stand_in::event;
+
+/// Runs of a call that may be repeated: the routes' most attempts.
+const MOST_RUNS: u32 = 2;
+
+/// Kind of a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+pub enum CallKind {
+    /// May run once at most.
+    Once,
+    /// May be repeated.
+    Repeatable,
+    /// A stream that may be resumed.
+    Stream,
+    /// A stream that may not.
+    WholeStream,
+    /// Asks whether a configuration is in force.
+    Probe(u64),
+}
+
+/// What a caller has seen of one call.
+#[derive(Debug, Clone)]
+pub struct CallRecord {
+    /// Identity.
+    pub id: String,
+    /// Kind.
+    pub kind: CallKind,
+    /// Gateway that was asked, and which run of it.
+    pub gateway: (usize, u32),
+    /// Milliseconds at which it was sent and at which its answer had come.
+    pub span_ms: (u64, u64),
+    /// Status; zero without an answer.
+    pub status: u16,
+    /// Body.
+    pub body: String,
+    /// The answer ended as its head announced.
+    pub is_whole: bool,
+}
+
+/// What a soak has seen.
+#[derive(Debug, Clone, Default)]
+pub struct Observed {
+    /// Calls of all callers.
+    pub calls: Vec<CallRecord>,
+    /// Identities of the calls that servers ran, once for each run.
+    pub runs: Vec<String>,
+    /// Requests that reached servers with a caller's key.
+    pub keys_passed: u32,
+    /// Gateways that did not serve again after the last fault.
+    pub not_back: Vec<usize>,
+    /// Spans in milliseconds in which a gateway did nothing but drain, while
+    /// no other fault was about.
+    pub quiet_drains: Vec<(usize, (u64, u64))>,
+}
+
+/// A promise that was broken, and the call that shows it.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+pub enum Broken {
+    /// A call ran more often than it may.
+    RanTooOften(String),
+    /// A call was refused as not run, and had run.
+    FalseRefusal(String),
+    /// A success holds what is not the call's whole answer.
+    WrongAnswer(String),
+    /// A server ran what no caller sent.
+    Unasked(String),
+    /// A server saw a caller's key.
+    KeyPassed,
+    /// A gateway that knew a configuration went back to an older one.
+    WentBack(String),
+    /// A gateway that only drained cut a call that a server had run.
+    CutByDrain(String),
+    /// A gateway does not serve after the last fault.
+    NotBack(usize),
+}
+
+/// Finds the promises that were broken.
+pub fn check_promises(observed: &Observed) -> Vec<Broken> {
+    let mut runs: HashMap<&str, u32> = HashMap::new();
+    for id in &observed.runs {
+        *runs.entry(id).or_default() += 1;
+    }
+    let mut broken: Vec<Broken> = observed
+        .not_back
+        .iter()
+        .copied()
+        .map(Broken::NotBack)
+        .collect();
+    if observed.keys_passed > 0 {
+        broken.push(Broken::KeyPassed);
+    }
+    for call in &observed.calls {
+        let count = runs.remove(call.id.as_str()).unwrap_or(0);
+        broken.extend(check_call(call, count, &observed.quiet_drains));
+    }
+    // Runs that are left belong to no call.
+    broken.extend(runs.keys().map(|id| Broken::Unasked((*id).to_owned())));
+    broken.extend(check_versions(&observed.calls));
+    broken.sort();
+    broken
+}
+
+fn check_call(call: &CallRecord, runs: u32, drains: &[(usize, (u64, u64))]) -> Vec<Broken> {
+    let mut broken = Vec::new();
+    let id = || call.id.clone();
+    let most = match call.kind {
+        CallKind::Once | CallKind::WholeStream => 1,
+        CallKind::Repeatable | CallKind::Stream | CallKind::Probe(_) => MOST_RUNS,
+    };
+    if runs > most {
+        broken.push(Broken::RanTooOften(id()));
+    }
+    let is_refused = matches!(call.status, 401 | 404 | 408 | 421 | 429 | 503);
+    if is_refused && runs > 0 {
+        broken.push(Broken::FalseRefusal(id()));
+    }
+    if !is_sound(call) {
+        broken.push(Broken::WrongAnswer(id()));
+    }
+    let is_drained = drains.iter().any(|(gateway, span)| {
+        *gateway == call.gateway.0 && span.0 <= call.span_ms.0 && call.span_ms.1 <= span.1
+    });
+    if is_drained && call.status == 0 && runs > 0 {
+        broken.push(Broken::CutByDrain(id()));
+    }
+    broken
+}
+
+/// Tells whether an answer is the call's own: a success whole and right, what
+/// came of a stream in order.
+fn is_sound(call: &CallRecord) -> bool {
+    if call.status != 200 {
+        return true;
+    }
+    match call.kind {
+        CallKind::Stream | CallKind::WholeStream => {
+            let whole: String = (1..=EVENTS).map(|number| event(&call.id, number)).collect();
+            if call.is_whole {
+                call.body == whole
+            } else {
+                whole.starts_with(&call.body)
+            }
+        }
+        _ if call.is_whole => call.body == call.id,
+        _ => call.id.starts_with(&call.body),
+    }
+}
+
+/// Finds probes that a run of a gateway answered as an older configuration
+/// does, after it had answered one as a newer does.
+fn check_versions(calls: &[CallRecord]) -> Vec<Broken> {
+    let mut in_force: HashMap<(usize, u32), Vec<(u64, u64)>> = HashMap::new();
+    for call in calls {
+        if let (CallKind::Probe(version), 200) = (call.kind, call.status) {
+            let known = in_force.entry(call.gateway).or_default();
+            known.push((call.span_ms.1, version));
+        }
+    }
+    let went_back = |call: &&CallRecord| {
+        let (CallKind::Probe(version), 404) = (call.kind, call.status) else {
+            return false;
+        };
+        in_force.get(&call.gateway).is_some_and(|known| {
+            known
+                .iter()
+                .any(|(at, newest)| *at < call.span_ms.0 && *newest >= version)
+        })
+    };
+    let back = calls.iter().filter(went_back);
+    back.map(|call| Broken::WentBack(call.id.clone())).collect()
+}
--- /dev/null
+++ b/lab/src/soak/run.rs
@@ -0,0 +1,440 @@
+//! One soak from its start to its summary.
+
+use std::fmt;
+use std::fs;
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use serde::Serialize;
+use serde_json::json;
+use teaseldrum::threads::StartError;
+use teaseldrum::threads::build_runtime;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use super::Broken;
+use super::CallKind;
+use super::CallRecord;
+use super::Observed;
+use super::check_promises;
+use super::fault::Fault;
+use super::fault::draw_faults;
+use super::fault_link::Carriage;
+use super::fault_link::FaultLink;
+use super::process::GatewayProcess;
+use super::traffic::Traffic;
+use crate::loopback::take_address;
+use crate::platform_stand_in::Backend;
+use crate::platform_stand_in::Caller;
+use crate::platform_stand_in::Store;
+use crate::platform_stand_in::Work;
+use crate::platform_stand_in::configuration;
+use crate::platform_stand_in::request;
+use crate::platform_stand_in::route;
+use crate::platform_stand_in::routes;
+use crate::platform_stand_in::serve_work;
+
+/// Time in which all gateways must serve, after the start and after the last
+/// fault: several times what the store, peers and restarts take.
+const BACK_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Time in which a gateway that drains must have ended: its own time to stop.
+const DRAIN_TIMEOUT: Duration = Duration::from_secs(12);
+
+/// Time for callers to end their last call.
+const LAST_CALLS: Duration = Duration::from_secs(9);
+
+const LOOK_INTERVAL: Duration = Duration::from_millis(50);
+
+/// What a soak does.
+#[derive(Debug, Clone)]
+pub struct SoakPlan {
+    /// Decides faults, calls and spoiled answers.
+    pub seed: u64,
+    /// Time with faults.
+    pub time: Duration,
+    /// Gateways.
+    pub gateways: usize,
+    /// Backend servers.
+    pub servers: usize,
+    /// Callers.
+    pub callers: usize,
+    /// The binary of teaseldrum.
+    pub program: PathBuf,
+    /// Folder for settings and logs; made if it is not there.
+    pub folder: PathBuf,
+}
+
+/// What a soak has shown.
+#[derive(Debug, Clone, Serialize)]
+pub struct SoakSummary {
+    /// Seed.
+    pub seed: u64,
+    /// Calls made.
+    pub requests: usize,
+    /// Calls answered with success.
+    pub served: usize,
+    /// Runs at servers.
+    pub runs: usize,
+    /// Faults injected.
+    pub faults: usize,
+    /// Promises broken.
+    pub broken: Vec<Broken>,
+}
+
+/// Reason for which a soak could not be carried out.
+#[derive(Debug)]
+pub enum SoakError {
+    /// A file, process or link failed.
+    Io(io::Error),
+    /// The runtime cannot be made.
+    Start(StartError),
+    /// The gateways did not serve at the start.
+    NotStarted(Vec<usize>),
+}
+
+impl fmt::Display for SoakError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Io(e) => e.fmt(f),
+            Self::Start(e) => e.fmt(f),
+            Self::NotStarted(gateways) => write!(f, "gateways {gateways:?} did not start"),
+        }
+    }
+}
+
+impl From<io::Error> for SoakError {
+    fn from(e: io::Error) -> Self {
+        Self::Io(e)
+    }
+}
+
+/// Runs a soak.
+///
+/// # Errors
+///
+/// It could not be carried out; broken promises are no error.
+pub fn run_soak(plan: &SoakPlan) -> Result<SoakSummary, SoakError> {
+    fs::create_dir_all(&plan.folder)?;
+    let runtime = build_runtime().map_err(SoakError::Start)?;
+    runtime.block_on(async {
+        let soak = Arc::new(Soak::start(plan).await?);
+        soak.run(plan).await
+    })
+}
+
+/// A soak that runs.
+struct Soak {
+    store: Store,
+    store_links: Vec<FaultLink>,
+    backends: Vec<Backend>,
+    links: Vec<FaultLink>,
+    processes: Vec<Mutex<GatewayProcess>>,
+    traffic: Arc<Traffic>,
+    work: Work,
+}
+
+impl Soak {
+    async fn start(plan: &SoakPlan) -> Result<Self, SoakError> {
+        let store = Store::start().await;
+        let work = Work::new(plan.seed);
+        let (mut backends, mut links) = (Vec::new(), Vec::new());
+        for number in 0..plan.servers {
+            let work = work.clone();
+            let serve = move |stream, backend| serve_work(stream, backend, work.clone());
+            let backend = Backend::start(&format!("i-{number}"), serve).await;
+            links.push(FaultLink::start(backend.address()).await?);
+            backends.push(backend);
+        }
+        let addresses: Vec<[SocketAddr; 3]> = (0..plan.gateways)
+            .map(|_| [take_address(), take_address(), take_address()])
+            .collect();
+        let seeds: Vec<SocketAddr> = addresses.iter().map(|[.., peers]| *peers).collect();
+        let (mut store_links, mut processes) = (Vec::new(), Vec::new());
+        for (number, [traffic, health, peers]) in addresses.iter().enumerate() {
+            let link = FaultLink::start(store.address()).await?;
+            let name = format!("gateway-{number}");
+            let settings = json!({
+                "name": name, "zone": "a", "agent_port": 1, "store": link.address(),
+                "seeds": seeds, "stop_timeout_s": 8.0,
+                "listen": {"traffic": traffic, "health": health, "peers": peers},
+                "bounds": {"retry_ratio": 1.0, "retry_extra": 10_000.0, "retry_window_s": 10.0},
+            });
+            let process = GatewayProcess::prepare(&plan.program, &plan.folder, &name, &settings)?;
+            processes.push(Mutex::new(process));
+            store_links.push(link);
+        }
+        let gateways = addresses
+            .iter()
+            .map(|[traffic, ..]| (*traffic, AtomicU32::new(0)));
+        let traffic = Traffic {
+            gateways: gateways.collect(),
+            version: AtomicU64::new(0),
+            is_over: AtomicBool::new(false),
+            calls: Mutex::default(),
+            begun_at: Instant::now(),
+        };
+        let soak = Self {
+            store,
+            store_links,
+            backends,
+            links,
+            processes,
+            traffic: Arc::new(traffic),
+            work,
+        };
+        soak.configure();
+        (0..plan.servers).for_each(|server| soak.list(server, "ready"));
+        let not_started = soak.bring_back().await;
+        if !not_started.is_empty() {
+            return Err(SoakError::NotStarted(not_started));
+        }
+        Ok(soak)
+    }
+
+    async fn run(self: Arc<Self>, plan: &SoakPlan) -> Result<SoakSummary, SoakError> {
+        let mut rng = StdRng::seed_from_u64(plan.seed);
+        let faults = draw_faults(&mut rng, plan.time, plan.gateways, plan.servers);
+        let callers: Vec<_> = (0..plan.callers)
+            .map(|number| {
+                let traffic = Arc::clone(&self.traffic);
+                tokio::spawn(traffic.call_on(number, rng.random()))
+            })
+            .collect();
+        let begun_at = Instant::now();
+        let mut pending = Vec::new();
+        for planned in &faults {
+            sleep(planned.at.saturating_sub(begun_at.elapsed())).await;
+            let soak = Arc::clone(&self);
+            let planned = *planned;
+            pending.push(tokio::spawn(async move {
+                soak.inject(planned.fault, planned.lasts).await
+            }));
+        }
+        for fault in pending {
+            fault.await.map_err(io::Error::other)??;
+        }
+        let not_back = self.bring_back().await;
+        let quiet_drains = self.drain_in_turn().await?;
+        self.traffic.is_over.store(true, Ordering::Relaxed);
+        for caller in callers {
+            // A caller that still waits is of no call that is checked.
+            let _ = timeout(LAST_CALLS, caller).await;
+        }
+        let seen = self.backends.iter().flat_map(Backend::seen);
+        let keys_passed = seen.filter(|seen| seen.header("authorization").is_some());
+        let observed = Observed {
+            calls: self.traffic.calls.lock().expect("a lock").clone(),
+            runs: self.work.runs(),
+            keys_passed: u32::try_from(keys_passed.count()).unwrap_or(u32::MAX),
+            not_back,
+            quiet_drains,
+        };
+        let is_served = |call: &&CallRecord| call.status == 200 && call.is_whole;
+        Ok(SoakSummary {
+            seed: plan.seed,
+            requests: observed.calls.len(),
+            served: observed.calls.iter().filter(is_served).count(),
+            runs: observed.runs.len(),
+            faults: faults.len(),
+            broken: check_promises(&observed),
+        })
+    }
+
+    /// Injects a fault and ends it after a time.
+    async fn inject(&self, fault: Fault, lasts: Duration) -> io::Result<()> {
+        match fault {
+            Fault::Pause(gateway) => {
+                self.process(gateway).signal("STOP")?;
+                sleep(lasts).await;
+                self.process(gateway).signal("CONT")?;
+            }
+            Fault::Kill(gateway) => {
+                self.process(gateway).kill();
+                sleep(lasts).await;
+                self.start_gateway(gateway)?;
+            }
+            Fault::KillAll => {
+                let all = 0..self.processes.len();
+                all.clone().for_each(|gateway| self.process(gateway).kill());
+                sleep(lasts).await;
+                for gateway in all {
+                    self.start_gateway(gateway)?;
+                }
+            }
+            Fault::Drain(gateway) => self.drain(gateway).await?,
+            Fault::Hangup(gateway) => self.process(gateway).signal("HUP")?,
+            Fault::StoreDown => {
+                self.store.set_down(true);
+                sleep(lasts).await;
+                self.store.set_down(false);
+            }
+            Fault::StoreSilent => {
+                self.store.set_silent(true);
+                sleep(lasts).await;
+                self.store.set_silent(false);
+            }
+            Fault::StoreSlow => {
+                self.store.set_slow(true);
+                sleep(lasts).await;
+                self.store.set_slow(false);
+            }
+            Fault::StoreLinkSilent(gateway) => {
+                carry_for(&self.store_links[gateway], Carriage::Silent, lasts).await;
+            }
+            Fault::Delay(server) => {
+                carry_for(&self.links[server], Carriage::Delayed, lasts).await;
+            }
+            Fault::OneWay(server) => {
+                carry_for(&self.links[server], Carriage::OneWay, lasts).await;
+            }
+            Fault::Silence(server) => {
+                carry_for(&self.links[server], Carriage::Silent, lasts).await;
+            }
+            Fault::Reset(server) => self.links[server].reset(),
+            Fault::Configure => self.configure(),
+            Fault::Leave(server) => {
+                self.list(server, "draining");
+                sleep(lasts).await;
+                self.list(server, "ready");
+            }
+        }
+        Ok(())
+    }
+
+    /// Tells a gateway to stop, waits for its end and starts it again. One
+    /// that another fault has killed meanwhile is left to that fault.
+    async fn drain(&self, gateway: usize) -> io::Result<()> {
+        let starts = self.process(gateway).starts;
+        self.process(gateway).signal("TERM")?;
+        let is_over = || {
+            let mut process = self.process(gateway);
+            process.starts != starts || !process.is_running()
+        };
+        let begun_at = Instant::now();
+        while !is_over() && begun_at.elapsed() < DRAIN_TIMEOUT {
+            sleep(LOOK_INTERVAL).await;
+        }
+        if self.process(gateway).starts == starts {
+            self.process(gateway).kill();
+            self.start_gateway(gateway)?;
+        }
+        Ok(())
+    }
+
+    /// Drains the gateways one after another, while nothing else is wrong;
+    /// returns the spans.
+    async fn drain_in_turn(&self) -> io::Result<Vec<(usize, (u64, u64))>> {
+        let mut spans = Vec::new();
+        for gateway in 0..self.processes.len() {
+            let from = self.traffic.now_ms();
+            self.drain(gateway).await?;
+            spans.push((gateway, (from, self.traffic.now_ms())));
+        }
+        Ok(spans)
+    }
+
+    /// Ends what faults have left behind, and waits until each gateway
+    /// serves; returns those that do not.
+    async fn bring_back(&self) -> Vec<usize> {
+        let begun_at = Instant::now();
+        let mut missing: Vec<usize> = (0..self.processes.len()).collect();
+        let mut tries = 0;
+        while !missing.is_empty() && begun_at.elapsed() < BACK_TIMEOUT {
+            let mut still = Vec::new();
+            for gateway in missing {
+                tries += 1;
+                if !self.is_back(gateway, tries).await {
+                    still.push(gateway);
+                }
+            }
+            missing = still;
+            sleep(LOOK_INTERVAL).await;
+        }
+        missing
+    }
+
+    async fn is_back(&self, gateway: usize, tries: u32) -> bool {
+        // One whose port was taken is started again.
+        if self.start_gateway(gateway).is_err() {
+            return false;
+        }
+        let (address, starts) = &self.traffic.gateways[gateway];
+        let Some(mut caller) = Caller::try_connect(*address).await else {
+            return false;
+        };
+        let id = format!("back-{gateway}-{tries}-{}", self.traffic.now_ms());
+        let sent_at = self.traffic.now_ms();
+        let is_sent = caller.try_send(&request("GET", "/look/", &id, "")).await;
+        if !is_sent {
+            return false;
+        }
+        let Ok(answer) = timeout(Duration::from_secs(5), caller.read_answer()).await else {
+            return false;
+        };
+        let status = answer.status;
+        let record = CallRecord {
+            id,
+            kind: CallKind::Repeatable,
+            gateway: (gateway, starts.load(Ordering::Relaxed)),
+            span_ms: (sent_at, self.traffic.now_ms()),
+            status,
+            body: answer.body,
+            is_whole: answer.is_whole,
+        };
+        self.traffic.calls.lock().expect("a lock").push(record);
+        // A server that fails has been asked.
+        matches!(status, 200 | 500)
+    }
+
+    fn start_gateway(&self, gateway: usize) -> io::Result<()> {
+        let mut process = self.process(gateway);
+        process.start()?;
+        self.traffic.gateways[gateway]
+            .1
+            .store(process.starts, Ordering::Relaxed);
+        Ok(())
+    }
+
+    fn process(&self, gateway: usize) -> MutexGuard<'_, GatewayProcess> {
+        self.processes[gateway]
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Sends a configuration with one route more.
+    fn configure(&self) {
+        let version = self.traffic.version.load(Ordering::Relaxed) + 1;
+        let added = (1..=version).map(|n| route("probe", &format!("/v{n}/"), "idempotent"));
+        let all: Vec<_> = routes().into_iter().chain(added).collect();
+        let value = configuration(version, &all);
+        self.store.put("op/config", &value);
+        self.traffic.version.store(version, Ordering::Relaxed);
+    }
+
+    fn list(&self, server: usize, state: &str) {
+        let backend = &self.backends[server];
+        let record = backend.record_at(self.links[server].address(), "s", state);
+        self.store.put(&backend.key(), &record);
+    }
+}
+
+async fn carry_for(link: &FaultLink, carriage: Carriage, lasts: Duration) {
+    link.set(carriage);
+    sleep(lasts).await;
+    link.set(Carriage::Prompt);
+}
