--- a/lab/src/soak/run.rs
+++ b/lab/src/soak/run.rs
@@ -422,7 +422,7 @@
         let added = (1..=version).map(|n| route("probe", &format!("/v{n}/"), "idempotent"));
         let all: Vec<_> = routes().into_iter().chain(added).collect();
         let value = configuration(version, &all);
-        self.store.put("op/config", &value);
+        self.store.put_configuration(&value);
         self.traffic.version.store(version, Ordering::Relaxed);
     }
 
