Say once what the platform roles wrote several times

An engine's place is found by its name instead of a walk over all servers, at every news of every engine. A story finds the sidecars of its logs once.

Taken out, since nothing called it: reading the list of all parts that a holder has, and the start time in an engine's report. The words of log lines are not split at brackets, which they no longer have. No behaviour changes.

--- a/src/core/fleet/dispatcher.rs
+++ b/src/core/fleet/dispatcher.rs
@@ -295,6 +295,12 @@
             .filter(|view| !view.is_superseded)
     }
 
+    /// Returns a server, unless its run is known to have ended.
+    pub fn find(&self, name: &ServerName) -> Option<&BackendView> {
+        let key = self.names.get(name)?;
+        self.backends.get(*key).filter(|view| !view.is_superseded)
+    }
+
     /// Lists all servers, without runs known to have ended.
     pub fn backends(&self) -> impl Iterator<Item = &BackendView> {
         self.backends.values().filter(|view| !view.is_superseded)
--- a/src/explain/log_line.rs
+++ b/src/explain/log_line.rs
@@ -89,7 +89,7 @@
     /// Returns all values named so.
     pub fn fields<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a str> {
         self.text
-            .split([' ', '[', ']'])
+            .split(' ')
             .filter_map(move |word| word.strip_prefix(name)?.strip_prefix('='))
     }
 
--- a/src/explain/story.rs
+++ b/src/explain/story.rs
@@ -59,13 +59,14 @@
             call.time
                 .saturating_sub(Duration::from_millis(passed.unwrap_or(0))),
         );
+        let sidecars = find_sidecars(lines);
         let telling = Telling {
             call,
             id,
             window: (begun_at.saturating_sub(BEFORE), call.time + AFTER),
             servers: own.iter().flat_map(|line| line.fields("server")).collect(),
-            sidecars: find_sidecars(lines),
-            ahead_ms: find_clocks(lines, call),
+            ahead_ms: find_clocks(lines, call, &sidecars),
+            sidecars,
         };
         let pages = lines.iter().filter_map(|line| telling.take(line));
         let events = merge_events([pages.collect()]);
@@ -178,8 +179,11 @@
 
 /// Finds by how much other processes' clocks are ahead of the gateway's, as
 /// it measured them last before the call ended.
-fn find_clocks<'a>(lines: &'a [LogLine], call: &LogLine) -> HashMap<&'a str, i64> {
-    let sidecars = find_sidecars(lines);
+fn find_clocks<'a>(
+    lines: &'a [LogLine],
+    call: &LogLine,
+    sidecars: &HashMap<&'a str, Vec<&'a str>>,
+) -> HashMap<&'a str, i64> {
     let measured = lines.iter().filter(|line| {
         line.part == "clocks" && line.process == call.process && line.time <= call.time
     });
--- a/src/gateway/exchange_news.rs
+++ b/src/gateway/exchange_news.rs
@@ -364,15 +364,7 @@
     }
     let mut state = cx.lock();
     state.quota.observe_peer(&news.usage, now);
-    for wanted in &news.wanted {
-        if state.dispatcher.want_version(wanted, Some(now)) {
-            log::info!(
-                "weights: wanted model={} version={} source=peer",
-                wanted.model,
-                wanted.version
-            );
-        }
-    }
+    state.hear_wanted(&news.wanted, "peer", now);
     note_peer_progress(cx, &mut state, news.newest, now);
     if news.is_leaving {
         roster.remove(&news.usage.name);
--- a/src/gateway/observe_engines.rs
+++ b/src/gateway/observe_engines.rs
@@ -123,11 +123,7 @@
 fn find_turn(cx: &GatewayContext, name: &ServerName) -> (Vec<WantedVersion>, (u64, u64)) {
     let state = cx.lock();
     let wanted = state.dispatcher.list_wanted();
-    let own = state
-        .dispatcher
-        .backends()
-        .find(|view| view.member.name == *name);
-    let Some(own) = own else {
+    let Some(own) = state.dispatcher.find(name) else {
         return (wanted, (0, 1));
     };
     let service = state.dispatcher.list_service(&own.member.service);
@@ -144,15 +140,7 @@
     cx.clocks.note(label, news.clock_ms, read_wall_clock_ms());
     let now = cx.now();
     let mut state = cx.lock();
-    for wanted in &news.wanted {
-        if state.dispatcher.want_version(wanted, Some(now)) {
-            log::info!(
-                "weights: wanted model={} version={} source=agent server={name}",
-                wanted.model,
-                wanted.version
-            );
-        }
-    }
+    state.hear_wanted(&news.wanted, format_args!("agent server={name}"), now);
     known.incarnation = news.incarnation;
     known.known_news = news.number;
     known.known_parts = news.next_part;
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -28,7 +28,7 @@
 use crate::settings::GatewaySettings;
 use crate::threads::StartError;
 use crate::threads::build_runtime;
-use crate::threads::open_listener;
+use crate::threads::open_runtime_listener;
 use crate::threads::reload_on_hangup;
 use crate::threads::wait_for_stop;
 
@@ -125,7 +125,7 @@
             log::error!("gateway: metrics not served reason=\"{e}\"");
         }
     }
-    let peers = open(listen.peers)?;
+    let peers = open_runtime_listener(listen.peers)?;
     tokio::spawn(exchange_news(Arc::clone(&cx), peers));
     tokio::spawn(follow_store(Arc::clone(&cx), Area::Operator));
     tokio::spawn(follow_store(Arc::clone(&cx), Area::Members));
@@ -133,7 +133,7 @@
     tokio::spawn(observe_engines(Arc::clone(&cx)));
     tokio::spawn(watch_kept_store(Arc::clone(&cx)));
     tokio::spawn(keep_up(Arc::clone(&cx)));
-    let traffic = open(listen.traffic)?;
+    let traffic = open_runtime_listener(listen.traffic)?;
     let serving = tokio::spawn(serve_traffic(Arc::clone(&cx), traffic, stop.clone()));
     wait_for_stop(ask_stop).await;
     cx.drain();
@@ -148,17 +148,12 @@
     Ok(())
 }
 
-fn open(address: SocketAddr) -> Result<TcpListener, StartError> {
-    let listener = open_listener(address)?;
-    TcpListener::from_std(listener).map_err(|e| StartError::Listen(address, e))
-}
-
 fn spawn_pages(
     cx: &Arc<GatewayContext>,
     address: SocketAddr,
     stop: &watch::Receiver<bool>,
 ) -> Result<(), StartError> {
-    let listener = open(address)?;
+    let listener = open_runtime_listener(address)?;
     let cx = Arc::clone(cx);
     let stop = stop.clone();
     let handle = move |req, _caller| serve_page(Arc::clone(&cx), req);
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -1,5 +1,6 @@
 //! What a gateway believes.
 
+use std::fmt::Display;
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -13,6 +14,7 @@
 use crate::core::fleet::MemberChange;
 use crate::core::fleet::RetryAllowance;
 use crate::core::fleet::RouteTable;
+use crate::core::fleet::WantedVersion;
 use crate::metrics::GatewayBeliefs;
 use crate::settings::BoundSettings;
 
@@ -113,6 +115,24 @@
         }
     }
 
+    /// Takes note of weights versions that another process has named.
+    pub fn hear_wanted(
+        &mut self,
+        wanted: &[WantedVersion],
+        source: impl Display,
+        now: MonotonicTime,
+    ) {
+        for wanted in wanted {
+            if self.dispatcher.want_version(wanted, Some(now)) {
+                log::info!(
+                    "weights: wanted model={} version={} source={source}",
+                    wanted.model,
+                    wanted.version
+                );
+            }
+        }
+    }
+
     /// Takes over what follows from a change of the members.
     pub fn apply_members(&mut self, changes: impl IntoIterator<Item = MemberChange>) {
         for change in changes {
--- a/src/ports/engine_port.rs
+++ b/src/ports/engine_port.rs
@@ -22,8 +22,6 @@
     pub used_tokens: u64,
     /// Tokens of KV cache altogether.
     pub capacity_tokens: u64,
-    /// Unix time of its start, in milliseconds.
-    pub born: Option<u64>,
 }
 
 /// An order to change weights.
--- a/src/ports/parts_feed.rs
+++ b/src/ports/parts_feed.rs
@@ -30,7 +30,4 @@
         since: u64,
         wait: Duration,
     ) -> BoxFuture<'_, Result<PartsPage, PortError>>;
-
-    /// Reads everything that a holder holds; it stalls the holder.
-    fn read_all(&self, holder: SocketAddr) -> BoxFuture<'_, Result<PartsPage, PortError>>;
 }
--- a/src/sidecar/run.rs
+++ b/src/sidecar/run.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::net::TcpListener;
 use tokio::sync::watch;
 
 use super::context::SidecarContext;
@@ -20,7 +19,7 @@
 use crate::settings::SidecarSettings;
 use crate::threads::StartError;
 use crate::threads::build_runtime;
-use crate::threads::open_listener;
+use crate::threads::open_runtime_listener;
 use crate::threads::reload_on_hangup;
 use crate::threads::wait_for_stop;
 
@@ -52,9 +51,7 @@
 }
 
 async fn live(cx: Arc<SidecarContext>, ask_stop: watch::Receiver<bool>) -> Result<(), StartError> {
-    let address = cx.settings.listen;
-    let listener = open_listener(address)?;
-    let listener = TcpListener::from_std(listener).map_err(|e| StartError::Listen(address, e))?;
+    let listener = open_runtime_listener(cx.settings.listen)?;
     log::info!(
         "sidecar: started name={} zone={} engine={} incarnation={:x}",
         cx.settings.name,
@@ -92,8 +89,7 @@
     address: SocketAddr,
     stop: &watch::Receiver<bool>,
 ) -> Result<(), StartError> {
-    let listener = open_listener(address)?;
-    let listener = TcpListener::from_std(listener).map_err(|e| StartError::Listen(address, e))?;
+    let listener = open_runtime_listener(address)?;
     let (cx, stop) = (Arc::clone(cx), stop.clone());
     let handle = move |req, _caller| serve_page(Arc::clone(&cx), req);
     tokio::spawn(serve(listener, page_limits(), handle, stop));
--- a/src/threads.rs
+++ b/src/threads.rs
@@ -61,6 +61,16 @@
     open().map_err(|e| StartError::Listen(address, e))
 }
 
+/// Opens a listener for the runtime that calls.
+///
+/// # Errors
+///
+/// The address cannot be listened on.
+pub fn open_runtime_listener(address: SocketAddr) -> Result<TcpListener, StartError> {
+    let listener = open_listener(address)?;
+    TcpListener::from_std(listener).map_err(|e| StartError::Listen(address, e))
+}
+
 /// Runs `serve` on `count` threads, each accepting from `listener`.
 ///
 /// # Errors
