--- a/lab/src/soak/mod.rs
+++ b/lab/src/soak/mod.rs
@@ -14,6 +14,7 @@
 pub use check::CallRecord;
 pub use check::Observed;
 pub use check::check_promises;
+pub use process::GatewayProcess;
 pub use run::SoakError;
 pub use run::SoakPlan;
 pub use run::SoakSummary;
