Follow engines through collectors in a large fleet, and let one side start exchanges

Cause: on the large site (103 entries, 180 agents) each entry followed every agent and exchanged state with every peer from both sides: some 300 exchanges and 360 to 1,000 updates a second and entry.

Change: with more than 64 engines, entries of a zone follow a few agents of their zone, the collectors, chosen by rendezvous hashing; a collector follows its part of all agents, gathers their updates for 80 ms and passes on what changed, urgent ones (stopped, crashed, new weights) at once. It passes target versions on to the agents and announcements of long prompts to the agent concerned. A lost collector is excluded for 2 to 16 s and replaced; without any, entries follow the agents themselves. Of two peers the one with the lower address starts all exchanges, the other only while it hears nothing, and fetches what it lacks over a connection of its own. Accounts are charged for silent peers at most every 50 ms. Pings are paced to 30 a second over the fleet.

Ruled out: gossip of each entry's admissions by others (volume grows by the fan-out); collectors among the entries (0.09 of a core each, where sidecars have 0.2 and use 0.02).

--- a/src/core/fleet/fleet_quota.rs
+++ b/src/core/fleet/fleet_quota.rs
@@ -17,6 +17,10 @@
 /// share of every rate: four exchange intervals of a small fleet.
 const PEER_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// Minimum time between two charges for silent peers, which cost time for each
+/// of them and each account.
+const SILENT_CHARGE_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Time without a message after which a peer is forgotten. It is longer than
 /// the partitions that the limits must withstand, since entries on both sides
 /// keep admitting calls.
@@ -329,6 +333,9 @@
     /// Charges each account an even share of its rate for each silent peer, up
     /// to now, and forgets peers that have been silent for [`PEER_EXPIRY`].
     fn charge_for_silent_peers(&mut self, now: MonotonicTime) {
+        if now.since(self.charged_at) < SILENT_CHARGE_INTERVAL {
+            return;
+        }
         let entries = self.count_entries() as f64;
         self.peers
             .retain(|_, peer| now.since(peer.last_heard_at) < PEER_EXPIRY);
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -54,9 +54,8 @@
     pub seeds: watch::Sender<Vec<SocketAddr>>,
     /// Number of resyncs that were requested, by [`Area::index`].
     pub resync_counts: [watch::Sender<u64>; 2],
-    /// Held while a configuration is fetched from a peer, so that only one
-    /// fetch runs.
-    pub configuration_fetch: tokio::sync::Mutex<()>,
+    /// Held while state is fetched from a peer, so that only one fetch runs.
+    pub peer_fetch: tokio::sync::Mutex<()>,
     /// Open connections to agents.
     pub agent_connections: AgentConnections,
     /// Clock offsets of other processes.
@@ -77,7 +76,7 @@
             incarnation: rand::random(),
             seeds: watch::channel(settings.seeds.clone()).0,
             resync_counts: [watch::channel(0).0, watch::channel(0).0],
-            configuration_fetch: tokio::sync::Mutex::default(),
+            peer_fetch: tokio::sync::Mutex::default(),
             agent_connections: AgentConnections::default(),
             clock_offsets: ClockOffsets::default(),
             clock: Clock::start(),
--- a/src/gateway/exchange_peer_state.rs
+++ b/src/gateway/exchange_peer_state.rs
@@ -21,13 +21,18 @@
 
 use super::clock_offsets::ClockOwner;
 use super::context::GatewayContext;
+use super::known_entries::KnownEntries;
+use super::known_entries::PEER_EXPIRY;
+use super::peer_contacts::PeerContacts;
 use super::state::GatewayState;
 use crate::clock::read_wall_clock_ms;
 use crate::core::MonotonicTime;
+use crate::core::ServerName;
 use crate::core::fleet::Member;
 use crate::core::fleet::UsageQuery;
+use crate::mesh::CollectRequest;
+use crate::mesh::CollectResponse;
 use crate::mesh::EngineUpdate;
-use crate::mesh::KnownEntry;
 use crate::mesh::Mesh;
 use crate::mesh::MeshClient;
 use crate::mesh::ObserveRequest;
@@ -37,13 +42,17 @@
 use crate::peer::accept_peers;
 use crate::ports::Area;
 
-/// Interval between exchanges with one peer. Both sides start exchanges, so an
+/// Interval between exchanges with one peer, of which one side starts all. An
 /// admission is known everywhere after about half this interval.
-const EXCHANGE_INTERVAL: Duration = Duration::from_millis(150);
+const EXCHANGE_INTERVAL: Duration = Duration::from_millis(75);
 
-/// Maximum number of exchanges per second that one entry starts. In a large
-/// fleet, it contacts each peer less often.
-const MAX_EXCHANGES_PER_S: u64 = 150;
+/// Maximum number of exchanges per second in which one entry takes part, on
+/// either side. In a large fleet, the interval is longer.
+const MAX_EXCHANGES_PER_S: u64 = 160;
+
+/// Time, besides two intervals, without an exchange that the peer starts after
+/// which the other side starts one.
+const CONTACT_MARGIN: Duration = Duration::from_millis(400);
 
 /// Number of exchanges over one connection after which the known entries are
 /// sent again.
@@ -69,49 +78,46 @@
 /// the peer before this time has passed.
 const OPERATOR_LAG_TOLERANCE: Duration = Duration::from_millis(1_400);
 
-/// Time without a response after which exchanges with a peer end, unless it is
-/// a seed.
-const PEER_EXPIRY: Duration = Duration::from_secs(15);
-
-/// Entries that sent their state within [`PEER_EXPIRY`], with their peer
-/// addresses.
-#[derive(Debug, Default)]
-pub struct KnownEntries {
-    entries: Mutex<HashMap<String, (SocketAddr, MonotonicTime)>>,
+/// What the tasks that exchange state with peers share.
+struct PeerExchange {
+    cx: Arc<GatewayContext>,
+    known_entries: KnownEntries,
+    contacts: PeerContacts,
+    discovered_tx: UnboundedSender<SocketAddr>,
 }
 
-impl KnownEntries {
-    fn record(&self, name: &str, address: SocketAddr, now: MonotonicTime) {
-        let mut entries = self.entries.lock().unwrap_or_else(PoisonError::into_inner);
-        entries.insert(name.into(), (address, now));
-    }
+/// RPC service of this entry for one connection of a peer. Every process of the
+/// fleet serves the same RPC interface; an entry sends no engine updates and
+/// ignores announced calls.
+#[derive(Clone)]
+struct EntryService {
+    exchange: Arc<PeerExchange>,
+    connection: Arc<ServedConnection>,
+}
 
-    fn remove(&self, name: &str) {
-        let mut entries = self.entries.lock().unwrap_or_else(PoisonError::into_inner);
-        entries.remove(name);
-    }
+/// Connection that a peer has opened. The peer's contact ends when this is
+/// dropped.
+struct ServedConnection {
+    exchange: Arc<PeerExchange>,
+    peer: Mutex<Option<SocketAddr>>,
+}
 
-    fn list(&self, now: MonotonicTime) -> Vec<KnownEntry> {
-        let mut entries = self.entries.lock().unwrap_or_else(PoisonError::into_inner);
-        entries.retain(|_, (_, last_heard_at)| now.since(*last_heard_at) < PEER_EXPIRY);
-        entries
-            .iter()
-            .map(|(name, (address, _))| KnownEntry {
-                name: name.clone(),
-                address: *address,
-            })
-            .collect()
+impl ServedConnection {
+    fn record_contact(&self, peer: SocketAddr) {
+        *self.peer.lock().unwrap_or_else(PoisonError::into_inner) = Some(peer);
+        let now = self.exchange.cx.now();
+        self.exchange.contacts.record(peer, now);
     }
 }
 
-/// RPC service of this entry for its peers. Every process of the fleet serves
-/// the same RPC interface; an entry sends no engine updates and ignores
-/// announced calls.
-#[derive(Clone)]
-struct EntryService {
-    cx: Arc<GatewayContext>,
-    known_entries: Arc<KnownEntries>,
-    discovered_tx: UnboundedSender<SocketAddr>,
+impl Drop for ServedConnection {
+    fn drop(&mut self) {
+        let peer = *self.peer.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(peer) = peer {
+            log::info!("peers: lost address={peer} reason=\"it closed its connection\"");
+            self.exchange.contacts.remove(peer);
+        }
+    }
 }
 
 impl Mesh for EntryService {
@@ -121,32 +127,41 @@
 
     async fn announce(self, _: Context, _: Duration) {}
 
+    async fn collect(self, _: Context, _: CollectRequest) -> Option<CollectResponse> {
+        None
+    }
+
+    async fn forward_announcement(self, _: Context, _: ServerName, _: Duration) {}
+
     async fn exchange(self, _: Context, peer_state: PeerState) -> Option<PeerState> {
         let (address, usage_query) = (peer_state.address, peer_state.usage_query);
         let peer = peer_state.usage.name.clone();
         let peer_sent_entries = !peer_state.known_entries.is_empty();
-        apply_peer_state(
-            &self.cx,
-            &self.known_entries,
-            peer_state,
-            &self.discovered_tx,
-        );
+        let version = peer_state.configuration_version;
+        let peer_read_store = peer_state.newest_revisions.iter().any(|newest| *newest > 0);
+        self.connection.record_contact(address);
+        let exchange = &self.exchange;
+        apply_peer_state(exchange, peer_state);
+        if peer_read_store && is_fetch_due(&exchange.cx, version) {
+            // Outlives this response, which the peer waits for.
+            tokio::spawn(fetch_from_peer(Arc::clone(&exchange.cx), address, version));
+        }
         // Fails only during shutdown, when the receiver was dropped.
-        let _ = self.discovered_tx.send(address);
-        let mut own_state = build_peer_state(&self.cx, Some(&peer), usage_query);
+        let _ = exchange.discovered_tx.send(address);
+        let mut own_state = build_peer_state(&exchange.cx, Some(&peer), usage_query);
         if peer_sent_entries {
-            own_state.known_entries = self.known_entries.list(self.cx.now());
+            own_state.known_entries = exchange.known_entries.list(exchange.cx.now());
         }
         Some(own_state)
     }
 
     async fn get_configuration(self, _: Context, held: u64) -> Option<Bytes> {
-        let state = self.cx.lock();
+        let state = self.exchange.cx.lock();
         (state.configuration_version() > held).then(|| state.raw_configuration.clone())
     }
 
     async fn get_members(self, _: Context) -> Vec<Member> {
-        self.cx.lock().directory.list()
+        self.exchange.cx.lock().directory.list()
     }
 }
 
@@ -154,17 +169,26 @@
 /// When this is dropped, no more peers are discovered, but the tasks that it
 /// has spawned continue until the runtime ends.
 pub async fn exchange_peer_state(cx: Arc<GatewayContext>, listener: TcpListener) {
-    let known_entries = Arc::new(KnownEntries::default());
     let (discovered_tx, mut discovered_rx) = unbounded_channel();
-    let service = EntryService {
+    let exchange = Arc::new(PeerExchange {
         cx: Arc::clone(&cx),
-        known_entries: Arc::clone(&known_entries),
+        known_entries: KnownEntries::default(),
+        contacts: PeerContacts::default(),
         discovered_tx: discovered_tx.clone(),
-    };
+    });
+    let served_exchange = Arc::clone(&exchange);
     tokio::spawn(accept_peers(listener, move |stream| {
-        serve_mesh(stream, service.clone())
+        let connection = ServedConnection {
+            exchange: Arc::clone(&served_exchange),
+            peer: Mutex::default(),
+        };
+        let service = EntryService {
+            exchange: Arc::clone(&served_exchange),
+            connection: Arc::new(connection),
+        };
+        serve_mesh(stream, service)
     }));
-    tokio::spawn(discover_seeds(Arc::clone(&cx), discovered_tx.clone()));
+    tokio::spawn(discover_seeds(Arc::clone(&cx), discovered_tx));
     let mut exchange_tasks: HashMap<SocketAddr, JoinHandle<()>> = HashMap::new();
     while let Some(address) = discovered_rx.recv().await {
         exchange_tasks.retain(|_, task| !task.is_finished());
@@ -172,14 +196,8 @@
             continue;
         }
         let is_seed = cx.seeds.borrow().contains(&address);
-        let exchange = exchange_with_peer(
-            Arc::clone(&cx),
-            Arc::clone(&known_entries),
-            address,
-            discovered_tx.clone(),
-            is_seed,
-        );
-        exchange_tasks.insert(address, tokio::spawn(exchange));
+        let task = exchange_with_peer(Arc::clone(&exchange), address, is_seed);
+        exchange_tasks.insert(address, tokio::spawn(task));
     }
 }
 
@@ -198,33 +216,44 @@
     }
 }
 
-/// Exchanges state with one peer. Ends once a peer that is not a seed has not
-/// responded for [`PEER_EXPIRY`].
-async fn exchange_with_peer(
-    cx: Arc<GatewayContext>,
-    known_entries: Arc<KnownEntries>,
-    address: SocketAddr,
-    discovered_tx: UnboundedSender<SocketAddr>,
-    is_seed: bool,
-) {
+/// Exchanges state with one peer. The side with the lower address starts all
+/// exchanges; the other side starts some only while it hears nothing, so that
+/// peers find each other whichever side knows the other's address first. Ends
+/// once a peer that is not a seed has not responded for [`PEER_EXPIRY`].
+async fn exchange_with_peer(exchange: Arc<PeerExchange>, address: SocketAddr, is_seed: bool) {
+    let cx = &exchange.cx;
+    let starts_exchanges = cx.settings.listen.peers < address;
     let mut last_heard_at = cx.now();
-    let mut name = None;
     while is_seed || cx.now().since(last_heard_at) < PEER_EXPIRY {
+        if !starts_exchanges
+            && exchange
+                .contacts
+                .is_recent(cx, address, max_contact_age(cx))
+        {
+            exchange
+                .contacts
+                .wait_until_lost(cx, address, max_contact_age(cx))
+                .await;
+            last_heard_at = cx.now();
+        }
         match connect_mesh(address).await {
             Ok(client) => {
                 log::info!("peers: connected address={address}");
                 let contact = PeerContact {
                     last_heard_at: &mut last_heard_at,
-                    name: &mut name,
+                    address,
+                    starts_exchanges,
                 };
-                let end_reason =
-                    exchange_over_connection(&cx, &known_entries, &client, &discovered_tx, contact)
-                        .await;
-                log::info!("peers: lost address={address} reason=\"{end_reason}\"");
+                match exchange_over_connection(&exchange, &client, contact).await {
+                    ExchangeEnd::PeerStarts => log::info!("peers: closed address={address}"),
+                    ExchangeEnd::Lost(reason) => {
+                        log::info!("peers: lost address={address} reason=\"{reason}\"");
+                    }
+                }
             }
             Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => {
-                if let Some(name) = &name {
-                    cx.lock().quota.mark_peer_stopped(name);
+                if let Some(name) = exchange.known_entries.find_name(address) {
+                    cx.lock().quota.mark_peer_stopped(&name);
                 }
             }
             // A peer that does not respond may still admit calls, so it is not
@@ -235,73 +264,121 @@
     }
 }
 
-/// What is known of a peer across connections: when it last responded, and its
-/// name.
+/// Returns the interval between exchanges with one peer.
+fn exchange_interval(cx: &GatewayContext) -> Duration {
+    let peer_count = cx.lock().quota.count_entries() as u64 - 1;
+    EXCHANGE_INTERVAL.max(Duration::from_millis(
+        1_000 * peer_count / MAX_EXCHANGES_PER_S,
+    ))
+}
+
+/// Returns the time without an exchange after which a peer that should start
+/// them counts as lost.
+fn max_contact_age(cx: &GatewayContext) -> Duration {
+    exchange_interval(cx) * 2 + CONTACT_MARGIN
+}
+
+/// What is known of a peer across connections: its address, which side starts
+/// exchanges, and when it last responded.
 struct PeerContact<'a> {
+    address: SocketAddr,
+    starts_exchanges: bool,
     last_heard_at: &'a mut MonotonicTime,
-    name: &'a mut Option<String>,
 }
 
-/// Exchanges state at intervals until the connection fails, and returns the
-/// reason.
+/// Why an entry no longer starts exchanges over a connection.
+enum ExchangeEnd {
+    /// The peer starts them, as it should.
+    PeerStarts,
+    /// The connection failed; holds the reason.
+    Lost(String),
+}
+
+/// Exchanges state at intervals until the connection fails or the peer starts
+/// the exchanges.
 async fn exchange_over_connection(
-    cx: &GatewayContext,
-    known_entries: &KnownEntries,
+    exchange: &PeerExchange,
     client: &MeshClient,
-    discovered_tx: &UnboundedSender<SocketAddr>,
     contact: PeerContact<'_>,
-) -> String {
+) -> ExchangeEnd {
+    let cx = &*exchange.cx;
     // What the peer asked for in its last message: this entry's admissions
     // since those that it knows.
     let mut usage_query = UsageQuery::default();
+    let mut peer_name: Option<String> = None;
     let mut exchange_count = 0_u64;
     loop {
-        let mut own_state = build_peer_state(cx, contact.name.as_deref(), usage_query);
+        let mut own_state = build_peer_state(cx, peer_name.as_deref(), usage_query);
         if exchange_count.is_multiple_of(EXCHANGES_PER_ENTRY_LIST) {
-            own_state.known_entries = known_entries.list(cx.now());
+            own_state.known_entries = exchange.known_entries.list(cx.now());
         }
         match client.exchange(rpc_context(), own_state).await {
             Ok(Some(peer_state)) => {
                 usage_query = peer_state.usage_query;
                 *contact.last_heard_at = cx.now();
-                *contact.name = Some(peer_state.usage.name.clone());
+                peer_name = Some(peer_state.usage.name.clone());
                 let version = peer_state.configuration_version;
-                apply_peer_state(cx, known_entries, peer_state, discovered_tx);
-                fetch_configuration(cx, client, version).await;
-                fetch_members(cx, client).await;
+                apply_peer_state(exchange, peer_state);
+                if is_fetch_due(cx, version) {
+                    fetch_missing_state(cx, client, version).await;
+                }
             }
-            Ok(None) => return "the process is not an entry".into(),
-            Err(e) => return e.to_string(),
+            Ok(None) => return ExchangeEnd::Lost("the process is not an entry".into()),
+            Err(e) => return ExchangeEnd::Lost(e.to_string()),
+        }
+        sleep(exchange_interval(cx)).await;
+        let max_age = max_contact_age(cx);
+        if !contact.starts_exchanges && exchange.contacts.is_recent(cx, contact.address, max_age) {
+            return ExchangeEnd::PeerStarts;
         }
-        let entry_count = cx.lock().quota.count_entries() as u64;
-        let paced_interval = Duration::from_millis(1_000 * entry_count / MAX_EXCHANGES_PER_S);
-        sleep(EXCHANGE_INTERVAL.max(paced_interval)).await;
         exchange_count = exchange_count.wrapping_add(1);
     }
 }
 
-/// Fetches the configuration of a peer that has a newer one, since the store
-/// may be unreachable for this entry only: immediately if this entry has none,
-/// otherwise once a peer has been ahead for [`PEER_LAG_TOLERANCE`].
-async fn fetch_configuration(cx: &GatewayContext, client: &MeshClient, peer_version: u64) {
+/// Returns whether to fetch the members or the configuration from a peer with
+/// `peer_version`, since the store may be unreachable for this entry only: what
+/// this entry lacks immediately, a newer configuration once a peer has been
+/// ahead for [`PEER_LAG_TOLERANCE`].
+fn is_fetch_due(cx: &GatewayContext, peer_version: u64) -> bool {
     let now = cx.now();
-    let held_version = {
-        let mut state = cx.lock();
-        let held_version = state.configuration_version();
-        if peer_version <= held_version {
-            return;
-        }
-        let behind_since = *state.configuration_behind_since.get_or_insert(now);
-        if held_version > 0 && now.since(behind_since) < PEER_LAG_TOLERANCE {
-            return;
-        }
-        held_version
-    };
+    let mut state = cx.lock();
+    let held_version = state.configuration_version();
+    if peer_version <= held_version {
+        return !state.has_members;
+    }
+    let behind_since = *state.configuration_behind_since.get_or_insert(now);
+    held_version == 0 || !state.has_members || now.since(behind_since) >= PEER_LAG_TOLERANCE
+}
+
+/// Connects to the peer at `address` and fetches what this entry lacks.
+async fn fetch_from_peer(cx: Arc<GatewayContext>, address: SocketAddr, peer_version: u64) {
+    // Checked again when fetching; avoids needless connections.
+    if cx.peer_fetch.try_lock().is_err() {
+        return;
+    }
+    match connect_mesh(address).await {
+        Ok(client) => fetch_missing_state(&cx, &client, peer_version).await,
+        Err(e) => log::debug!("peers: connection failed address={address} reason=\"{e}\""),
+    }
+}
+
+/// Fetches the configuration of a peer with `peer_version` if that is newer, and
+/// the members if this entry has none.
+async fn fetch_missing_state(cx: &GatewayContext, client: &MeshClient, peer_version: u64) {
     // Only one fetch runs at a time: fetching a large configuration from each
     // peer that has it would occupy a slow link for many seconds.
-    let Ok(_fetch_guard) = cx.configuration_fetch.try_lock() else {
+    let Ok(_fetch_guard) = cx.peer_fetch.try_lock() else {
         return;
     };
+    fetch_configuration(cx, client, peer_version).await;
+    fetch_members(cx, client).await;
+}
+
+async fn fetch_configuration(cx: &GatewayContext, client: &MeshClient, peer_version: u64) {
+    let held_version = cx.lock().configuration_version();
+    if peer_version <= held_version {
+        return;
+    }
     let mut context = tarpc::context::current();
     context.deadline = Instant::now() + CONFIGURATION_FETCH_TIMEOUT;
     let raw = match client.get_configuration(context, held_version).await {
@@ -378,12 +455,8 @@
 
 /// Applies the state that a peer sent, and reports the entries that it lists as
 /// discovered.
-fn apply_peer_state(
-    cx: &GatewayContext,
-    known_entries: &KnownEntries,
-    peer_state: PeerState,
-    discovered_tx: &UnboundedSender<SocketAddr>,
-) {
+fn apply_peer_state(exchange: &PeerExchange, peer_state: PeerState) {
+    let (cx, known_entries) = (&*exchange.cx, &exchange.known_entries);
     if peer_state.usage.name == cx.settings.name {
         return;
     }
@@ -395,7 +468,7 @@
     for entry in &peer_state.known_entries {
         if entry.name != cx.settings.name {
             // Fails only during shutdown, when the receiver was dropped.
-            let _ = discovered_tx.send(entry.address);
+            let _ = exchange.discovered_tx.send(entry.address);
         }
     }
     let mut state = cx.lock();
--- a/src/gateway/follow_agents.rs
+++ b/src/gateway/follow_agents.rs
@@ -1,164 +1,238 @@
-//! Connects to the agent beside each engine and applies its updates.
+//! Follows the agents beside engines: each one itself, or in a large fleet
+//! through collectors.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use std::time::Instant;
 
-use tarpc::context::Context;
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
+use super::agent_connections::AgentConnection;
 use super::clock_offsets::ClockOwner;
 use super::context::GatewayContext;
+use super::follow_collector::CollectorHealth;
+use super::follow_collector::follow_collector;
 use crate::clock::read_wall_clock_ms;
 use crate::core::ServerName;
+use crate::core::fleet::EngineAgent;
 use crate::core::fleet::MemberState;
 use crate::core::fleet::TargetVersion;
+use crate::core::fleet::plan_collectors;
+use crate::mesh::AgentObserver;
 use crate::mesh::EngineUpdate;
+use crate::mesh::FollowedEngine;
 use crate::mesh::MeshClient;
-use crate::mesh::ObserveRequest;
-use crate::mesh::connect_mesh;
-
-/// Timeout of a request for an update; the agent holds the response back for at
-/// most half a second.
-const OBSERVE_TIMEOUT: Duration = Duration::from_millis(1_200);
-
-/// Delay before reconnecting to an agent.
-const RECONNECT_DELAY: Duration = Duration::from_millis(300);
+use crate::mesh::follow_agent;
 
 /// Interval between checks for added and removed engines.
 const MEMBER_POLL_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Runs one follower task for each listed engine.
+/// Task that follows a collector, and the engines that it is to collect.
+struct CollectorFollower {
+    engines: watch::Sender<Vec<FollowedEngine>>,
+    task: JoinHandle<()>,
+}
+
+/// Keeps one task for each collector, and one for each engine that no collector
+/// follows.
 pub async fn follow_agents(cx: Arc<GatewayContext>) {
-    let mut followers: HashMap<ServerName, JoinHandle<()>> = HashMap::new();
+    let health = Arc::new(CollectorHealth::default());
+    let mut direct_followers: HashMap<ServerName, JoinHandle<()>> = HashMap::new();
+    let mut collector_followers: HashMap<SocketAddr, CollectorFollower> = HashMap::new();
     loop {
         let engines = list_engines(&cx);
-        followers.retain(|name, follower| {
-            let is_listed = engines.iter().any(|(listed, _)| listed == name);
-            if !is_listed {
+        let agents: Vec<EngineAgent> = engines.iter().map(|(agent, _)| agent.clone()).collect();
+        let now = cx.now();
+        let plan = plan_collectors(&cx.settings.zone, &agents, |agent| {
+            health.is_usable(agent, now)
+        });
+        let collected: HashSet<&ServerName> = plan.values().flatten().collect();
+        let direct: HashMap<&ServerName, SocketAddr> = agents
+            .iter()
+            .filter(|engine| !collected.contains(&engine.name))
+            .map(|engine| (&engine.name, engine.agent))
+            .collect();
+        direct_followers.retain(|name, follower| {
+            let is_direct = direct.contains_key(name);
+            if !is_direct {
+                // Dropping the task's observer removes its connection.
                 follower.abort();
-                cx.agent_connections.remove(name);
             }
-            is_listed
+            is_direct
         });
-        for (name, address) in engines {
-            followers.entry(name).or_insert_with_key(|name| {
-                let follower = follow_agent(Arc::clone(&cx), name.clone(), address);
-                tokio::spawn(follower)
+        for (name, agent) in direct {
+            direct_followers.entry(name.clone()).or_insert_with(|| {
+                let observer = DirectObserver {
+                    cx: Arc::clone(&cx),
+                    name: name.clone(),
+                    agent,
+                };
+                tokio::spawn(follow_agent(name.clone(), agent, observer))
             });
         }
+        update_collector_followers(&cx, &health, &engines, &plan, &mut collector_followers);
         sleep(MEMBER_POLL_INTERVAL).await;
     }
 }
 
-/// Lists the engines, which are the servers with models, and the addresses of
-/// the agents beside them.
-fn list_engines(cx: &GatewayContext) -> Vec<(ServerName, SocketAddr)> {
+/// Starts and ends the tasks that follow collectors, and passes changes of
+/// their engines on to them.
+fn update_collector_followers(
+    cx: &Arc<GatewayContext>,
+    health: &Arc<CollectorHealth>,
+    engines: &[(EngineAgent, (u64, u64))],
+    plan: &HashMap<SocketAddr, Vec<ServerName>>,
+    followers: &mut HashMap<SocketAddr, CollectorFollower>,
+) {
+    followers.retain(|collector, follower| {
+        let is_needed = plan.contains_key(collector) && !follower.task.is_finished();
+        if !is_needed {
+            follower.task.abort();
+        }
+        is_needed
+    });
+    let engines_by_name: HashMap<&ServerName, &(EngineAgent, (u64, u64))> = engines
+        .iter()
+        .map(|engine| (&engine.0.name, engine))
+        .collect();
+    for (collector, names) in plan {
+        let followed: Vec<FollowedEngine> = names
+            .iter()
+            .filter_map(|name| engines_by_name.get(name))
+            .map(|(engine, batch_position)| FollowedEngine {
+                name: engine.name.clone(),
+                agent: engine.agent,
+                batch_position: *batch_position,
+            })
+            .collect();
+        match followers.get(collector) {
+            Some(follower) => {
+                follower.engines.send_if_modified(|current| {
+                    let is_changed = *current != followed;
+                    *current = followed;
+                    is_changed
+                });
+            }
+            None => {
+                let (engines_tx, engines_rx) = watch::channel(followed);
+                let follow =
+                    follow_collector(Arc::clone(cx), Arc::clone(health), *collector, engines_rx);
+                let follower = CollectorFollower {
+                    engines: engines_tx,
+                    task: tokio::spawn(follow),
+                };
+                followers.insert(*collector, follower);
+            }
+        }
+    }
+}
+
+/// Lists the engines, which are the servers with models, ordered by name, with
+/// the position of each among the ready ones of its service and their number.
+/// The position follows from the names, so that every entry finds the same.
+fn list_engines(cx: &GatewayContext) -> Vec<(EngineAgent, (u64, u64))> {
     let state = cx.lock();
-    state
+    let mut engines: Vec<_> = state
         .dispatcher
         .list_backends()
         .filter(|view| !view.member.models.is_empty())
-        .map(|view| {
-            let address = SocketAddr::new(view.member.address.ip(), cx.settings.agent_port);
-            (view.member.name.clone(), address)
+        .map(|view| &view.member)
+        .collect();
+    engines.sort_unstable_by(|a, b| a.name.cmp(&b.name));
+    let mut ready_counts: HashMap<&str, u64> = HashMap::new();
+    let positions: Vec<u64> = engines
+        .iter()
+        .map(|member| {
+            let count = ready_counts.entry(member.service.as_str()).or_default();
+            let position = *count;
+            *count += u64::from(member.state == MemberState::Ready);
+            position
+        })
+        .collect();
+    engines
+        .iter()
+        .zip(positions)
+        .map(|(member, position)| {
+            let agent = EngineAgent {
+                name: member.name.clone(),
+                agent: SocketAddr::new(member.address.ip(), cx.settings.agent_port),
+                zone: member.zone.clone(),
+            };
+            let count = ready_counts.get(member.service.as_str()).copied();
+            (agent, (position, count.unwrap_or(0)))
         })
         .collect()
 }
 
-async fn follow_agent(cx: Arc<GatewayContext>, name: ServerName, agent: SocketAddr) {
-    let mut request = ObserveRequest {
-        incarnation: 0,
-        known_update: 0,
-        next_kv_change: 0,
-        engine_run: name.to_string(),
-        targets: Vec::new(),
-        batch_position: (0, 1),
-    };
-    let mut is_lost = false;
-    loop {
-        let reason = match connect_mesh(agent).await {
-            Ok(client) => {
-                if is_lost {
-                    log::info!("agents: regained server={name} agent={agent}");
-                    is_lost = false;
-                }
-                cx.agent_connections.insert(&name, client.clone());
-                let reason = observe_until_failure(&cx, &name, &client, &mut request).await;
-                cx.agent_connections.remove(&name);
-                reason
-            }
-            Err(e) => e.to_string(),
-        };
-        if !is_lost {
-            log::info!("agents: lost server={name} agent={agent} reason=\"{reason}\"");
-            is_lost = true;
-        }
-        sleep(RECONNECT_DELAY).await;
+/// Applies the updates of one agent that this entry follows itself.
+struct DirectObserver {
+    cx: Arc<GatewayContext>,
+    name: ServerName,
+    agent: SocketAddr,
+}
+
+impl Drop for DirectObserver {
+    fn drop(&mut self) {
+        self.record_disconnected();
     }
 }
 
-/// Applies updates until the connection fails, and returns the reason.
-async fn observe_until_failure(
-    cx: &GatewayContext,
-    name: &ServerName,
-    client: &MeshClient,
-    request: &mut ObserveRequest,
-) -> String {
-    loop {
-        (request.targets, request.batch_position) = find_batch_position(cx, name);
-        let mut context: Context = tarpc::context::current();
-        context.deadline = Instant::now() + OBSERVE_TIMEOUT;
-        match client.observe(context, request.clone()).await {
-            Ok(Some(update)) => apply_update(cx, name, update, request),
-            Ok(None) => return "the process has no engine".into(),
-            Err(e) => return e.to_string(),
+impl AgentObserver for DirectObserver {
+    fn read_rollout_fields(&self) -> (Vec<TargetVersion>, (u64, u64)) {
+        let state = self.cx.lock();
+        let targets = state.dispatcher.list_target_versions();
+        let Some(engine) = state.dispatcher.find_backend(&self.name) else {
+            return (targets, (0, 1));
+        };
+        let service = state
+            .dispatcher
+            .list_service_backends(&engine.member.service);
+        let (mut position, mut count) = (0, 0);
+        for view in service.filter(|view| view.member.state == MemberState::Ready) {
+            count += 1;
+            position += u64::from(view.member.name < self.name);
         }
+        (targets, (position, count))
     }
-}
 
-/// Returns the target versions, the position of an engine among the ready ones
-/// of its service and their number. Engines are ordered by name, so that every
-/// entry finds the same position.
-fn find_batch_position(cx: &GatewayContext, name: &ServerName) -> (Vec<TargetVersion>, (u64, u64)) {
-    let state = cx.lock();
-    let targets = state.dispatcher.list_target_versions();
-    let Some(engine) = state.dispatcher.find_backend(name) else {
-        return (targets, (0, 1));
-    };
-    let service = state
-        .dispatcher
-        .list_service_backends(&engine.member.service);
-    let (mut position, mut count) = (0, 0);
-    for view in service.filter(|view| view.member.state == MemberState::Ready) {
-        count += 1;
-        position += u64::from(view.member.name < *name);
+    fn subscribe_urgent_changes(&self) -> Option<watch::Receiver<u64>> {
+        None
     }
-    (targets, (position, count))
-}
 
-fn apply_update(
-    cx: &GatewayContext,
-    name: &ServerName,
-    update: EngineUpdate,
-    request: &mut ObserveRequest,
-) {
-    let owner = ClockOwner::Agent(name);
-    cx.clock_offsets
-        .record(owner, update.clock_ms, read_wall_clock_ms());
-    let now = cx.now();
-    let mut state = cx.lock();
-    state.learn_targets(&update.targets, format_args!("agent server={name}"), now);
-    request.incarnation = update.incarnation;
-    request.known_update = update.sequence;
-    request.next_kv_change = update.next_kv_change;
-    state
-        .dispatcher
-        .observe_cached_parts(name, &update.kv_changes, update.is_full_list);
-    state
-        .dispatcher
-        .observe_agent_report(name, update.report, now);
+    fn record_connected(&self, client: &MeshClient) {
+        let connection = AgentConnection {
+            address: self.agent,
+            client: client.clone(),
+            is_collector: false,
+        };
+        self.cx.agent_connections.insert(&self.name, connection);
+    }
+
+    fn record_disconnected(&self) {
+        self.cx.agent_connections.remove(&self.name, self.agent);
+    }
+
+    fn apply_update(&self, update: EngineUpdate) {
+        let owner = ClockOwner::Agent(&self.name);
+        self.cx
+            .clock_offsets
+            .record(owner, update.clock_ms, read_wall_clock_ms());
+        let now = self.cx.now();
+        let mut state = self.cx.lock();
+        state.learn_targets(
+            &update.targets,
+            format_args!("agent server={}", self.name),
+            now,
+        );
+        state
+            .dispatcher
+            .observe_cached_parts(&self.name, &update.kv_changes, update.is_full_list);
+        state
+            .dispatcher
+            .observe_agent_report(&self.name, update.report, now);
+    }
 }
--- a/src/gateway/follow_store.rs
+++ b/src/gateway/follow_store.rs
@@ -16,10 +16,15 @@
 /// connection is detected by pings and by peers that have newer records.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(20);
 
-/// Interval between pings. Together with the timeout of a ping, it is well
-/// below the time limit for calls to a server that leaves.
+/// Minimum interval between pings. Together with the timeout of a ping, it is
+/// well below the time limit for calls to a server that leaves.
 const PING_INTERVAL: Duration = Duration::from_millis(700);
 
+/// Maximum number of pings per second of all entries together. In a large
+/// fleet each entry pings less often, and learns from its peers that its own
+/// watch has missed records.
+const MAX_FLEET_PINGS_PER_S: u32 = 30;
+
 /// Delay after the first failure; short, since a lost connection says little
 /// about the state of the store.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(100);
@@ -29,8 +34,11 @@
 
 /// Delay after a change of members before the next watch, so that many changes
 /// need few requests. It is far below the time allowed for reacting to a
-/// leaving server.
+/// leaving server. In a large fleet it is longer, up to the maximum, by which
+/// the requests of all entries together are bounded.
 const MEMBERS_BATCH_INTERVAL: Duration = Duration::from_millis(500);
+const MAX_MEMBERS_BATCH_INTERVAL: Duration = Duration::from_millis(1_200);
+const MAX_FLEET_MEMBER_WATCHES_PER_S: u32 = 100;
 
 /// Reads one area and then watches it, for as long as the gateway runs.
 pub async fn follow_area(cx: Arc<GatewayContext>, area: Area) {
@@ -67,7 +75,8 @@
                 let has_changes = !update.changes.is_empty();
                 apply_update(&cx, area, update, is_full_read);
                 if has_changes && area == Area::Members {
-                    sleep(MEMBERS_BATCH_INTERVAL).await;
+                    let paced = pace_over_entries(&cx, MAX_FLEET_MEMBER_WATCHES_PER_S);
+                    sleep(paced.clamp(MEMBERS_BATCH_INTERVAL, MAX_MEMBERS_BATCH_INTERVAL)).await;
                 }
             }
             Err(PortError::HistoryCompacted) => {
@@ -145,12 +154,19 @@
     }
 }
 
+/// Returns the interval at which each entry may act so that all of them together
+/// act `fleet_rate` times a second.
+fn pace_over_entries(cx: &GatewayContext, fleet_rate: u32) -> Duration {
+    let entry_count = u32::try_from(cx.lock().quota.count_entries()).unwrap_or(u32::MAX);
+    Duration::from_secs(1) * entry_count / fleet_rate
+}
+
 /// Pings the source for as long as the gateway runs. After a ping without a
 /// response, all watches are cancelled: a connection on which a response was
 /// lost may stay open and deliver nothing more.
 pub async fn ping_store(cx: Arc<GatewayContext>) {
     loop {
-        sleep(PING_INTERVAL).await;
+        sleep(PING_INTERVAL.max(pace_over_entries(&cx, MAX_FLEET_PINGS_PER_S))).await;
         match cx.ports.source.ping().await {
             Ok(()) => cx.lock().directory.record_store_answer(cx.now()),
             Err(e) => {
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -2,18 +2,27 @@
 //! entries and the agents beside engines. They never carry traffic of callers.
 //!
 //! An *entry* is one gateway process of the fleet, and the *agent* of an engine
-//! is its sidecar. An *area* is a set of records in the store that is read and
+//! is its sidecar. A *collector* is an agent that also follows other agents and
+//! passes their updates on to entries. An *area* is a set of records in the store that is read and
 //! watched separately: [`crate::ports::Area`].
 
+mod collect_request;
+mod collect_response;
 mod connect_mesh;
 mod engine_update;
+mod follow_agent;
 mod observe_request;
 mod peer_state;
 mod serve_mesh;
 mod service;
 
+pub use collect_request::CollectRequest;
+pub use collect_request::FollowedEngine;
+pub use collect_response::CollectResponse;
 pub use connect_mesh::connect_mesh;
 pub use engine_update::EngineUpdate;
+pub use follow_agent::AgentObserver;
+pub use follow_agent::follow_agent;
 pub use observe_request::ObserveRequest;
 pub use peer_state::KnownEntry;
 pub use peer_state::PeerState;
--- a/src/mesh/service.rs
+++ b/src/mesh/service.rs
@@ -9,9 +9,12 @@
 
 use bytes::Bytes;
 
+use super::CollectRequest;
+use super::CollectResponse;
 use super::EngineUpdate;
 use super::ObserveRequest;
 use super::PeerState;
+use crate::core::ServerName;
 use crate::core::fleet::Member;
 
 /// Requests between the processes of a fleet. A process that does not serve a
@@ -35,4 +38,12 @@
 
     /// Asks an entry for the backend servers that it knows.
     async fn get_members() -> Vec<Member>;
+
+    /// Asks an agent for updates about several engines, as their collector. It
+    /// delays the response so that it holds the updates of a short period.
+    async fn collect(req: CollectRequest) -> Option<CollectResponse>;
+
+    /// Announces a call to a collector, which passes it on to the agent of the
+    /// engine `server`; see [`Self::announce`].
+    async fn forward_announcement(server: ServerName, reading: Duration);
 }
--- a/src/sidecar/context.rs
+++ b/src/sidecar/context.rs
@@ -8,6 +8,7 @@
 
 use tokio::sync::watch;
 
+use super::collector::Collector;
 use crate::clock::Clock;
 use crate::core::MonotonicTime;
 use crate::core::fleet::AgentReport;
@@ -60,6 +61,8 @@
     pub metrics: SidecarMetrics,
     /// Random number that identifies this run.
     pub incarnation: u64,
+    /// Engines that this process follows for entries.
+    pub collector: Arc<Collector>,
     clock: Clock,
     state: Mutex<SidecarState>,
     update_number: watch::Sender<u64>,
@@ -74,6 +77,7 @@
             ports,
             metrics: SidecarMetrics::new(),
             incarnation: rand::random(),
+            collector: Arc::new(Collector::new()),
             clock: Clock::start(),
             state: Mutex::default(),
             update_number: watch::channel(1).0,
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -1,7 +1,9 @@
 //! The agent beside an engine of a fleet. It is the only process that sends the
 //! engine orders, and it reports the engine's state and cached prompt parts to
-//! entries.
+//! entries. In a large fleet some agents are also collectors: they follow other
+//! agents and pass their updates on.
 
+mod collector;
 mod context;
 mod follow_kv_cache;
 mod reconcile_engine;
--- a/src/sidecar/run.rs
+++ b/src/sidecar/run.rs
@@ -68,11 +68,9 @@
             log::error!("sidecar: metrics not served reason=\"{e}\"");
         }
     }
-    let service = SidecarService {
-        cx: Arc::clone(&cx),
-    };
+    let service_cx = Arc::clone(&cx);
     tokio::spawn(accept_peers(listener, move |stream| {
-        serve_mesh(stream, service.clone())
+        serve_mesh(stream, SidecarService::new(Arc::clone(&service_cx)))
     }));
     tokio::spawn(reconcile_engine(Arc::clone(&cx)));
     tokio::spawn(follow_kv_cache(Arc::clone(&cx)));
--- a/src/sidecar/sidecar_service.rs
+++ b/src/sidecar/sidecar_service.rs
@@ -7,11 +7,15 @@
 use tarpc::context::Context;
 use tokio::time::timeout;
 
+use super::collector::Subscription;
 use super::context::SidecarContext;
 use crate::clock::read_wall_clock_ms;
+use crate::core::ServerName;
 use crate::core::fleet::AgentReport;
 use crate::core::fleet::Member;
 use crate::core::fleet::TargetVersion;
+use crate::mesh::CollectRequest;
+use crate::mesh::CollectResponse;
 use crate::mesh::EngineUpdate;
 use crate::mesh::Mesh;
 use crate::mesh::ObserveRequest;
@@ -21,11 +25,11 @@
 /// the silence after which an entry stops trusting the last update.
 const UPDATE_WAIT: Duration = Duration::from_millis(500);
 
-/// RPC service of a sidecar for entries.
+/// RPC service of a sidecar for one connection of an entry or collector.
 #[derive(Debug, Clone)]
 pub struct SidecarService {
-    /// Context with the state that updates are built from.
-    pub cx: Arc<SidecarContext>,
+    cx: Arc<SidecarContext>,
+    subscription: Arc<Subscription>,
 }
 
 impl Mesh for SidecarService {
@@ -49,6 +53,26 @@
         self.cx.publish();
     }
 
+    async fn collect(self, _: Context, req: CollectRequest) -> Option<CollectResponse> {
+        if let Some(engines) = &req.engines {
+            self.subscription.set_engines(engines);
+        }
+        let collector = self.subscription.collector();
+        collector.learn_targets(&req.targets);
+        self.subscription.wait_for_updates().await;
+        Some(CollectResponse {
+            clock_ms: read_wall_clock_ms(),
+            engines: self.subscription.take_updates(),
+            targets: collector.list_targets_except(&req.targets),
+        })
+    }
+
+    async fn forward_announcement(self, _: Context, server: ServerName, prefill_time: Duration) {
+        self.subscription
+            .collector()
+            .announce(&server, prefill_time);
+    }
+
     // The other requests are only sent between entries.
 
     async fn exchange(self, _: Context, _: PeerState) -> Option<PeerState> {
@@ -65,6 +89,15 @@
 }
 
 impl SidecarService {
+    /// Creates the service for a new connection.
+    pub fn new(cx: Arc<SidecarContext>) -> Self {
+        let subscription = Subscription::new(Arc::clone(&cx.collector));
+        Self {
+            cx,
+            subscription: Arc::new(subscription),
+        }
+    }
+
     fn apply_request(&self, req: &ObserveRequest) {
         let now = self.cx.now();
         let mut state = self.cx.lock();
