--- a/src/core/fleet/collected_engines.rs
+++ b/src/core/fleet/collected_engines.rs
@@ -16,6 +16,10 @@
 /// the full list.
 const MAX_KEPT_CHANGES: usize = 500;
 
+/// Increase of an engine's prefill queue, in milliseconds, that readers should
+/// know at once: a call sent behind it would be late by that much.
+const URGENT_PREFILL_INCREASE_MS: u32 = 150;
+
 /// State of one engine that a collector passes on to entries.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct CollectedUpdate {
@@ -66,7 +70,8 @@
         let engine = self.engines.entry(name.clone()).or_default();
         let is_urgent = engine.report.is_accepting != report.is_accepting
             || engine.report.is_alive != report.is_alive
-            || engine.report.versions != report.versions;
+            || engine.report.versions != report.versions
+            || report.prefill_ms >= engine.report.prefill_ms + URGENT_PREFILL_INCREASE_MS;
         engine.report = report;
         engine.updated_at = sequence;
         engine.parts.apply_all(kv_changes, is_full_list);
--- a/tests/fleet_collectors.rs
+++ b/tests/fleet_collectors.rs
@@ -128,7 +128,9 @@
     }
 }
 
-/// Load alone is not urgent; a new version, a stop and a crash are.
+/// Load alone is not urgent; a long prompt, a new version and a stop are. Short
+/// calls queued behind long ones of other entries while those were not known yet
+/// (scale days).
 #[test]
 fn apply_urgent_when_calls_must_go_elsewhere() {
     let name = ServerName::from("i-1");
@@ -137,6 +139,13 @@
     let mut busier = report(1);
     busier.load.running = 30;
     assert!(!collected.apply(&name, busier, &[change(1, 80)], false));
+    let with_prefill = |prefill_ms| AgentReport {
+        prefill_ms,
+        ..report(1)
+    };
+    assert!(!collected.apply(&name, with_prefill(60), &[], false));
+    assert!(collected.apply(&name, with_prefill(400), &[], false));
+    assert!(!collected.apply(&name, with_prefill(330), &[], false));
     assert!(collected.apply(&name, report(2), &[], false));
     let stopped = AgentReport {
         is_accepting: false,
