Order engines that have no agent from gateways, under claims in the store

Cause: only agents ordered weights.

Change: an entry that has heard nothing about an engine for 5 s, and is refused a connection by its agent's address, claims the engine's group in the store and runs the agent's own order loop. The claim's revision is the fencing token; a new holder waits 3.2 s, an old one stops before its lease can end. An agent that returns is told the token: it orders later target versions only.

Ruled out: one claim an engine (180 leases), one for all (one entry follows all engines), choosing the holder without the store (two holders with one token).

--- a/src/cli/gateway.rs
+++ b/src/cli/gateway.rs
@@ -15,6 +15,7 @@
 use crate::http::Client;
 use crate::http::ClientTimeouts;
 use crate::platform::PlatformDialect;
+use crate::platform::PlatformEngineClient;
 use crate::platform::PlatformKvCacheFeed;
 use crate::platform::PlatformStoreClient;
 use crate::settings::GatewaySettings;
@@ -72,9 +73,12 @@
 /// Creates the adapters through which a gateway uses the platform.
 fn create_ports(settings: &GatewaySettings) -> GatewayPorts {
     let client = create_platform_client();
+    let store = Arc::new(PlatformStoreClient::new(client.clone(), settings.store));
     GatewayPorts {
         dialect: Arc::new(PlatformDialect),
-        source: Arc::new(PlatformStoreClient::new(client.clone(), settings.store)),
-        kv_cache: Arc::new(PlatformKvCacheFeed::new(client)),
+        source: Arc::clone(&store) as _,
+        kv_cache: Arc::new(PlatformKvCacheFeed::new(client.clone())),
+        engine: Arc::new(PlatformEngineClient::new(client)),
+        claims: store,
     }
 }
--- a/src/core/fleet/rollout.rs
+++ b/src/core/fleet/rollout.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use super::ModelName;
+use super::TAKEOVER_DELAY;
 use super::TargetVersion;
 use super::target_history::TargetHistory;
 use super::target_history::VersionStatus;
@@ -122,6 +123,11 @@
     targets: HashMap<ModelName, TargetHistory>,
     batch_position: (u64, u64),
     phase: Phase,
+    /// Highest fencing token that another process has used for orders to the
+    /// engine; it sees to the targets up to this revision.
+    other_fence: u64,
+    /// No order is given before this time.
+    not_before: MonotonicTime,
 }
 
 impl Rollout {
@@ -131,6 +137,18 @@
             targets: HashMap::new(),
             batch_position: (0, 1),
             phase: Phase::Accepting,
+            other_fence: 0,
+            not_before: MonotonicTime::ZERO,
+        }
+    }
+
+    /// Records that another process orders the engine with the fencing token
+    /// `fence`. From then on only targets of a higher revision are ordered here,
+    /// and none before [`TAKEOVER_DELAY`] has passed.
+    pub fn yield_orders(&mut self, fence: u64, now: MonotonicTime) {
+        if fence > self.other_fence {
+            self.other_fence = fence;
+            self.not_before = now + TAKEOVER_DELAY;
         }
     }
 
@@ -166,6 +184,15 @@
         Some(order_at.since(now))
     }
 
+    /// Returns whether an engine with these weights needs no order from here.
+    pub fn is_current(&self, versions: &[(ModelName, WeightsVersion)]) -> bool {
+        let status = EngineStatus {
+            versions: versions.to_vec(),
+            ..EngineStatus::default()
+        };
+        self.find_target_and_order_time(&status).is_none()
+    }
+
     /// Advances the rollout by the engine's status and returns the next action.
     pub fn advance(&mut self, status: &EngineStatus, now: MonotonicTime) -> RolloutStep {
         match (self.phase, self.find_target_and_order_time(status)) {
@@ -240,7 +267,9 @@
             // normally due at once.
             let since = since.unwrap_or(MonotonicTime::ZERO);
             let order_at = since + FIRST_BATCH_DELAY + BATCH_INTERVAL * batch;
-            Some((history.newest()?.clone(), order_at))
+            let newest = history.newest()?;
+            let is_own = newest.revision > self.other_fence;
+            is_own.then(|| (newest.clone(), order_at.max(self.not_before)))
         })
     }
 }
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -22,8 +22,10 @@
 use crate::metrics::GatewayMetrics;
 use crate::ports::Area;
 use crate::ports::Dialect;
+use crate::ports::EngineClient;
 use crate::ports::FleetSource;
 use crate::ports::KvCacheFeed;
+use crate::ports::OrderClaims;
 use crate::settings::GatewaySettings;
 
 /// Interfaces to the systems around a gateway.
@@ -35,6 +37,10 @@
     pub source: Arc<dyn FleetSource>,
     /// Feeds of cached prompt parts.
     pub kv_cache: Arc<dyn KvCacheFeed>,
+    /// Client of engines that have no agent.
+    pub engine: Arc<dyn EngineClient>,
+    /// Claims to the right to order such engines.
+    pub claims: Arc<dyn OrderClaims>,
 }
 
 /// Settings, clients, metrics and state of a running gateway.
--- a/src/gateway/exchange_peer_state.rs
+++ b/src/gateway/exchange_peer_state.rs
@@ -135,6 +135,8 @@
 
     async fn forward_announcement(self, _: Context, _: ServerName, _: Duration) {}
 
+    async fn yield_orders(self, _: Context, _: u64) {}
+
     async fn exchange(self, _: Context, peer_state: PeerState) -> Option<PeerState> {
         let (address, usage_query) = (peer_state.address, peer_state.usage_query);
         let peer = peer_state.usage.name.clone();
--- a/src/gateway/follow_agents.rs
+++ b/src/gateway/follow_agents.rs
@@ -134,7 +134,7 @@
 /// Lists the engines, which are the servers with models, ordered by name, with
 /// the position of each among the ready ones of its service and their number.
 /// The position follows from the names, so that every entry finds the same.
-fn list_engines(cx: &GatewayContext) -> Vec<(EngineAgent, (u64, u64))> {
+pub fn list_engines(cx: &GatewayContext) -> Vec<(EngineAgent, (u64, u64))> {
     let state = cx.lock();
     let mut engines: Vec<_> = state
         .dispatcher
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -27,6 +27,7 @@
 mod state;
 mod status_pages;
 mod stream_relay;
+mod substitute_agents;
 
 pub use context::GatewayPorts;
 pub use run::GatewayError;
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -20,6 +20,7 @@
 use super::follow_store::ping_store;
 use super::serve_call::serve_call;
 use super::status_pages::serve_status_page;
+use super::substitute_agents::substitute_agents;
 use crate::core::fleet::CallerLimits;
 use crate::http::ServerLimits;
 use crate::http::serve;
@@ -132,6 +133,7 @@
     tokio::spawn(follow_area(Arc::clone(&cx), Area::Members));
     tokio::spawn(ping_store(Arc::clone(&cx)));
     tokio::spawn(follow_agents(Arc::clone(&cx)));
+    tokio::spawn(substitute_agents(Arc::clone(&cx)));
     tokio::spawn(follow_kv_cache_store(Arc::clone(&cx)));
     tokio::spawn(run_maintenance(Arc::clone(&cx)));
     let traffic = open_tokio_listener(listen.traffic)?;
--- /dev/null
+++ b/src/gateway/substitute_agents.rs
@@ -0,0 +1,369 @@
+//! Sees to engines that have no agent: orders their weights, under a claim in
+//! the store, so that only one process orders an engine at a time.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use futures::future::join_all;
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+use tokio::time::sleep;
+use tokio::time::timeout;
+use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::context::GatewayContext;
+use super::follow_agents::list_engines;
+use crate::core::MonotonicTime;
+use crate::core::ServerName;
+use crate::core::fleet::CLAIM_TTL;
+use crate::core::fleet::ClaimStep;
+use crate::core::fleet::EngineAgent;
+use crate::core::fleet::OrderClaim;
+use crate::core::fleet::TargetVersion;
+use crate::mesh::connect_mesh;
+use crate::ports::PortError;
+use crate::settings::SidecarSettings;
+use crate::sidecar::SidecarContext;
+use crate::sidecar::SidecarPorts;
+use crate::sidecar::reconcile_engine;
+
+/// Interval between checks of the agents and of the claims.
+const CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Time without an agent after which an engine gets a substitute. Agents that
+/// restart are back sooner.
+const ABSENCE_TIME: Duration = Duration::from_secs(5);
+
+/// Additional time for each entry that comes before this one in the order in
+/// which entries claim a group.
+const RANK_DELAY: Duration = Duration::from_secs(2);
+
+/// Number of entries that claim a group; the others only take their places when
+/// these are no longer known.
+const MAX_CLAIMANTS: u32 = 4;
+
+/// Number of groups that engines are claimed in: few claims, spread over several
+/// entries.
+const GROUP_COUNT: u64 = 16;
+
+/// Time to connect to an agent; a process that is there accepts within a round
+/// trip, and a host without one refuses as soon.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Timeout of a message to an agent that has returned.
+const MESSAGE_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Interval between reads of a distant engine's report, which count as probes.
+const REPORT_INTERVAL: Duration = Duration::from_millis(400);
+
+/// Engines of one group that this entry sees to.
+#[derive(Default)]
+struct Group {
+    claim: Arc<Mutex<OrderClaim>>,
+    substitutes: HashMap<ServerName, Substitute>,
+}
+
+/// Task that orders one engine, with what the order loop knows of it.
+struct Substitute {
+    agent: SocketAddr,
+    engine: Arc<SidecarContext>,
+    /// Whether the agent has returned and orders newer target versions.
+    has_yielded: bool,
+    task: JoinHandle<()>,
+}
+
+impl Drop for Substitute {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Engine without an agent, as found by one check.
+struct AbsentAgent {
+    name: ServerName,
+    agent: SocketAddr,
+    address: SocketAddr,
+    batch_position: (u64, u64),
+}
+
+/// Sees to engines without an agent for as long as the gateway runs.
+pub async fn substitute_agents(cx: Arc<GatewayContext>) {
+    let mut absent_since: HashMap<ServerName, MonotonicTime> = HashMap::new();
+    let mut groups: HashMap<u64, Group> = HashMap::new();
+    loop {
+        sleep(CHECK_INTERVAL).await;
+        let absent = find_absent_agents(&cx, &mut absent_since).await;
+        let targets = cx.lock().dispatcher.list_target_versions();
+        for group in 0..GROUP_COUNT {
+            let members: Vec<&AbsentAgent> = absent
+                .iter()
+                .filter(|engine| group_of(engine.agent) == group)
+                .collect();
+            if members.is_empty() && !groups.contains_key(&group) {
+                continue;
+            }
+            let state = groups.entry(group).or_default();
+            let is_needed = !members.is_empty() || !state.substitutes.is_empty();
+            update_claim(&cx, group, state, is_needed, &targets).await;
+            update_substitutes(&cx, state, &members, &targets).await;
+            let is_idle = members.is_empty() && state.substitutes.is_empty();
+            if is_idle && lock_claim(&state.claim).is_idle() {
+                groups.remove(&group);
+            }
+        }
+    }
+}
+
+/// Returns the engines whose agent has been silent for [`ABSENCE_TIME`], and
+/// longer depending on this entry's rank, and whose host refuses a connection to
+/// it. A host that does not answer may be cut off, together with its engine.
+async fn find_absent_agents(
+    cx: &GatewayContext,
+    absent_since: &mut HashMap<ServerName, MonotonicTime>,
+) -> Vec<AbsentAgent> {
+    let now = cx.now();
+    record_silence(cx, absent_since, now);
+    if absent_since.is_empty() {
+        return Vec::new();
+    }
+    let peers = cx.known_entries.list_names(now);
+    let is_due = |engine: &EngineAgent| {
+        let Some(since) = absent_since.get(&engine.name) else {
+            return false;
+        };
+        let age = now.since(*since);
+        if age < ABSENCE_TIME {
+            return false;
+        }
+        let rank = rank_of(&cx.settings.name, &peers, group_of(engine.agent));
+        rank < MAX_CLAIMANTS && age >= ABSENCE_TIME + RANK_DELAY * rank
+    };
+    let mut silent = list_engines(cx);
+    silent.retain(|(engine, _)| is_due(engine));
+    let checks = silent.iter().map(|(engine, _)| is_refused(engine.agent));
+    let are_refused = join_all(checks).await;
+    let state = cx.lock();
+    silent
+        .into_iter()
+        .zip(are_refused)
+        .filter(|(_, is_refused)| *is_refused)
+        .filter_map(|((engine, batch_position), _)| {
+            let view = state.dispatcher.find_backend(&engine.name)?;
+            Some(AbsentAgent {
+                address: view.member.address,
+                name: engine.name,
+                agent: engine.agent,
+                batch_position,
+            })
+        })
+        .collect()
+}
+
+/// Records since when the agent of each listed engine has been silent.
+fn record_silence(
+    cx: &GatewayContext,
+    absent_since: &mut HashMap<ServerName, MonotonicTime>,
+    now: MonotonicTime,
+) {
+    let state = cx.lock();
+    absent_since.retain(|name, _| {
+        let view = state.dispatcher.find_backend(name);
+        view.is_some_and(|view| !view.has_recent_agent_report(now))
+    });
+    for view in state.dispatcher.list_backends() {
+        if !view.member.models.is_empty() && !view.has_recent_agent_report(now) {
+            absent_since.entry(view.member.name.clone()).or_insert(now);
+        }
+    }
+}
+
+async fn is_refused(agent: SocketAddr) -> bool {
+    match timeout(CONNECT_TIMEOUT, TcpStream::connect(agent)).await {
+        Ok(Err(e)) => e.kind() == io::ErrorKind::ConnectionRefused,
+        Ok(Ok(_)) | Err(_) => false,
+    }
+}
+
+fn group_of(agent: SocketAddr) -> u64 {
+    xxh3_64(agent.to_string().as_bytes()) % GROUP_COUNT
+}
+
+/// Returns the number of known entries that claim a group before this one.
+fn rank_of(own_name: &str, peers: &[String], group: u64) -> u32 {
+    let score = |name: &str| xxh3_64_with_seed(name.as_bytes(), group);
+    let own_score = score(own_name);
+    let before = peers.iter().filter(|peer| score(peer) < own_score).count();
+    u32::try_from(before).unwrap_or(u32::MAX)
+}
+
+fn lock_claim(claim: &Mutex<OrderClaim>) -> MutexGuard<'_, OrderClaim> {
+    claim.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Sends the request to the store that the claim needs next.
+async fn update_claim(
+    cx: &GatewayContext,
+    group: u64,
+    state: &Group,
+    is_needed: bool,
+    targets: &[TargetVersion],
+) {
+    let newest_revision = targets.iter().map(|target| target.revision).max();
+    let now = cx.now();
+    let step = lock_claim(&state.claim).next_step(is_needed, newest_revision.unwrap_or(0), now);
+    let (name, holder) = (group.to_string(), cx.settings.name.as_str());
+    let claims = &cx.ports.claims;
+    let result: Result<(), PortError> = match step {
+        ClaimStep::Wait => return,
+        ClaimStep::Acquire => claims.acquire(&name, holder, CLAIM_TTL).await.map(|grant| {
+            let mut claim = lock_claim(&state.claim);
+            match grant {
+                Some(grant) => claim.record_acquired(grant, now, cx.now()),
+                None => claim.record_lost(cx.now()),
+            }
+        }),
+        ClaimStep::Renew(lease) => claims.renew(lease).await.map(|is_held| {
+            let mut claim = lock_claim(&state.claim);
+            if is_held {
+                claim.record_renewed(now);
+            } else {
+                claim.record_lost(cx.now());
+            }
+        }),
+        ClaimStep::Refresh(grant) => claims.refresh(&name, holder, grant).await.map(|fence| {
+            let mut claim = lock_claim(&state.claim);
+            match fence {
+                Some(fence) => claim.record_refreshed(fence),
+                None => claim.record_lost(cx.now()),
+            }
+        }),
+        ClaimStep::Release(lease) => {
+            lock_claim(&state.claim).record_lost(cx.now());
+            claims.release(lease).await
+        }
+    };
+    match &result {
+        Ok(()) if matches!(step, ClaimStep::Renew(_)) => {}
+        Ok(()) => log::info!("orders: claim group={group} step={step:?}"),
+        Err(e) => {
+            log::warn!("orders: claim failed group={group} step={step:?} reason=\"{e}\"");
+            lock_claim(&state.claim).record_failure(cx.now());
+        }
+    }
+}
+
+/// Starts a substitute for each engine of a held group that has none and passes
+/// on targets. An agent that has returned is told to order newer target versions
+/// only; its engine's substitute ends once the engine has the others.
+async fn update_substitutes(
+    cx: &Arc<GatewayContext>,
+    state: &mut Group,
+    members: &[&AbsentAgent],
+    targets: &[TargetVersion],
+) {
+    let fence = lock_claim(&state.claim).held_fence(cx.now());
+    if fence.is_none() {
+        state.substitutes.clear();
+        return;
+    }
+    for engine in members {
+        let substitute = state
+            .substitutes
+            .entry(engine.name.clone())
+            .or_insert_with(|| start_substitute(cx, &state.claim, engine));
+        let now = substitute.engine.now();
+        let mut engine_state = substitute.engine.lock();
+        engine_state.engine_run = Some(engine.name.to_string());
+        let (index, count) = engine.batch_position;
+        engine_state.rollout.set_batch_position(index, count);
+        for target in targets {
+            engine_state.rollout.observe_target(target, now);
+        }
+    }
+    for (name, substitute) in &mut state.substitutes {
+        let is_absent = members.iter().any(|engine| engine.name == *name);
+        if is_absent {
+            substitute.has_yielded = false;
+        } else if let Some(fence) = fence
+            && !substitute.has_yielded
+        {
+            substitute.has_yielded = yield_to_agent(name, substitute.agent, fence).await;
+        }
+    }
+    // Versions that were set before the claim are still ordered from here.
+    state.substitutes.retain(|name, substitute| {
+        let is_listed = cx.lock().dispatcher.find_backend(name).is_some();
+        let engine_state = substitute.engine.lock();
+        let is_current = engine_state
+            .rollout
+            .is_current(&engine_state.report.versions);
+        is_listed && !(substitute.has_yielded && is_current)
+    });
+}
+
+fn start_substitute(
+    cx: &Arc<GatewayContext>,
+    claim: &Arc<Mutex<OrderClaim>>,
+    absent: &AbsentAgent,
+) -> Substitute {
+    log::info!(
+        "orders: no agent server={} agent={}",
+        absent.name,
+        absent.agent
+    );
+    let settings = SidecarSettings {
+        name: cx.settings.name.clone(),
+        zone: cx.settings.zone.clone(),
+        listen: absent.agent,
+        metrics: None,
+        engine: absent.address,
+        log: cx.settings.log.clone(),
+    };
+    let ports = SidecarPorts {
+        engine: Arc::clone(&cx.ports.engine),
+        kv_cache: Arc::clone(&cx.ports.kv_cache),
+    };
+    let (claim, claim_cx) = (Arc::clone(claim), Arc::clone(cx));
+    let fence_source = move |target: &TargetVersion| {
+        lock_claim(&claim).usable_fence(target.revision, claim_cx.now())
+    };
+    let engine = Arc::new(SidecarContext::for_distant_engine(
+        settings,
+        ports,
+        Box::new(fence_source),
+        REPORT_INTERVAL,
+    ));
+    Substitute {
+        agent: absent.agent,
+        has_yielded: false,
+        task: tokio::spawn(reconcile_engine(Arc::clone(&engine))),
+        engine,
+    }
+}
+
+/// Tells an agent that has returned which orders it has to leave to this entry.
+/// Returns whether it received that.
+async fn yield_to_agent(name: &ServerName, agent: SocketAddr, fence: u64) -> bool {
+    let told = match connect_mesh(agent).await {
+        Ok(client) => {
+            let mut context = tarpc::context::current();
+            context.deadline = Instant::now() + MESSAGE_TIMEOUT;
+            let told = client.yield_orders(context, fence).await;
+            told.map_err(|e| e.to_string())
+        }
+        Err(e) => Err(e.to_string()),
+    };
+    match &told {
+        Ok(()) => log::info!("orders: agent returned server={name} fence={fence}"),
+        Err(e) => log::info!("orders: agent not told server={name} reason=\"{e}\""),
+    }
+    told.is_ok()
+}
--- a/src/mesh/service.rs
+++ b/src/mesh/service.rs
@@ -52,4 +52,8 @@
     /// Asks an entry that reads the store for changes of the list of backend
     /// servers. Without changes, it delays the response.
     async fn follow_members(known: MembersCursor) -> Option<MembersUpdate>;
+
+    /// Tells an agent that another process orders its engine with the fencing
+    /// token `fence`, and sees to target versions up to that revision.
+    async fn yield_orders(fence: u64);
 }
--- a/src/ports/engine_client.rs
+++ b/src/ports/engine_client.rs
@@ -27,14 +27,16 @@
 /// Order to load another weights version.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct WeightsOrder {
-    /// Version to load; its revision is the fencing token.
+    /// Version to load.
     pub target: TargetVersion,
+    /// Fencing token.
+    pub fence: u64,
     /// Whether running calls finish first or continue on the new weights.
     pub running_calls: RunningCalls,
     /// Number of orders that the engine must have accepted before for this one
     /// to be valid.
     pub accepted_orders: u64,
-    /// Name of the agent that sends the order.
+    /// Name of the process that sends the order.
     pub holder: String,
     /// Name of the engine run that the order is for, if known.
     pub engine_run: Option<String>,
--- a/src/ports/mod.rs
+++ b/src/ports/mod.rs
@@ -10,6 +10,7 @@
 mod fleet_source;
 mod forward_metadata;
 mod kv_cache_feed;
+mod order_claims;
 mod port_error;
 mod response_metadata;
 
@@ -24,5 +25,6 @@
 pub use forward_metadata::ForwardMetadata;
 pub use kv_cache_feed::KvCacheChanges;
 pub use kv_cache_feed::KvCacheFeed;
+pub use order_claims::OrderClaims;
 pub use port_error::PortError;
 pub use response_metadata::ResponseMetadata;
--- /dev/null
+++ b/src/ports/order_claims.rs
@@ -0,0 +1,36 @@
+//! Claims to the right to order engines, kept in the store.
+
+use std::time::Duration;
+
+use futures::future::BoxFuture;
+
+use super::PortError;
+use crate::core::fleet::ClaimGrant;
+
+/// Acquires and keeps claims. At most one process holds the claim to a group of
+/// engines at a time.
+pub trait OrderClaims: Send + Sync {
+    /// Claims the group named `group` for `holder`, for `ttl` unless renewed.
+    /// Returns `None` if another process holds it.
+    fn acquire<'a>(
+        &'a self,
+        group: &'a str,
+        holder: &'a str,
+        ttl: Duration,
+    ) -> BoxFuture<'a, Result<Option<ClaimGrant>, PortError>>;
+
+    /// Replaces the claim `held` and returns the new fencing token, which is
+    /// higher; `None` if the claim has ended.
+    fn refresh<'a>(
+        &'a self,
+        group: &'a str,
+        holder: &'a str,
+        held: ClaimGrant,
+    ) -> BoxFuture<'a, Result<Option<u64>, PortError>>;
+
+    /// Renews a lease and returns whether it still existed.
+    fn renew(&self, lease: u64) -> BoxFuture<'_, Result<bool, PortError>>;
+
+    /// Ends a lease and with it the claim.
+    fn release(&self, lease: u64) -> BoxFuture<'_, Result<(), PortError>>;
+}
--- a/src/sidecar/context.rs
+++ b/src/sidecar/context.rs
@@ -5,6 +5,7 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::time::Duration;
 
 use tokio::sync::watch;
 
@@ -15,11 +16,16 @@
 use crate::core::fleet::CachedParts;
 use crate::core::fleet::PrefillQueue;
 use crate::core::fleet::Rollout;
+use crate::core::fleet::TargetVersion;
 use crate::metrics::SidecarMetrics;
 use crate::ports::EngineClient;
 use crate::ports::KvCacheFeed;
 use crate::settings::SidecarSettings;
 
+/// Interval between reads of the report of an engine on the same host, which is
+/// fresh and costs nothing.
+const REPORT_INTERVAL: Duration = Duration::from_millis(60);
+
 /// Clients of the systems around a sidecar.
 #[derive(Clone)]
 pub struct SidecarPorts {
@@ -51,6 +57,10 @@
     pub engine_run: Option<String>,
 }
 
+/// Returns the fencing token for an order of a target version, or `None` if the
+/// order must not be sent now.
+pub type FenceSource = Box<dyn Fn(&TargetVersion) -> Option<u64> + Send + Sync>;
+
 /// Settings, clients, metrics and state of a running sidecar.
 pub struct SidecarContext {
     /// Settings; they apply until the process ends.
@@ -61,6 +71,10 @@
     pub metrics: SidecarMetrics,
     /// Random number that identifies this run.
     pub incarnation: u64,
+    /// Where fencing tokens of orders come from.
+    fence_source: FenceSource,
+    /// Interval between reads of the engine's report.
+    pub report_interval: Duration,
     /// Engines that this process follows for entries.
     pub collector: Arc<Collector>,
     clock: Clock,
@@ -73,6 +87,9 @@
     /// request yet.
     pub fn new(settings: SidecarSettings, ports: SidecarPorts) -> Self {
         Self {
+            // The only process that orders the engine needs no other token.
+            fence_source: Box::new(|target| Some(target.revision)),
+            report_interval: REPORT_INTERVAL,
             settings,
             ports,
             metrics: SidecarMetrics::new(),
@@ -84,6 +101,21 @@
         }
     }
 
+    /// Creates the context for an engine on another host, whose orders need
+    /// fencing tokens from `fence_source`.
+    pub fn for_distant_engine(
+        settings: SidecarSettings,
+        ports: SidecarPorts,
+        fence_source: FenceSource,
+        report_interval: Duration,
+    ) -> Self {
+        Self {
+            fence_source,
+            report_interval,
+            ..Self::new(settings, ports)
+        }
+    }
+
     /// Returns the monotonic time since the context was created.
     pub fn now(&self) -> MonotonicTime {
         self.clock.now()
@@ -94,6 +126,12 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the fencing token for an order of a target version, or `None` if
+    /// the order must not be sent now.
+    pub fn find_fence(&self, target: &TargetVersion) -> Option<u64> {
+        (self.fence_source)(target)
+    }
+
     /// Starts a new update and wakes the requests that wait for one.
     pub fn publish(&self) {
         self.update_number.send_modify(|number| *number += 1);
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -11,6 +11,8 @@
 mod sidecar_service;
 mod status_pages;
 
+pub use context::SidecarContext;
 pub use context::SidecarPorts;
+pub use reconcile_engine::reconcile_engine;
 pub use run::run_sidecar;
 pub use run::serve_sidecar;
--- a/src/sidecar/reconcile_engine.rs
+++ b/src/sidecar/reconcile_engine.rs
@@ -17,12 +17,9 @@
 use crate::ports::EngineReport;
 use crate::ports::WeightsOrder;
 
-/// Interval between reads of the engine's report.
-const REPORT_INTERVAL: Duration = Duration::from_millis(60);
-
-/// Interval between reads while the engine accepts no calls, shortly before and
-/// during a change of weights.
-const NOT_ACCEPTING_REPORT_INTERVAL: Duration = Duration::from_millis(20);
+/// Quotient of the interval between reads and that while the engine accepts no
+/// calls, shortly before and during a change of weights.
+const NOT_ACCEPTING_SPEEDUP: u32 = 3;
 
 /// Minimum time between two updates that only change the load.
 const LOAD_PUBLISH_INTERVAL: Duration = Duration::from_millis(150);
@@ -67,9 +64,9 @@
         }
         let is_accepting = cx.lock().rollout.is_accepting();
         sleep(if is_accepting {
-            REPORT_INTERVAL
+            cx.report_interval
         } else {
-            NOT_ACCEPTING_REPORT_INTERVAL
+            cx.report_interval / NOT_ACCEPTING_SPEEDUP
         })
         .await;
     }
@@ -127,8 +124,17 @@
             running,
             accepted_orders,
         } => {
+            let Some(fence) = cx.find_fence(&target) else {
+                // Tried again later, like an order that had no effect.
+                let now = cx.now();
+                cx.lock()
+                    .rollout
+                    .record_outcome(OrderOutcome::Conflict, now);
+                return;
+            };
             let order = WeightsOrder {
                 target,
+                fence,
                 running_calls: running,
                 accepted_orders,
                 holder: cx.settings.name.clone(),
@@ -174,7 +180,7 @@
         "weights: ordered model={} version={} fence={} accepted_before={} running={} outcome={}",
         order.target.model,
         order.target.version,
-        order.target.revision,
+        order.fence,
         order.accepted_orders,
         reported_load.running,
         outcome.label()
--- a/src/sidecar/sidecar_service.rs
+++ b/src/sidecar/sidecar_service.rs
@@ -75,6 +75,12 @@
             .announce(&server, prefill_time);
     }
 
+    async fn yield_orders(self, _: Context, fence: u64) {
+        log::info!("weights: ordered by another process fence={fence}");
+        let now = self.cx.now();
+        self.cx.lock().rollout.yield_orders(fence, now);
+    }
+
     // The other requests are only sent between entries.
 
     async fn exchange(self, _: Context, _: PeerState) -> Option<PeerState> {
