Spread prompts over all KV cache stores, and follow these through collectors

Cause: only the first store that a service names was used.

Change: a prompt's parts are saved at and fetched from the store that rendezvous hashing picks for its longest shared part; a store that does not answer is left out for its own prompts. Collectors follow the stores and pass changes on, so that each store has one reader in a zone.

Tests: 300 prompts spread over six stores alike at two entries; a store that does not answer.

--- a/src/core/fleet/call_costs.rs
+++ b/src/core/fleet/call_costs.rs
@@ -1,8 +1,6 @@
 //! Cost model for choosing a backend server. Every cost is stated in
 //! milliseconds of equivalent delay, so that costs can be added.
 
-use std::net::SocketAddr;
-
 use super::BackendView;
 use super::Prompt;
 use super::fetch_plan::FetchPlan;
@@ -71,10 +69,10 @@
     prefill_tokens / PREFILL_TOKENS_PER_MS + pairs * ATTENTION_MS_PER_PAIR
 }
 
-/// Returns the fetch rate from a source, in tokens per millisecond. Without a
-/// source nothing is fetched, so the rate does not matter.
-pub(super) fn fetch_tokens_per_ms(source: Option<SocketAddr>, store: Option<SocketAddr>) -> f64 {
-    if source == store {
+/// Returns the fetch rate from a KV cache store or from an engine, in tokens per
+/// millisecond.
+pub(super) fn fetch_tokens_per_ms(is_from_store: bool) -> f64 {
+    if is_from_store {
         STORE_TOKENS_PER_MS
     } else {
         ENGINE_TOKENS_PER_MS
--- a/src/core/fleet/collector_plan.rs
+++ b/src/core/fleet/collector_plan.rs
@@ -2,12 +2,11 @@
 //! agents and pass their updates on to the entries.
 
 use std::collections::HashMap;
-use std::net::IpAddr;
 use std::net::SocketAddr;
 
 use xxhash_rust::xxh3::xxh3_64;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use super::kv_cache_stores::hash_address;
 use crate::core::ServerName;
 
 /// Number of engines up to which an entry follows each agent itself, which is
@@ -76,10 +75,11 @@
     plan
 }
 
-fn hash_address(address: SocketAddr, seed: u64) -> u64 {
-    let seed = seed.wrapping_add(u64::from(address.port()));
-    match address.ip() {
-        IpAddr::V4(ip) => xxh3_64_with_seed(&ip.octets(), seed),
-        IpAddr::V6(ip) => xxh3_64_with_seed(&ip.octets(), seed),
-    }
+/// Chooses the collector of a plan that follows the KV cache store at `store`.
+pub fn choose_store_collector(
+    collectors: impl Iterator<Item = SocketAddr>,
+    store: SocketAddr,
+) -> Option<SocketAddr> {
+    let store_hash = hash_address(store, 0);
+    collectors.min_by_key(|collector| hash_address(*collector, store_hash))
 }
--- a/src/core/fleet/dispatcher.rs
+++ b/src/core/fleet/dispatcher.rs
@@ -18,7 +18,7 @@
 use super::VersionedSalt;
 use super::call_costs;
 use super::fetch_plan::PartSources;
-use super::part_table::PartTable;
+use super::kv_cache_stores::KvCacheStores;
 use super::prefill_time_factor::PrefillTimeFactor;
 use super::target_history::TargetHistory;
 use super::target_history::VersionStatus;
@@ -115,10 +115,7 @@
     keys_by_service: HashMap<String, Vec<BackendKey>>,
     target_versions: HashMap<ModelName, TargetHistory>,
     prefill_factors: HashMap<ModelName, PrefillTimeFactor>,
-    kv_cache_store: Option<SocketAddr>,
-    is_kv_cache_store_unreachable: bool,
-    is_kv_cache_store_unwatched: bool,
-    stored_parts: PartTable,
+    kv_cache_stores: KvCacheStores,
 }
 
 impl Dispatcher {
@@ -132,10 +129,7 @@
             keys_by_service: HashMap::new(),
             target_versions: HashMap::new(),
             prefill_factors: HashMap::new(),
-            kv_cache_store: None,
-            is_kv_cache_store_unreachable: false,
-            is_kv_cache_store_unwatched: false,
-            stored_parts: PartTable::default(),
+            kv_cache_stores: KvCacheStores::default(),
         }
     }
 
@@ -221,48 +215,49 @@
             .collect()
     }
 
-    /// Sets the address of the KV cache store; a changed address clears the
-    /// list of stored parts.
-    pub fn set_kv_cache_store(&mut self, store: Option<SocketAddr>) {
-        if self.kv_cache_store != store {
-            self.kv_cache_store = store;
-            self.stored_parts.clear();
-        }
+    /// Sets the addresses of the KV cache stores. What is known of those that
+    /// stay is kept.
+    pub fn set_kv_cache_stores(&mut self, addresses: &[SocketAddr]) {
+        self.kv_cache_stores.set_addresses(addresses);
     }
 
-    /// Returns the address of the KV cache store, if there is one.
-    pub fn kv_cache_store(&self) -> Option<SocketAddr> {
-        self.kv_cache_store
+    /// Returns the addresses of the KV cache stores.
+    pub fn list_kv_cache_stores(&self) -> Vec<SocketAddr> {
+        self.kv_cache_stores.addresses()
     }
 
-    /// Records that the KV cache store does not answer. Until it does, nothing
-    /// is fetched from it or saved to it, since attempts would only cost time.
-    pub fn mark_kv_cache_store_unreachable(&mut self) {
-        self.is_kv_cache_store_unreachable = true;
+    /// Records that a KV cache store does not answer. Until it does, nothing is
+    /// fetched from it or saved to it, since attempts would only cost time.
+    pub fn mark_kv_cache_store_unreachable(&mut self, address: SocketAddr) {
+        if let Some(store) = self.kv_cache_stores.find_mut(address) {
+            store.is_unreachable = true;
+        }
     }
 
-    /// Records that the KV cache store is reachable, but that its parts cannot
-    /// be watched, because it serves a limited number of readers. Parts saved
-    /// by calls of this process are then assumed to be stored.
-    pub fn mark_kv_cache_store_unwatched(&mut self) {
-        self.is_kv_cache_store_unreachable = false;
-        self.is_kv_cache_store_unwatched = true;
+    /// Records that a KV cache store is reachable, but that its parts cannot be
+    /// watched, because it serves a limited number of readers. Parts saved by
+    /// calls of this process are then assumed to be stored.
+    pub fn mark_kv_cache_store_unwatched(&mut self, address: SocketAddr) {
+        if let Some(store) = self.kv_cache_stores.find_mut(address) {
+            store.is_unreachable = false;
+            store.is_unwatched = true;
+        }
     }
 
     /// Records that a call's prompt has been prefilled, so that the engine is
     /// saving its parts. Has an effect only while the KV cache store is not
     /// watched.
     pub fn record_saved_parts(&mut self, choice: &BackendChoice, prompt: &Prompt) {
-        let (Some(salt), Some(_), true) = (
-            &choice.salt,
-            choice.save_to,
-            self.is_kv_cache_store_unwatched,
-        ) else {
+        let (Some(salt), Some(address)) = (&choice.salt, choice.save_to) else {
+            return;
+        };
+        let store = self.kv_cache_stores.find_mut(address);
+        let Some(store) = store.filter(|store| store.is_unwatched) else {
             return;
         };
         let namespace = salt.namespace(&prompt.model);
         for part in prompt.shared_parts() {
-            self.stored_parts.apply(CachedPartChange {
+            store.parts.apply(CachedPartChange {
                 namespace,
                 part: part.id,
                 tokens: part.tokens,
@@ -270,12 +265,17 @@
         }
     }
 
-    /// Applies changes of the parts in the KV cache store, which is then
-    /// reachable and watched; `is_whole` means that it holds no others.
-    pub fn observe_kv_cache_store(&mut self, changes: &[CachedPartChange], is_whole: bool) {
-        self.is_kv_cache_store_unreachable = false;
-        self.is_kv_cache_store_unwatched = false;
-        self.stored_parts.apply_all(changes, is_whole);
+    /// Applies changes of the parts in a KV cache store, which is then reachable
+    /// and watched; `is_whole` means that it holds no others.
+    pub fn observe_kv_cache_store(
+        &mut self,
+        address: SocketAddr,
+        changes: &[CachedPartChange],
+        is_whole: bool,
+    ) {
+        if let Some(store) = self.kv_cache_stores.find_mut(address) {
+            store.observe(changes, is_whole);
+        }
     }
 
     /// Passes an agent's report to its server's view; ignored for unknown
@@ -487,11 +487,6 @@
         }
     }
 
-    fn reachable_kv_cache_store(&self) -> Option<SocketAddr> {
-        self.kv_cache_store
-            .filter(|_| !self.is_kv_cache_store_unreachable)
-    }
-
     fn find_backend_mut(&mut self, name: &ServerName) -> Option<&mut BackendView> {
         let key = self.keys_by_name.get(name)?;
         self.backends.get_mut(*key)
@@ -528,8 +523,8 @@
         let salt = VersionedSalt::new(version, req.isolated_account);
         let namespace = salt.namespace(&prompt.model);
         let sources = sources.entry(namespace).or_insert_with(|| {
-            let store = self.reachable_kv_cache_store();
-            let store = store.map(|address| (address, &self.stored_parts));
+            let store = self.kv_cache_stores.find_for(prompt);
+            let store = store.map(|store| (store.address, &store.parts));
             let engines = self.list_service_backends(req.service);
             PartSources::find(prompt, namespace, store, engines, now)
         });
@@ -548,10 +543,12 @@
             .estimate_prefill_ms(call_costs::ASSUMED_PREFILL_MS, now);
         let wait_ms = queued_prefill_ms
             + call_costs::slot_wait_ms(load, view.member.slots, call_costs::ENGINE_SLOT_HOLD_MS);
+        let is_from_store = plan
+            .source
+            .is_some_and(|source| self.kv_cache_stores.contains(source));
         let ttft_ms = wait_ms
             + prefill_ms
-            + f64::from(plan.fetched_tokens)
-                / call_costs::fetch_tokens_per_ms(plan.source, self.kv_cache_store);
+            + f64::from(plan.fetched_tokens) / call_costs::fetch_tokens_per_ms(is_from_store);
         let cost_ms = ttft_ms
             + version_cost_ms
             + load * call_costs::CONCURRENT_CALL_COST_MS
@@ -560,9 +557,7 @@
             + call_costs::affinity_cost_ms(&plan, sources.is_preferred(view))
             + call_costs::memory_cost_ms(prompt, view, now)
             + self.server_cost_ms(view);
-        let save_to = self
-            .reachable_kv_cache_store()
-            .filter(|_| sources.is_store_incomplete());
+        let save_to = sources.find_incomplete_store();
         let choice = BackendChoice {
             salt: Some(salt),
             version: Some(version),
--- a/src/core/fleet/fetch_plan.rs
+++ b/src/core/fleet/fetch_plan.rs
@@ -102,9 +102,10 @@
         }
     }
 
-    /// Returns whether there is a store that lacks some of the shared parts.
-    pub fn is_store_incomplete(&self) -> bool {
-        self.store.is_some() && self.stored_count < self.prompt.shared_parts().len()
+    /// Returns the store if it lacks some of the shared parts.
+    pub fn find_incomplete_store(&self) -> Option<SocketAddr> {
+        let is_incomplete = self.stored_count < self.prompt.shared_parts().len();
+        self.store.filter(|_| is_incomplete)
     }
 
     /// Returns whether every entry prefers this engine for parts that no engine
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -1,5 +1,6 @@
 //! State and clients that the tasks of a gateway share.
 
+use std::collections::HashSet;
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -65,6 +66,8 @@
     pub peer_fetch: tokio::sync::Mutex<()>,
     /// Open connections to agents.
     pub agent_connections: AgentConnections,
+    /// KV cache stores that collectors follow.
+    pub collected_stores: watch::Sender<HashSet<SocketAddr>>,
     /// Entries from which this one has heard.
     pub known_entries: KnownEntries,
     /// Clock offsets of other processes.
@@ -87,6 +90,7 @@
             resync_counts: [watch::channel(0).0, watch::channel(0).0],
             peer_fetch: tokio::sync::Mutex::default(),
             agent_connections: AgentConnections::default(),
+            collected_stores: watch::channel(HashSet::new()).0,
             known_entries: KnownEntries::default(),
             clock_offsets: ClockOffsets::default(),
             clock: Clock::start(),
--- a/src/gateway/follow_agents.rs
+++ b/src/gateway/follow_agents.rs
@@ -21,6 +21,7 @@
 use crate::core::fleet::EngineAgent;
 use crate::core::fleet::MemberState;
 use crate::core::fleet::TargetVersion;
+use crate::core::fleet::choose_store_collector;
 use crate::core::fleet::plan_collectors;
 use crate::mesh::AgentObserver;
 use crate::mesh::EngineUpdate;
@@ -31,9 +32,18 @@
 /// Interval between checks for added and removed engines.
 const MEMBER_POLL_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Task that follows a collector, and the engines that it is to collect.
+/// What one collector is to follow.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct CollectorShare {
+    /// Engines whose updates it passes on.
+    pub engines: Vec<FollowedEngine>,
+    /// KV cache stores whose changes it passes on.
+    pub kv_cache_stores: Vec<SocketAddr>,
+}
+
+/// Task that follows a collector, and the share that this is to follow.
 struct CollectorFollower {
-    engines: watch::Sender<Vec<FollowedEngine>>,
+    share: watch::Sender<CollectorShare>,
     task: JoinHandle<()>,
 }
 
@@ -99,6 +109,16 @@
         .iter()
         .map(|engine| (&engine.0.name, engine))
         .collect();
+    let stores = cx.lock().dispatcher.list_kv_cache_stores();
+    let store_collectors: Vec<(SocketAddr, SocketAddr)> = stores
+        .iter()
+        .filter_map(|store| {
+            let collector = choose_store_collector(plan.keys().copied(), *store)?;
+            Some((*store, collector))
+        })
+        .collect();
+    let collected_stores = store_collectors.iter().map(|(store, _)| *store).collect();
+    cx.collected_stores.send_replace(collected_stores);
     for (collector, names) in plan {
         let followed: Vec<FollowedEngine> = names
             .iter()
@@ -109,20 +129,28 @@
                 batch_position: *batch_position,
             })
             .collect();
+        let stores = store_collectors.iter();
+        let share = CollectorShare {
+            engines: followed,
+            kv_cache_stores: stores
+                .filter(|(_, chosen)| chosen == collector)
+                .map(|(store, _)| *store)
+                .collect(),
+        };
         match followers.get(collector) {
             Some(follower) => {
-                follower.engines.send_if_modified(|current| {
-                    let is_changed = *current != followed;
-                    *current = followed;
+                follower.share.send_if_modified(|current| {
+                    let is_changed = *current != share;
+                    *current = share;
                     is_changed
                 });
             }
             None => {
-                let (engines_tx, engines_rx) = watch::channel(followed);
+                let (share_tx, share_rx) = watch::channel(share);
                 let follow =
-                    follow_collector(Arc::clone(cx), Arc::clone(health), *collector, engines_rx);
+                    follow_collector(Arc::clone(cx), Arc::clone(health), *collector, share_rx);
                 let follower = CollectorFollower {
-                    engines: engines_tx,
+                    share: share_tx,
                     task: tokio::spawn(follow),
                 };
                 followers.insert(*collector, follower);
--- a/src/gateway/follow_collector.rs
+++ b/src/gateway/follow_collector.rs
@@ -14,6 +14,7 @@
 
 use super::agent_connections::AgentConnection;
 use super::context::GatewayContext;
+use super::follow_agents::CollectorShare;
 use crate::core::MonotonicTime;
 use crate::mesh::CollectRequest;
 use crate::mesh::CollectResponse;
@@ -70,19 +71,20 @@
     }
 }
 
-/// Applies the updates of a collector about `engines`, whose changes are passed
-/// on to it, until it is lost.
+/// Applies the updates of a collector about its share, whose changes are passed on
+/// to it, until it is lost.
 pub async fn follow_collector(
     cx: Arc<GatewayContext>,
     health: Arc<CollectorHealth>,
     collector: SocketAddr,
-    mut engines: watch::Receiver<Vec<FollowedEngine>>,
+    mut share: watch::Receiver<CollectorShare>,
 ) {
     let reason = match connect_mesh(collector).await {
         Ok(client) => {
             log::info!(
-                "agents: collected by={collector} engines={}",
-                engines.borrow().len()
+                "agents: collected by={collector} engines={} stores={}",
+                share.borrow().engines.len(),
+                share.borrow().kv_cache_stores.len()
             );
             let connection = CollectorConnection {
                 cx: &cx,
@@ -90,7 +92,7 @@
                 client,
                 connected: Vec::new(),
             };
-            collect_until_failure(connection, &health, &mut engines).await
+            collect_until_failure(connection, &health, &mut share).await
         }
         Err(e) => e.to_string(),
     };
@@ -141,18 +143,22 @@
 async fn collect_until_failure(
     mut connection: CollectorConnection<'_>,
     health: &CollectorHealth,
-    engines: &mut watch::Receiver<Vec<FollowedEngine>>,
+    share: &mut watch::Receiver<CollectorShare>,
 ) -> String {
-    engines.mark_changed();
+    share.mark_changed();
     loop {
-        let changed_engines = engines.has_changed().unwrap_or(false).then(|| {
-            let changed = engines.borrow_and_update().clone();
-            connection.set_engines(&changed);
+        let changed = share.has_changed().unwrap_or(false).then(|| {
+            let changed = share.borrow_and_update().clone();
+            connection.set_engines(&changed.engines);
             changed
         });
         let (cx, collector) = (connection.cx, connection.collector);
+        let (engines, kv_cache_stores) = changed
+            .map(|share| (share.engines, share.kv_cache_stores))
+            .unzip();
         let request = CollectRequest {
-            engines: changed_engines,
+            engines,
+            kv_cache_stores: kv_cache_stores.unwrap_or_default(),
             targets: cx.lock().dispatcher.list_target_versions(),
         };
         let mut context: Context = tarpc::context::current();
@@ -176,6 +182,15 @@
         format_args!("collector={collector}"),
         now,
     );
+    for update in response.kv_cache_stores {
+        let (address, dispatcher) = (update.address, &mut state.dispatcher);
+        dispatcher.observe_kv_cache_store(address, &update.kv_changes, update.is_full_list);
+        if !update.is_reachable {
+            dispatcher.mark_kv_cache_store_unreachable(address);
+        } else if !update.is_watched {
+            dispatcher.mark_kv_cache_store_unwatched(address);
+        }
+    }
     for update in response.engines {
         state.dispatcher.observe_cached_parts(
             &update.name,
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -15,7 +15,7 @@
 use super::context::GatewayPorts;
 use super::exchange_peer_state::exchange_peer_state;
 use super::follow_agents::follow_agents;
-use super::follow_kv_cache_store::follow_kv_cache_store;
+use super::follow_kv_cache_store::follow_kv_cache_stores;
 use super::follow_store::follow_area;
 use super::follow_store::ping_store;
 use super::serve_call::serve_call;
@@ -134,7 +134,7 @@
     tokio::spawn(ping_store(Arc::clone(&cx)));
     tokio::spawn(follow_agents(Arc::clone(&cx)));
     tokio::spawn(substitute_agents(Arc::clone(&cx)));
-    tokio::spawn(follow_kv_cache_store(Arc::clone(&cx)));
+    tokio::spawn(follow_kv_cache_stores(Arc::clone(&cx)));
     tokio::spawn(run_maintenance(Arc::clone(&cx)));
     let traffic = open_tokio_listener(listen.traffic)?;
     let traffic_server = tokio::spawn(serve_traffic(Arc::clone(&cx), traffic, stop.clone()));
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -1,6 +1,7 @@
 //! State of a gateway: configuration, members, dispatching and quotas.
 
 use std::fmt::Display;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -97,13 +98,12 @@
             return false;
         }
         self.quota.set_accounts(&configuration.accounts, now);
-        // The first KV cache store that a service names is used for all services.
-        let kv_store = configuration
-            .services
-            .iter()
-            .find_map(|service| service.kv_cache_store.as_ref());
-        self.dispatcher
-            .set_kv_cache_store(kv_store.map(|store| store.address));
+        let services = configuration.services.iter();
+        let kv_stores: Vec<SocketAddr> = services
+            .filter_map(|service| service.kv_cache_store.as_ref())
+            .map(|store| store.address)
+            .collect();
+        self.dispatcher.set_kv_cache_stores(&kv_stores);
         self.raw_configuration = raw;
         self.configuration_behind_since = None;
         self.route_table = Some(Arc::new(RouteTable::new(configuration)));
--- a/src/gateway/substitute_agents.rs
+++ b/src/gateway/substitute_agents.rs
@@ -325,7 +325,7 @@
         listen: absent.agent,
         metrics: None,
         engine: absent.address,
-        log: cx.settings.log.clone(),
+        log: cx.settings.log,
     };
     let ports = SidecarPorts {
         engine: Arc::clone(&cx.ports.engine),
--- a/src/mesh/collect_request.rs
+++ b/src/mesh/collect_request.rs
@@ -14,6 +14,8 @@
 pub struct CollectRequest {
     /// Engines to follow from now on; `None` for those of the last request.
     pub engines: Option<Vec<FollowedEngine>>,
+    /// KV cache stores to follow from now on; ignored without `engines`.
+    pub kv_cache_stores: Vec<SocketAddr>,
     /// Target weights versions set by the operator.
     pub targets: Vec<TargetVersion>,
 }
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -20,6 +20,7 @@
 pub use collect_request::CollectRequest;
 pub use collect_request::FollowedEngine;
 pub use collect_response::CollectResponse;
+pub use collect_response::StoreUpdate;
 pub use connect_mesh::connect_mesh;
 pub use engine_update::EngineUpdate;
 pub use follow_agent::AgentObserver;
--- a/src/sidecar/collector.rs
+++ b/src/sidecar/collector.rs
@@ -3,6 +3,7 @@
 
 use std::collections::HashMap;
 use std::mem::take;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -16,6 +17,8 @@
 use tokio::time::timeout;
 
 use crate::core::ServerName;
+use crate::core::fleet::AgentReport;
+use crate::core::fleet::CachedPartChange;
 use crate::core::fleet::CollectedEngines;
 use crate::core::fleet::CollectedUpdate;
 use crate::core::fleet::TargetVersion;
@@ -23,7 +26,10 @@
 use crate::mesh::EngineUpdate;
 use crate::mesh::FollowedEngine;
 use crate::mesh::MeshClient;
+use crate::mesh::StoreUpdate;
 use crate::mesh::follow_agent;
+use crate::ports::KvCacheFeed;
+use crate::ports::PortError;
 
 /// Time for which updates are gathered before a response. It bounds the
 /// responses that an entry has to process; urgent updates do not wait for it.
@@ -37,13 +43,25 @@
 /// somewhat later than this.
 const UPDATE_WAIT: Duration = Duration::from_millis(400);
 
+/// Longest wait of one read of a KV cache store; reads that wait for less than
+/// 200 ms are expensive.
+const STORE_POLL_WAIT: Duration = Duration::from_millis(1_000);
+
+/// Minimum time between two reads of a KV cache store.
+const MIN_STORE_READ_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Delay after a failed read of a KV cache store, and after a rejected one, which
+/// counts as a probe.
+const STORE_RETRY_DELAY: Duration = Duration::from_millis(400);
+const REJECTED_DELAY: Duration = Duration::from_secs(5);
+
 /// Timeout of an announcement; later it would be useless.
 const ANNOUNCE_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Engines that this process follows for entries. Each engine is followed as
-/// long as a [`Subscription`] includes it.
-#[derive(Debug)]
+/// Engines and KV cache stores that this process follows for entries. Each is
+/// followed as long as a [`Subscription`] includes it.
 pub struct Collector {
+    feed: Arc<dyn KvCacheFeed>,
     state: Mutex<CollectorState>,
     /// Sequence number of the last update, and of the last urgent one.
     updates: watch::Sender<u64>,
@@ -56,6 +74,7 @@
 struct CollectorState {
     collected: CollectedEngines,
     followed: HashMap<ServerName, Followed>,
+    followed_stores: HashMap<SocketAddr, FollowedStore>,
     targets: Vec<TargetVersion>,
 }
 
@@ -67,10 +86,18 @@
     task: JoinHandle<()>,
 }
 
+#[derive(Debug)]
+struct FollowedStore {
+    subscriptions: usize,
+    task: JoinHandle<()>,
+}
+
 impl Collector {
-    /// Creates a collector that follows no engine.
-    pub fn new() -> Self {
+    /// Creates a collector that follows nothing. It reads the parts of KV cache
+    /// stores from `feed`.
+    pub fn new(feed: Arc<dyn KvCacheFeed>) -> Self {
         Self {
+            feed,
             state: Mutex::default(),
             updates: watch::channel(0).0,
             urgent_updates: watch::channel(0).0,
@@ -165,6 +192,55 @@
         }
     }
 
+    fn follow_store(self: &Arc<Self>, address: SocketAddr) {
+        let mut state = self.lock();
+        let followed = state
+            .followed_stores
+            .entry(address)
+            .or_insert_with(|| FollowedStore {
+                subscriptions: 0,
+                task: tokio::spawn(read_store(Arc::clone(self), address)),
+            });
+        followed.subscriptions += 1;
+    }
+
+    fn unfollow_store(&self, address: SocketAddr) {
+        let mut state = self.lock();
+        let Some(followed) = state.followed_stores.get_mut(&address) else {
+            return;
+        };
+        followed.subscriptions -= 1;
+        if followed.subscriptions == 0 {
+            followed.task.abort();
+            state.followed_stores.remove(&address);
+            state.collected.remove(&store_key(address));
+        }
+    }
+
+    /// Stores what was read of a KV cache store. Its state takes the place of an
+    /// agent's report: alive if reachable, accepting if watched.
+    fn apply_store(
+        &self,
+        address: SocketAddr,
+        (is_reachable, is_watched): (bool, bool),
+        changes: &[CachedPartChange],
+        is_full_list: bool,
+    ) {
+        let report = AgentReport {
+            is_alive: is_reachable,
+            is_accepting: is_watched,
+            ..AgentReport::default()
+        };
+        let mut state = self.lock();
+        if state.followed_stores.contains_key(&address) {
+            let key = store_key(address);
+            state.collected.apply(&key, report, changes, is_full_list);
+            let sequence = state.collected.sequence();
+            drop(state);
+            self.updates.send_replace(sequence);
+        }
+    }
+
     fn spawn_follower(
         self: &Arc<Self>,
         name: ServerName,
@@ -184,12 +260,12 @@
 
 /// Engines that one entry has asked for over one connection, and what it has
 /// received of them.
-#[derive(Debug)]
 pub struct Subscription {
     collector: Arc<Collector>,
     /// Each engine with the sequence number up to which the entry was sent its
     /// updates; `None` if it was sent nothing.
     engines: Mutex<HashMap<ServerName, Option<u64>>>,
+    stores: Mutex<HashMap<SocketAddr, Option<u64>>>,
 }
 
 impl Subscription {
@@ -198,6 +274,7 @@
         Self {
             collector,
             engines: Mutex::default(),
+            stores: Mutex::default(),
         }
     }
 
@@ -228,6 +305,22 @@
             .collect();
     }
 
+    /// Replaces the KV cache stores, like [`Self::set_engines`].
+    pub fn set_stores(&self, stores: &[SocketAddr]) {
+        let mut subscribed = self.lock_stores();
+        for store in stores {
+            self.collector.follow_store(*store);
+        }
+        let before = take(&mut *subscribed);
+        for store in before.keys() {
+            self.collector.unfollow_store(*store);
+        }
+        *subscribed = stores
+            .iter()
+            .map(|store| (*store, before.get(store).copied().flatten()))
+            .collect();
+    }
+
     /// Waits until updates were gathered for [`GATHER_TIME`] and there is one,
     /// but not longer than [`UPDATE_WAIT`] after that. Returns early after an
     /// urgent update.
@@ -270,6 +363,32 @@
         updates
     }
 
+    /// Returns what the entry lacks of the KV cache stores and records that it
+    /// was sent.
+    pub fn take_store_updates(&self) -> Vec<StoreUpdate> {
+        let mut stores = self.lock_stores();
+        let state = self.collector.lock();
+        let sequence = state.collected.sequence();
+        let mut updates = Vec::new();
+        for (address, known) in stores.iter_mut() {
+            if let Some(update) = state.collected.read_since(&store_key(*address), *known) {
+                updates.push(StoreUpdate {
+                    address: *address,
+                    is_reachable: update.report.is_alive,
+                    is_watched: update.report.is_accepting,
+                    kv_changes: update.kv_changes,
+                    is_full_list: update.is_full_list,
+                });
+                *known = Some(sequence);
+            }
+        }
+        updates
+    }
+
+    fn lock_stores(&self) -> MutexGuard<'_, HashMap<SocketAddr, Option<u64>>> {
+        self.stores.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn lock(&self) -> MutexGuard<'_, HashMap<ServerName, Option<u64>>> {
         self.engines.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -280,6 +399,60 @@
         for name in self.lock().keys() {
             self.collector.unfollow(name);
         }
+        for store in self.lock_stores().keys() {
+            self.collector.unfollow_store(*store);
+        }
+    }
+}
+
+/// Key of a KV cache store among the collected engines.
+fn store_key(address: SocketAddr) -> ServerName {
+    ServerName::from(address.to_string().as_str())
+}
+
+/// Reads the changes of a KV cache store for as long as it is polled.
+async fn read_store(collector: Arc<Collector>, address: SocketAddr) {
+    let (mut epoch, mut next_sequence) = (0, 0);
+    let mut is_lost = false;
+    loop {
+        let result = collector
+            .feed
+            .read_changes(address, next_sequence, STORE_POLL_WAIT)
+            .await;
+        match result {
+            Ok(update) => {
+                if is_lost || epoch != update.epoch {
+                    log::info!(
+                        "kept-store: following address={address} epoch={}",
+                        update.epoch
+                    );
+                    is_lost = false;
+                }
+                let has_restarted = update.epoch != epoch && next_sequence > 0;
+                epoch = update.epoch;
+                if has_restarted {
+                    // A restarted store holds none of its earlier parts.
+                    next_sequence = 0;
+                    collector.apply_store(address, (true, true), &[], true);
+                    continue;
+                }
+                next_sequence = update.next_sequence;
+                collector.apply_store(address, (true, true), &update.changes, false);
+                sleep(MIN_STORE_READ_INTERVAL).await;
+            }
+            Err(PortError::Rejected(_)) => {
+                collector.apply_store(address, (true, false), &[], false);
+                sleep(REJECTED_DELAY).await;
+            }
+            Err(e) => {
+                if !is_lost {
+                    log::warn!("kept-store: lost address={address} reason=\"{e}\"");
+                    is_lost = true;
+                }
+                collector.apply_store(address, (false, false), &[], false);
+                sleep(STORE_RETRY_DELAY).await;
+            }
+        }
     }
 }
 
--- a/src/sidecar/sidecar_service.rs
+++ b/src/sidecar/sidecar_service.rs
@@ -28,7 +28,7 @@
 const UPDATE_WAIT: Duration = Duration::from_millis(500);
 
 /// RPC service of a sidecar for one connection of an entry or collector.
-#[derive(Debug, Clone)]
+#[derive(Clone)]
 pub struct SidecarService {
     cx: Arc<SidecarContext>,
     subscription: Arc<Subscription>,
@@ -58,6 +58,7 @@
     async fn collect(self, _: Context, req: CollectRequest) -> Option<CollectResponse> {
         if let Some(engines) = &req.engines {
             self.subscription.set_engines(engines);
+            self.subscription.set_stores(&req.kv_cache_stores);
         }
         let collector = self.subscription.collector();
         collector.learn_targets(&req.targets);
@@ -65,6 +66,7 @@
         Some(CollectResponse {
             clock_ms: read_wall_clock_ms(),
             engines: self.subscription.take_updates(),
+            kv_cache_stores: self.subscription.take_store_updates(),
             targets: collector.list_targets_except(&req.targets),
         })
     }
--- a/tests/fleet_dispatch.rs
+++ b/tests/fleet_dispatch.rs
@@ -1,5 +1,6 @@
 //! Choice of backend servers.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -442,8 +443,8 @@
 ) {
     let mut dispatcher = dispatcher_with_engines(2);
     let store = address(200);
-    dispatcher.set_kv_cache_store(Some(store));
-    dispatcher.observe_kv_cache_store(&cached_changes(1, "a"), true);
+    dispatcher.set_kv_cache_stores(&[store]);
+    dispatcher.observe_kv_cache_store(store, &cached_changes(1, "a"), true);
     dispatcher.observe_cached_parts(&ServerName::from("i-1"), &cached_changes(1, "a"), false);
     let prompt = prompt("a");
     let account = isolated.map(AccountName::from);
@@ -459,3 +460,55 @@
     let shared = VersionedSalt::new(WeightsVersion(1), None);
     assert_eq!(choice.salt == Some(shared), is_found);
 }
+
+/// Large fleets have several KV cache stores, and one alone is too small for the
+/// shared parts of all prompts: prompts spread over all of them, and every entry
+/// saves and fetches a prompt's parts at the same one.
+#[test]
+fn choose_prompts_spread_over_stores_alike() {
+    let stores: Vec<SocketAddr> = (200..206).map(address).collect();
+    let reversed: Vec<SocketAddr> = stores.iter().rev().copied().collect();
+    let mut first = dispatcher_with_engines(2);
+    let mut second = dispatcher_with_engines(2);
+    first.set_kv_cache_stores(&stores);
+    second.set_kv_cache_stores(&reversed);
+    let mut saves = HashMap::new();
+    for number in 0..300 {
+        let prompt = prompt(&format!("part {number}"));
+        let store = choose(&first, &prompt, at(0)).save_to.expect("a store");
+        assert_eq!(choose(&second, &prompt, at(0)).save_to, Some(store));
+        *saves.entry(store).or_insert(0) += 1;
+        second.observe_kv_cache_store(store, &cached_changes(1, &format!("part {number}")), false);
+        let choice = choose(&second, &prompt, at(0));
+        assert_eq!((choice.fetch_from, choice.save_to), (Some(store), None));
+    }
+    assert_eq!(saves.len(), 6);
+    assert!(saves.values().all(|count| *count >= 25), "{saves:?}");
+}
+
+/// A store that does not answer is left out for its own prompts only.
+#[test]
+fn choose_store_unreachable_others_used() {
+    let stores: Vec<SocketAddr> = (200..203).map(address).collect();
+    let mut dispatcher = dispatcher_with_engines(1);
+    dispatcher.set_kv_cache_stores(&stores);
+    let prompts: Vec<Prompt> = (0..30)
+        .map(|number| prompt(&format!("part {number}")))
+        .collect();
+    let find_stores = |dispatcher: &Dispatcher| -> Vec<Option<SocketAddr>> {
+        let choices = prompts
+            .iter()
+            .map(|prompt| choose(dispatcher, prompt, at(0)));
+        choices.map(|choice| choice.save_to).collect()
+    };
+    let before = find_stores(&dispatcher);
+    dispatcher.mark_kv_cache_store_unreachable(stores[0]);
+    let expected: Vec<Option<SocketAddr>> = before
+        .iter()
+        .map(|store| store.filter(|store| *store != stores[0]))
+        .collect();
+    assert_eq!(find_stores(&dispatcher), expected);
+    assert!(expected.contains(&None) && expected.contains(&Some(stores[1])));
+    dispatcher.observe_kv_cache_store(stores[0], &[], true);
+    assert_eq!(find_stores(&dispatcher), before);
+}
--- a/tests/fleet_rollout.rs
+++ b/tests/fleet_rollout.rs
@@ -159,3 +159,25 @@
     assert!(delayed_ms > immediate_ms);
     assert!(delayed_ms < immediate_ms + 1_000);
 }
+
+/// Another process has ordered the engine while its agent was away: the agent
+/// leaves it the versions up to that fencing token, and orders a later one no
+/// sooner than engines allow after another holder.
+#[test]
+fn yield_orders_only_later_targets_ordered_after_delay() {
+    let mut rollout = Rollout::new();
+    rollout.observe_target(&target(2), at(0));
+    rollout.yield_orders(25, at(100));
+    let is_waiting = (0..6_000)
+        .step_by(20)
+        .all(|ms| rollout.advance(&status(1, 0), at(ms)) == RolloutStep::Wait);
+    assert!(is_waiting);
+    rollout.yield_orders(26, at(6_000));
+    rollout.observe_target(&target(3), at(6_100));
+    let (step, ms) = advance_to_order(&mut rollout, &status(1, 0), 6_100);
+    let RolloutStep::Order { target, .. } = step else {
+        panic!("expected an order, got {step:?}");
+    };
+    assert_eq!(target.version, WeightsVersion(3));
+    assert!(ms >= 6_000 + 3_000, "{ms}");
+}
