Let entries read the members themselves after a start, and never adopt an older list

Cause: an entry that had just started could adopt the list of a reader that had read the store before it did, and so lose servers that had registered in between, with all that was known of them.

Change: the list carries the store's revision, a full list of a lower one is not adopted, and an entry reads the store itself for its first 10 s.

--- a/src/gateway/follow_members.rs
+++ b/src/gateway/follow_members.rs
@@ -17,6 +17,7 @@
 use crate::mesh::MembersCursor;
 use crate::mesh::MembersUpdate;
 use crate::mesh::connect_mesh;
+use crate::ports::Area;
 
 /// Interval between checks for changes that peers wait for. Changes within it
 /// need one response.
@@ -29,6 +30,10 @@
 /// Timeout of a request for changes.
 const FOLLOW_TIMEOUT: Duration = Duration::from_millis(1_200);
 
+/// Time after the start in which an entry reads the store itself. Many entries
+/// may have started together, and each knows only some of the others at first.
+const SETTLE_TIME: Duration = Duration::from_secs(10);
+
 /// Time for which a peer that does not serve the list is not asked again.
 const READER_EXCLUSION: Duration = Duration::from_secs(5);
 
@@ -51,6 +56,7 @@
         .flatten();
     Some(MembersUpdate {
         cursor,
+        revision: state.progress[Area::Members.index()].complete_revision,
         is_full_list: changes.is_none(),
         changes: changes.unwrap_or_else(|| {
             let members = state.directory.list().into_iter();
@@ -89,6 +95,9 @@
 /// once if this entry has to read the store.
 pub async fn follow_peer_members(cx: &GatewayContext, failed: &mut FailedReaders) -> bool {
     let now = cx.now();
+    if now.since(MonotonicTime::ZERO) < SETTLE_TIME {
+        return false;
+    }
     let peers = cx.known_entries.list_names(now);
     let MemberSource::Peers(readers) = choose_member_source(&cx.settings.name, &peers) else {
         return false;
@@ -119,6 +128,7 @@
         let mut context: Context = tarpc::context::current();
         context.deadline = Instant::now() + FOLLOW_TIMEOUT;
         match client.follow_members(context, known).await {
+            Ok(Some(update)) if is_older_list(cx, &update) => return "its list is older".into(),
             Ok(Some(update)) => {
                 known = update.cursor;
                 apply_update(cx, update);
@@ -132,10 +142,20 @@
     }
 }
 
+/// Returns whether this entry has read a newer list than the full one that a peer
+/// sent, which would bring back servers that have gone.
+fn is_older_list(cx: &GatewayContext, update: &MembersUpdate) -> bool {
+    let state = cx.lock();
+    let own_revision = state.progress[Area::Members.index()].complete_revision;
+    update.is_full_list && update.revision < own_revision
+}
+
 fn apply_update(cx: &GatewayContext, update: MembersUpdate) {
     let now = cx.now();
     let mut state = cx.lock();
     state.follows_peer_members = true;
+    let progress = &mut state.progress[Area::Members.index()];
+    progress.complete_revision = progress.complete_revision.max(update.revision);
     let changes: Vec<MemberChange> = if update.is_full_list {
         let members: Vec<Member> = update
             .changes
--- a/src/mesh/members_message.rs
+++ b/src/mesh/members_message.rs
@@ -20,6 +20,8 @@
 pub struct MembersUpdate {
     /// Position after these changes.
     pub cursor: MembersCursor,
+    /// Revision of the store up to which the list is complete.
+    pub revision: u64,
     /// The changes since the position asked for; with `is_full_list`, all
     /// servers.
     pub changes: Vec<MemberChange>,
