--- a/src/gateway/agent_connections.rs
+++ b/src/gateway/agent_connections.rs
@@ -6,20 +6,18 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
-use std::time::Instant;
 
 use crate::core::ServerName;
 use crate::core::fleet::BackendChoice;
+use crate::mesh::AnnouncementReceiver;
 use crate::mesh::MeshClient;
+use crate::mesh::announce_call;
 
 /// Minimum prefill time of a call that is announced. It is several times the
 /// duration of an announcement; a shorter prefill delays other calls by less
 /// than updates are late.
 const MIN_ANNOUNCED_PREFILL: Duration = Duration::from_millis(40);
 
-/// Timeout of an announcement; later it would be useless.
-const ANNOUNCE_TIMEOUT: Duration = Duration::from_millis(300);
-
 /// Open connections over which the agents beside engines are reached, by server
 /// name.
 #[derive(Debug, Default)]
@@ -34,8 +32,8 @@
     pub address: SocketAddr,
     /// Client over the connection.
     pub client: MeshClient,
-    /// Whether the other end is a collector.
-    pub is_collector: bool,
+    /// Which of them the other end is.
+    pub receiver: AnnouncementReceiver,
 }
 
 impl AgentConnections {
@@ -66,25 +64,12 @@
         let Some(connection) = self.lock().get(&choice.name).cloned() else {
             return;
         };
-        let (prefill_time, server) = (choice.prefill_time, choice.name.clone());
-        tokio::spawn(async move {
-            let mut context = tarpc::context::current();
-            context.deadline = Instant::now() + ANNOUNCE_TIMEOUT;
-            let client = connection.client;
-            let announced = if connection.is_collector {
-                let server = server.clone();
-                client
-                    .forward_announcement(context, server, prefill_time)
-                    .await
-            } else {
-                client.announce(context, prefill_time).await
-            };
-            if let Err(e) = announced {
-                // The agent's updates fail as well, which is logged where they
-                // are read.
-                log::debug!("agents: not told of a call server={server} reason=\"{e}\"");
-            }
-        });
+        announce_call(
+            connection.client,
+            connection.receiver,
+            choice.name.clone(),
+            choice.prefill_time,
+        );
     }
 
     fn lock(&self) -> MutexGuard<'_, HashMap<ServerName, AgentConnection>> {
--- a/src/gateway/follow_agents.rs
+++ b/src/gateway/follow_agents.rs
@@ -24,6 +24,7 @@
 use crate::core::fleet::choose_store_collector;
 use crate::core::fleet::plan_collectors;
 use crate::mesh::AgentObserver;
+use crate::mesh::AnnouncementReceiver;
 use crate::mesh::EngineUpdate;
 use crate::mesh::FollowedEngine;
 use crate::mesh::MeshClient;
@@ -235,7 +236,7 @@
         let connection = AgentConnection {
             address: self.agent,
             client: client.clone(),
-            is_collector: false,
+            receiver: AnnouncementReceiver::Agent,
         };
         self.cx.agent_connections.insert(&self.name, connection);
     }
--- a/src/gateway/follow_collector.rs
+++ b/src/gateway/follow_collector.rs
@@ -16,6 +16,7 @@
 use super::context::GatewayContext;
 use super::follow_agents::CollectorShare;
 use crate::core::MonotonicTime;
+use crate::mesh::AnnouncementReceiver;
 use crate::mesh::CollectRequest;
 use crate::mesh::CollectResponse;
 use crate::mesh::FollowedEngine;
@@ -116,7 +117,7 @@
             let connection = AgentConnection {
                 address: self.collector,
                 client: self.client.clone(),
-                is_collector: true,
+                receiver: AnnouncementReceiver::Collector,
             };
             connections.insert(&engine.name, connection);
         }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -15,7 +15,7 @@
 mod exchange_peer_state;
 mod follow_agents;
 mod follow_collector;
-mod follow_kv_cache_store;
+mod follow_kv_cache_stores;
 mod follow_members;
 mod follow_store;
 mod known_entries;
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -15,7 +15,7 @@
 use super::context::GatewayPorts;
 use super::exchange_peer_state::exchange_peer_state;
 use super::follow_agents::follow_agents;
-use super::follow_kv_cache_store::follow_kv_cache_stores;
+use super::follow_kv_cache_stores::follow_kv_cache_stores;
 use super::follow_store::follow_area;
 use super::follow_store::ping_store;
 use super::serve_call::serve_call;
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -6,6 +6,7 @@
 //! passes their updates on to entries. An *area* is a set of records in the store that is read and
 //! watched separately: [`crate::ports::Area`].
 
+mod announce_call;
 mod collect_request;
 mod collect_response;
 mod connect_mesh;
@@ -17,6 +18,8 @@
 mod serve_mesh;
 mod service;
 
+pub use announce_call::AnnouncementReceiver;
+pub use announce_call::announce_call;
 pub use collect_request::CollectRequest;
 pub use collect_request::FollowedEngine;
 pub use collect_response::CollectResponse;
--- a/src/ports/mod.rs
+++ b/src/ports/mod.rs
@@ -8,6 +8,7 @@
 mod dialect;
 mod engine_client;
 mod fleet_source;
+mod follow_kv_cache_store;
 mod forward_metadata;
 mod kv_cache_feed;
 mod order_claims;
@@ -22,6 +23,8 @@
 pub use fleet_source::FleetSource;
 pub use fleet_source::SourceChange;
 pub use fleet_source::SourceUpdate;
+pub use follow_kv_cache_store::KvCacheStoreEvent;
+pub use follow_kv_cache_store::follow_kv_cache_store;
 pub use forward_metadata::ForwardMetadata;
 pub use kv_cache_feed::KvCacheChanges;
 pub use kv_cache_feed::KvCacheFeed;
--- a/src/sidecar/collector.rs
+++ b/src/sidecar/collector.rs
@@ -9,7 +9,6 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
-use std::time::Instant;
 
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
@@ -23,13 +22,16 @@
 use crate::core::fleet::CollectedUpdate;
 use crate::core::fleet::TargetVersion;
 use crate::mesh::AgentObserver;
+use crate::mesh::AnnouncementReceiver;
 use crate::mesh::EngineUpdate;
 use crate::mesh::FollowedEngine;
 use crate::mesh::MeshClient;
 use crate::mesh::StoreUpdate;
+use crate::mesh::announce_call;
 use crate::mesh::follow_agent;
 use crate::ports::KvCacheFeed;
-use crate::ports::PortError;
+use crate::ports::KvCacheStoreEvent;
+use crate::ports::follow_kv_cache_store;
 
 /// Time for which updates are gathered before a response. It bounds the
 /// responses that an entry has to process; urgent updates do not wait for it.
@@ -43,21 +45,6 @@
 /// somewhat later than this.
 const UPDATE_WAIT: Duration = Duration::from_millis(400);
 
-/// Longest wait of one read of a KV cache store; reads that wait for less than
-/// 200 ms are expensive.
-const STORE_POLL_WAIT: Duration = Duration::from_millis(1_000);
-
-/// Minimum time between two reads of a KV cache store.
-const MIN_STORE_READ_INTERVAL: Duration = Duration::from_millis(100);
-
-/// Delay after a failed read of a KV cache store, and after a rejected one, which
-/// counts as a probe.
-const STORE_RETRY_DELAY: Duration = Duration::from_millis(400);
-const REJECTED_DELAY: Duration = Duration::from_secs(5);
-
-/// Timeout of an announcement; later it would be useless.
-const ANNOUNCE_TIMEOUT: Duration = Duration::from_millis(300);
-
 /// Engines and KV cache stores that this process follows for entries. Each is
 /// followed as long as a [`Subscription`] includes it.
 pub struct Collector {
@@ -143,16 +130,12 @@
             log::debug!("agents: not told of a call server={server} reason=\"not followed\"");
             return;
         };
-        let server = server.clone();
-        tokio::spawn(async move {
-            let mut context = tarpc::context::current();
-            context.deadline = Instant::now() + ANNOUNCE_TIMEOUT;
-            if let Err(e) = client.announce(context, prefill_time).await {
-                // The agent's updates fail as well, which is logged where they
-                // are read.
-                log::debug!("agents: not told of a call server={server} reason=\"{e}\"");
-            }
-        });
+        announce_call(
+            client,
+            AnnouncementReceiver::Agent,
+            server.clone(),
+            prefill_time,
+        );
     }
 
     fn follow(self: &Arc<Self>, engine: &FollowedEngine) {
@@ -410,50 +393,19 @@
     ServerName::from(address.to_string().as_str())
 }
 
-/// Reads the changes of a KV cache store for as long as it is polled.
+/// Stores what is read of a KV cache store for as long as it is polled.
 async fn read_store(collector: Arc<Collector>, address: SocketAddr) {
-    let (mut epoch, mut next_sequence) = (0, 0);
-    let mut is_lost = false;
-    loop {
-        let result = collector
-            .feed
-            .read_changes(address, next_sequence, STORE_POLL_WAIT)
-            .await;
-        match result {
-            Ok(update) => {
-                if is_lost || epoch != update.epoch {
-                    log::info!(
-                        "kept-store: following address={address} epoch={}",
-                        update.epoch
-                    );
-                    is_lost = false;
-                }
-                let has_restarted = update.epoch != epoch && next_sequence > 0;
-                epoch = update.epoch;
-                if has_restarted {
-                    // A restarted store holds none of its earlier parts.
-                    next_sequence = 0;
-                    collector.apply_store(address, (true, true), &[], true);
-                    continue;
-                }
-                next_sequence = update.next_sequence;
-                collector.apply_store(address, (true, true), &update.changes, false);
-                sleep(MIN_STORE_READ_INTERVAL).await;
-            }
-            Err(PortError::Rejected(_)) => {
-                collector.apply_store(address, (true, false), &[], false);
-                sleep(REJECTED_DELAY).await;
-            }
-            Err(e) => {
-                if !is_lost {
-                    log::warn!("kept-store: lost address={address} reason=\"{e}\"");
-                    is_lost = true;
-                }
-                collector.apply_store(address, (false, false), &[], false);
-                sleep(STORE_RETRY_DELAY).await;
-            }
+    let observe = |event| match event {
+        KvCacheStoreEvent::Changed(changes) => {
+            collector.apply_store(address, (true, true), &changes, false);
         }
-    }
+        KvCacheStoreEvent::Restarted => collector.apply_store(address, (true, true), &[], true),
+        KvCacheStoreEvent::Rejected => collector.apply_store(address, (true, false), &[], false),
+        KvCacheStoreEvent::Unreachable => {
+            collector.apply_store(address, (false, false), &[], false);
+        }
+    };
+    follow_kv_cache_store(&*collector.feed, address, observe).await;
 }
 
 /// Stores the updates of one agent in the collector.
