--- a/src/core/fleet/fleet_quota.rs
+++ b/src/core/fleet/fleet_quota.rs
@@ -14,7 +14,7 @@
 use crate::core::MonotonicTime;
 
 /// Time without a message from a peer after which it is assumed to use its even
-/// share of every rate: four exchange intervals of a small fleet.
+/// share of every rate: eight exchange intervals of a small fleet.
 const PEER_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// Minimum time between two charges for silent peers, which cost time for each
@@ -40,7 +40,7 @@
 const ENFORCED_OVERAGE_SHARE: f64 = 0.3;
 const LARGE_FLEET_OVERAGE_SHARE: f64 = 0.1;
 
-/// Number of entries up to which a fleet is not large in this sense.
+/// Number of entries up to which [`ENFORCED_OVERAGE_SHARE`] applies.
 const MAX_SMALL_FLEET: usize = 32;
 
 /// Rate limits of client accounts across all entries. Each entry keeps the full
--- a/src/sidecar/collector.rs
+++ b/src/sidecar/collector.rs
@@ -241,8 +241,8 @@
     }
 }
 
-/// Engines that one entry has asked for over one connection, and what it has
-/// received of them.
+/// Engines and KV cache stores that one entry has asked for over one connection,
+/// and what it has received of them.
 pub struct Subscription {
     collector: Arc<Collector>,
     /// Each engine with the sequence number up to which the entry was sent its
