Read the builds of servers and the streams that callers take up, and log both

Nothing is decided by them yet. The member record between entries has a new last field: an entry of the build before cannot decode the list of a newer one and reads the store itself.

--- a/src/core/fleet/call_head.rs
+++ b/src/core/fleet/call_head.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 
 use super::Prompt;
+use super::StreamResumption;
 use crate::core::KeyDigest;
 
 /// Decoded request headers of a call.
@@ -18,4 +19,6 @@
     pub caller_timeout: Option<Duration>,
     /// Prompt, for a call to a model.
     pub prompt: Option<Prompt>,
+    /// The stream that the call takes up, if it goes on with one.
+    pub resumption: Option<StreamResumption>,
 }
--- a/src/core/fleet/dispatcher.rs
+++ b/src/core/fleet/dispatcher.rs
@@ -9,6 +9,7 @@
 use super::AgentReport;
 use super::BackendKey;
 use super::BackendView;
+use super::Build;
 use super::CachedPartChange;
 use super::Member;
 use super::ModelName;
@@ -71,6 +72,8 @@
     pub name: ServerName,
     /// Address that the call is sent to.
     pub address: SocketAddr,
+    /// Version of the server's software.
+    pub build: Build,
     /// Salt of the cached parts, for a call to a model.
     pub salt: Option<VersionedSalt>,
     /// Weights version that the choice assumes.
@@ -617,6 +620,7 @@
         key,
         name: view.member.name.clone(),
         address: view.member.address,
+        build: view.member.build.clone(),
         salt: None,
         version: None,
         fetch_from: None,
--- a/src/core/fleet/member.rs
+++ b/src/core/fleet/member.rs
@@ -5,6 +5,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::Build;
 use super::ModelName;
 use crate::core::ServerName;
 use crate::core::WeightsVersion;
@@ -30,6 +31,8 @@
     /// same name.
     #[serde(rename = "born")]
     pub started_at_ms: Option<u64>,
+    /// Version of its software.
+    pub build: Build,
 }
 
 /// Whether a backend server takes new calls.
--- a/src/gateway/call_log.rs
+++ b/src/gateway/call_log.rs
@@ -32,13 +32,14 @@
     /// Creates the log of a call; nothing is written yet.
     pub fn new(cx: &Arc<GatewayContext>, call: &Call) -> Self {
         let unlogged_fields = format!(
-            " route={} service={} account={} config={} wait_ms={} objective_ms={}",
+            " route={} service={} account={} config={} wait_ms={} objective_ms={}{}",
             call.route.name,
             call.service,
             call.account.as_ref().map_or("-", |a| a.as_str()),
             call.configuration_version,
             call.time_left().as_millis(),
             call.route.latency_objective.as_millis(),
+            describe_resumption(call),
         );
         Self {
             cx: Arc::clone(cx),
@@ -57,11 +58,12 @@
     pub fn log_send(&mut self, choice: &BackendChoice, reason: &str) {
         self.attempts += 1;
         log::info!(
-            "call: sent id={}{} attempt={} why={reason} server={} v={} load={:.1} age_ms={} predicted_ms={} read={} again={} fetch={}",
+            "call: sent id={}{} attempt={} why={reason} server={} build={} v={} load={:.1} age_ms={} predicted_ms={} read={} again={} fetch={}",
             self.id,
             take(&mut self.unlogged_fields),
             self.attempts,
             choice.name,
+            choice.build,
             choice.version.map_or(0, |version| version.0),
             choice.load,
             choice.report_age.map_or(-1, |age| age.as_millis() as i64),
@@ -116,3 +118,15 @@
         );
     }
 }
+
+/// Returns the log fields of a call that takes a stream up; empty for others.
+fn describe_resumption(call: &Call) -> String {
+    call.head.resumption.as_ref().map_or_else(String::new, |r| {
+        let stream = r.first_call_id.as_ref().map_or(&b"-"[..], |id| &id[..]);
+        format!(
+            " takes_up={} last_event={}",
+            String::from_utf8_lossy(stream),
+            String::from_utf8_lossy(&r.last_event_id),
+        )
+    })
+}
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -152,11 +152,12 @@
             match change {
                 MemberChange::Listed(member) => {
                     log::info!(
-                        "members: listed server={} service={} address={} state={:?} models={:?}",
+                        "members: listed server={} service={} address={} state={:?} build={} models={:?}",
                         member.name,
                         member.service,
                         member.address,
                         member.state,
+                        member.build,
                         member.models,
                     );
                     self.dispatcher.upsert_member(member);
--- a/tests/fleet_directory.rs
+++ b/tests/fleet_directory.rs
@@ -5,6 +5,7 @@
 
 use teaseldrum::core::MonotonicTime;
 use teaseldrum::core::ServerName;
+use teaseldrum::core::fleet::Build;
 use teaseldrum::core::fleet::Directory;
 use teaseldrum::core::fleet::Member;
 use teaseldrum::core::fleet::MemberChange;
@@ -24,6 +25,7 @@
         state: MemberState::Ready,
         models: Vec::new(),
         started_at_ms: None,
+        build: Build::from("v1"),
     }
 }
 
--- a/tests/fleet_dispatch.rs
+++ b/tests/fleet_dispatch.rs
@@ -11,6 +11,7 @@
 use teaseldrum::core::WeightsVersion;
 use teaseldrum::core::fleet::AgentReport;
 use teaseldrum::core::fleet::BackendChoice;
+use teaseldrum::core::fleet::Build;
 use teaseldrum::core::fleet::CachedPartChange;
 use teaseldrum::core::fleet::DispatchError;
 use teaseldrum::core::fleet::DispatchRequest;
@@ -43,6 +44,7 @@
         state: MemberState::Ready,
         models: vec![(ModelName::from("m"), WeightsVersion(version))],
         started_at_ms: Some(1),
+        build: Build::from("v1"),
     }
 }
 
--- a/tests/fleet_members.rs
+++ b/tests/fleet_members.rs
@@ -8,6 +8,7 @@
 
 use teaseldrum::core::MonotonicTime;
 use teaseldrum::core::ServerName;
+use teaseldrum::core::fleet::Build;
 use teaseldrum::core::fleet::Directory;
 use teaseldrum::core::fleet::MAX_READING_ENTRIES;
 use teaseldrum::core::fleet::Member;
@@ -31,6 +32,7 @@
         state,
         models: Vec::new(),
         started_at_ms: Some(1),
+        build: Build::from("v1"),
     }
 }
 
