Let a stream go on only at the build that began it

The choice of a server now takes the build of the stream. Within an answer it is that of the server which sent the first event. Over a caller's tries it must be known at entries that did not serve the stream: while an entry is not certain that a service has had one build for as long as a stream may last, it tells each stream to two entries and two agents, chosen by rendezvous hashing; when a second build appears, it tells the earlier ones too. Whoever finds no record and has seen one build only for that long assumes it; a stale or young list is never certain. Otherwise the call is refused with 503 unknown-stream, and nothing is sent.

Ruled out: telling every stream always (messages for each stream at rest), the store (a write a stream), a build chosen by the hash of the id (binds every stream to half of the servers), asking peers only when a stream is taken up (the entry that knows it is mostly the one that died).

Known hole: an entry that lists a new build up to a second late assumes the old one if all four keepers of the stream are lost in that second.

--- a/src/core/fleet/dispatcher.rs
+++ b/src/core/fleet/dispatcher.rs
@@ -58,6 +58,9 @@
     pub isolated_account: Option<&'a AccountName>,
     /// Servers that earlier attempts were sent to; they are not chosen again.
     pub tried: &'a [BackendKey],
+    /// Build at which the stream of the call began, if it goes on with one; servers
+    /// of other builds are not chosen.
+    pub build: Option<&'a Build>,
     /// Time until the caller's deadline.
     pub time_left: Duration,
 }
@@ -361,6 +364,9 @@
             let Some(view) = self.backends.get(key).filter(|v| v.accepts_calls(now)) else {
                 continue;
             };
+            if req.build.is_some_and(|build| *build != view.member.build) {
+                continue;
+            }
             let evaluated = match req.prompt {
                 None => Some(self.evaluate_plain_call(key, view, now)),
                 Some(prompt) => {
--- a/src/core/fleet/refusal.rs
+++ b/src/core/fleet/refusal.rs
@@ -25,6 +25,9 @@
     Overloaded(Duration),
     /// No server accepts the call; retry after the given time.
     NoServer(Duration),
+    /// The call takes up a stream, and it is not known at which build that began;
+    /// retry after the given time, at another entry.
+    UnknownStream(Duration),
     /// Servers did not run the call, and no further attempt is allowed; retry
     /// after the given time.
     NotAccepted(Duration),
@@ -43,6 +46,7 @@
             Self::OverRate(_) => "over-rate",
             Self::Overloaded(_) => "overloaded",
             Self::NoServer(_) => "no-server",
+            Self::UnknownStream(_) => "unknown-stream",
             Self::NotAccepted(_) => "not-accepted",
         }
     }
@@ -59,6 +63,7 @@
             Self::NoConfiguration
             | Self::Overloaded(_)
             | Self::NoServer(_)
+            | Self::UnknownStream(_)
             | Self::NotAccepted(_) => 503,
         }
     }
@@ -70,6 +75,7 @@
             Self::OverRate(after)
             | Self::Overloaded(after)
             | Self::NoServer(after)
+            | Self::UnknownStream(after)
             | Self::NotAccepted(after) => Some(after),
             Self::NoConfiguration => Some(Duration::from_millis(500)),
             _ => None,
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -16,6 +16,7 @@
 use super::clock_offsets::ClockOffsets;
 use super::known_entries::KnownEntries;
 use super::state::GatewayState;
+use super::stream_keepers::StreamKeepers;
 use crate::clock::Clock;
 use crate::core::MonotonicTime;
 use crate::http::BodyBudget;
@@ -70,6 +71,8 @@
     pub collected_stores: watch::Sender<HashSet<SocketAddr>>,
     /// Entries from which this one has heard.
     pub known_entries: KnownEntries,
+    /// Processes that keep the origins of streams.
+    pub stream_keepers: StreamKeepers,
     /// Clock offsets of other processes.
     pub clock_offsets: ClockOffsets,
     clock: Clock,
@@ -92,6 +95,7 @@
             agent_connections: AgentConnections::default(),
             collected_stores: watch::channel(HashSet::new()).0,
             known_entries: KnownEntries::default(),
+            stream_keepers: StreamKeepers::default(),
             clock_offsets: ClockOffsets::default(),
             clock: Clock::start(),
             state: Mutex::new(state),
--- a/src/gateway/exchange_peer_state.rs
+++ b/src/gateway/exchange_peer_state.rs
@@ -28,7 +28,10 @@
 use crate::clock::read_wall_clock_ms;
 use crate::core::MonotonicTime;
 use crate::core::ServerName;
+use crate::core::fleet::KnownOrigin;
 use crate::core::fleet::Member;
+use crate::core::fleet::StreamKey;
+use crate::core::fleet::StreamOrigin;
 use crate::core::fleet::UsageQuery;
 use crate::mesh::CollectRequest;
 use crate::mesh::CollectResponse;
@@ -168,6 +171,20 @@
         self.exchange.cx.lock().directory.list()
     }
 
+    async fn keep_streams(self, _: Context, origins: Vec<StreamOrigin>) {
+        let cx = &self.exchange.cx;
+        let now = cx.now();
+        let mut state = cx.lock();
+        for origin in origins {
+            state.streams.learn(origin, now);
+        }
+    }
+
+    async fn find_stream(self, _: Context, stream: StreamKey, service: String) -> KnownOrigin {
+        let cx = &self.exchange.cx;
+        cx.lock().streams.find(stream, &service, cx.now())
+    }
+
     async fn follow_members(self, _: Context, known: MembersCursor) -> Option<MembersUpdate> {
         serve_members(&self.exchange.cx, known).await
     }
@@ -437,8 +454,9 @@
     }
     log::info!("members: copied from a peer count={}", members.len());
     let changes = state.directory.replace(members, now);
-    state.apply_member_changes(changes);
+    state.apply_member_changes(changes, now);
     state.has_members = true;
+    state.streams.builds.start(now);
 }
 
 /// Builds the state to send to a peer. `peer` is its name, if known, and
--- a/src/gateway/follow_members.rs
+++ b/src/gateway/follow_members.rs
@@ -172,5 +172,6 @@
             .filter_map(|change| state.directory.adopt(change, now))
             .collect()
     };
-    state.apply_member_changes(changes);
+    state.apply_member_changes(changes, now);
+    state.streams.builds.confirm(now);
 }
--- a/src/gateway/follow_store.rs
+++ b/src/gateway/follow_store.rs
@@ -80,7 +80,7 @@
                 }
                 retry_delay = MIN_RETRY_DELAY;
                 let is_full_read = revision.is_none();
-                cx.lock().directory.record_store_answer(cx.now());
+                cx.lock().record_store_answer(cx.now());
                 revision = Some(update.revision);
                 let has_changes = !update.changes.is_empty();
                 apply_update(&cx, area, update, is_full_read);
@@ -140,16 +140,16 @@
             SourceChange::MemberUpdated(member) if is_full_read => members.push(member),
             SourceChange::MemberUpdated(member) => {
                 let change = state.directory.apply(MemberChange::Listed(member), now);
-                state.apply_member_changes(change);
+                state.apply_member_changes(change, now);
             }
             SourceChange::MemberRemoved(name) => {
                 let change = state.directory.apply(MemberChange::Removed(name), now);
-                state.apply_member_changes(change);
+                state.apply_member_changes(change, now);
             }
             SourceChange::MalformedMember(name, problem) => {
                 log::warn!("store: malformed server={name} problem=\"{problem}\"");
                 let change = state.directory.apply(MemberChange::Removed(name), now);
-                state.apply_member_changes(change);
+                state.apply_member_changes(change, now);
             }
             SourceChange::MalformedRecord(key, problem) => {
                 log::warn!("store: malformed key={key} problem=\"{problem}\"");
@@ -158,8 +158,9 @@
     }
     if is_full_read && area == Area::Members {
         let changes = state.directory.replace(members, now);
-        state.apply_member_changes(changes);
+        state.apply_member_changes(changes, now);
         state.has_members = true;
+        state.streams.builds.start(now);
     }
 }
 
@@ -182,7 +183,7 @@
         };
         sleep(interval).await;
         match cx.ports.source.ping().await {
-            Ok(()) => cx.lock().directory.record_store_answer(cx.now()),
+            Ok(()) => cx.lock().record_store_answer(cx.now()),
             Err(e) => {
                 log::info!("store: ping failed reason=\"{e}\"");
                 cx.lock().directory.record_store_failure();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 mod agent_connections;
 mod attempt;
 mod call_log;
+mod call_progress;
 mod clock_offsets;
 mod context;
 mod exchange_peer_state;
@@ -26,6 +27,7 @@
 mod serve_call;
 mod state;
 mod status_pages;
+mod stream_keepers;
 mod stream_relay;
 mod substitute_agents;
 
--- a/src/gateway/read_call.rs
+++ b/src/gateway/read_call.rs
@@ -13,10 +13,10 @@
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::call_progress::CallProgress;
 use super::context::GatewayContext;
 use crate::core::AccountName;
 use crate::core::fleet::AccountRule;
-use crate::core::fleet::BackendKey;
 use crate::core::fleet::CallHead;
 use crate::core::fleet::CallRefusal;
 use crate::core::fleet::DispatchRequest;
@@ -82,14 +82,15 @@
         self.route.kind.is_retryable() && runs < self.route.max_attempts
     }
 
-    /// Returns the request to choose the call's next server, other than the
-    /// `tried` ones.
-    pub fn dispatch_request<'a>(&'a self, tried: &'a [BackendKey]) -> DispatchRequest<'a> {
+    /// Returns the request to choose the call's next server, other than those that
+    /// it was sent to.
+    pub fn dispatch_request<'a>(&'a self, progress: &'a CallProgress) -> DispatchRequest<'a> {
         DispatchRequest {
             service: &self.service,
             prompt: self.head.prompt.as_ref(),
             isolated_account: self.isolated_account(),
-            tried,
+            tried: &progress.tried,
+            build: progress.build.as_ref(),
             time_left: self.time_left(),
         }
     }
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -20,6 +20,7 @@
 use super::follow_store::ping_store;
 use super::serve_call::serve_call;
 use super::status_pages::serve_status_page;
+use super::stream_keepers::tell_stream_keepers;
 use super::substitute_agents::substitute_agents;
 use crate::core::fleet::CallerLimits;
 use crate::http::ServerLimits;
@@ -135,6 +136,7 @@
     tokio::spawn(follow_agents(Arc::clone(&cx)));
     tokio::spawn(substitute_agents(Arc::clone(&cx)));
     tokio::spawn(follow_kv_cache_stores(Arc::clone(&cx)));
+    tokio::spawn(tell_stream_keepers(Arc::clone(&cx)));
     tokio::spawn(run_maintenance(Arc::clone(&cx)));
     let traffic = open_tokio_listener(listen.traffic)?;
     let traffic_server = tokio::spawn(serve_traffic(Arc::clone(&cx), traffic, stop.clone()));
@@ -242,6 +244,7 @@
         let mut state = cx.lock();
         state.dispatcher.remove_stale_expectations(now);
         let changes = state.directory.apply_deferred_removals(now);
-        state.apply_member_changes(changes);
+        state.apply_member_changes(changes, now);
+        state.streams.expire(now);
     }
 }
--- a/src/gateway/serve_call.rs
+++ b/src/gateway/serve_call.rs
@@ -24,14 +24,17 @@
 use super::attempt::UNREACHABLE;
 use super::attempt::attempt_call;
 use super::call_log::CallLog;
+use super::call_progress::CallProgress;
 use super::context::GatewayContext;
 use super::read_call::Call;
 use super::read_call::read_call;
+use super::stream_keepers::find_stream_build;
 use super::stream_relay::StreamRelay;
 use crate::core::fleet::BackendChoice;
-use crate::core::fleet::BackendKey;
+use crate::core::fleet::Build;
 use crate::core::fleet::CallRefusal;
 use crate::core::fleet::DispatchError;
+use crate::core::fleet::StreamKey;
 use crate::http::BodyAborted;
 use crate::http::HttpBody;
 use crate::http::full_body;
@@ -84,16 +87,22 @@
     let now = cx.now();
     cx.lock().retries.record_request(&call.service, now);
     let id = call.head.id.clone();
-    let mut tried: Vec<BackendKey> = Vec::new();
-    let mut runs = 0;
+    let mut progress = CallProgress::default();
     let mut failed_response: Option<FullResponse> = None;
     let mut failure = CallFailure::Refused(CallRefusal::NoServer(REJECTED_RETRY_AFTER));
     let mut reason = "first";
-    while tried.len() < MAX_SENDS_PER_CALL && !call.time_left().is_zero() {
-        let choice = match choose_server(cx, &call, &tried) {
+    match find_begun_build(cx, &call).await {
+        Ok(build) => progress.build = build,
+        Err(refusal) => {
+            let failure = CallFailure::Refused(refusal);
+            return respond_to_failure(cx, &call, failure, &id, &mut call_log);
+        }
+    }
+    while progress.tried.len() < MAX_SENDS_PER_CALL && !call.time_left().is_zero() {
+        let choice = match choose_server(cx, &call, &progress) {
             Ok(choice) => choice,
             Err(refusal) => {
-                if tried.is_empty() {
+                if progress.tried.is_empty() {
                     failure = CallFailure::Refused(refusal);
                 }
                 call_log.record_failure(refusal.code());
@@ -101,12 +110,12 @@
             }
         };
         call_log.log_send(&choice, reason);
-        tried.push(choice.key);
-        let may_run_again = call.may_run_again(runs + 1);
+        progress.tried.push(choice.key);
+        progress.runs += 1;
+        let may_run_again = call.may_run_again(progress.runs);
         match attempt_call(cx, &call, choice, None, may_run_again).await {
             AttemptOutcome::Answered(response) => {
-                runs += 1;
-                if !response.status.is_server_error() || !call.may_run_again(runs) {
+                if !response.status.is_server_error() || !may_run_again {
                     call_log.log_end("answered", response.status.as_u16());
                     return into_response(response);
                 }
@@ -114,19 +123,19 @@
                 failed_response = Some(response);
             }
             AttemptOutcome::Streaming(head) => {
-                return start_stream(cx, call, *head, tried, runs + 1, call_log).await;
+                return start_stream(cx, call, *head, progress, call_log).await;
             }
             AttemptOutcome::NotRun(why) => {
+                progress.runs -= 1;
                 reason = why;
                 if !matches!(failure, CallFailure::Unknown(_)) {
                     failure = CallFailure::Refused(CallRefusal::NotAccepted(REJECTED_RETRY_AFTER));
                 }
             }
             AttemptOutcome::Unknown(why) => {
-                runs += 1;
                 reason = why;
                 failure = CallFailure::Unknown(why);
-                if !call.may_run_again(runs) {
+                if !may_run_again {
                     break;
                 }
             }
@@ -181,8 +190,7 @@
     cx: &Arc<GatewayContext>,
     call: Call,
     head: StreamingResponse,
-    tried: Vec<BackendKey>,
-    runs: u32,
+    progress: CallProgress,
     call_log: CallLog,
 ) -> Response<HttpBody> {
     let id = call.head.id.clone();
@@ -193,7 +201,7 @@
         exchange,
         in_flight,
     } = head;
-    let mut relay = StreamRelay::new(cx, call, (exchange, in_flight), tried, runs, call_log);
+    let mut relay = StreamRelay::new(cx, call, (exchange, in_flight), progress, call_log);
     let first_events = match relay.next_events().await {
         Ok(first_events) => first_events,
         Err(BodyAborted) => {
@@ -225,13 +233,34 @@
     response
 }
 
+/// Returns the build at which the stream began that a call takes up; `None` if it
+/// takes up none.
+///
+/// # Errors
+///
+/// The build is not known, and the stream must not go on at any other.
+async fn find_begun_build(cx: &GatewayContext, call: &Call) -> Result<Option<Build>, CallRefusal> {
+    let Some(resumption) = call.head.resumption.as_ref() else {
+        return Ok(None);
+    };
+    if !call.route.kind.is_stream() {
+        return Ok(None);
+    }
+    let stream = resumption.first_call_id.as_ref();
+    let stream = stream.map(|id| StreamKey::from_call_id(id));
+    find_stream_build(cx, stream, &call.service)
+        .await
+        .map(Some)
+        .ok_or(CallRefusal::UnknownStream(REJECTED_RETRY_AFTER))
+}
+
 fn choose_server(
     cx: &GatewayContext,
     call: &Call,
-    tried: &[BackendKey],
+    progress: &CallProgress,
 ) -> Result<BackendChoice, CallRefusal> {
     let now = cx.now();
-    let req = call.dispatch_request(tried);
+    let req = call.dispatch_request(progress);
     let chosen = cx.lock().dispatcher.choose(&req, now);
     chosen.map_err(|refusal| match refusal {
         DispatchError::NoServer(retry_after) => CallRefusal::NoServer(retry_after),
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -16,6 +16,7 @@
 use crate::core::fleet::MemberChange;
 use crate::core::fleet::MemberLog;
 use crate::core::fleet::RouteTable;
+use crate::core::fleet::StreamOrigins;
 use crate::core::fleet::TargetVersion;
 use crate::metrics::GatewayGauges;
 use crate::settings::BoundSettings;
@@ -37,6 +38,8 @@
     /// Whether the backend servers are learned from a peer at present, not from
     /// the store.
     pub follows_peer_members: bool,
+    /// Builds at which streams began.
+    pub streams: StreamOrigins,
     /// Chooses the server of each call.
     pub dispatcher: Dispatcher,
     /// Rate limits of the accounts.
@@ -71,6 +74,7 @@
             directory: Directory::default(),
             member_log: MemberLog::default(),
             follows_peer_members: false,
+            streams: StreamOrigins::default(),
             dispatcher: Dispatcher::new(zone),
             quota: FleetQuota::new(bounds.quota_overage, bounds.quota_slack),
             retries: FleetRetryBudget::new(bounds.retry_ratio, bounds.retry_extra, window_s),
@@ -79,6 +83,13 @@
         }
     }
 
+    /// Records that the store has answered, so that the list of servers is up to
+    /// date.
+    pub fn record_store_answer(&mut self, now: MonotonicTime) {
+        self.directory.record_store_answer(now);
+        self.streams.builds.confirm(now);
+    }
+
     /// Returns the version of the configuration in force; 0 without one.
     pub fn configuration_version(&self) -> u64 {
         self.route_table
@@ -104,6 +115,10 @@
             .map(|store| store.address)
             .collect();
         self.dispatcher.set_kv_cache_stores(&kv_stores);
+        let timeouts = configuration.routes.iter().map(|route| route.timeout);
+        if let Some(longest) = timeouts.max() {
+            self.streams.set_longest_timeout(longest);
+        }
         self.raw_configuration = raw;
         self.configuration_behind_since = None;
         self.route_table = Some(Arc::new(RouteTable::new(configuration)));
@@ -146,7 +161,11 @@
     }
 
     /// Logs changes of the members and passes them on to the dispatcher.
-    pub fn apply_member_changes(&mut self, changes: impl IntoIterator<Item = MemberChange>) {
+    pub fn apply_member_changes(
+        &mut self,
+        changes: impl IntoIterator<Item = MemberChange>,
+        now: MonotonicTime,
+    ) {
         for change in changes {
             self.member_log.push(change.clone());
             match change {
@@ -160,10 +179,12 @@
                         member.build,
                         member.models,
                     );
+                    self.streams.builds.insert(&member, now);
                     self.dispatcher.upsert_member(member);
                 }
                 MemberChange::Removed(name) => {
                     log::info!("members: gone server={name}");
+                    self.streams.builds.remove(&name, now);
                     self.dispatcher.remove_member(&name);
                 }
             }
--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -9,11 +9,15 @@
 use super::attempt::InFlightGuard;
 use super::attempt::attempt_call;
 use super::call_log::CallLog;
+use super::call_progress::CallProgress;
 use super::context::GatewayContext;
 use super::liveness_check::wait_while_alive;
 use super::read_call::Call;
 use super::serve_call::MAX_SENDS_PER_CALL;
+use super::stream_keepers::record_stream_start;
 use crate::core::fleet::BackendKey;
+use crate::core::fleet::StreamKey;
+use crate::core::fleet::StreamOrigin;
 use crate::http::BodyAborted;
 use crate::http::Exchange;
 
@@ -32,8 +36,7 @@
     upstream: Option<(Exchange, InFlightGuard)>,
     buffer: BytesMut,
     last_event_id: Option<String>,
-    tried: Vec<BackendKey>,
-    runs: u32,
+    progress: CallProgress,
     call_log: CallLog,
 }
 
@@ -43,8 +46,7 @@
         cx: &Arc<GatewayContext>,
         call: Call,
         upstream: (Exchange, InFlightGuard),
-        tried: Vec<BackendKey>,
-        runs: u32,
+        progress: CallProgress,
         call_log: CallLog,
     ) -> Self {
         Self {
@@ -53,8 +55,7 @@
             upstream: Some(upstream),
             buffer: BytesMut::new(),
             last_event_id: None,
-            tried,
-            runs,
+            progress,
             call_log,
         }
     }
@@ -68,13 +69,10 @@
     pub async fn next_events(&mut self) -> Result<Option<Bytes>, BodyAborted> {
         loop {
             if let Some(events) = self.take_events() {
-                if let Some((_, in_flight)) = &mut self.upstream {
-                    in_flight.record_first_token(&self.call);
-                }
-                self.call_log.record_first_event();
+                self.record_events();
                 return Ok(Some(events));
             }
-            let may_run_again = self.call.may_run_again(self.runs);
+            let may_run_again = self.call.may_run_again(self.progress.runs);
             let Some((exchange, in_flight)) = &mut self.upstream else {
                 return Ok(None);
             };
@@ -106,6 +104,27 @@
         }
     }
 
+    /// Records the build of the server that sent the stream's first event: the
+    /// stream may go on only there, also when the caller takes it up elsewhere.
+    fn record_events(&mut self) {
+        let Some((_, in_flight)) = &mut self.upstream else {
+            return;
+        };
+        in_flight.record_first_token(&self.call);
+        self.call_log.record_first_event();
+        if self.progress.build.is_some() {
+            return;
+        }
+        let build = in_flight.choice().build.clone();
+        self.progress.build = Some(build.clone());
+        let origin = StreamOrigin {
+            stream: StreamKey::from_call_id(&self.call.head.id),
+            service: self.call.service.clone(),
+            build,
+        };
+        record_stream_start(&self.cx, origin);
+    }
+
     fn record_answer(&self, server: BackendKey) {
         let now = self.cx.now();
         self.cx.lock().dispatcher.record_answer(server, now);
@@ -139,13 +158,13 @@
     /// taken. Returns whether that worked.
     async fn resume(&mut self, problem: &'static str) -> bool {
         let mut reason = problem;
-        while self.call.may_run_again(self.runs)
-            && self.tried.len() < MAX_SENDS_PER_CALL
+        while self.call.may_run_again(self.progress.runs)
+            && self.progress.tried.len() < MAX_SENDS_PER_CALL
             && !self.call.time_left().is_zero()
         {
             let chosen = {
                 let now = self.cx.now();
-                let req = self.call.dispatch_request(&self.tried);
+                let req = self.call.dispatch_request(&self.progress);
                 self.cx.lock().dispatcher.choose(&req, now)
             };
             let Ok(choice) = chosen else {
@@ -157,8 +176,8 @@
                 return false;
             }
             self.call_log.log_send(&choice, reason);
-            self.tried.push(choice.key);
-            let may_run_again = self.call.may_run_again(self.runs + 1);
+            self.progress.tried.push(choice.key);
+            let may_run_again = self.call.may_run_again(self.progress.runs + 1);
             let last_event_id = self.last_event_id.clone();
             match attempt_call(
                 &self.cx,
@@ -170,13 +189,13 @@
             .await
             {
                 AttemptOutcome::Streaming(head) => {
-                    self.runs += 1;
+                    self.progress.runs += 1;
                     self.upstream = Some((head.exchange, head.in_flight));
                     return true;
                 }
                 AttemptOutcome::NotRun(why) => reason = why,
                 AttemptOutcome::Unknown(why) => {
-                    self.runs += 1;
+                    self.progress.runs += 1;
                     reason = why;
                 }
                 // The server ran the call but did not send a stream.
--- a/src/mesh/service.rs
+++ b/src/mesh/service.rs
@@ -17,7 +17,10 @@
 use super::ObserveRequest;
 use super::PeerState;
 use crate::core::ServerName;
+use crate::core::fleet::KnownOrigin;
 use crate::core::fleet::Member;
+use crate::core::fleet::StreamKey;
+use crate::core::fleet::StreamOrigin;
 
 /// Requests between the processes of a fleet. A process that does not serve a
 /// request returns `None` or an empty list.
@@ -56,4 +59,10 @@
     /// Tells an agent that another process orders its engine with the fencing
     /// token `fence`, and sees to target versions up to that revision.
     async fn yield_orders(fence: u64);
+
+    /// Tells a process at which builds streams began, to keep that for others.
+    async fn keep_streams(origins: Vec<StreamOrigin>);
+
+    /// Asks a process at which build a stream of a service began.
+    async fn find_stream(stream: StreamKey, service: String) -> KnownOrigin;
 }
--- a/src/sidecar/context.rs
+++ b/src/sidecar/context.rs
@@ -16,6 +16,7 @@
 use crate::core::fleet::CachedParts;
 use crate::core::fleet::PrefillQueue;
 use crate::core::fleet::Rollout;
+use crate::core::fleet::StreamOrigins;
 use crate::core::fleet::TargetVersion;
 use crate::metrics::SidecarMetrics;
 use crate::ports::EngineClient;
@@ -46,6 +47,8 @@
     pub has_unpublished_changes: bool,
     /// Prompts that the engine still has to prefill.
     pub prefill_queue: PrefillQueue,
+    /// Builds at which streams began, kept for entries.
+    pub streams: StreamOrigins,
     /// Latest state of the agent and its engine.
     pub report: AgentReport,
     /// State that entries were last notified of.
--- a/src/sidecar/sidecar_service.rs
+++ b/src/sidecar/sidecar_service.rs
@@ -12,7 +12,10 @@
 use crate::clock::read_wall_clock_ms;
 use crate::core::ServerName;
 use crate::core::fleet::AgentReport;
+use crate::core::fleet::KnownOrigin;
 use crate::core::fleet::Member;
+use crate::core::fleet::StreamKey;
+use crate::core::fleet::StreamOrigin;
 use crate::core::fleet::TargetVersion;
 use crate::mesh::CollectRequest;
 use crate::mesh::CollectResponse;
@@ -83,6 +86,19 @@
         self.cx.lock().rollout.yield_orders(fence, now);
     }
 
+    async fn keep_streams(self, _: Context, origins: Vec<StreamOrigin>) {
+        let now = self.cx.now();
+        let mut state = self.cx.lock();
+        state.streams.expire(now);
+        for origin in origins {
+            state.streams.learn(origin, now);
+        }
+    }
+
+    async fn find_stream(self, _: Context, stream: StreamKey, service: String) -> KnownOrigin {
+        self.cx.lock().streams.find(stream, &service, self.cx.now())
+    }
+
     // The other requests are only sent between entries.
 
     async fn exchange(self, _: Context, _: PeerState) -> Option<PeerState> {
--- a/tests/fleet_dispatch.rs
+++ b/tests/fleet_dispatch.rs
@@ -85,6 +85,7 @@
         prompt: Some(prompt),
         isolated_account: None,
         tried: &[],
+        build: None,
         time_left: Duration::from_secs(12),
     }
 }
