--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -14,6 +14,7 @@
 use super::context::GatewayContext;
 use super::liveness_check::wait_while_alive;
 use super::read_call::Call;
+use super::report_break::report_break;
 use crate::core::MonotonicTime;
 use crate::core::fleet::BackendChoice;
 use crate::http::Exchange;
@@ -35,6 +36,11 @@
 /// the attempt does not count against the retry budget.
 pub const UNREACHABLE: &str = "unreachable";
 
+/// Reasons of attempts whose connection failed before the head and in the body of
+/// the response.
+const BROKEN: &str = "broken";
+const ANSWER_BROKEN: &str = "answer-broken";
+
 /// Outcome of an attempt. The reasons are also labels in metrics:
 ///
 /// - `unreachable`: no byte was sent.
@@ -169,9 +175,13 @@
     may_run_again: bool,
 ) -> AttemptOutcome {
     let in_flight = InFlightGuard::start(cx, call, choice);
-    let key = in_flight.choice().key;
+    let sent_to = in_flight.choice().clone();
+    let key = sent_to.key;
     let outcome = send_and_read(cx, call, in_flight, last_event_id, may_run_again).await;
     cx.metrics.count_attempt(outcome.label());
+    if let AttemptOutcome::Unknown(BROKEN | ANSWER_BROKEN) = outcome {
+        report_break(call, &sent_to, None);
+    }
     let now = cx.now();
     let mut state = cx.lock();
     match &outcome {
@@ -210,7 +220,7 @@
         }
         Some(Err(e)) => {
             log::debug!("call: broken id={} reason=\"{e}\"", call.id_text());
-            return AttemptOutcome::Unknown("broken");
+            return AttemptOutcome::Unknown(BROKEN);
         }
         Some(Ok(exchange)) => exchange,
     };
@@ -246,7 +256,7 @@
             headers,
             body,
         }),
-        Some(Err(_)) => AttemptOutcome::Unknown("answer-broken"),
+        Some(Err(_)) => AttemptOutcome::Unknown(ANSWER_BROKEN),
         None => AttemptOutcome::Unknown("answer-silent"),
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -23,6 +23,7 @@
 mod liveness_check;
 mod peer_contacts;
 mod read_call;
+mod report_break;
 mod run;
 mod serve_call;
 mod state;
--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use bytes::BytesMut;
+use tokio::time::Instant;
 
 use super::attempt::AttemptOutcome;
 use super::attempt::InFlightGuard;
@@ -13,6 +14,7 @@
 use super::context::GatewayContext;
 use super::liveness_check::wait_while_alive;
 use super::read_call::Call;
+use super::report_break::report_break;
 use super::serve_call::MAX_SENDS_PER_CALL;
 use super::stream_keepers::record_stream_start;
 use crate::core::fleet::BackendKey;
@@ -21,6 +23,9 @@
 use crate::http::BodyAborted;
 use crate::http::Exchange;
 
+/// Problem of a stream whose server is suspected dead.
+const STREAM_SILENT: &str = "stream-silent";
+
 /// Bytes that end an event.
 const EVENT_TERMINATOR: &[u8] = b"\n\n";
 
@@ -35,6 +40,7 @@
     call: Call,
     upstream: Option<(Exchange, InFlightGuard)>,
     buffer: BytesMut,
+    first_event_at: Option<Instant>,
     last_event_id: Option<String>,
     progress: CallProgress,
     call_log: CallLog,
@@ -54,6 +60,7 @@
             call,
             upstream: Some(upstream),
             buffer: BytesMut::new(),
+            first_event_at: None,
             last_event_id: None,
             progress,
             call_log,
@@ -94,8 +101,9 @@
                     }
                     Some(Ok(None)) => "ended-within-event",
                     Some(Err(_)) => "stream-broken",
-                    None => "stream-silent",
+                    None => STREAM_SILENT,
                 };
+            self.report_break(problem);
             self.close_upstream(true);
             if !self.resume(problem).await {
                 self.call_log.log_end(problem, 502);
@@ -112,6 +120,7 @@
         };
         in_flight.record_first_token(&self.call);
         self.call_log.record_first_event();
+        self.first_event_at.get_or_insert_with(Instant::now);
         if self.progress.build.is_some() {
             return;
         }
@@ -125,6 +134,15 @@
         record_stream_start(&self.cx, origin);
     }
 
+    /// Reports the connection as broken, unless the server only fell silent.
+    fn report_break(&self, problem: &str) {
+        if problem != STREAM_SILENT
+            && let Some((_, in_flight)) = &self.upstream
+        {
+            report_break(&self.call, in_flight.choice(), self.first_event_at);
+        }
+    }
+
     fn record_answer(&self, server: BackendKey) {
         let now = self.cx.now();
         self.cx.lock().dispatcher.record_answer(server, now);
