Quarantine prompt parts that crash the servers which begin to answer them

Cause: a call that broke was sent to a second engine, and later calls with the part to any; nothing related a crash to what the call holds, nor told other entries.

Each crash now has suspects, the shared parts of calls that the run was beginning to answer. A call that ends whole clears its parts; a run that answers later has not crashed; runs that break within 100 ms count once. The part that explains most crashes is quarantined after three, or five if no call without it is answered meanwhile, at all entries within one exchange. Calls with it are refused at once with 503 quarantined-part, not run. Entries tell each other what they saw, and agents keep the quarantined parts for entries that start. A quarantine lasts ten minutes, doubled each time; a call that ends whole ends it.

Ruled out: refusing by account or first part (sound calls share them), probes in short intervals (each may cost an engine), the store (a write a crash).

--- a/src/core/fleet/dispatcher.rs
+++ b/src/core/fleet/dispatcher.rs
@@ -15,6 +15,7 @@
 use super::ModelName;
 use super::Prompt;
 use super::ReportedLoad;
+use super::RunKey;
 use super::TargetVersion;
 use super::VersionedSalt;
 use super::call_costs;
@@ -75,6 +76,8 @@
     pub name: ServerName,
     /// Address that the call is sent to.
     pub address: SocketAddr,
+    /// Run of the server.
+    pub run: RunKey,
     /// Version of the server's software.
     pub build: Build,
     /// Salt of the cached parts, for a call to a model.
@@ -105,6 +108,8 @@
 pub enum DispatchError {
     /// No server accepts calls now; retry after the given time.
     NoServer(Duration),
+    /// A part of the prompt is quarantined for the given time.
+    Quarantined(Duration),
     /// No server can start in time; holds the predicted time to first token at
     /// the best one.
     Overloaded(Duration),
@@ -626,6 +631,7 @@
         key,
         name: view.member.name.clone(),
         address: view.member.address,
+        run: RunKey::new(&view.member.name, view.member.started_at_ms),
         build: view.member.build.clone(),
         salt: None,
         version: None,
--- /dev/null
+++ b/src/core/fleet/quarantined_part.rs
@@ -0,0 +1,20 @@
+//! Prompt part that no server gets.
+
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::PartId;
+
+/// Prompt part that crashes servers and that no server gets for now, as processes
+/// tell each other.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QuarantinedPart {
+    /// The part.
+    pub part: PartId,
+    /// Time since it was found.
+    pub age: Duration,
+    /// How often it was found, counting earlier quarantines.
+    pub offences: u32,
+}
--- a/src/gateway/agent_connections.rs
+++ b/src/gateway/agent_connections.rs
@@ -54,6 +54,16 @@
         }
     }
 
+    /// Returns a client for each open connection.
+    pub fn list_clients(&self) -> Vec<MeshClient> {
+        let connections = self.lock();
+        let clients: HashMap<SocketAddr, MeshClient> = connections
+            .values()
+            .map(|connection| (connection.address, connection.client.clone()))
+            .collect();
+        clients.into_values().collect()
+    }
+
     /// Announces a call with a long prompt to the agent of its engine. The
     /// agent immediately tells the other entries, which would otherwise send
     /// calls that queue behind it.
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -180,7 +180,7 @@
     let outcome = send_and_read(cx, call, in_flight, last_event_id, may_run_again).await;
     cx.metrics.count_attempt(outcome.label());
     if let AttemptOutcome::Unknown(BROKEN | ANSWER_BROKEN) = outcome {
-        report_break(call, &sent_to, None);
+        report_break(cx, call, &sent_to, None);
     }
     let now = cx.now();
     let mut state = cx.lock();
@@ -323,7 +323,7 @@
 ) {
     let now = cx.now();
     let mut state = cx.lock();
-    state.dispatcher.record_answer(choice.key, now);
+    state.record_answer(choice, now);
     if let Some(load) = metadata.load {
         state.dispatcher.observe_load(choice.key, load, now);
     }
--- a/src/gateway/exchange_peer_state.rs
+++ b/src/gateway/exchange_peer_state.rs
@@ -24,12 +24,14 @@
 use super::follow_members::serve_members;
 use super::known_entries::PEER_EXPIRY;
 use super::peer_contacts::PeerContacts;
+use super::share_quarantine::apply_quarantine_news;
 use super::state::GatewayState;
 use crate::clock::read_wall_clock_ms;
 use crate::core::MonotonicTime;
 use crate::core::ServerName;
 use crate::core::fleet::KnownOrigin;
 use crate::core::fleet::Member;
+use crate::core::fleet::QuarantineNews;
 use crate::core::fleet::StreamKey;
 use crate::core::fleet::StreamOrigin;
 use crate::core::fleet::UsageQuery;
@@ -185,6 +187,11 @@
         cx.lock().streams.find(stream, &service, cx.now())
     }
 
+    async fn share_quarantine(self, _: Context, news: QuarantineNews) -> QuarantineNews {
+        // Entries share it in their exchanges.
+        news
+    }
+
     async fn follow_members(self, _: Context, known: MembersCursor) -> Option<MembersUpdate> {
         serve_members(&self.exchange.cx, known).await
     }
@@ -463,7 +470,9 @@
 /// `usage_query` is what it asked for in its last message.
 fn build_peer_state(cx: &GatewayContext, peer: Option<&str>, usage_query: UsageQuery) -> PeerState {
     let now = cx.now();
+    let news_period = exchange_interval(cx) * 3 + CONTACT_MARGIN;
     let mut state = cx.lock();
+    let quarantine = state.quarantine.build_news(news_period, now);
     PeerState {
         clock_ms: read_wall_clock_ms(),
         address: cx.settings.listen.peers,
@@ -476,6 +485,7 @@
         targets: state.dispatcher.list_target_versions(),
         known_entries: Vec::new(),
         is_leaving: cx.is_draining(),
+        quarantine,
     }
 }
 
@@ -498,6 +508,7 @@
             let _ = exchange.discovered_tx.send(entry.address);
         }
     }
+    apply_quarantine_news(cx, peer_state.quarantine, &peer_state.usage.name);
     let mut state = cx.lock();
     state.quota.observe_peer_usage(&peer_state.usage, now);
     state.learn_targets(&peer_state.targets, "peer", now);
--- a/src/gateway/follow_agents.rs
+++ b/src/gateway/follow_agents.rs
@@ -16,6 +16,7 @@
 use super::context::GatewayContext;
 use super::follow_collector::CollectorHealth;
 use super::follow_collector::follow_collector;
+use super::share_quarantine::share_with_agent;
 use crate::clock::read_wall_clock_ms;
 use crate::core::ServerName;
 use crate::core::fleet::EngineAgent;
@@ -239,6 +240,7 @@
             receiver: AnnouncementReceiver::Agent,
         };
         self.cx.agent_connections.insert(&self.name, connection);
+        tokio::spawn(share_with_agent(Arc::clone(&self.cx), client.clone()));
     }
 
     fn record_disconnected(&self) {
--- a/src/gateway/follow_collector.rs
+++ b/src/gateway/follow_collector.rs
@@ -15,6 +15,7 @@
 use super::agent_connections::AgentConnection;
 use super::context::GatewayContext;
 use super::follow_agents::CollectorShare;
+use super::share_quarantine::share_with_agent;
 use crate::core::MonotonicTime;
 use crate::mesh::AnnouncementReceiver;
 use crate::mesh::CollectRequest;
@@ -87,6 +88,7 @@
                 share.borrow().engines.len(),
                 share.borrow().kv_cache_stores.len()
             );
+            tokio::spawn(share_with_agent(Arc::clone(&cx), client.clone()));
             let connection = CollectorConnection {
                 cx: &cx,
                 collector,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -26,6 +26,7 @@
 mod report_break;
 mod run;
 mod serve_call;
+mod share_quarantine;
 mod state;
 mod status_pages;
 mod stream_keepers;
--- a/src/gateway/serve_call.rs
+++ b/src/gateway/serve_call.rs
@@ -28,6 +28,7 @@
 use super::context::GatewayContext;
 use super::read_call::Call;
 use super::read_call::read_call;
+use super::share_quarantine::record_completion;
 use super::stream_keepers::find_stream_build;
 use super::stream_relay::StreamRelay;
 use crate::core::fleet::BackendChoice;
@@ -53,6 +54,10 @@
 /// Maximum Retry-After of a refused call, before jitter.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(3);
 
+/// Maximum Retry-After of a call with a quarantined part, before jitter: an earlier
+/// retry is refused again.
+const MAX_QUARANTINE_RETRY_AFTER: Duration = Duration::from_secs(600);
+
 /// Maximum jitter as a fraction of Retry-After, so that callers that were
 /// refused together do not return together.
 const RETRY_AFTER_JITTER: f64 = 0.6;
@@ -115,6 +120,11 @@
         let may_run_again = call.may_run_again(progress.runs);
         match attempt_call(cx, &call, choice, None, may_run_again).await {
             AttemptOutcome::Answered(response) => {
+                if response.status.is_success()
+                    && let Some(prompt) = &call.head.prompt
+                {
+                    record_completion(cx, prompt.shared_parts());
+                }
                 if !response.status.is_server_error() || !may_run_again {
                     call_log.log_end("answered", response.status.as_u16());
                     return into_response(response);
@@ -261,9 +271,10 @@
 ) -> Result<BackendChoice, CallRefusal> {
     let now = cx.now();
     let req = call.dispatch_request(progress);
-    let chosen = cx.lock().dispatcher.choose(&req, now);
+    let chosen = cx.lock().choose_server(&req, now);
     chosen.map_err(|refusal| match refusal {
         DispatchError::NoServer(retry_after) => CallRefusal::NoServer(retry_after),
+        DispatchError::Quarantined(time_left) => CallRefusal::Quarantined(time_left),
         // Holds the predicted time to the first token.
         DispatchError::Overloaded(retry_after) => CallRefusal::Overloaded(retry_after),
     })
@@ -303,7 +314,12 @@
         StatusCode::from_u16(refusal.status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     let mut response = build_error_response(cx, status, refusal.code(), id);
     if let Some(after) = refusal.retry_after() {
-        let retry_after = after.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER).as_secs_f64();
+        let longest = if matches!(refusal, CallRefusal::Quarantined(_)) {
+            MAX_QUARANTINE_RETRY_AFTER
+        } else {
+            MAX_RETRY_AFTER
+        };
+        let retry_after = after.clamp(MIN_RETRY_AFTER, longest).as_secs_f64();
         let jittered = retry_after * (1.0 + RETRY_AFTER_JITTER * rand::random::<f64>());
         if let Ok(value) = HeaderValue::from_str(&format!("{jittered:.3}")) {
             response.headers_mut().insert(RETRY_AFTER, value);
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -7,14 +7,19 @@
 use bytes::Bytes;
 
 use crate::core::MonotonicTime;
+use crate::core::fleet::BackendChoice;
 use crate::core::fleet::BackendView;
 use crate::core::fleet::Configuration;
 use crate::core::fleet::Directory;
+use crate::core::fleet::DispatchError;
+use crate::core::fleet::DispatchRequest;
 use crate::core::fleet::Dispatcher;
 use crate::core::fleet::FleetQuota;
 use crate::core::fleet::FleetRetryBudget;
 use crate::core::fleet::MemberChange;
 use crate::core::fleet::MemberLog;
+use crate::core::fleet::Prompt;
+use crate::core::fleet::Quarantine;
 use crate::core::fleet::RouteTable;
 use crate::core::fleet::StreamOrigins;
 use crate::core::fleet::TargetVersion;
@@ -38,6 +43,8 @@
     /// Whether the backend servers are learned from a peer at present, not from
     /// the store.
     pub follows_peer_members: bool,
+    /// Prompt parts that crash servers.
+    pub quarantine: Quarantine,
     /// Builds at which streams began.
     pub streams: StreamOrigins,
     /// Chooses the server of each call.
@@ -74,6 +81,7 @@
             directory: Directory::default(),
             member_log: MemberLog::default(),
             follows_peer_members: false,
+            quarantine: Quarantine::default(),
             streams: StreamOrigins::default(),
             dispatcher: Dispatcher::new(zone),
             quota: FleetQuota::new(bounds.quota_overage, bounds.quota_slack),
@@ -83,6 +91,29 @@
         }
     }
 
+    /// Chooses the server of a call, unless a part of its prompt is quarantined.
+    ///
+    /// # Errors
+    ///
+    /// The call must not be sent, or no server accepts it.
+    pub fn choose_server(
+        &self,
+        req: &DispatchRequest<'_>,
+        now: MonotonicTime,
+    ) -> Result<BackendChoice, DispatchError> {
+        let parts = req.prompt.map_or(&[][..], Prompt::shared_parts);
+        match self.quarantine.find_time_left(parts, now) {
+            Some(time_left) => Err(DispatchError::Quarantined(time_left)),
+            None => self.dispatcher.choose(req, now),
+        }
+    }
+
+    /// Records that a server has answered, with whatever status.
+    pub fn record_answer(&mut self, choice: &BackendChoice, now: MonotonicTime) {
+        self.dispatcher.record_answer(choice.key, now);
+        self.quarantine.record_answer(choice.run, now);
+    }
+
     /// Records that the store has answered, so that the list of servers is up to
     /// date.
     pub fn record_store_answer(&mut self, now: MonotonicTime) {
@@ -138,6 +169,7 @@
             servers_usable: count(BackendView::accepts_calls),
             agents_reporting: count(BackendView::has_recent_agent_report),
             entries: self.quota.count_entries() as u64,
+            quarantined_parts: self.quarantine.count_parts(now) as u64,
         }
     }
 
--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -16,8 +16,8 @@
 use super::read_call::Call;
 use super::report_break::report_break;
 use super::serve_call::MAX_SENDS_PER_CALL;
+use super::share_quarantine::record_completion;
 use super::stream_keepers::record_stream_start;
-use crate::core::fleet::BackendKey;
 use crate::core::fleet::StreamKey;
 use crate::core::fleet::StreamOrigin;
 use crate::http::BodyAborted;
@@ -83,19 +83,24 @@
             let Some((exchange, in_flight)) = &mut self.upstream else {
                 return Ok(None);
             };
-            let server = in_flight.choice().key;
+            let choice = in_flight.choice().clone();
+            let server = choice.key;
             let deadline = self.call.deadline;
             let chunk_read = exchange.next_chunk();
             let problem =
                 match wait_while_alive(&self.cx, server, may_run_again, deadline, chunk_read).await
                 {
                     Some(Ok(Some(chunk))) => {
-                        self.record_answer(server);
+                        let now = self.cx.now();
+                        self.cx.lock().record_answer(&choice, now);
                         self.buffer.extend_from_slice(&chunk);
                         continue;
                     }
                     Some(Ok(None)) if self.buffer.is_empty() => {
                         self.close_upstream(false);
+                        if let Some(prompt) = &self.call.head.prompt {
+                            record_completion(&self.cx, prompt.shared_parts());
+                        }
                         self.call_log.log_end("complete", 200);
                         return Ok(None);
                     }
@@ -139,15 +144,15 @@
         if problem != STREAM_SILENT
             && let Some((_, in_flight)) = &self.upstream
         {
-            report_break(&self.call, in_flight.choice(), self.first_event_at);
+            report_break(
+                &self.cx,
+                &self.call,
+                in_flight.choice(),
+                self.first_event_at,
+            );
         }
     }
 
-    fn record_answer(&self, server: BackendKey) {
-        let now = self.cx.now();
-        self.cx.lock().dispatcher.record_answer(server, now);
-    }
-
     /// Takes the complete events out of the buffer and remembers the id of the
     /// last one.
     fn take_events(&mut self) -> Option<Bytes> {
@@ -183,7 +188,7 @@
             let chosen = {
                 let now = self.cx.now();
                 let req = self.call.dispatch_request(&self.progress);
-                self.cx.lock().dispatcher.choose(&req, now)
+                self.cx.lock().choose_server(&req, now)
             };
             let Ok(choice) = chosen else {
                 self.call_log.record_failure("no-server");
--- a/src/mesh/peer_state.rs
+++ b/src/mesh/peer_state.rs
@@ -6,6 +6,7 @@
 use serde::Serialize;
 
 use crate::core::fleet::PeerUsage;
+use crate::core::fleet::QuarantineNews;
 use crate::core::fleet::TargetVersion;
 use crate::core::fleet::UsageQuery;
 
@@ -37,6 +38,10 @@
     pub known_entries: Vec<KnownEntry>,
     /// Whether the sender is about to stop.
     pub is_leaving: bool,
+    /// Crashed servers and quarantined prompt parts. Left out while there are none,
+    /// so that an earlier release can read the message.
+    #[serde(default, skip_serializing_if = "QuarantineNews::is_empty")]
+    pub quarantine: QuarantineNews,
 }
 
 /// Name and address of an entry from which the sender has received messages.
--- a/src/mesh/service.rs
+++ b/src/mesh/service.rs
@@ -19,6 +19,7 @@
 use crate::core::ServerName;
 use crate::core::fleet::KnownOrigin;
 use crate::core::fleet::Member;
+use crate::core::fleet::QuarantineNews;
 use crate::core::fleet::StreamKey;
 use crate::core::fleet::StreamOrigin;
 
@@ -65,4 +66,8 @@
 
     /// Asks a process at which build a stream of a service began.
     async fn find_stream(stream: StreamKey, service: String) -> KnownOrigin;
+
+    /// Tells an agent which prompt parts crash servers, and asks for those that it
+    /// knows.
+    async fn share_quarantine(news: QuarantineNews) -> QuarantineNews;
 }
--- a/src/sidecar/context.rs
+++ b/src/sidecar/context.rs
@@ -15,6 +15,7 @@
 use crate::core::fleet::AgentReport;
 use crate::core::fleet::CachedParts;
 use crate::core::fleet::PrefillQueue;
+use crate::core::fleet::Quarantine;
 use crate::core::fleet::Rollout;
 use crate::core::fleet::StreamOrigins;
 use crate::core::fleet::TargetVersion;
@@ -47,6 +48,8 @@
     pub has_unpublished_changes: bool,
     /// Prompts that the engine still has to prefill.
     pub prefill_queue: PrefillQueue,
+    /// Prompt parts that crash servers, kept for entries.
+    pub quarantine: Quarantine,
     /// Builds at which streams began, kept for entries.
     pub streams: StreamOrigins,
     /// Latest state of the agent and its engine.
--- a/src/sidecar/sidecar_service.rs
+++ b/src/sidecar/sidecar_service.rs
@@ -14,6 +14,7 @@
 use crate::core::fleet::AgentReport;
 use crate::core::fleet::KnownOrigin;
 use crate::core::fleet::Member;
+use crate::core::fleet::QuarantineNews;
 use crate::core::fleet::StreamKey;
 use crate::core::fleet::StreamOrigin;
 use crate::core::fleet::TargetVersion;
@@ -99,6 +100,17 @@
         self.cx.lock().streams.find(stream, &service, self.cx.now())
     }
 
+    async fn share_quarantine(self, _: Context, news: QuarantineNews) -> QuarantineNews {
+        let now = self.cx.now();
+        let mut state = self.cx.lock();
+        let (quarantined, _) = state.quarantine.apply_news(news, now);
+        for part in quarantined {
+            log::info!("quarantine: kept part={:x}", part.0);
+        }
+        // What others have seen is told by them.
+        state.quarantine.build_news(Duration::ZERO, now)
+    }
+
     // The other requests are only sent between entries.
 
     async fn exchange(self, _: Context, _: PeerState) -> Option<PeerState> {
