Send no calls to a server that has said in an answer that it leaves

Cause: only the record in the store said so; calls went to such a server until the record changed, or for as long as the store was away or lagged.

The header is read in every answer of the server, refusals too. The run gets no new call from then on, also if its record is removed and written again, until it starts anew with another start time; streams there end whole. Entries tell each other the listed runs that leave in their exchanges (one field at the end of the message, left out while empty).

Missing: the sidecar does not read the header in its engine's reports.

--- a/src/core/fleet/backend_view.rs
+++ b/src/core/fleet/backend_view.rs
@@ -13,6 +13,7 @@
 use super::ModelName;
 use super::PartId;
 use super::ReportedLoad;
+use super::RunKey;
 use super::backend_load::BackendLoad;
 use super::part_table::PartTable;
 use crate::core::MonotonicTime;
@@ -70,6 +71,8 @@
     pub member: Member,
     /// Whether another run of a server answers at its address.
     pub(super) is_superseded: bool,
+    /// Whether this run has said that it leaves, whatever its record says.
+    pub(super) is_leaving: bool,
     pub(super) load: BackendLoad,
     pub(super) failure_ratio: f64,
     pub(super) backoff_until: Option<MonotonicTime>,
@@ -87,6 +90,7 @@
         Self {
             member,
             is_superseded: false,
+            is_leaving: false,
             load: BackendLoad::default(),
             failure_ratio: 0.0,
             backoff_until: None,
@@ -115,13 +119,19 @@
         self.member = member;
     }
 
+    /// Returns the key of the server's current run.
+    pub fn run(&self) -> RunKey {
+        RunKey::new(&self.member.name, self.member.started_at_ms)
+    }
+
     /// Returns whether new calls may be sent to the server.
     pub fn accepts_calls(&self, now: MonotonicTime) -> bool {
         let is_backing_off = self.backoff_until.is_some_and(|until| now < until);
         let agent_allows = self
             .recent_agent_report(now)
             .is_none_or(|report| report.is_accepting && report.is_alive);
-        let is_ready = self.member.state == MemberState::Ready && !self.is_superseded;
+        let is_ready =
+            self.member.state == MemberState::Ready && !self.is_superseded && !self.is_leaving;
         is_ready && !is_backing_off && agent_allows
     }
 
--- a/src/core/fleet/dispatcher.rs
+++ b/src/core/fleet/dispatcher.rs
@@ -22,6 +22,7 @@
 use super::fetch_plan::PartSources;
 use super::kv_cache_stores::KvCacheStores;
 use super::prefill_time_factor::PrefillTimeFactor;
+use super::run_limits::RunLimits;
 use super::target_history::TargetHistory;
 use super::target_history::VersionStatus;
 use crate::core::AccountName;
@@ -127,6 +128,7 @@
     target_versions: HashMap<ModelName, TargetHistory>,
     prefill_factors: HashMap<ModelName, PrefillTimeFactor>,
     kv_cache_stores: KvCacheStores,
+    run_limits: RunLimits,
 }
 
 impl Dispatcher {
@@ -141,6 +143,7 @@
             target_versions: HashMap::new(),
             prefill_factors: HashMap::new(),
             kv_cache_stores: KvCacheStores::default(),
+            run_limits: RunLimits::default(),
         }
     }
 
@@ -148,6 +151,9 @@
     /// address, the one with the earlier start belongs to a run that has ended.
     pub fn upsert_member(&mut self, member: Member) -> BackendKey {
         let key = self.upsert_record(member);
+        if let Some(view) = self.backends.get_mut(key) {
+            view.is_leaving = self.run_limits.is_leaving(view.run());
+        }
         self.mark_superseded(key);
         key
     }
@@ -486,6 +492,24 @@
         }
     }
 
+    /// Records that a run leaves, as it has said itself. It gets no new calls, also
+    /// if its record is written again. Returns the server's name if that is new and
+    /// it is listed.
+    pub fn record_leaving(&mut self, run: RunKey, now: MonotonicTime) -> Option<ServerName> {
+        if !self.run_limits.record_leaving(run, now) {
+            return None;
+        }
+        let view = self.backends.values_mut().find(|view| view.run() == run)?;
+        view.is_leaving = true;
+        Some(view.member.name.clone())
+    }
+
+    /// Returns the listed runs that have said that they leave.
+    pub fn list_leaving_runs(&self) -> Vec<RunKey> {
+        let leaving = self.backends.values().filter(|view| view.is_leaving);
+        leaving.map(BackendView::run).collect()
+    }
+
     /// Starts a server's backoff after a failed connection.
     pub fn record_unreachable(&mut self, key: BackendKey, now: MonotonicTime) {
         if let Some(view) = self.backends.get_mut(key) {
@@ -493,9 +517,10 @@
         }
     }
 
-    /// Removes expected parts that did not appear in time; to be called at
-    /// regular intervals.
+    /// Removes expected parts that did not appear in time and what is no longer
+    /// needed of earlier runs; to be called at regular intervals.
     pub fn remove_stale_expectations(&mut self, now: MonotonicTime) {
+        self.run_limits.expire(now);
         for view in self.backends.values_mut() {
             view.remove_stale_expectations(now);
         }
@@ -631,7 +656,7 @@
         key,
         name: view.member.name.clone(),
         address: view.member.address,
-        run: RunKey::new(&view.member.name, view.member.started_at_ms),
+        run: view.run(),
         build: view.member.build.clone(),
         salt: None,
         version: None,
--- a/src/core/fleet/mod.rs
+++ b/src/core/fleet/mod.rs
@@ -49,6 +49,7 @@
 mod route_rule;
 mod route_table;
 mod run_key;
+mod run_limits;
 mod service_rule;
 mod stream_keepers;
 mod stream_key;
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -228,6 +228,9 @@
         .ports
         .dialect
         .read_response(exchange.status(), exchange.headers());
+    if metadata.is_leaving && !metadata.is_misdirected {
+        record_leaving(cx, &choice);
+    }
     if let Some(problem) = find_response_mismatch(call, &metadata, exchange.status()) {
         return AttemptOutcome::Unknown(problem);
     }
@@ -334,6 +337,14 @@
     }
 }
 
+/// Records that a server has said that it leaves. Its running calls end whole.
+fn record_leaving(cx: &GatewayContext, choice: &BackendChoice) {
+    let now = cx.now();
+    if let Some(server) = cx.lock().dispatcher.record_leaving(choice.run, now) {
+        log::info!("members: leaving server={server} source=answer");
+    }
+}
+
 /// Stops expecting the prompt parts of a call that did not run in the server's
 /// cache.
 fn forget_expected_parts(cx: &GatewayContext, call: &Call, choice: &BackendChoice) {
--- a/src/gateway/exchange_peer_state.rs
+++ b/src/gateway/exchange_peer_state.rs
@@ -38,6 +38,7 @@
 use crate::mesh::CollectRequest;
 use crate::mesh::CollectResponse;
 use crate::mesh::EngineUpdate;
+use crate::mesh::FleetNews;
 use crate::mesh::MembersCursor;
 use crate::mesh::MembersUpdate;
 use crate::mesh::Mesh;
@@ -472,7 +473,10 @@
     let now = cx.now();
     let news_period = exchange_interval(cx) * 3 + CONTACT_MARGIN;
     let mut state = cx.lock();
-    let quarantine = state.quarantine.build_news(news_period, now);
+    let news = FleetNews {
+        quarantine: state.quarantine.build_news(news_period, now),
+        leaving: state.dispatcher.list_leaving_runs(),
+    };
     PeerState {
         clock_ms: read_wall_clock_ms(),
         address: cx.settings.listen.peers,
@@ -485,7 +489,7 @@
         targets: state.dispatcher.list_target_versions(),
         known_entries: Vec::new(),
         is_leaving: cx.is_draining(),
-        quarantine,
+        news,
     }
 }
 
@@ -508,8 +512,16 @@
             let _ = exchange.discovered_tx.send(entry.address);
         }
     }
-    apply_quarantine_news(cx, peer_state.quarantine, &peer_state.usage.name);
+    apply_quarantine_news(cx, peer_state.news.quarantine, &peer_state.usage.name);
     let mut state = cx.lock();
+    for run in peer_state.news.leaving {
+        if let Some(server) = state.dispatcher.record_leaving(run, now) {
+            log::info!(
+                "members: leaving server={server} source={}",
+                peer_state.usage.name
+            );
+        }
+    }
     state.quota.observe_peer_usage(&peer_state.usage, now);
     state.learn_targets(&peer_state.targets, "peer", now);
     resync_if_behind(cx, &mut state, peer_state.newest_revisions, now);
--- /dev/null
+++ b/src/mesh/fleet_news.rs
@@ -0,0 +1,23 @@
+//! What entries tell each other of servers, besides the records in the store.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::core::fleet::QuarantineNews;
+use crate::core::fleet::RunKey;
+
+/// What an entry tells another one of servers, besides the records in the store.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FleetNews {
+    /// Crashed servers and quarantined prompt parts.
+    pub quarantine: QuarantineNews,
+    /// Listed runs that have said that they leave.
+    pub leaving: Vec<RunKey>,
+}
+
+impl FleetNews {
+    /// Returns whether there is nothing to tell.
+    pub fn is_empty(&self) -> bool {
+        self.quarantine.is_empty() && self.leaving.is_empty()
+    }
+}
--- a/src/mesh/peer_state.rs
+++ b/src/mesh/peer_state.rs
@@ -5,8 +5,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::FleetNews;
 use crate::core::fleet::PeerUsage;
-use crate::core::fleet::QuarantineNews;
 use crate::core::fleet::TargetVersion;
 use crate::core::fleet::UsageQuery;
 
@@ -38,10 +38,10 @@
     pub known_entries: Vec<KnownEntry>,
     /// Whether the sender is about to stop.
     pub is_leaving: bool,
-    /// Crashed servers and quarantined prompt parts. Left out while there are none,
-    /// so that an earlier release can read the message.
-    #[serde(default, skip_serializing_if = "QuarantineNews::is_empty")]
-    pub quarantine: QuarantineNews,
+    /// What the sender has learned of servers. Left out while there is nothing, so
+    /// that an earlier release can read the message.
+    #[serde(default, skip_serializing_if = "FleetNews::is_empty")]
+    pub news: FleetNews,
 }
 
 /// Name and address of an entry from which the sender has received messages.
