Send no calls to a server within the pause that it asks for

Cause: Retry-After of a server's 503 was not read; each call was sent to it.

From that answer on the run gets no call of this entry until the time is over, plus up to a fifth so that entries do not come back together. If all servers that would do are paused, the call is refused at once with 503 servers-paused and the time until the first is back. Other entries are not bound.

Missing: orders and reports of an entry that stands in for an agent do not keep the pause.

--- a/src/core/fleet/backend_view.rs
+++ b/src/core/fleet/backend_view.rs
@@ -73,6 +73,8 @@
     pub(super) is_superseded: bool,
     /// Whether this run has said that it leaves, whatever its record says.
     pub(super) is_leaving: bool,
+    /// Until when this run wants no calls, if it has asked for a pause.
+    pub(super) paused_until: Option<MonotonicTime>,
     pub(super) load: BackendLoad,
     pub(super) failure_ratio: f64,
     pub(super) backoff_until: Option<MonotonicTime>,
@@ -91,6 +93,7 @@
             member,
             is_superseded: false,
             is_leaving: false,
+            paused_until: None,
             load: BackendLoad::default(),
             failure_ratio: 0.0,
             backoff_until: None,
@@ -130,9 +133,23 @@
         let agent_allows = self
             .recent_agent_report(now)
             .is_none_or(|report| report.is_accepting && report.is_alive);
-        let is_ready =
-            self.member.state == MemberState::Ready && !self.is_superseded && !self.is_leaving;
-        is_ready && !is_backing_off && agent_allows
+        self.is_in_service() && !is_backing_off && agent_allows && !self.is_paused(now)
+    }
+
+    /// Returns whether the server takes calls at all.
+    fn is_in_service(&self) -> bool {
+        self.member.state == MemberState::Ready && !self.is_superseded && !self.is_leaving
+    }
+
+    fn is_paused(&self, now: MonotonicTime) -> bool {
+        self.paused_until.is_some_and(|until| now < until)
+    }
+
+    /// Returns the time until the end of the pause that the server has asked for;
+    /// `None` if it is out of service or not paused.
+    pub(super) fn pause_left(&self, now: MonotonicTime) -> Option<Duration> {
+        let until = self.paused_until.filter(|_| self.is_in_service())?;
+        (now < until).then(|| until.since(now))
     }
 
     /// Returns the server's weights version: from a recent agent report, or
--- a/src/core/fleet/dispatcher.rs
+++ b/src/core/fleet/dispatcher.rs
@@ -109,6 +109,8 @@
 pub enum DispatchError {
     /// No server accepts calls now; retry after the given time.
     NoServer(Duration),
+    /// The servers want no calls; the first pause ends after the given time.
+    Paused(Duration),
     /// A part of the prompt is quarantined for the given time.
     Quarantined(Duration),
     /// No server can start in time; holds the predicted time to first token at
@@ -152,7 +154,9 @@
     pub fn upsert_member(&mut self, member: Member) -> BackendKey {
         let key = self.upsert_record(member);
         if let Some(view) = self.backends.get_mut(key) {
-            view.is_leaving = self.run_limits.is_leaving(view.run());
+            let run = view.run();
+            view.is_leaving = self.run_limits.is_leaving(run);
+            view.paused_until = self.run_limits.paused_until(run);
         }
         self.mark_superseded(key);
         key
@@ -394,13 +398,30 @@
                 best = Some((cost_ms, choice));
             }
         }
-        let (_, choice) = best.ok_or(DispatchError::NoServer(NO_SERVER_RETRY_AFTER))?;
+        let (_, choice) = best.ok_or_else(|| self.explain_no_server(keys, req, now))?;
         if choice.predicted_ttft > req.time_left.mul_f64(MAX_TTFT_SHARE) {
             return Err(DispatchError::Overloaded(choice.predicted_ttft));
         }
         Ok(choice)
     }
 
+    /// Returns why no server of `keys` was chosen.
+    fn explain_no_server(
+        &self,
+        keys: &[BackendKey],
+        req: &DispatchRequest<'_>,
+        now: MonotonicTime,
+    ) -> DispatchError {
+        let views = keys.iter().filter_map(|key| self.backends.get(*key));
+        let pauses = views
+            .filter(|view| req.build.is_none_or(|build| *build == view.member.build))
+            .filter_map(|view| view.pause_left(now));
+        pauses.min().map_or(
+            DispatchError::NoServer(NO_SERVER_RETRY_AFTER),
+            DispatchError::Paused,
+        )
+    }
+
     /// Records that a call was sent: it adds to the server's load, and its
     /// shared parts are expected in the server's cache.
     pub fn begin_call(
@@ -504,6 +525,14 @@
         Some(view.member.name.clone())
     }
 
+    /// Records that a run wants no calls for a time.
+    pub fn record_pause(&mut self, choice: &BackendChoice, pause: Duration, now: MonotonicTime) {
+        let until = self.run_limits.record_pause(choice.run, pause, now);
+        if let Some(view) = self.backends.get_mut(choice.key) {
+            view.paused_until = Some(until);
+        }
+    }
+
     /// Returns the listed runs that have said that they leave.
     pub fn list_leaving_runs(&self) -> Vec<RunKey> {
         let leaving = self.backends.values().filter(|view| view.is_leaving);
--- a/src/core/fleet/refusal.rs
+++ b/src/core/fleet/refusal.rs
@@ -28,6 +28,8 @@
     /// The call takes up a stream, and it is not known at which build that began;
     /// retry after the given time, at another entry.
     UnknownStream(Duration),
+    /// The servers want no calls for the given time.
+    ServersPaused(Duration),
     /// A part of the prompt crashes servers and is quarantined for the given time.
     Quarantined(Duration),
     /// Servers did not run the call, and no further attempt is allowed; retry
@@ -49,6 +51,7 @@
             Self::Overloaded(_) => "overloaded",
             Self::NoServer(_) => "no-server",
             Self::UnknownStream(_) => "unknown-stream",
+            Self::ServersPaused(_) => "servers-paused",
             Self::Quarantined(_) => "quarantined-part",
             Self::NotAccepted(_) => "not-accepted",
         }
@@ -67,6 +70,7 @@
             | Self::Overloaded(_)
             | Self::NoServer(_)
             | Self::UnknownStream(_)
+            | Self::ServersPaused(_)
             | Self::Quarantined(_)
             | Self::NotAccepted(_) => 503,
         }
@@ -80,6 +84,7 @@
             | Self::Overloaded(after)
             | Self::NoServer(after)
             | Self::UnknownStream(after)
+            | Self::ServersPaused(after)
             | Self::Quarantined(after)
             | Self::NotAccepted(after) => Some(after),
             Self::NoConfiguration => Some(Duration::from_millis(500)),
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -32,6 +32,9 @@
 /// reused.
 const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(50);
 
+/// Maximum share by which the pause that a server asks for is prolonged.
+const PAUSE_JITTER: f64 = 0.2;
+
 /// Reason of an attempt whose server could not be reached. No byte was sent, so
 /// the attempt does not count against the retry budget.
 pub const UNREACHABLE: &str = "unreachable";
@@ -228,6 +231,9 @@
         .ports
         .dialect
         .read_response(exchange.status(), exchange.headers());
+    if let Some(pause) = metadata.pause {
+        record_pause(cx, &choice, pause);
+    }
     if metadata.is_leaving && !metadata.is_misdirected {
         record_leaving(cx, &choice);
     }
@@ -337,6 +343,20 @@
     }
 }
 
+/// Records that a server wants no calls for a time. Entries that were told together
+/// do not come back together.
+fn record_pause(cx: &GatewayContext, choice: &BackendChoice, pause: Duration) {
+    let now = cx.now();
+    let jittered = pause.mul_f64(1.0 + PAUSE_JITTER * rand::random::<f64>());
+    cx.lock().dispatcher.record_pause(choice, jittered, now);
+    log::info!(
+        "members: paused server={} asked_ms={} ms={}",
+        choice.name,
+        pause.as_millis(),
+        jittered.as_millis()
+    );
+}
+
 /// Records that a server has said that it leaves. Its running calls end whole.
 fn record_leaving(cx: &GatewayContext, choice: &BackendChoice) {
     let now = cx.now();
--- a/src/gateway/serve_call.rs
+++ b/src/gateway/serve_call.rs
@@ -54,9 +54,9 @@
 /// Maximum Retry-After of a refused call, before jitter.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(3);
 
-/// Maximum Retry-After of a call with a quarantined part, before jitter: an earlier
-/// retry is refused again.
-const MAX_QUARANTINE_RETRY_AFTER: Duration = Duration::from_secs(600);
+/// Maximum Retry-After of a call with a quarantined part, or whose servers want no
+/// calls, before jitter: an earlier retry is refused again.
+const MAX_LONG_RETRY_AFTER: Duration = Duration::from_secs(600);
 
 /// Maximum jitter as a fraction of Retry-After, so that callers that were
 /// refused together do not return together.
@@ -107,7 +107,9 @@
         let choice = match choose_server(cx, &call, &progress) {
             Ok(choice) => choice,
             Err(refusal) => {
-                if progress.tried.is_empty() {
+                let tells_when = matches!(refusal, CallRefusal::ServersPaused(_))
+                    && matches!(failure, CallFailure::Refused(_));
+                if progress.tried.is_empty() || tells_when {
                     failure = CallFailure::Refused(refusal);
                 }
                 call_log.record_failure(refusal.code());
@@ -274,6 +276,7 @@
     let chosen = cx.lock().choose_server(&req, now);
     chosen.map_err(|refusal| match refusal {
         DispatchError::NoServer(retry_after) => CallRefusal::NoServer(retry_after),
+        DispatchError::Paused(time_left) => CallRefusal::ServersPaused(time_left),
         DispatchError::Quarantined(time_left) => CallRefusal::Quarantined(time_left),
         // Holds the predicted time to the first token.
         DispatchError::Overloaded(retry_after) => CallRefusal::Overloaded(retry_after),
@@ -314,8 +317,11 @@
         StatusCode::from_u16(refusal.status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     let mut response = build_error_response(cx, status, refusal.code(), id);
     if let Some(after) = refusal.retry_after() {
-        let longest = if matches!(refusal, CallRefusal::Quarantined(_)) {
-            MAX_QUARANTINE_RETRY_AFTER
+        let longest = if matches!(
+            refusal,
+            CallRefusal::Quarantined(_) | CallRefusal::ServersPaused(_)
+        ) {
+            MAX_LONG_RETRY_AFTER
         } else {
             MAX_RETRY_AFTER
         };
--- a/src/ports/response_metadata.rs
+++ b/src/ports/response_metadata.rs
@@ -1,5 +1,7 @@
 //! Metadata that a backend server sends in the head of its response.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 
 use crate::core::WeightsVersion;
@@ -23,6 +25,8 @@
     pub has_seal: bool,
     /// The server says that it leaves; it says so in all its answers.
     pub is_leaving: bool,
+    /// Time for which the server wants no further calls, in a rejection.
+    pub pause: Option<Duration>,
     /// An intermediary has encoded the body.
     pub is_encoded: bool,
     /// Running and waiting calls at the server.
