--- a/src/core/fleet/directory.rs
+++ b/src/core/fleet/directory.rs
@@ -10,6 +10,7 @@
 use serde::Serialize;
 
 use super::Member;
+use super::MemberState;
 use crate::core::MonotonicTime;
 use crate::core::ServerName;
 
@@ -18,6 +19,10 @@
 /// by up to a call's timeout; this is the margin.
 const REGISTRATION_GRACE: Duration = Duration::from_secs(2);
 
+/// Time for which servers that left are remembered: longer than the age of a copy
+/// from which the store is restored.
+const DEPARTURE_MEMORY: Duration = Duration::from_secs(120);
+
 /// A change of the list of backend servers.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum MemberChange {
@@ -36,6 +41,11 @@
     members: HashMap<ServerName, Member>,
     /// Servers whose records were removed, but which stay listed for now.
     deferred_removals: HashSet<ServerName>,
+    /// Last write of each server's record that said it was ready.
+    ready_writes: HashMap<ServerName, u64>,
+    /// Servers that have left, and those that are leaving, with the time at which
+    /// that was seen.
+    departed: HashMap<ServerName, MonotonicTime>,
     is_store_failing: bool,
     store_recovered_at: Option<MonotonicTime>,
 }
@@ -55,12 +65,42 @@
         }
     }
 
+    /// Takes a record that the store lists, as the write `write` left it. Returns
+    /// false for one that must not be used: the store was restored from a copy that
+    /// still shows a server as ready which has left or is leaving. One that has been
+    /// written since bears another number.
+    pub fn accept_record(&mut self, member: &Member, write: u64) -> bool {
+        let known = self.ready_writes.get(&member.name);
+        let is_old = known == Some(&write) && self.departed.contains_key(&member.name);
+        if member.state == MemberState::Ready && !is_old {
+            self.ready_writes.insert(member.name.clone(), write);
+            self.departed.remove(&member.name);
+        }
+        !is_old || member.state != MemberState::Ready
+    }
+
+    fn record_departure(&mut self, name: &ServerName, now: MonotonicTime) {
+        self.departed.insert(name.clone(), now);
+    }
+
+    /// Forgets servers that left longer ago than a copy can be old.
+    fn expire_departures(&mut self, now: MonotonicTime) {
+        self.departed
+            .retain(|_, departed_at| now.since(*departed_at) < DEPARTURE_MEMORY);
+        let (members, departed) = (&self.members, &self.departed);
+        self.ready_writes
+            .retain(|name, _| members.contains_key(name) || departed.contains_key(name));
+    }
+
     /// Applies a change and returns it if it takes effect now. A removal during
     /// an outage or the grace period is deferred.
     pub fn apply(&mut self, change: MemberChange, now: MonotonicTime) -> Option<MemberChange> {
         match change {
             MemberChange::Listed(member) => {
                 self.deferred_removals.remove(&member.name);
+                if member.state == MemberState::Draining {
+                    self.record_departure(&member.name, now);
+                }
                 if self.members.get(&member.name) == Some(&member) {
                     return None;
                 }
@@ -119,12 +159,14 @@
     /// registered again by the end of the grace period, and returns their
     /// removals.
     pub fn apply_deferred_removals(&mut self, now: MonotonicTime) -> Vec<MemberChange> {
+        self.expire_departures(now);
         if self.is_store_unstable(now) {
             return Vec::new();
         }
         let removed: Vec<ServerName> = self.deferred_removals.drain().collect();
         for name in &removed {
             self.members.remove(name);
+            self.record_departure(name, now);
         }
         removed.into_iter().map(MemberChange::Removed).collect()
     }
@@ -155,6 +197,7 @@
         }
         self.deferred_removals.remove(&name);
         self.members.remove(&name);
+        self.record_departure(&name, now);
         Some(MemberChange::Removed(name))
     }
 
--- a/src/core/fleet/order_claim.rs
+++ b/src/core/fleet/order_claim.rs
@@ -41,7 +41,7 @@
     /// Claim the right.
     Acquire,
     /// Renew the lease of the claim.
-    Renew(u64),
+    Renew(ClaimGrant),
     /// Replace the claim, for a fencing token above that of a newer target
     /// version.
     Refresh(ClaimGrant),
@@ -55,6 +55,8 @@
     held: Option<HeldClaim>,
     /// No request is sent before this time.
     next_request_at: MonotonicTime,
+    /// When the store was last found to be restored from an older copy.
+    restored_at: MonotonicTime,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -92,7 +94,7 @@
             return ClaimStep::Release(held.grant.lease);
         }
         if held.renew_at <= now {
-            return ClaimStep::Renew(held.grant.lease);
+            return ClaimStep::Renew(held.grant);
         }
         if held.grant.fence <= newest_revision && self.next_request_at <= now {
             return ClaimStep::Refresh(held.grant);
@@ -111,12 +113,30 @@
             grant,
             // The claim before may have been used until it ended, which was
             // before this one began.
-            usable_from: now + TAKEOVER_DELAY,
+            usable_from: self.earliest_use().max(now + TAKEOVER_DELAY),
             valid_until: sent_at + CLAIM_TTL,
             renew_at: sent_at + RENEW_INTERVAL,
         });
     }
 
+    /// Records that the store was found at `at` to be restored from an older copy,
+    /// which may have lost this claim and others whose holders do not know it yet.
+    pub fn record_restore(&mut self, at: MonotonicTime) {
+        if at > self.restored_at {
+            self.restored_at = at;
+            self.held = None;
+        }
+    }
+
+    /// Returns when a lost claim of before the last restore is no longer used by
+    /// its holder, and the holder after it may begin.
+    fn earliest_use(&self) -> MonotonicTime {
+        if self.restored_at == MonotonicTime::ZERO {
+            return MonotonicTime::ZERO;
+        }
+        self.restored_at + CLAIM_TTL + TAKEOVER_DELAY
+    }
+
     /// Records that the store has renewed the lease.
     pub fn record_renewed(&mut self, sent_at: MonotonicTime) {
         if let Some(held) = &mut self.held {
--- a/src/gateway/follow_store.rs
+++ b/src/gateway/follow_store.rs
@@ -92,6 +92,11 @@
                 log::info!("store: history lost area={area:?}; reading all");
                 revision = None;
             }
+            Err(PortError::StoreRestored) => {
+                log::warn!("store: restored from an older copy area={area:?}; reading all");
+                revision = None;
+                cx.lock().record_restore(cx.now());
+            }
             Err(e) => {
                 if !is_unreachable {
                     log::warn!("store: lost area={area:?} reason=\"{e}\"");
@@ -137,8 +142,18 @@
                     );
                 }
             }
-            SourceChange::MemberUpdated(member) if is_full_read => members.push(member),
-            SourceChange::MemberUpdated(member) => {
+            SourceChange::MemberUpdated { member, write } => {
+                if !state.directory.accept_record(&member, write) {
+                    log::info!(
+                        "members: ignored server={} reason=\"the record is older than its leaving\"",
+                        member.name
+                    );
+                    continue;
+                }
+                if is_full_read {
+                    members.push(member);
+                    continue;
+                }
                 let change = state.directory.apply(MemberChange::Listed(member), now);
                 state.apply_member_changes(change, now);
             }
@@ -186,6 +201,9 @@
             Ok(()) => cx.lock().record_store_answer(cx.now()),
             Err(e) => {
                 log::info!("store: ping failed reason=\"{e}\"");
+                if e == PortError::StoreRestored {
+                    cx.lock().record_restore(cx.now());
+                }
                 cx.lock().directory.record_store_failure();
                 Area::ALL
                     .into_iter()
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -38,6 +38,8 @@
     pub configuration_behind_since: Option<MonotonicTime>,
     /// Backend servers listed in the store.
     pub directory: Directory,
+    /// When the store was last found to be restored from an older copy.
+    pub store_restored_at: Option<MonotonicTime>,
     /// Changes of the backend servers that took effect, for peers.
     pub member_log: MemberLog,
     /// Whether the backend servers are learned from a peer at present, not from
@@ -79,6 +81,7 @@
             raw_configuration: Bytes::new(),
             configuration_behind_since: None,
             directory: Directory::default(),
+            store_restored_at: None,
             member_log: MemberLog::default(),
             follows_peer_members: false,
             quarantine: Quarantine::default(),
@@ -114,6 +117,13 @@
         self.quarantine.record_answer(choice.run, now);
     }
 
+    /// Records that the store was restored from an older copy. Servers that it lacks
+    /// have time to write themselves again.
+    pub fn record_restore(&mut self, now: MonotonicTime) {
+        self.store_restored_at = Some(now);
+        self.directory.record_store_failure();
+    }
+
     /// Records that the store has answered, so that the list of servers is up to
     /// date.
     pub fn record_store_answer(&mut self, now: MonotonicTime) {
--- a/src/gateway/substitute_agents.rs
+++ b/src/gateway/substitute_agents.rs
@@ -218,6 +218,9 @@
 ) {
     let newest_revision = targets.iter().map(|target| target.revision).max();
     let now = cx.now();
+    if let Some(restored_at) = cx.lock().store_restored_at {
+        lock_claim(&state.claim).record_restore(restored_at);
+    }
     let step = lock_claim(&state.claim).next_step(is_needed, newest_revision.unwrap_or(0), now);
     let (name, holder) = (group.to_string(), cx.settings.name.as_str());
     let claims = &cx.ports.claims;
@@ -230,7 +233,7 @@
                 None => claim.record_lost(cx.now()),
             }
         }),
-        ClaimStep::Renew(lease) => claims.renew(lease).await.map(|is_held| {
+        ClaimStep::Renew(grant) => claims.renew(grant).await.map(|is_held| {
             let mut claim = lock_claim(&state.claim);
             if is_held {
                 claim.record_renewed(now);
@@ -255,6 +258,9 @@
         Ok(()) => log::info!("orders: claim group={group} step={step:?}"),
         Err(e) => {
             log::warn!("orders: claim failed group={group} step={step:?} reason=\"{e}\"");
+            if *e == PortError::StoreRestored {
+                cx.lock().record_restore(cx.now());
+            }
             lock_claim(&state.claim).record_failure(cx.now());
         }
     }
--- a/src/ports/fleet_source.rs
+++ b/src/ports/fleet_source.rs
@@ -45,7 +45,13 @@
     /// Target weights version of a model.
     TargetVersion(TargetVersion),
     /// Record of a backend server, new or changed.
-    MemberUpdated(Member),
+    MemberUpdated {
+        /// The record.
+        member: Member,
+        /// Number of the write that left the record; it stays the same when the
+        /// store is restored from a copy that has that write.
+        write: u64,
+    },
     /// The record of a backend server was removed.
     MemberRemoved(ServerName),
     /// Key of a record that cannot be decoded, and the problem.
--- a/src/ports/order_claims.rs
+++ b/src/ports/order_claims.rs
@@ -28,8 +28,8 @@
         held: ClaimGrant,
     ) -> BoxFuture<'a, Result<Option<u64>, PortError>>;
 
-    /// Renews a lease and returns whether it still existed.
-    fn renew(&self, lease: u64) -> BoxFuture<'_, Result<bool, PortError>>;
+    /// Renews the lease of the claim `held` and returns whether it still existed.
+    fn renew(&self, held: ClaimGrant) -> BoxFuture<'_, Result<bool, PortError>>;
 
     /// Ends a lease and with it the claim.
     fn release(&self, lease: u64) -> BoxFuture<'_, Result<(), PortError>>;
--- a/src/ports/port_error.rs
+++ b/src/ports/port_error.rs
@@ -13,6 +13,9 @@
     Rejected(u16),
     /// The requested history is no longer kept.
     HistoryCompacted,
+    /// The system was restored from an older copy since the request was built; what
+    /// is known of it has to be read anew.
+    StoreRestored,
     /// The response cannot be decoded; holds the reason.
     Malformed(String),
 }
@@ -23,6 +26,7 @@
             Self::Unreachable(reason) => write!(f, "unreachable: {reason}"),
             Self::Rejected(status) => write!(f, "rejected with status {status}"),
             Self::HistoryCompacted => f.write_str("history no longer kept"),
+            Self::StoreRestored => f.write_str("restored from an older copy"),
             Self::Malformed(reason) => write!(f, "malformed response: {reason}"),
         }
     }
--- a/tests/fleet_order_claims.rs
+++ b/tests/fleet_order_claims.rs
@@ -195,7 +195,7 @@
             None if is_answered => claim.record_lost(now),
             _ => claim.record_failure(now),
         },
-        ClaimStep::Renew(lease) => match store.renew(lease, ms) {
+        ClaimStep::Renew(held) => match store.renew(held.lease, ms) {
             true if is_answered => claim.record_renewed(now),
             false if is_answered => claim.record_lost(now),
             _ => claim.record_failure(now),
