Play restores of the store in the random histories of claims

claim_random_histories_with_restores_keep_single_holder: 100 histories with one to three restores. The checker finds a violation where the wait after a restore is left out (claim_restore_next_holder_waits_for_unaware_one).

--- a/tests/fleet_order_claims.rs
+++ b/tests/fleet_order_claims.rs
@@ -56,9 +56,11 @@
 }
 
 /// Store with the item of one claim.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Clone, Copy)]
 struct ClaimStore {
     revision: u64,
+    /// Rises with each restore; claims of an earlier one are void.
+    era: u64,
     next_lease: u64,
     /// Revision of the item, its lease and the end of the lease in ms.
     item: Option<(u64, u64, u64)>,
@@ -78,24 +80,37 @@
         let lease = self.next_lease;
         self.item = Some((self.revision, lease, ms + CLAIM_TTL.as_millis() as u64));
         Some(ClaimGrant {
-            fence: self.revision,
+            fence: self.fence(),
             lease,
         })
     }
 
+    /// Revision as the adapter passes it on, with the era above it.
+    fn fence(&self) -> u64 {
+        (self.era << 40) | self.revision
+    }
+
+    /// Goes back to an earlier copy of the items, whose leases go on.
+    fn restore(&mut self, copy: Self) {
+        *self = Self {
+            era: self.era + 1,
+            ..copy
+        };
+    }
+
     fn refresh(&mut self, held: ClaimGrant) -> Option<u64> {
         let (revision, lease, end_ms) = self.item?;
-        if (revision, lease) != (held.fence, held.lease) {
+        if ((self.era << 40) | revision, lease) != (held.fence, held.lease) {
             return None;
         }
         self.revision += 1;
         self.item = Some((self.revision, lease, end_ms));
-        Some(self.revision)
+        Some(self.fence())
     }
 
-    fn renew(&mut self, lease: u64, ms: u64) -> bool {
+    fn renew(&mut self, grant: ClaimGrant, ms: u64) -> bool {
         match &mut self.item {
-            Some((_, held, end_ms)) if *held == lease => {
+            Some((_, held, end_ms)) if *held == grant.lease && grant.fence >> 40 == self.era => {
                 *end_ms = ms + CLAIM_TTL.as_millis() as u64;
                 true
             }
@@ -145,6 +160,14 @@
 /// Plays claimants against one store; each of them orders whenever its claim
 /// allows it, and a new target version is set every ten seconds.
 fn play(turns: &[[Turn; 3]]) -> Vec<SeenOrder> {
+    play_with_restores(turns, &[], true)
+}
+
+/// The same, with a store that goes back by five seconds at each step of `restores`.
+/// Claimants learn of it in the answer to their next request, if `is_told`.
+fn play_with_restores(turns: &[[Turn; 3]], restores: &[usize], is_told: bool) -> Vec<SeenOrder> {
+    let mut copies: Vec<ClaimStore> = Vec::new();
+    let mut known_eras = [0; 3];
     let mut store = ClaimStore::default();
     let mut claims = [OrderClaim::default(); 3];
     let mut paused_until = [0_u64; 3];
@@ -152,16 +175,32 @@
     let mut orders = Vec::new();
     for (step, turns) in turns.iter().enumerate() {
         let ms = step as u64 * STEP_MS;
+        if restores.contains(&step) {
+            store.restore(copies[step.saturating_sub(50)]);
+        }
         store.expire(ms);
         if step % 100 == 50 {
             store.revision += 1;
-            target_revision = store.revision;
+            target_revision = store.fence();
         }
+        copies.push(store);
         for (holder, turn) in turns.iter().enumerate() {
             if ms < paused_until[holder] {
                 continue;
             }
             paused_until[holder] = ms + u64::from(turn.pause) * STEP_MS;
+            let has_request =
+                claims[holder].next_step(true, target_revision, at(ms)) != ClaimStep::Wait;
+            if has_request
+                && turn.transport == Transport::Answered
+                && known_eras[holder] < store.era
+            {
+                known_eras[holder] = store.era;
+                if is_told {
+                    claims[holder].record_restore(at(ms));
+                    claims[holder].record_failure(at(ms));
+                }
+            }
             request(&mut claims[holder], &mut store, turn, target_revision, ms);
             if let Some(fence) = claims[holder].usable_fence(target_revision, at(ms)) {
                 orders.push(SeenOrder { ms, holder, fence });
@@ -195,7 +234,7 @@
             None if is_answered => claim.record_lost(now),
             _ => claim.record_failure(now),
         },
-        ClaimStep::Renew(held) => match store.renew(held.lease, ms) {
+        ClaimStep::Renew(held) => match store.renew(held, ms) {
             true if is_answered => claim.record_renewed(now),
             false if is_answered => claim.record_lost(now),
             _ => claim.record_failure(now),
@@ -242,6 +281,29 @@
     assert!(with_takeover.get() >= 50, "{} of 150", with_takeover.get());
 }
 
+/// The same while the store is restored from older copies, several times: the
+/// claim that it forgets may still be used by a holder that does not know.
+#[test]
+fn claim_random_histories_with_restores_keep_single_holder() {
+    let config = Config {
+        cases: 100,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[27; 32]);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let turns = prop::collection::vec([any_turn(), any_turn(), any_turn()], 600);
+    let restores = prop::collection::vec(60..600_usize, 1..4);
+    let checked = runner.run(&(turns, restores), |(turns, restores)| {
+        let orders = play_with_restores(&turns, &restores, true);
+        prop_assert_eq!(find_violation(&orders), None);
+        Ok(())
+    });
+    if let Err(e) = checked {
+        panic!("{}", e.to_string().chars().take(300).collect::<String>());
+    }
+}
+
 /// The holder dies: another one orders within the rest of the claim, the time
 /// until its next try and the delay of a new holder.
 #[test]
@@ -295,3 +357,20 @@
     let orders = orders.map(|(ms, holder, fence)| SeenOrder { ms, holder, fence });
     assert_eq!(find_violation(&orders), Some(expected));
 }
+
+/// A holder that does not know of a restore goes on until its next renewal. Without
+/// the wait after a restore, the next holder begins too soon.
+#[test]
+fn claim_restore_next_holder_waits_for_unaware_one() {
+    let calm = Turn {
+        pause: 0,
+        is_needed: true,
+        transport: Transport::Answered,
+    };
+    let play_restore = |step: usize, is_told: bool| {
+        let orders = play_with_restores(&vec![[calm; 3]; 300], &[step], is_told);
+        find_violation(&orders)
+    };
+    assert!((100..150).all(|step| play_restore(step, true).is_none()));
+    assert!((100..150).any(|step| play_restore(step, false).is_some()));
+}
