Tell entries from the sidecar that an engine leaves

The sidecar now reads the header in its engine's reports, which are fresh and free, and no longer accepts calls for it: entries that the engine has not told learn it with the next update, and no call is sent to learn it. observe_leaving_engine_not_accepting failed before and passes. keep_streams_and_quarantine_for_others shows what a sidecar keeps for entries that start later; it passed before.

--- a/src/ports/engine_client.rs
+++ b/src/ports/engine_client.rs
@@ -14,6 +14,8 @@
 /// Status, load and KV cache usage that an engine reports.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct EngineReport {
+    /// Whether the engine says that it leaves.
+    pub is_leaving: bool,
     /// Status that orders depend on.
     pub status: EngineStatus,
     /// Running and waiting calls.
--- a/src/sidecar/reconcile_engine.rs
+++ b/src/sidecar/reconcile_engine.rs
@@ -78,7 +78,7 @@
         let mut state = cx.lock();
         let step = state.rollout.advance(&report.status, now);
         let agent_report = AgentReport {
-            is_accepting: state.rollout.is_accepting(),
+            is_accepting: state.rollout.is_accepting() && !report.is_leaving,
             is_alive: true,
             switch_in_ms: state
                 .rollout
