Keep streams at agents for a minute, and describe the new outcomes

An agent does not know the timeouts of routes and kept the builds of streams for 20 s, less than a route may last. explain knows unknown-stream, quarantined-part and servers-paused, which it took for reasons of rejected responses before.

--- a/src/core/fleet/stream_origins.rs
+++ b/src/core/fleet/stream_origins.rs
@@ -14,9 +14,9 @@
 /// Maximum number of recorded streams; the oldest are dropped beyond that.
 const MAX_STREAMS: usize = 16_384;
 
-/// Time after its first event within which a stream may be taken up, until a
-/// configuration states the timeouts of its routes.
-const DEFAULT_RETENTION: Duration = Duration::from_secs(20);
+/// Time for which streams are kept by a process that does not know the timeouts of
+/// the routes: an agent, or an entry without a configuration.
+const DEFAULT_RETENTION: Duration = Duration::from_secs(60);
 
 /// Time that streams are kept beyond the longest timeout of a route.
 const RETENTION_MARGIN: Duration = Duration::from_secs(3);
--- a/src/explain/outcome.rs
+++ b/src/explain/outcome.rs
@@ -2,7 +2,7 @@
 
 /// Codes of outcomes of calls and of reasons for which attempts failed, each
 /// with its meaning and, where it helps, the log lines to look at next.
-const OUTCOME_DESCRIPTIONS: [(&str, &str); 26] = [
+const OUTCOME_DESCRIPTIONS: [(&str, &str); 29] = [
     ("complete", "The stream was received completely."),
     (
         "answered",
@@ -35,6 +35,18 @@
         "no-server",
         "No server of the service was available: none was listed, or all were leaving, unresponsive or changing their weights.",
     ),
+    (
+        "unknown-stream",
+        "The call took a stream up, and no process was certain at which build that began: look at the `streams: asked` line for how many were heard.",
+    ),
+    (
+        "quarantined-part",
+        "A part of the prompt has crashed servers: `quarantine: started` lines name it, and `call: broke` lines the calls and servers.",
+    ),
+    (
+        "servers-paused",
+        "All servers that could run the call have asked for a pause: `members: paused` lines say when and for how long.",
+    ),
     ("not-accepted", "None of the servers tried ran the request."),
     (
         "no-repeats-left",
