Use plain names in the quarantine

Cause: reading the change once more: words of a court for what is a period of quarantine and a faulty part, and paths where an import belongs. No logic changed; tests of the quarantine and of the adapter pass.

--- a/src/core/fleet/quarantine.rs
+++ b/src/core/fleet/quarantine.rs
@@ -2,7 +2,7 @@
 //! keeps calls with them away from servers.
 //!
 //! Each crash has suspects: the shared parts of the calls that the server was
-//! beginning to answer. The guilty part is among the suspects of every crash that
+//! beginning to answer. The faulty part is among the suspects of every crash that
 //! it causes, and no call with it is ever answered to the end. Parts that share a
 //! prompt or a server with it are cleared by the first call that is.
 
@@ -60,14 +60,14 @@
 const MAX_TOLD_RUNS: usize = 32;
 
 /// Length of the first quarantine of a part; it doubles with each further one.
-const FIRST_TERM: Duration = Duration::from_secs(600);
+const FIRST_PERIOD: Duration = Duration::from_secs(600);
 
 /// Longest quarantine. A part that comes back after it is quarantined again after
 /// one crash.
-const LONGEST_TERM: Duration = Duration::from_secs(4 * 3_600);
+const LONGEST_PERIOD: Duration = Duration::from_secs(4 * 3_600);
 
 /// Time after the end of a quarantine for which it is remembered.
-const OFFENCE_MEMORY: Duration = Duration::from_secs(24 * 3_600);
+const PERIOD_MEMORY: Duration = Duration::from_secs(24 * 3_600);
 
 /// Evidence of crashed servers, and the quarantined parts.
 #[derive(Debug, Default)]
@@ -76,7 +76,8 @@
     /// Last time at which a call with a suspected or quarantined part was answered
     /// to the end, and whether this process saw it.
     completed: HashMap<PartId, Completion>,
-    sentences: HashMap<PartId, Sentence>,
+    /// Latest quarantine of each part, running or ended.
+    periods: HashMap<PartId, Period>,
     /// Latest calls that this process saw answered to the end, with their parts.
     answered: VecDeque<(MonotonicTime, Vec<PartId>)>,
 }
@@ -86,7 +87,7 @@
     at: MonotonicTime,
     /// Suspected parts with their index in the prompt.
     suspects: HashMap<PartId, u8>,
-    /// Suspects that this process has seen itself.
+    /// Whether a connection of this process broke.
     is_own: bool,
     /// When the run was found to be alive.
     alive_at: Option<MonotonicTime>,
@@ -99,19 +100,19 @@
 }
 
 #[derive(Debug, Clone, Copy)]
-struct Sentence {
+struct Period {
     since: MonotonicTime,
-    offences: u32,
+    occurrences: u32,
 }
 
-impl Sentence {
-    fn term(self) -> Duration {
-        let doublings = self.offences.saturating_sub(1).min(16);
-        (FIRST_TERM * (1 << doublings)).min(LONGEST_TERM)
+impl Period {
+    fn length(self) -> Duration {
+        let doublings = self.occurrences.saturating_sub(1).min(16);
+        (FIRST_PERIOD * (1 << doublings)).min(LONGEST_PERIOD)
     }
 
     fn time_left(self, now: MonotonicTime) -> Option<Duration> {
-        let left = self.term().saturating_sub(now.since(self.since));
+        let left = self.length().saturating_sub(now.since(self.since));
         (!left.is_zero()).then_some(left)
     }
 }
@@ -124,19 +125,19 @@
 
     /// Returns the number of quarantined parts.
     pub fn count_parts(&self, now: MonotonicTime) -> usize {
-        let sentences = self.sentences.values();
-        sentences.filter(|s| s.time_left(now).is_some()).count()
+        let periods = self.periods.values();
+        periods.filter(|s| s.time_left(now).is_some()).count()
     }
 
     /// Returns the remaining quarantine of a prompt's parts; `None` if none of them
     /// is quarantined.
     pub fn find_time_left(&self, parts: &[PromptPart], now: MonotonicTime) -> Option<Duration> {
-        if self.sentences.is_empty() {
+        if self.periods.is_empty() {
             return None;
         }
         parts
             .iter()
-            .filter_map(|part| self.sentences.get(&part.id)?.time_left(now))
+            .filter_map(|part| self.periods.get(&part.id)?.time_left(now))
             .max()
     }
 
@@ -190,7 +191,7 @@
     /// Records that a call was answered to the end, which clears its parts. Returns
     /// those that are no longer quarantined.
     pub fn record_completion(&mut self, parts: &[PromptPart], now: MonotonicTime) -> Vec<PartId> {
-        if self.crashes.is_empty() && self.sentences.is_empty() {
+        if self.crashes.is_empty() && self.periods.is_empty() {
             return Vec::new();
         }
         if self.answered.len() >= MAX_ANSWERED_CALLS {
@@ -215,16 +216,16 @@
             .map(|crash| crash.at)
             .max();
         let is_wrong = self
-            .sentences
+            .periods
             .get(&part)
-            .is_some_and(|sentence| sentence.since < at);
+            .is_some_and(|period| period.since < at);
         let last = self.completed.get(&part).map(|completion| completion.at);
         let is_suspected = suspected_at.is_some_and(|suspected| Some(suspected) > last);
         if is_wrong || (is_suspected && last.is_none_or(|last| last < at)) {
             self.completed.insert(part, Completion { at, is_own });
         }
         if is_wrong {
-            self.sentences.remove(&part);
+            self.periods.remove(&part);
         }
         is_wrong
     }
@@ -236,7 +237,7 @@
     /// The part that explains most crashes comes first; those are then explained
     /// and count against no other part. Of two parts that explain as many, the one
     /// further into the prompt is taken: fewer calls have it.
-    pub fn convict(&mut self, now: MonotonicTime) -> Vec<(PartId, usize)> {
+    pub fn evaluate(&mut self, now: MonotonicTime) -> Vec<(PartId, usize)> {
         self.expire(now);
         let mut unexplained: Vec<&Crash> = self
             .crashes
@@ -245,26 +246,26 @@
             .filter(|crash| !self.has_quarantined_suspect(crash, now))
             .collect();
         unexplained.sort_by_key(|crash| crash.at);
-        let mut convicted = Vec::new();
+        let mut found = Vec::new();
         while let Some((part, crashes)) = self.find_best_explanation(&unexplained) {
             unexplained.retain(|crash| !crash.suspects.contains_key(&part));
-            convicted.push((part, crashes));
+            found.push((part, crashes));
         }
-        for (part, _) in &convicted {
-            let sentence = self.sentences.entry(*part).or_insert(Sentence {
+        for (part, _) in &found {
+            let period = self.periods.entry(*part).or_insert(Period {
                 since: now,
-                offences: 0,
+                occurrences: 0,
             });
-            sentence.since = now;
-            sentence.offences += 1;
+            period.since = now;
+            period.occurrences += 1;
         }
-        convicted
+        found
     }
 
     fn has_quarantined_suspect(&self, crash: &Crash, now: MonotonicTime) -> bool {
         crash.suspects.keys().any(|part| {
-            let sentence = self.sentences.get(part);
-            sentence.is_some_and(|sentence| sentence.time_left(now).is_some())
+            let period = self.periods.get(part);
+            period.is_some_and(|period| period.time_left(now).is_some())
         })
     }
 
@@ -289,7 +290,7 @@
         };
         let answered = self.answered.iter();
         let contrast = answered.filter(|(at, parts)| *at >= first && !parts.contains(&part));
-        if self.sentences.contains_key(&part) {
+        if self.periods.contains_key(&part) {
             1
         } else if contrast.count() >= MIN_CONTRAST {
             MIN_CRASHES
@@ -319,8 +320,8 @@
             .retain(|_, crash| now.since(crash.at) < EVIDENCE_MAX_AGE);
         self.completed
             .retain(|_, completion| now.since(completion.at) < EVIDENCE_MAX_AGE);
-        self.sentences
-            .retain(|_, s| now.since(s.since) < s.term() + OFFENCE_MEMORY);
+        self.periods
+            .retain(|_, s| now.since(s.since) < s.length() + PERIOD_MEMORY);
         self.answered
             .retain(|(at, _)| now.since(*at) < EVIDENCE_MAX_AGE);
     }
@@ -356,13 +357,13 @@
                 })
                 .collect(),
             quarantined: self
-                .sentences
+                .periods
                 .iter()
-                .filter(|(_, sentence)| sentence.time_left(now).is_some())
-                .map(|(part, sentence)| QuarantinedPart {
+                .filter(|(_, period)| period.time_left(now).is_some())
+                .map(|(part, period)| QuarantinedPart {
                     part: *part,
-                    age: now.since(sentence.since),
-                    offences: sentence.offences,
+                    age: now.since(period.since),
+                    occurrences: period.occurrences,
                 })
                 .collect(),
         }
@@ -405,14 +406,14 @@
         if Some(since) <= cleared_at {
             return false;
         }
-        let known = self.sentences.get(&learned.part);
+        let known = self.periods.get(&learned.part);
         let was_quarantined = known.is_some_and(|known| known.time_left(now).is_some());
-        if known.is_none_or(|known| known.offences < learned.offences) {
-            let sentence = Sentence {
+        if known.is_none_or(|known| known.occurrences < learned.occurrences) {
+            let period = Period {
                 since,
-                offences: learned.offences,
+                occurrences: learned.occurrences,
             };
-            self.sentences.insert(learned.part, sentence);
+            self.periods.insert(learned.part, period);
         }
         !was_quarantined
     }
--- a/src/core/fleet/quarantined_part.rs
+++ b/src/core/fleet/quarantined_part.rs
@@ -15,6 +15,6 @@
     pub part: PartId,
     /// Time since it was found.
     pub age: Duration,
-    /// How often it was found, counting earlier quarantines.
-    pub offences: u32,
+    /// Number of its quarantines, with this one.
+    pub occurrences: u32,
 }
--- a/src/gateway/share_quarantine.rs
+++ b/src/gateway/share_quarantine.rs
@@ -10,6 +10,7 @@
 
 use super::context::GatewayContext;
 use crate::core::fleet::PartId;
+use crate::core::fleet::PromptPart;
 use crate::core::fleet::QuarantineNews;
 use crate::mesh::MeshClient;
 
@@ -25,20 +26,20 @@
     loop {
         sleep(CHECK_INTERVAL).await;
         let now = cx.now();
-        let convicted = {
+        let found = {
             let mut state = cx.lock();
             if !state.quarantine.has_crashes() {
                 continue;
             }
-            state.quarantine.convict(now)
+            state.quarantine.evaluate(now)
         };
-        for (part, crashes) in &convicted {
+        for (part, crashes) in &found {
             log::warn!(
                 "quarantine: started part={:x} crashes={crashes} source=own",
                 part.0
             );
         }
-        if !convicted.is_empty() {
+        if !found.is_empty() {
             tell_agents(&cx);
         }
     }
@@ -58,7 +59,7 @@
 }
 
 /// Records that a call was answered to the end, which clears its parts.
-pub fn record_completion(cx: &Arc<GatewayContext>, parts: &[crate::core::fleet::PromptPart]) {
+pub fn record_completion(cx: &Arc<GatewayContext>, parts: &[PromptPart]) {
     let now = cx.now();
     let released = cx.lock().quarantine.record_completion(parts, now);
     if !released.is_empty() {
--- a/src/gateway/stream_keepers.rs
+++ b/src/gateway/stream_keepers.rs
@@ -4,12 +4,14 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
 use std::time::Instant;
 
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
+use tarpc::client::RpcError;
 use tarpc::context::Context;
 use tokio::sync::mpsc::Receiver;
 use tokio::sync::mpsc::Sender;
@@ -107,7 +109,7 @@
     }
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
@@ -144,10 +146,7 @@
     }
 }
 
-async fn send_batch(
-    client: &MeshClient,
-    batch: Vec<KeeperRequest>,
-) -> Result<(), tarpc::client::RpcError> {
+async fn send_batch(client: &MeshClient, batch: Vec<KeeperRequest>) -> Result<(), RpcError> {
     let mut origins = Vec::new();
     let mut result = Ok(());
     for request in batch {
--- a/tests/fleet_quarantine.rs
+++ b/tests/fleet_quarantine.rs
@@ -23,7 +23,7 @@
 const STEP: Duration = Duration::from_millis(20);
 const STEPS_PER_S: u64 = 50;
 
-/// Steps of a sound call, and of a guilty one until its engine crashes.
+/// Steps of a sound call, and of a faulty one until its engine crashes.
 const CALL_STEPS: u64 = 5;
 const CRASH_STEPS: u64 = 2;
 
@@ -39,7 +39,7 @@
 const CONTACT_STEPS: u64 = 3 * STEPS_PER_S;
 const MAX_LATE_CALLS: usize = 3;
 
-const GUILTY: &str = "guilty";
+const FAULTY: &str = "faulty";
 const SOUND_SUBJECTS: usize = 12;
 
 fn parts(names: &[&str]) -> Vec<PromptPart> {
@@ -54,7 +54,7 @@
     RunKey::new(&ServerName::from(format!("i-{engine}").as_str()), Some(run))
 }
 
-/// Faults that are not the guilty part's.
+/// Faults that are not the faulty part's.
 #[derive(Debug, Clone, Copy)]
 struct Faults {
     /// Engines that crash, a second.
@@ -82,7 +82,7 @@
     entry: usize,
     engine: usize,
     parts: Vec<PromptPart>,
-    is_guilty: bool,
+    is_faulty: bool,
     is_resent: bool,
     sent_at: u64,
 }
@@ -114,8 +114,8 @@
     engines: Vec<Engine>,
     calls: Vec<Call>,
     may_send: MaySend,
-    guilty_crashes: Vec<u64>,
-    late_guilty_calls: usize,
+    faulty_crashes: Vec<u64>,
+    late_faulty_calls: usize,
     refused_sound_calls: usize,
 }
 
@@ -132,8 +132,8 @@
             engines: (0..ENGINES).map(engine).collect(),
             calls: Vec::new(),
             may_send,
-            guilty_crashes: Vec::new(),
-            late_guilty_calls: 0,
+            faulty_crashes: Vec::new(),
+            late_faulty_calls: 0,
             refused_sound_calls: 0,
         }
     }
@@ -159,18 +159,18 @@
         let (step, now) = (self.step, self.now());
         let entry = &self.entries[call.entry];
         if !(self.may_send)(&entry.quarantine, &call.parts, now) {
-            self.refused_sound_calls += usize::from(!call.is_guilty);
+            self.refused_sound_calls += usize::from(!call.is_faulty);
             return;
         }
         let is_in_touch = step >= entry.touched_at + CONTACT_STEPS || entry.touched_at == 0;
         let is_late = self
-            .guilty_crashes
+            .faulty_crashes
             .get(COUNTED_CRASHES - 1)
             .is_some_and(|at| step > at + CONTACT_STEPS);
         let Some(engine) = self.pick_engine(except) else {
             return;
         };
-        self.late_guilty_calls += usize::from(call.is_guilty && is_late && is_in_touch);
+        self.late_faulty_calls += usize::from(call.is_faulty && is_late && is_in_touch);
         call.engine = engine;
         call.sent_at = step;
         self.calls.push(call);
@@ -205,12 +205,12 @@
         let crashing: Vec<usize> = self
             .calls
             .iter()
-            .filter(|call| call.is_guilty && step >= call.sent_at + CRASH_STEPS)
+            .filter(|call| call.is_faulty && step >= call.sent_at + CRASH_STEPS)
             .map(|call| call.engine)
             .collect();
         for engine in crashing {
             if self.engines[engine].down_until <= step {
-                self.guilty_crashes.push(step);
+                self.faulty_crashes.push(step);
                 self.break_engine(engine, true);
             }
         }
@@ -227,10 +227,10 @@
         }
     }
 
-    fn start_calls(&mut self, guilty_per_s: f64, sound_per_s: f64) {
-        if self.chance(guilty_per_s) {
+    fn start_calls(&mut self, faulty_per_s: f64, sound_per_s: f64) {
+        if self.chance(faulty_per_s) {
             let entry = self.rng.random_range(0..ENTRIES);
-            let call = new_call(entry, parts(&["system", GUILTY]), true);
+            let call = new_call(entry, parts(&["system", FAULTY]), true);
             self.send(call, None);
         }
         let subject = self.rng.random_range(0..SOUND_SUBJECTS);
@@ -289,15 +289,15 @@
         }
     }
 
-    fn play(&mut self, seconds: u64, guilty_per_s: f64, sound_per_s: f64, faults: Faults) {
+    fn play(&mut self, seconds: u64, faulty_per_s: f64, sound_per_s: f64, faults: Faults) {
         for _ in 0..seconds * STEPS_PER_S {
             self.step += 1;
             self.inject(faults);
             self.end_calls();
-            self.start_calls(guilty_per_s, sound_per_s);
+            self.start_calls(faulty_per_s, sound_per_s);
             let now = self.now();
             for entry in &mut self.entries {
-                entry.quarantine.convict(now);
+                entry.quarantine.evaluate(now);
             }
             if self.step.is_multiple_of(EXCHANGE_STEPS) {
                 self.exchange();
@@ -306,12 +306,12 @@
     }
 }
 
-fn new_call(entry: usize, parts: Vec<PromptPart>, is_guilty: bool) -> Call {
+fn new_call(entry: usize, parts: Vec<PromptPart>, is_faulty: bool) -> Call {
     Call {
         entry,
         engine: 0,
         parts,
-        is_guilty,
+        is_faulty,
         is_resent: false,
         sent_at: 0,
     }
@@ -329,12 +329,12 @@
 proptest! {
     #![proptest_config(histories(60))]
 
-    /// Calls with the guilty part stop reaching engines in time, while engines and
+    /// Calls with the faulty part stop reaching engines in time, while engines and
     /// entries also fail for other reasons; sound calls are not refused.
     #[test]
-    fn convict_random_histories(
+    fn evaluate_random_histories(
         seed in any::<u64>(),
-        guilty_per_s in 0.5..12.0_f64,
+        faulty_per_s in 0.5..12.0_f64,
         engine_crashes in 0.0..0.5_f64,
         mass_crashes in 0.0..0.1_f64,
         resets in 0.0..1.0_f64,
@@ -343,26 +343,26 @@
     ) {
         let faults = Faults { engine_crashes, mass_crashes, resets, entry_kills, entry_cuts };
         let mut fleet = Fleet::new(seed, may_send);
-        fleet.play(40, guilty_per_s, 40.0, faults);
-        prop_assert!(fleet.late_guilty_calls <= MAX_LATE_CALLS, "{}", fleet.late_guilty_calls);
+        fleet.play(40, faulty_per_s, 40.0, faults);
+        prop_assert!(fleet.late_faulty_calls <= MAX_LATE_CALLS, "{}", fleet.late_faulty_calls);
         prop_assert_eq!(fleet.refused_sound_calls, 0);
     }
 }
 
 /// The check above fails for entries that send everything.
 #[test]
-fn convict_send_everything_is_rejected() {
+fn evaluate_send_everything_is_rejected() {
     let mut fleet = Fleet::new(1, |_, _, _| true);
     fleet.play(20, 8.0, 40.0, NO_FAULTS);
-    assert!(fleet.late_guilty_calls > MAX_LATE_CALLS);
+    assert!(fleet.late_faulty_calls > MAX_LATE_CALLS);
 }
 
-/// Engines that all crash at one moment, again and again, make no part guilty, also
+/// Engines that all crash at one moment, again and again, make no part faulty, also
 /// where few calls have the part.
 #[rstest]
 #[case::busy(40.0)]
 #[case::quiet(4.0)]
-fn convict_mass_crashes_no_part(#[case] sound_per_s: f64) {
+fn evaluate_mass_crashes_no_part(#[case] sound_per_s: f64) {
     let faults = Faults {
         mass_crashes: 0.2,
         ..NO_FAULTS
@@ -383,7 +383,7 @@
     for run in 1..=5 {
         quarantine.record_break(run_key(0, run), &suspects, at(600 * run));
     }
-    assert_eq!(quarantine.convict(at(4_000)).len(), 1);
+    assert_eq!(quarantine.evaluate(at(4_000)).len(), 1);
     assert!(quarantine.find_time_left(&suspects, at(4_001)).is_some());
     let news = quarantine.build_news(Duration::from_secs(1), at(4_100));
     let released = quarantine.record_completion(&suspects, at(4_200));
@@ -396,21 +396,21 @@
 /// A part that crashes a server again after its quarantine is quarantined at once,
 /// and for longer.
 #[test]
-fn convict_after_quarantine_first_crash_suffices() {
+fn evaluate_after_quarantine_first_crash_suffices() {
     let mut quarantine = Quarantine::default();
-    let guilty = parts(&["system", GUILTY]);
+    let faulty = parts(&["system", FAULTY]);
     let at = |s| MonotonicTime::ZERO + Duration::from_secs(s);
     for run in 1..=5 {
-        quarantine.record_break(run_key(0, run), &guilty, at(run));
+        quarantine.record_break(run_key(0, run), &faulty, at(run));
     }
-    quarantine.convict(at(6));
+    quarantine.evaluate(at(6));
     let first = quarantine
-        .find_time_left(&guilty, at(6))
+        .find_time_left(&faulty, at(6))
         .expect("quarantined");
     let ended = at(6) + first;
-    assert_eq!(quarantine.find_time_left(&guilty, ended), None);
-    quarantine.record_break(run_key(0, 6), &guilty, ended);
-    quarantine.convict(ended + Duration::from_secs(1));
-    let second = quarantine.find_time_left(&guilty, ended + Duration::from_secs(1));
+    assert_eq!(quarantine.find_time_left(&faulty, ended), None);
+    quarantine.record_break(run_key(0, 6), &faulty, ended);
+    quarantine.evaluate(ended + Duration::from_secs(1));
+    let second = quarantine.find_time_left(&faulty, ended + Duration::from_secs(1));
     assert!(second.is_some_and(|second| second > first));
 }
