Take an unframed stream that ends before its first event for a broken one

Callers would get an empty stream as a whole one, and the parts of its call would be cleared as harmless. Cause: a body without length and chunks ends with its connection, also when the server crashes; the relay took any end outside an event for the end of the stream.

stream_unframed_without_events_is_broken failed before (200 in place of 502) and passes. Streams with chunks or a length are read as before.

--- a/src/explain/outcome.rs
+++ b/src/explain/outcome.rs
@@ -2,7 +2,7 @@
 
 /// Codes of outcomes of calls and of reasons for which attempts failed, each
 /// with its meaning and, where it helps, the log lines to look at next.
-const OUTCOME_DESCRIPTIONS: [(&str, &str); 29] = [
+const OUTCOME_DESCRIPTIONS: [(&str, &str); 30] = [
     ("complete", "The stream was received completely."),
     (
         "answered",
@@ -78,6 +78,10 @@
         "answer-broken",
         "The connection to the server broke in the middle of its response.",
     ),
+    (
+        "ended-before-event",
+        "The connection to the server ended after the head of a stream and before its first event.",
+    ),
     (
         "stream-broken",
         "The connection to the server broke in the middle of its stream.",
--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -4,6 +4,8 @@
 
 use bytes::Bytes;
 use bytes::BytesMut;
+use http::header::CONTENT_LENGTH;
+use http::header::TRANSFER_ENCODING;
 use tokio::time::Instant;
 
 use super::attempt::AttemptOutcome;
@@ -86,6 +88,8 @@
             let choice = in_flight.choice().clone();
             let server = choice.key;
             let deadline = self.call.deadline;
+            // Its end may be that of the connection to a server that crashed.
+            let is_unframed_start = self.progress.build.is_none() && is_unframed(exchange);
             let chunk_read = exchange.next_chunk();
             let problem =
                 match wait_while_alive(&self.cx, server, may_run_again, deadline, chunk_read).await
@@ -96,6 +100,7 @@
                         self.buffer.extend_from_slice(&chunk);
                         continue;
                     }
+                    Some(Ok(None)) if is_unframed_start => "ended-before-event",
                     Some(Ok(None)) if self.buffer.is_empty() => {
                         self.close_upstream(false);
                         if let Some(prompt) = &self.call.head.prompt {
@@ -236,6 +241,13 @@
     }
 }
 
+/// Returns whether a body has neither a length nor chunks and ends with its
+/// connection.
+fn is_unframed(exchange: &Exchange) -> bool {
+    let headers = exchange.headers();
+    !headers.contains_key(CONTENT_LENGTH) && !headers.contains_key(TRANSFER_ENCODING)
+}
+
 fn find_last_match(buffer: &[u8], pattern: &[u8]) -> Option<usize> {
     buffer
         .windows(pattern.len())
