--- a/src/core/fleet/quarantine.rs
+++ b/src/core/fleet/quarantine.rs
@@ -76,7 +76,7 @@
     /// Last time at which a call with a suspected or quarantined part was answered
     /// to the end, and whether this process saw it.
     completed: HashMap<PartId, Completion>,
-    /// Latest quarantine of each part, running or ended.
+    /// Latest quarantine of each part, also if it has ended.
     periods: HashMap<PartId, Period>,
     /// Latest calls that this process saw answered to the end, with their parts.
     answered: VecDeque<(MonotonicTime, Vec<PartId>)>,
@@ -99,6 +99,7 @@
     is_own: bool,
 }
 
+/// Quarantine of a part: its start, and its number among those of the part.
 #[derive(Debug, Clone, Copy)]
 struct Period {
     since: MonotonicTime,
--- a/tests/fleet_stream_builds.rs
+++ b/tests/fleet_stream_builds.rs
@@ -122,8 +122,7 @@
     cut_for: HashMap<usize, usize>,
     begun: Vec<Begun>,
     decide: Decide,
-    /// Streams that went on, and those that did although their build was known to
-    /// a process that could be asked.
+    /// Number of times that a stream went on at its build.
     went_on: usize,
     /// What broke the promise.
     violations: Vec<String>,
