Log the end of each call that its caller abandons, and when a gateway stood still

A call that was abandoned before the head of its answer had no last line, and was not counted: its future was dropped. No line said that a gateway stood still. Needed to tell the hypotheses of the frozen servers apart.

--- a/src/gateway/call_log.rs
+++ b/src/gateway/call_log.rs
@@ -119,6 +119,13 @@
     }
 }
 
+impl Drop for CallLog {
+    /// Ends the log of a call that was dropped since its caller disconnected.
+    fn drop(&mut self) {
+        self.log_end("caller-gone", 499);
+    }
+}
+
 /// Returns the log fields of a call that takes a stream up; empty for others.
 fn describe_resumption(call: &Call) -> String {
     call.head.resumption.as_ref().map_or_else(String::new, |r| {
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -48,6 +48,10 @@
 /// Interval between checks for changed settings.
 const RELOAD_INTERVAL: Duration = Duration::from_secs(5);
 
+/// Delay of a maintenance run from which the process is logged as having stood
+/// still.
+const MIN_LOGGED_STALL: Duration = Duration::from_millis(300);
+
 /// Time for which a draining gateway still accepts connections: the load
 /// balancer checks readiness once a second and needs two failed checks.
 const DRAIN_LINGER: Duration = Duration::from_millis(2_400);
@@ -241,7 +245,12 @@
 /// members whose removal was deferred.
 async fn run_maintenance(cx: Arc<GatewayContext>) {
     loop {
+        let slept_at = Instant::now();
         sleep(MAINTENANCE_INTERVAL).await;
+        let stall = slept_at.elapsed().saturating_sub(MAINTENANCE_INTERVAL);
+        if stall >= MIN_LOGGED_STALL {
+            log::warn!("gateway: stood still ms={}", stall.as_millis());
+        }
         let now = cx.now();
         let mut state = cx.lock();
         state.dispatcher.remove_stale_expectations(now);
--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -235,12 +235,6 @@
     }
 }
 
-impl Drop for StreamRelay {
-    fn drop(&mut self) {
-        self.call_log.log_end("caller-gone", 499);
-    }
-}
-
 /// Returns whether a body has neither a length nor chunks and ends with its
 /// connection.
 fn is_unframed(exchange: &Exchange) -> bool {
