Reset the connection of a call that is abandoned, so that its server never gets it

What callers saw: calls reached engines up to a second after their callers had left. Cause: the gateway closed the connection of an abandoned call in order. What the server's host had not taken yet, since it stood still, was delivered when it ran again: the call, then the close. The same held for a call that was sent to another server meanwhile.

A connection that ends while a request runs is now reset, which withdraws what was not delivered; after a whole response it is closed in order as before. All users of the HTTP client share this: gateways, agents, the store's client.

--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -11,9 +11,6 @@
 use std::time::Duration;
 
 use hyper::Request;
-use hyper::client::conn::http1;
-use hyper::client::conn::http1::SendRequest;
-use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 use tokio::time::timeout;
@@ -21,6 +18,7 @@
 use super::ClientError;
 use super::Exchange;
 use super::HttpBody;
+use super::client_connection::ClientConnection;
 use super::set_socket_options;
 
 /// Idle connections kept for one address. Beyond that, the one that went
@@ -64,7 +62,7 @@
 
 /// Pooled connection and the time from which it is not reused any more.
 struct IdleConnection {
-    sender: SendRequest<HttpBody>,
+    connection: ClientConnection,
     expires_at: Instant,
 }
 
@@ -78,7 +76,8 @@
     }
 
     /// Sends a request over an idle connection if there is one, else over a new
-    /// one, and waits for the head of its response.
+    /// one, and waits for the head of its response. If the returned future is dropped,
+    /// the connection is reset.
     ///
     /// # Errors
     ///
@@ -91,8 +90,8 @@
         req: Request<HttpBody>,
     ) -> Result<Exchange, ClientError> {
         let mut req = req;
-        while let Some(sender) = self.take_idle_connection(address) {
-            match self.send_on_connection(sender, address, req).await? {
+        while let Some(connection) = self.take_idle_connection(address) {
+            match self.send_on_connection(connection, address, req).await? {
                 SendOutcome::Responded(exchange) => return Ok(exchange),
                 SendOutcome::Unsent(unsent) => req = unsent,
             }
@@ -111,8 +110,8 @@
         address: SocketAddr,
         req: Request<HttpBody>,
     ) -> Result<Exchange, ClientError> {
-        let sender = self.connect(address).await?;
-        match self.send_on_connection(sender, address, req).await? {
+        let connection = self.connect(address).await?;
+        match self.send_on_connection(connection, address, req).await? {
             SendOutcome::Responded(exchange) => Ok(exchange),
             SendOutcome::Unsent(_) => Err(ClientError::NotSent("connection closed".into())),
         }
@@ -120,11 +119,13 @@
 
     async fn send_on_connection(
         &self,
-        mut sender: SendRequest<HttpBody>,
+        mut connection: ClientConnection,
         address: SocketAddr,
         req: Request<HttpBody>,
     ) -> Result<SendOutcome, ClientError> {
-        let result = timeout(self.timeouts.head, sender.try_send_request(req)).await;
+        connection.begin_request();
+        let sent = connection.sender.try_send_request(req);
+        let result = timeout(self.timeouts.head, sent).await;
         let Ok(result) = result else {
             self.drop_idle_connections(address);
             return Err(ClientError::TimedOut);
@@ -132,7 +133,7 @@
         match result {
             Ok(response) => Ok(SendOutcome::Responded(Exchange::new(
                 response,
-                sender,
+                connection,
                 address,
                 self.clone(),
             ))),
@@ -143,31 +144,25 @@
         }
     }
 
-    async fn connect(&self, address: SocketAddr) -> Result<SendRequest<HttpBody>, ClientError> {
+    async fn connect(&self, address: SocketAddr) -> Result<ClientConnection, ClientError> {
         let stream = timeout(self.timeouts.connect, TcpStream::connect(address))
             .await
             .map_err(|_| ClientError::Connect("timeout".into()))?
             .map_err(|e| ClientError::Connect(e.to_string()))?;
         set_socket_options(&stream, DEAD_SERVER_TIMEOUT)
             .map_err(|e| ClientError::Connect(e.to_string()))?;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        ClientConnection::start(stream)
             .await
-            .map_err(|e| ClientError::Connect(e.to_string()))?;
-        tokio::spawn(async move {
-            if let Err(e) = connection.await {
-                log::debug!("http: Connection to {address} ended: {e}.");
-            }
-        });
-        Ok(sender)
+            .map_err(|e| ClientError::Connect(e.to_string()))
     }
 
-    fn take_idle_connection(&self, address: SocketAddr) -> Option<SendRequest<HttpBody>> {
+    fn take_idle_connection(&self, address: SocketAddr) -> Option<ClientConnection> {
         let mut idle_connections = self.lock_idle_connections();
         let address_connections = idle_connections.get_mut(&address)?;
-        while let Some(connection) = address_connections.pop() {
-            let is_unexpired = Instant::now() < connection.expires_at;
-            if is_unexpired && connection.sender.is_ready() {
-                return Some(connection.sender);
+        while let Some(idle) = address_connections.pop() {
+            let is_unexpired = Instant::now() < idle.expires_at;
+            if is_unexpired && idle.connection.sender.is_ready() {
+                return Some(idle.connection);
             }
         }
         idle_connections.remove(&address);
@@ -179,7 +174,7 @@
     pub(super) fn return_connection(
         &self,
         address: SocketAddr,
-        sender: SendRequest<HttpBody>,
+        connection: ClientConnection,
         server_idle_time: Option<Duration>,
     ) {
         let usable_idle_time = server_idle_time.map(|idle| idle.mul_f64(USABLE_IDLE_FRACTION));
@@ -190,7 +185,7 @@
             address_connections.remove(0);
         }
         address_connections.push(IdleConnection {
-            sender,
+            connection,
             expires_at: Instant::now() + idle_time,
         });
     }
--- a/src/http/exchange.rs
+++ b/src/http/exchange.rs
@@ -11,20 +11,19 @@
 use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::body::Incoming;
-use hyper::client::conn::http1::SendRequest;
 use tokio::time::timeout;
 
 use super::Client;
 use super::ClientError;
-use super::HttpBody;
+use super::client_connection::ClientConnection;
 
 /// A request whose response head has arrived. Dropping it before the end of the
-/// body closes the connection, which tells the server to stop.
+/// body resets the connection, which tells the server to stop.
 pub struct Exchange {
     status: StatusCode,
     headers: HeaderMap,
     body: Incoming,
-    connection: Option<SendRequest<HttpBody>>,
+    connection: Option<ClientConnection>,
     address: SocketAddr,
     client: Client,
     read_timeout: Duration,
@@ -33,7 +32,7 @@
 impl Exchange {
     pub(super) fn new(
         response: Response<Incoming>,
-        connection: SendRequest<HttpBody>,
+        connection: ClientConnection,
         address: SocketAddr,
         client: Client,
     ) -> Self {
@@ -116,6 +115,7 @@
 
     fn return_connection(&mut self) {
         if let Some(connection) = self.connection.take() {
+            connection.end_request();
             let server_idle_time = parse_keep_alive_timeout(&self.headers);
             self.client
                 .return_connection(self.address, connection, server_idle_time);
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -6,6 +6,7 @@
 mod body_budget;
 mod channel_body;
 mod client;
+mod client_connection;
 mod client_error;
 mod event_stream;
 mod exchange;
