Do not handle requests whose callers left while the process stood still

After a pause of the gateway, a request and the end of its connection are there together. hyper handled the request before it read the end if the connection was new, since tokio takes an accepted stream for readable before its first event, or if more bytes followed; the gateway then sent the call on.

The connection's task waits for the first event, and a request is not polled further once the end of its caller's side was announced.

Found while looking for other places where time passes before a send.

--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -4,6 +4,7 @@
 
 mod body;
 mod body_budget;
+mod caller_stream;
 mod channel_body;
 mod client;
 mod client_connection;
--- a/src/http/serve.rs
+++ b/src/http/serve.rs
@@ -1,10 +1,12 @@
 //! The accept loop of an HTTP listener, with a limit on connections and a
 //! graceful drain.
 
-use std::convert::Infallible;
 use std::future::Future;
+use std::future::poll_fn;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
+use std::task::Poll;
 use std::time::Duration;
 
 use futures::FutureExt;
@@ -13,7 +15,6 @@
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
 use hyper_util::server::graceful::GracefulShutdown;
 use tokio::net::TcpListener;
@@ -21,11 +22,15 @@
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::sync::Semaphore;
 use tokio::sync::watch;
+use tokio::task::yield_now;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
 use super::HttpBody;
 use super::ServerLimits;
+use super::caller_stream::CallerLeft;
+use super::caller_stream::CallerPresence;
+use super::caller_stream::CallerStream;
 use super::set_socket_options;
 
 /// Pause after a failed accept, before the next attempt.
@@ -116,20 +121,39 @@
     H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + 'static,
     F: Future<Output = Response<HttpBody>> + Send + 'static,
 {
+    let (stream, presence) = CallerStream::new(stream);
     let service = service_fn(move |req| {
         let response = handle(req, caller);
-        async move { Ok::<_, Infallible>(response.await) }
+        respond_unless_left(response, presence.clone())
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.head_timeout)
         .max_buf_size(limits.max_head_bytes)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(stream, service);
     let watched = graceful.watch(connection);
     tokio::spawn(async move {
+        // An accepted stream counts as readable before its first event, which may tell
+        // that its caller has left.
+        yield_now().await;
         if let Err(e) = watched.await {
             log::debug!("http: Connection ended: {e}.");
         }
         drop(permit);
     });
 }
+
+/// Polls `response` as long as the caller is present.
+async fn respond_unless_left(
+    response: impl Future<Output = Response<HttpBody>>,
+    presence: CallerPresence,
+) -> Result<Response<HttpBody>, CallerLeft> {
+    let mut response = pin!(response);
+    poll_fn(|cx| {
+        if presence.has_left() {
+            return Poll::Ready(Err(CallerLeft));
+        }
+        response.as_mut().poll(cx).map(Ok)
+    })
+    .await
+}
