Count time for which the host was suspended

A call whose host was suspended kept its full time left: the steady clock stands still meanwhile. The call could be sent after its caller's deadline, and a claim to order an engine could be believed to hold after its lease. The clock of all decisions now counts suspensions, and a call's time left is measured by it.

No test of the project can suspend its host; the change is not shown by one.

--- a/src/clock.rs
+++ b/src/clock.rs
@@ -1,29 +1,45 @@
 //! Monotonic time for decisions, and the wall clock for logs.
 
-use std::time::Instant;
+use std::time::Duration;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
+use rustix::time::ClockId;
+use rustix::time::clock_gettime;
+
 use crate::core::MonotonicTime;
 
 /// Monotonic clock whose origin is the call of [`Clock::start`]. Its times are
-/// not comparable between clocks.
+/// not comparable between clocks. It counts time for which the host was suspended:
+/// leases and callers' deadlines run on meanwhile.
 #[derive(Debug, Clone, Copy)]
-pub struct Clock(Instant);
+pub struct Clock {
+    started_at: Duration,
+}
 
 impl Clock {
     /// Starts a clock at time zero.
     pub fn start() -> Self {
-        Self(Instant::now())
+        Self {
+            started_at: read_boot_time(),
+        }
     }
 
     /// Returns the time since the start, in whole microseconds.
     pub fn now(self) -> MonotonicTime {
-        let micros = self.0.elapsed().as_micros();
-        MonotonicTime::from_micros(u64::try_from(micros).unwrap_or(u64::MAX))
+        let elapsed = read_boot_time().saturating_sub(self.started_at);
+        MonotonicTime::from_micros(u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX))
     }
 }
 
+/// Returns the time since the boot of the host, suspensions included.
+fn read_boot_time() -> Duration {
+    let time = clock_gettime(ClockId::Boottime);
+    // Neither field is negative since the boot.
+    let seconds = u64::try_from(time.tv_sec).unwrap_or(0);
+    Duration::from_secs(seconds) + Duration::from_nanos(u64::try_from(time.tv_nsec).unwrap_or(0))
+}
+
 /// Returns the wall clock of the host in milliseconds since the Unix epoch.
 /// It may jump, so it serves only logs and the clock offsets reported there.
 pub fn read_wall_clock_ms() -> u64 {
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -110,6 +110,11 @@
         self.clock.now()
     }
 
+    /// Returns the clock of [`Self::now`].
+    pub fn clock(&self) -> Clock {
+        self.clock
+    }
+
     /// Locks the state. The guard must not be held across an await point.
     pub fn lock(&self) -> MutexGuard<'_, GatewayState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
--- a/src/gateway/read_call.rs
+++ b/src/gateway/read_call.rs
@@ -15,7 +15,9 @@
 
 use super::call_progress::CallProgress;
 use super::context::GatewayContext;
+use crate::clock::Clock;
 use crate::core::AccountName;
+use crate::core::MonotonicTime;
 use crate::core::fleet::AccountRule;
 use crate::core::fleet::CallHead;
 use crate::core::fleet::CallRefusal;
@@ -61,6 +63,9 @@
     /// When the caller stops waiting or the route's timeout ends, whichever is
     /// first.
     pub deadline: Instant,
+    /// The deadline on the clock that counts suspensions of the host.
+    expires_at: MonotonicTime,
+    clock: Clock,
     /// Share of the memory budget that the body takes; released with the call.
     pub _body_reservation: BodyReservation,
 }
@@ -68,7 +73,7 @@
 impl Call {
     /// Returns the time left until the deadline; zero after it.
     pub fn time_left(&self) -> Duration {
-        self.deadline.saturating_duration_since(Instant::now())
+        self.expires_at.since(self.clock.now())
     }
 
     /// Returns the account if it shares no cached prompt parts.
@@ -123,6 +128,7 @@
         .caller_timeout
         .unwrap_or(route.timeout)
         .min(route.timeout);
+    let expires_at = cx.now() + timeout.saturating_sub(received_at.elapsed());
     let mut body_reservation = cx.body_budget.start_reservation();
     let body =
         read_body_in_budget(body, limits.max_body_bytes, timeout, &mut body_reservation).await;
@@ -152,6 +158,8 @@
         body,
         received_at,
         deadline: received_at + timeout,
+        expires_at,
+        clock: cx.clock(),
         _body_reservation: body_reservation,
         head,
         route,
