Bound what a server in trouble can send without end

A stream whose event never ended was kept whole until the call's deadline, and searched from its start with each chunk; a gateway of 110 MB could be ended by a few of them. Whole answers were bounded each (8 MiB), not together.

An event has at most 256 KiB, heads of answers 128 KiB, bodies of refusals 64 KiB, and whole answers take their bytes from the memory budget of all bodies.

--- a/src/explain/outcome.rs
+++ b/src/explain/outcome.rs
@@ -2,7 +2,7 @@
 
 /// Codes of outcomes of calls and of reasons for which attempts failed, each
 /// with its meaning and, where it helps, the log lines to look at next.
-const OUTCOME_DESCRIPTIONS: [(&str, &str); 31] = [
+const OUTCOME_DESCRIPTIONS: [(&str, &str); 32] = [
     ("complete", "The stream was received completely."),
     (
         "answered",
@@ -70,6 +70,10 @@
         "silent",
         "The server did not answer in time, or its agent reported it as dead.",
     ),
+    (
+        "event-too-large",
+        "The server sent an event of a stream without end.",
+    ),
     (
         "answer-silent",
         "The server stopped sending in the middle of its response.",
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -18,6 +18,7 @@
 use crate::core::MonotonicTime;
 use crate::core::ServerName;
 use crate::core::fleet::BackendChoice;
+use crate::http::BodyReservation;
 use crate::http::Exchange;
 use crate::http::HttpBody;
 use crate::http::empty_body;
@@ -29,6 +30,10 @@
 /// Maximum size of a response that is not a stream, in bytes.
 const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
 
+/// Maximum size of the body of a refusal that is read so that its connection can be
+/// reused, in bytes.
+const MAX_REFUSAL_BYTES: usize = 64 * 1024;
+
 /// Timeout for reading the body of a refusal, so that its connection can be
 /// reused.
 const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(50);
@@ -91,6 +96,8 @@
     pub headers: HeaderMap,
     /// Complete body.
     pub body: Bytes,
+    /// Share of the memory budget that the body takes.
+    _reservation: BodyReservation,
 }
 
 /// Streaming response whose head has arrived.
@@ -252,7 +259,7 @@
     if metadata.is_not_run {
         forget_expected_parts(cx, call, &choice);
         // The body is read only so that the connection can be reused.
-        let _ = timeout(REFUSAL_BODY_TIMEOUT, exchange.read_rest(MAX_RESPONSE_BYTES)).await;
+        let _ = timeout(REFUSAL_BODY_TIMEOUT, exchange.read_rest(MAX_REFUSAL_BYTES)).await;
         return AttemptOutcome::NotRun(classify_not_run(cx, &choice, &metadata));
     }
     let mut headers = exchange.headers().clone();
@@ -266,12 +273,14 @@
             in_flight,
         }));
     }
-    let body_read = exchange.read_rest(MAX_RESPONSE_BYTES);
+    let mut reservation = cx.body_budget.start_reservation();
+    let body_read = exchange.read_rest_in_budget(MAX_RESPONSE_BYTES, &mut reservation);
     match wait_while_alive(cx, choice.key, may_run_again, call.deadline, body_read).await {
         Some(Ok(body)) => AttemptOutcome::Answered(FullResponse {
             status,
             headers,
             body,
+            _reservation: reservation,
         }),
         Some(Err(_)) => AttemptOutcome::Unknown(ANSWER_BROKEN),
         None => AttemptOutcome::Unknown("answer-silent"),
--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -28,6 +28,12 @@
 /// Problem of a stream whose server is suspected dead.
 const STREAM_SILENT: &str = "stream-silent";
 
+/// Problem of a stream whose server sends an event without end.
+const EVENT_TOO_LARGE: &str = "event-too-large";
+
+/// Maximum size of an event, in bytes; it is kept until it is complete.
+const MAX_EVENT_BYTES: usize = 256 * 1024;
+
 /// Bytes that end an event.
 const EVENT_TERMINATOR: &[u8] = b"\n\n";
 
@@ -98,7 +104,10 @@
                         let now = self.cx.now();
                         self.cx.lock().record_answer(&choice, now);
                         self.buffer.extend_from_slice(&chunk);
-                        continue;
+                        if self.buffer.len() <= MAX_EVENT_BYTES || self.has_event() {
+                            continue;
+                        }
+                        EVENT_TOO_LARGE
                     }
                     Some(Ok(None)) if is_unframed_start => "ended-before-event",
                     Some(Ok(None)) if self.buffer.is_empty() => {
@@ -158,6 +167,10 @@
         }
     }
 
+    fn has_event(&self) -> bool {
+        find_last_match(&self.buffer, EVENT_TERMINATOR).is_some()
+    }
+
     /// Takes the complete events out of the buffer and remembers the id of the
     /// last one.
     fn take_events(&mut self) -> Option<Bytes> {
--- a/src/http/client_connection.rs
+++ b/src/http/client_connection.rs
@@ -21,6 +21,9 @@
 
 use super::HttpBody;
 
+/// Maximum size of the head of a response, in bytes.
+const MAX_HEAD_BYTES: usize = 128 * 1024;
+
 /// Connection over which one request at a time is sent.
 ///
 /// If it ends between [`Self::begin_request`] and [`Self::end_request`], it is reset:
@@ -46,7 +49,10 @@
             stream: TokioIo::new(stream),
             has_request: Arc::clone(&has_request),
         };
-        let (sender, connection) = http1::handshake(io).await?;
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
+            .handshake(io)
+            .await?;
         tokio::spawn(async move {
             if let Err(e) = connection.await {
                 log::debug!("http: Connection to {address:?} ended: {e}.");
--- a/src/http/exchange.rs
+++ b/src/http/exchange.rs
@@ -13,6 +13,7 @@
 use hyper::body::Incoming;
 use tokio::time::timeout;
 
+use super::BodyReservation;
 use super::Client;
 use super::ClientError;
 use super::client_connection::ClientConnection;
@@ -103,9 +104,32 @@
     /// The connection broke or timed out, or the rest is larger than
     /// `max_bytes`.
     pub async fn read_rest(&mut self, max_bytes: usize) -> Result<Bytes, ClientError> {
+        self.collect_rest(max_bytes, |_| true).await
+    }
+
+    /// Reads the rest of the body like [`Self::read_rest`], and reserves its bytes in a
+    /// shared memory budget as they arrive.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Self::read_rest`]; also if the budget is exhausted.
+    pub async fn read_rest_in_budget(
+        &mut self,
+        max_bytes: usize,
+        reservation: &mut BodyReservation,
+    ) -> Result<Bytes, ClientError> {
+        self.collect_rest(max_bytes, |bytes| reservation.try_grow(bytes))
+            .await
+    }
+
+    async fn collect_rest(
+        &mut self,
+        max_bytes: usize,
+        mut reserve: impl FnMut(usize) -> bool,
+    ) -> Result<Bytes, ClientError> {
         let mut buf = Vec::new();
         while let Some(chunk) = self.next_chunk().await? {
-            if buf.len() + chunk.len() > max_bytes {
+            if buf.len() + chunk.len() > max_bytes || !reserve(chunk.len()) {
                 return Err(ClientError::Broken("answer too large".into()));
             }
             buf.extend_from_slice(&chunk);
