Give servers of the soak troubles, and restore its store

Servers say that they leave, ask for a pause, name a limit or stand still; the store comes back from an older copy, and the operator and the servers write theirs again.

--- a/lab/src/soak/fault.rs
+++ b/lab/src/soak/fault.rs
@@ -39,6 +39,17 @@
     NewConfiguration,
     /// A server is listed as draining, and later as ready again.
     DrainServer(usize),
+    /// The store is away, and comes back from a copy of when it went; the operator and
+    /// the servers write theirs again.
+    RestoreStore,
+    /// A server says in its answers that it leaves, and starts again later.
+    LeaveServer(usize),
+    /// A server rejects calls and asks for a pause.
+    PauseServer(usize),
+    /// A server names a limit on the calls of all gateways.
+    LimitServer(usize),
+    /// A server stands still, and goes on with what it finds in its connections.
+    FreezeServer(usize),
 }
 
 /// A fault and its time.
@@ -76,7 +87,7 @@
         }
         let gateway = rng.random_range(0..gateways);
         let server = rng.random_range(0..servers);
-        let fault = match rng.random_range(0..17) {
+        let fault = match rng.random_range(0..22) {
             0 => Fault::Pause(gateway),
             1 => Fault::Kill(gateway),
             2 => Fault::KillAll,
@@ -91,6 +102,11 @@
             12 => Fault::OneWay(server),
             13 => Fault::Silence(server),
             14 => Fault::DrainServer(server),
+            15 => Fault::RestoreStore,
+            16 => Fault::LeaveServer(server),
+            17 => Fault::PauseServer(server),
+            18 => Fault::LimitServer(server),
+            19 => Fault::FreezeServer(server),
             _ => Fault::NewConfiguration,
         };
         faults.push(PlannedFault {
--- a/lab/src/soak/run.rs
+++ b/lab/src/soak/run.rs
@@ -42,6 +42,7 @@
 use crate::platform_stand_in::Backend;
 use crate::platform_stand_in::Caller;
 use crate::platform_stand_in::FaultInjector;
+use crate::platform_stand_in::ServerTrouble;
 use crate::platform_stand_in::Store;
 use crate::platform_stand_in::configuration_json;
 use crate::platform_stand_in::encode_request;
@@ -154,6 +155,8 @@
     processes: Vec<Mutex<GatewayProcess>>,
     traffic: Arc<Traffic>,
     fault_injector: FaultInjector,
+    /// Start time in the record of each server.
+    births: Vec<AtomicU64>,
 }
 
 impl Soak {
@@ -205,6 +208,7 @@
             processes,
             traffic: Arc::new(traffic),
             fault_injector,
+            births: (0..plan.servers).map(|_| AtomicU64::new(1_000)).collect(),
         };
         soak.send_configuration();
         (0..plan.servers).for_each(|server| soak.register(server, "ready"));
@@ -323,6 +327,34 @@
             }
             Fault::Reset(server) => self.server_links[server].reset(),
             Fault::NewConfiguration => self.send_configuration(),
+            Fault::RestoreStore => {
+                let copy = self.store.copy();
+                sleep(duration / 2).await;
+                self.store.set_unavailable(true);
+                sleep(duration / 2).await;
+                self.store.restore(&copy);
+                self.store.set_unavailable(false);
+                self.write_configuration();
+                (0..self.backends.len()).for_each(|server| self.register(server, "ready"));
+            }
+            Fault::LeaveServer(server) => {
+                let trouble = ServerTrouble::Leaving;
+                self.trouble_server(server, trouble, duration).await;
+                self.births[server].fetch_add(1, Ordering::Relaxed);
+                self.register(server, "ready");
+            }
+            Fault::PauseServer(server) => {
+                let trouble = ServerTrouble::Pausing(1);
+                self.trouble_server(server, trouble, duration).await;
+            }
+            Fault::LimitServer(server) => {
+                let trouble = ServerTrouble::Limited(2.0);
+                self.trouble_server(server, trouble, duration).await;
+            }
+            Fault::FreezeServer(server) => {
+                let trouble = ServerTrouble::Frozen;
+                self.trouble_server(server, trouble, duration).await;
+            }
             Fault::DrainServer(server) => {
                 self.register(server, "draining");
                 sleep(duration).await;
@@ -440,22 +472,34 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Gives a server a trouble for a time.
+    async fn trouble_server(&self, server: usize, trouble: ServerTrouble, duration: Duration) {
+        let backend = &self.backends[server];
+        self.fault_injector.set_trouble(backend, Some(trouble));
+        sleep(duration).await;
+        self.fault_injector.set_trouble(backend, None);
+    }
+
     /// Puts a configuration with one more probe route into the store.
     fn send_configuration(&self) {
-        let version = self.traffic.newest_version.load(Ordering::Relaxed) + 1;
+        self.traffic.newest_version.fetch_add(1, Ordering::Relaxed);
+        self.write_configuration();
+    }
+
+    /// Puts the newest configuration into the store.
+    fn write_configuration(&self) {
+        let version = self.traffic.newest_version.load(Ordering::Relaxed);
         let added = (1..=version).map(|n| route_json("probe", &format!("/v{n}/"), "idempotent"));
         let all: Vec<_> = routes_of_each_kind().into_iter().chain(added).collect();
         let value = configuration_json(version, &all);
         self.store.put_configuration(&value);
-        self.traffic
-            .newest_version
-            .store(version, Ordering::Relaxed);
     }
 
     /// Lists a server in the store as reachable over its link, with a state.
     fn register(&self, server: usize, state: &str) {
         let backend = &self.backends[server];
-        let record = backend.member_record_at(self.server_links[server].address(), "s", state);
+        let mut record = backend.member_record_at(self.server_links[server].address(), "s", state);
+        record["born"] = self.births[server].load(Ordering::Relaxed).into();
         self.store.put(&backend.member_key(), &record);
     }
 }
