Build a call for a server only once its connection is there

A call stated the time left before its connection was made, which takes up to 400 ms: the server could work on after its caller's deadline.

send_built_unreachable_builds_nothing shows when the request is built.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -221,8 +221,8 @@
 ) -> AttemptOutcome {
     let choice = in_flight.choice().clone();
     let sent_at = in_flight.sent_at;
-    let req = build_forward_request(cx, call, &choice, last_event_id);
-    let send = cx.client.send(choice.address, req);
+    let build = || build_forward_request(cx, call, &choice, last_event_id);
+    let send = cx.client.send_built(choice.address, build);
     let sent = wait_while_alive(cx, choice.key, may_run_again, call.deadline, send).await;
     let mut exchange = match sent {
         None => return AttemptOutcome::Unknown("silent"),
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -99,6 +99,28 @@
         self.send_on_new_connection(address, req).await
     }
 
+    /// Sends a request like [`Self::send`], but builds it only once a connection is
+    /// there, so that times in it are those of the send.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Self::send`].
+    pub async fn send_built(
+        &self,
+        address: SocketAddr,
+        build: impl Fn() -> Request<HttpBody>,
+    ) -> Result<Exchange, ClientError> {
+        while let Some(connection) = self.take_idle_connection(address) {
+            let outcome = self.send_on_connection(connection, address, build());
+            if let SendOutcome::Responded(exchange) = outcome.await? {
+                return Ok(exchange);
+            }
+        }
+        let connection = self.connect(address).await?;
+        let outcome = self.send_on_connection(connection, address, build());
+        outcome.await?.into_exchange()
+    }
+
     /// Sends a request over a new connection. An idle one may have failed
     /// unnoticed.
     ///
@@ -111,10 +133,8 @@
         req: Request<HttpBody>,
     ) -> Result<Exchange, ClientError> {
         let connection = self.connect(address).await?;
-        match self.send_on_connection(connection, address, req).await? {
-            SendOutcome::Responded(exchange) => Ok(exchange),
-            SendOutcome::Unsent(_) => Err(ClientError::NotSent("connection closed".into())),
-        }
+        let outcome = self.send_on_connection(connection, address, req);
+        outcome.await?.into_exchange()
     }
 
     async fn send_on_connection(
@@ -223,3 +243,12 @@
     /// The connection was closed; no byte of the request was sent over it.
     Unsent(Request<HttpBody>),
 }
+
+impl SendOutcome {
+    fn into_exchange(self) -> Result<Exchange, ClientError> {
+        match self {
+            Self::Responded(exchange) => Ok(exchange),
+            Self::Unsent(_) => Err(ClientError::NotSent("connection closed".into())),
+        }
+    }
+}
--- a/tests/http_client.rs
+++ b/tests/http_client.rs
@@ -73,3 +73,28 @@
     assert_eq!(send_get(&client, address).await, Err(ClientError::TimedOut));
     assert_eq!(send_get(&client, address).await, Ok(()));
 }
+
+/// A request is built only for a connection that is there: what it says of the time
+/// left holds when it is sent.
+#[tokio::test]
+async fn send_built_unreachable_builds_nothing() {
+    let refused = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+    let address = refused.local_addr().expect("local address");
+    drop(refused);
+    let builds = std::cell::Cell::new(0);
+    let build = || {
+        builds.set(builds.get() + 1);
+        Request::get("/")
+            .header("host", "x")
+            .body(empty_body())
+            .expect("valid request")
+    };
+    let result = make_client().send_built(address, build).await;
+    assert!(matches!(result, Err(ClientError::Connect(_))), "{result:?}");
+    assert_eq!(builds.get(), 0);
+    let sent = make_client()
+        .send_built(start_listener().await, build)
+        .await;
+    assert!(sent.is_ok(), "{sent:?}");
+    assert_eq!(builds.get(), 1);
+}
