Spread callers that are refused for the limits of servers

Callers that were refused together came back together, when one call might be sent: all but one were refused again. Retry-After is now spread by how many calls come for each one that may be sent, up to 20 times. A server that was tried is no longer taken for one to wait for. excess_follows_calls shows the spread.

--- a/src/core/fleet/dispatcher.rs
+++ b/src/core/fleet/dispatcher.rs
@@ -439,6 +439,7 @@
             .iter()
             .filter(|view| view.is_limited && view.accepts_calls(now))
             .map(|view| self.server_limits.time_until_call(view.run(), now))
+            .filter(|time_left| !time_left.is_zero())
             .min();
         match (pause, limit) {
             (None, None) => DispatchError::NoServer(NO_SERVER_RETRY_AFTER),
--- a/src/core/fleet/server_limits.rs
+++ b/src/core/fleet/server_limits.rs
@@ -36,6 +36,10 @@
 /// longer than an earlier notice takes to arrive from any entry.
 const LIFTED_EXPIRY: Duration = Duration::from_secs(30);
 
+/// Largest number of calls for each one that may be sent that [`ServerLimits::excess`]
+/// states.
+const MAX_EXCESS: f64 = 20.0;
+
 /// Largest limit, in thousandths of a call a second, that is told to others.
 const MAX_MILLICALLS: f64 = 4e9;
 
@@ -213,6 +217,21 @@
             .unwrap_or(Duration::from_secs_f64(1.0 / calls_per_s))
     }
 
+    /// Returns how many calls this entry gets for each one that it may send to servers
+    /// with limits, at most [`MAX_EXCESS`]. Callers that return spread over so many
+    /// times the wait find about one call each.
+    pub fn excess(&self, now: MonotonicTime) -> f64 {
+        let limits = self.limits.values();
+        let limited = limits.filter(|limit| limit.calls_per_s.is_some());
+        let share: f64 = limited.map(|limit| limit.share.0).sum();
+        let calls_per_s = self.own_rate.at(now);
+        if calls_per_s < share * MAX_EXCESS {
+            calls_per_s / share
+        } else {
+            MAX_EXCESS
+        }
+    }
+
     /// Returns whether this entry may send a call to a run.
     pub fn allows_call(&self, run: RunKey, now: MonotonicTime) -> bool {
         self.limits
--- a/src/gateway/serve_call.rs
+++ b/src/gateway/serve_call.rs
@@ -59,7 +59,8 @@
 const MAX_LONG_RETRY_AFTER: Duration = Duration::from_secs(600);
 
 /// Maximum jitter as a fraction of Retry-After, so that callers that were
-/// refused together do not return together.
+/// refused together do not return together. Callers of servers with limits are spread
+/// further, by [`ServerLimits::excess`](crate::core::fleet::ServerLimits::excess).
 const RETRY_AFTER_JITTER: f64 = 0.6;
 
 /// Why a call got no response from a server. A refused call has not run; the
@@ -335,7 +336,15 @@
             MAX_RETRY_AFTER
         };
         let retry_after = after.clamp(MIN_RETRY_AFTER, longest).as_secs_f64();
-        let jittered = retry_after * (1.0 + RETRY_AFTER_JITTER * rand::random::<f64>());
+        let jitter = match refusal {
+            CallRefusal::ServersLimited(_) => {
+                let now = cx.now();
+                let excess = cx.lock().dispatcher.server_limits.excess(now);
+                excess.max(RETRY_AFTER_JITTER)
+            }
+            _ => RETRY_AFTER_JITTER,
+        };
+        let jittered = retry_after * (1.0 + jitter * rand::random::<f64>());
         if let Ok(value) = HeaderValue::from_str(&format!("{jittered:.3}")) {
             response.headers_mut().insert(RETRY_AFTER, value);
         }
--- a/tests/fleet_server_limits.rs
+++ b/tests/fleet_server_limits.rs
@@ -341,6 +341,25 @@
     );
 }
 
+/// Guards against callers that return together when one call may be sent: the more
+/// calls come for each one, the further they are spread.
+#[rstest]
+#[case::few_calls(4, 0.0, 1.5)]
+#[case::many_calls(60, 5.0, 12.0)]
+#[case::far_too_many_calls(600, 20.0, 20.0)]
+fn excess_follows_calls(#[case] calls: u32, #[case] least: f64, #[case] most: f64) {
+    let start = MonotonicTime::ZERO;
+    let now = start + Duration::from_secs(10);
+    let run = RunKey::new(&ServerName::from("s"), Some(1));
+    let mut limits = ServerLimits::new("e1", start);
+    // An average over three seconds: a third of them in each.
+    (0..calls).for_each(|_| limits.record_call(now));
+    limits.record_answer(run, Some(2.0), now, now);
+    limits.refresh(now);
+    let excess = limits.excess(now);
+    assert!((least..=most).contains(&excess), "{excess}");
+}
+
 /// A limit ends with an answer to a call that was sent after the limit was named, not
 /// with a late one; other entries learn it.
 #[test]
