Leave no calls with entries whose share of a limit went to others

A changed limit no longer drops what was saved, and a rejection without a limit does not end one. share_that_went_to_another_leaves_no_calls failed before (found while reading).

--- a/src/core/fleet/backend_view.rs
+++ b/src/core/fleet/backend_view.rs
@@ -140,7 +140,7 @@
     }
 
     /// Returns whether the server takes calls at all.
-    pub(super) fn is_in_service(&self) -> bool {
+    fn is_in_service(&self) -> bool {
         self.member.state == MemberState::Ready && !self.is_superseded && !self.is_leaving
     }
 
--- a/src/core/fleet/server_limit.rs
+++ b/src/core/fleet/server_limit.rs
@@ -52,7 +52,13 @@
         if calls_per_s == self.calls_per_s {
             return false;
         }
-        self.set_share((0.0, 0), now);
+        // Named anew after an end: what was saved before does not count.
+        let kept_share = if self.calls_per_s.is_some() {
+            self.share.0
+        } else {
+            0.0
+        };
+        self.set_share((kept_share, 0), now);
         self.calls_per_s = calls_per_s;
         self.changed_at = now;
         true
@@ -84,7 +90,13 @@
         (self.share.0 > 0.0).then(|| Duration::from_secs_f64(missing / self.share.0))
     }
 
+    /// Returns how many calls may be saved; none without a share, so that no calls stay
+    /// with entries whose share goes to others.
     fn capacity(&self) -> f64 {
-        (self.share.0 * MAX_SAVED_TIME.as_secs_f64()).max(1.0)
+        if self.share.0 > 0.0 {
+            (self.share.0 * MAX_SAVED_TIME.as_secs_f64()).max(1.0)
+        } else {
+            0.0
+        }
     }
 }
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -252,7 +252,8 @@
     if let Some(problem) = find_response_mismatch(call, &metadata, exchange.status()) {
         return AttemptOutcome::Unknown(problem);
     }
-    if metadata.calls_per_s.is_none() && !metadata.is_misdirected {
+    // A rejection may come from a part of the server that does not know of the limit.
+    if metadata.calls_per_s.is_none() && !metadata.is_not_run {
         record_limit(cx, &choice, None, sent_at);
     }
     record_response_metadata(cx, call, &choice, &metadata);
--- a/tests/fleet_server_limits.rs
+++ b/tests/fleet_server_limits.rs
@@ -393,6 +393,32 @@
     assert!(other.allows_call(run, at(5_950)));
 }
 
+/// Guards against calls that are saved by entries whose shares went to others: over
+/// time, all entries of a large fleet could save one.
+#[test]
+fn share_that_went_to_another_leaves_no_calls() {
+    let start = MonotonicTime::ZERO;
+    let at = |s| start + Duration::from_secs(s);
+    let runs: Vec<RunKey> = (0..200)
+        .map(|number| RunKey::new(&ServerName::from("s"), Some(number)))
+        .collect();
+    let mut limits = ServerLimits::new("e1", start);
+    limits.record_entry("e2", Some(0), at(5));
+    for run in &runs {
+        limits.record_answer(*run, Some(1.0), at(5), at(5));
+    }
+    limits.refresh(at(5));
+    let count = |limits: &ServerLimits, now| {
+        let allowed = runs.iter().filter(|run| limits.allows_call(**run, now));
+        allowed.count()
+    };
+    let before = count(&limits, at(8));
+    assert!((60..140).contains(&before), "{before} of 200");
+    limits.record_entry("e2", Some(1_000_000), at(8));
+    limits.refresh(at(8));
+    assert_eq!(count(&limits, at(12)), 0);
+}
+
 /// A silent entry may be cut off and go on sending; one whose host refuses connections
 /// sends nothing.
 #[test]
