Keep an engine's pause for reports, orders and cache events too

An engine that answered an order with 503 and Retry-After was asked for its report and ordered again within the pause, by sidecars and by gateways that stand in for them.

--- a/src/core/fleet/backend_view.rs
+++ b/src/core/fleet/backend_view.rs
@@ -144,7 +144,8 @@
         self.member.state == MemberState::Ready && !self.is_superseded && !self.is_leaving
     }
 
-    fn is_paused(&self, now: MonotonicTime) -> bool {
+    /// Returns whether the server wants no requests from this process now.
+    pub fn is_paused(&self, now: MonotonicTime) -> bool {
         self.paused_until.is_some_and(|until| now < until)
     }
 
--- a/src/core/fleet/dispatcher.rs
+++ b/src/core/fleet/dispatcher.rs
@@ -564,6 +564,17 @@
         }
     }
 
+    /// Records that the listed run of a server wants no requests for a time.
+    pub fn record_engine_pause(&mut self, name: &ServerName, pause: Duration, now: MonotonicTime) {
+        let Some(run) = self.find_backend(name).map(BackendView::run) else {
+            return;
+        };
+        let until = self.run_limits.record_pause(run, pause, now);
+        if let Some(view) = self.find_backend_mut(name) {
+            view.paused_until = Some(until);
+        }
+    }
+
     /// Records the limit that a server names in an answer to a call sent at `sent_at`,
     /// or that it names none. Returns whether it changed.
     pub fn record_server_limit(
--- a/src/gateway/substitute_agents.rs
+++ b/src/gateway/substitute_agents.rs
@@ -31,6 +31,7 @@
 use crate::mesh::connect_mesh;
 use crate::ports::PortError;
 use crate::settings::SidecarSettings;
+use crate::sidecar::EnginePause;
 use crate::sidecar::SidecarContext;
 use crate::sidecar::SidecarPorts;
 use crate::sidecar::reconcile_engine;
@@ -80,6 +81,29 @@
     task: JoinHandle<()>,
 }
 
+/// Pauses of an engine that this entry sees to. They hold for its calls as well.
+struct GatewayPause {
+    cx: Arc<GatewayContext>,
+    engine: ServerName,
+}
+
+impl EnginePause for GatewayPause {
+    fn is_paused(&self) -> bool {
+        let now = self.cx.now();
+        let state = self.cx.lock();
+        let view = state.dispatcher.find_backend(&self.engine);
+        view.is_some_and(|view| view.is_paused(now))
+    }
+
+    fn record(&self, pause: Duration) {
+        let now = self.cx.now();
+        let mut state = self.cx.lock();
+        state
+            .dispatcher
+            .record_engine_pause(&self.engine, pause, now);
+    }
+}
+
 impl Drop for Substitute {
     fn drop(&mut self) {
         self.task.abort();
@@ -346,6 +370,10 @@
         ports,
         Box::new(fence_source),
         REPORT_INTERVAL,
+        Box::new(GatewayPause {
+            cx: Arc::clone(cx),
+            engine: absent.name.clone(),
+        }),
     ));
     Substitute {
         agent: absent.agent,
--- a/src/ports/port_error.rs
+++ b/src/ports/port_error.rs
@@ -1,6 +1,7 @@
 //! Errors of requests to the systems around the program.
 
 use std::fmt;
+use std::time::Duration;
 
 /// Error of a request to a system around the program.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -11,6 +12,8 @@
     /// The system rejected the request without acting on it; holds the HTTP
     /// status.
     Rejected(u16),
+    /// The system rejected the request, and wants none for a time.
+    Paused(Duration),
     /// The requested history is no longer kept.
     HistoryCompacted,
     /// The system was restored from an older copy since the request was built; what
@@ -25,6 +28,7 @@
         match self {
             Self::Unreachable(reason) => write!(f, "unreachable: {reason}"),
             Self::Rejected(status) => write!(f, "rejected with status {status}"),
+            Self::Paused(pause) => write!(f, "wants no requests for {} ms", pause.as_millis()),
             Self::HistoryCompacted => f.write_str("history no longer kept"),
             Self::StoreRestored => f.write_str("restored from an older copy"),
             Self::Malformed(reason) => write!(f, "malformed response: {reason}"),
--- a/src/sidecar/context.rs
+++ b/src/sidecar/context.rs
@@ -10,6 +10,8 @@
 use tokio::sync::watch;
 
 use super::collector::Collector;
+use super::engine_pause::EnginePause;
+use super::engine_pause::LocalPause;
 use crate::clock::Clock;
 use crate::core::MonotonicTime;
 use crate::core::fleet::AgentReport;
@@ -81,6 +83,8 @@
     fence_source: FenceSource,
     /// Interval between reads of the engine's report.
     pub report_interval: Duration,
+    /// Pauses that the engine asks for.
+    pub pause: Box<dyn EnginePause>,
     /// Engines that this process follows for entries.
     pub collector: Arc<Collector>,
     clock: Clock,
@@ -96,6 +100,7 @@
             // The only process that orders the engine needs no other token.
             fence_source: Box::new(|target| Some(target.revision)),
             report_interval: REPORT_INTERVAL,
+            pause: Box::new(LocalPause::new()),
             settings,
             metrics: SidecarMetrics::new(),
             incarnation: rand::random(),
@@ -108,16 +113,18 @@
     }
 
     /// Creates the context for an engine on another host, whose orders need
-    /// fencing tokens from `fence_source`.
+    /// fencing tokens from `fence_source`, and whose pauses also hold for calls.
     pub fn for_distant_engine(
         settings: SidecarSettings,
         ports: SidecarPorts,
         fence_source: FenceSource,
         report_interval: Duration,
+        pause: Box<dyn EnginePause>,
     ) -> Self {
         Self {
             fence_source,
             report_interval,
+            pause,
             ..Self::new(settings, ports)
         }
     }
--- a/src/sidecar/follow_kv_cache.rs
+++ b/src/sidecar/follow_kv_cache.rs
@@ -24,6 +24,10 @@
     let mut epoch = 0;
     let mut next_sequence = 0;
     loop {
+        if cx.pause.is_paused() {
+            sleep(RETRY_DELAY).await;
+            continue;
+        }
         let engine = cx.settings.engine;
         match cx
             .ports
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -5,6 +5,7 @@
 
 mod collector;
 mod context;
+mod engine_pause;
 mod follow_kv_cache;
 mod reconcile_engine;
 mod run;
@@ -13,6 +14,7 @@
 
 pub use context::SidecarContext;
 pub use context::SidecarPorts;
+pub use engine_pause::EnginePause;
 pub use reconcile_engine::reconcile_engine;
 pub use run::run_sidecar;
 pub use run::serve_sidecar;
--- a/src/sidecar/reconcile_engine.rs
+++ b/src/sidecar/reconcile_engine.rs
@@ -15,6 +15,7 @@
 use crate::core::fleet::ReportedLoad;
 use crate::core::fleet::RolloutStep;
 use crate::ports::EngineReport;
+use crate::ports::PortError;
 use crate::ports::WeightsOrder;
 
 /// Quotient of the interval between reads and that while the engine accepts no
@@ -36,6 +37,10 @@
 pub async fn reconcile_engine(cx: Arc<SidecarContext>) {
     let mut failed_reads = 0;
     loop {
+        if cx.pause.is_paused() {
+            sleep(cx.report_interval).await;
+            continue;
+        }
         let requested_at = Instant::now();
         match cx.ports.engine.read_report(cx.settings.engine).await {
             Ok(report) => {
@@ -48,6 +53,7 @@
                 failed_reads = 0;
                 apply_report(&cx, report).await;
             }
+            Err(PortError::Paused(pause)) => record_pause(&cx, pause),
             Err(e) => {
                 failed_reads += 1;
                 cx.metrics
@@ -72,6 +78,15 @@
     }
 }
 
+fn record_pause(cx: &SidecarContext, pause: Duration) {
+    log::info!(
+        "engine: paused address={} asked_ms={}",
+        cx.settings.engine,
+        pause.as_millis()
+    );
+    cx.pause.record(pause);
+}
+
 async fn apply_report(cx: &SidecarContext, report: EngineReport) {
     let now = cx.now();
     let step = {
@@ -172,10 +187,17 @@
         .engine
         .order_weights(cx.settings.engine, &order)
         .await;
-    let outcome = result.unwrap_or_else(|e| {
-        log::warn!("weights: order failed reason=\"{e}\"");
-        OrderOutcome::Unknown
-    });
+    let outcome = match result {
+        Ok(outcome) => outcome,
+        Err(PortError::Paused(pause)) => {
+            record_pause(cx, pause);
+            OrderOutcome::Refused
+        }
+        Err(e) => {
+            log::warn!("weights: order failed reason=\"{e}\"");
+            OrderOutcome::Unknown
+        }
+    };
     log::info!(
         "weights: ordered model={} version={} fence={} accepted_before={} running={} outcome={}",
         order.target.model,
