--- a/src/core/fleet/limit_notice.rs
+++ b/src/core/fleet/limit_notice.rs
@@ -1,4 +1,4 @@
-//! What an entry tells others of the limits that servers have named.
+//! Limit of one run of a server, as entries tell each other.
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -16,13 +16,3 @@
     /// Milliseconds since a server said so.
     pub age_ms: u32,
 }
-
-/// What an entry tells others of limits. All of it may be repeated, lost and
-/// reordered.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LimitUpdate {
-    /// Limits, of which some are new or were asked for.
-    pub notices: Vec<LimitNotice>,
-    /// Calls that the sender gets in a second; its share of each limit follows it.
-    pub calls_per_s: u32,
-}
--- a/src/http/caller_stream.rs
+++ b/src/http/caller_stream.rs
@@ -1,11 +1,7 @@
 //! Server's side of a connection, which tells whether its caller has left.
 
-use std::fmt;
 use std::io;
 use std::pin::Pin;
-use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
 
@@ -17,46 +13,25 @@
 use tokio::io::Interest;
 use tokio::net::TcpStream;
 
+use super::caller_presence::CallerPresence;
+
 /// Connection of a caller. hyper notices its end only when it has read everything
 /// before it, which may be after a request was handled: after a pause of this process,
 /// request and end arrive together.
 pub(super) struct CallerStream {
     stream: TokioIo<TcpStream>,
-    has_left: CallerPresence,
-}
-
-/// Tells whether the caller of a connection has left. Clones share it.
-#[derive(Debug, Clone, Default)]
-pub(super) struct CallerPresence(Arc<AtomicBool>);
-
-/// The caller has left, so its request is not answered.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) struct CallerLeft;
-
-impl CallerPresence {
-    /// Returns whether the caller has closed its side of the connection.
-    pub fn has_left(&self) -> bool {
-        self.0.load(Ordering::Acquire)
-    }
+    presence: CallerPresence,
 }
 
-impl fmt::Display for CallerLeft {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("the caller has left")
-    }
-}
-
-impl std::error::Error for CallerLeft {}
-
 impl CallerStream {
     /// Wraps an accepted connection; the second value follows its caller.
     pub fn new(stream: TcpStream) -> (Self, CallerPresence) {
-        let has_left = CallerPresence::default();
+        let presence = CallerPresence::default();
         let stream = Self {
             stream: TokioIo::new(stream),
-            has_left: has_left.clone(),
+            presence: presence.clone(),
         };
-        (stream, has_left)
+        (stream, presence)
     }
 
     /// Returns whether the end of the caller's side has arrived, even if there is data
@@ -75,7 +50,7 @@
     ) -> Poll<io::Result<()>> {
         let result = Pin::new(&mut self.stream).poll_read(cx, buf);
         if result.is_ready() && self.is_end_announced() {
-            self.has_left.0.store(true, Ordering::Release);
+            self.presence.record_end();
         }
         result
     }
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -4,6 +4,8 @@
 
 mod body;
 mod body_budget;
+mod caller_left;
+mod caller_presence;
 mod caller_stream;
 mod channel_body;
 mod client;
@@ -12,6 +14,7 @@
 mod event_stream;
 mod exchange;
 mod hop_by_hop_headers;
+mod resetting_stream;
 mod serve;
 mod server_limits;
 mod socket_options;
--- a/src/http/serve.rs
+++ b/src/http/serve.rs
@@ -28,8 +28,8 @@
 
 use super::HttpBody;
 use super::ServerLimits;
-use super::caller_stream::CallerLeft;
-use super::caller_stream::CallerPresence;
+use super::caller_left::CallerLeft;
+use super::caller_presence::CallerPresence;
 use super::caller_stream::CallerStream;
 use super::set_socket_options;
 
--- a/src/sidecar/context.rs
+++ b/src/sidecar/context.rs
@@ -11,7 +11,7 @@
 
 use super::collector::Collector;
 use super::engine_pause::EnginePause;
-use super::engine_pause::LocalPause;
+use super::local_pause::LocalPause;
 use crate::clock::Clock;
 use crate::core::MonotonicTime;
 use crate::core::fleet::AgentReport;
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -7,6 +7,7 @@
 mod context;
 mod engine_pause;
 mod follow_kv_cache;
+mod local_pause;
 mod reconcile_engine;
 mod run;
 mod sidecar_service;
