--- a/src/core/fleet/server_limits.rs
+++ b/src/core/fleet/server_limits.rs
@@ -218,7 +218,7 @@
     }
 
     /// Returns how many calls this entry gets for each one that it may send to servers
-    /// with limits, at most [`MAX_EXCESS`]. Callers that return spread over so many
+    /// with limits, at most 20. Callers that return spread over so many
     /// times the wait find about one call each.
     pub fn excess(&self, now: MonotonicTime) -> f64 {
         let limits = self.limits.values();
