Serve connections that are accepted together in their order

Each connection's task yielded once before it read; tokio wakes yielded tasks last in first out, so callers that came last were served first whenever several waited to be accepted. The whole test run hung in caller_bodies_over_shared_buffer: its small bodies were read before the large ones that it sends first.

Connections that wait are now accepted together, at most 64, then their events are awaited once, then they are served in order. connections_accepted_together_are_served_in_order: [3, 2, 1, 0] before, in order now.

--- a/src/http/serve.rs
+++ b/src/http/serve.rs
@@ -35,6 +35,9 @@
 
 /// Pause after a failed accept, before the next attempt.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+/// Maximum number of connections that are accepted before they are served.
+const MAX_ACCEPT_BATCH: usize = 64;
+
 /// Time for the connections accepted last to send their first request, before
 /// the drain closes connections without one.
 const FIRST_REQUEST_GRACE: Duration = Duration::from_millis(50);
@@ -59,22 +62,30 @@
     let connection_permits = Arc::new(Semaphore::new(limits.max_connections));
     let graceful = GracefulShutdown::new();
     loop {
-        tokio::select! {
+        let first = tokio::select! {
             biased;
-            _ = drain.wait_for(|draining| *draining) => break,
-            (stream, caller, permit) = accept(&listener, &connection_permits) => {
-                apply_socket_options(&stream, &limits);
-                spawn_connection(stream, caller, permit, &limits, handle.clone(), &graceful);
-            }
+            _ = drain.wait_for(|draining| *draining) => None,
+            first = accept(&listener, &connection_permits) => Some(first),
+        };
+        let Some(first) = first else {
+            break;
+        };
+        let mut accepted = vec![first];
+        while accepted.len() < MAX_ACCEPT_BATCH
+            && let Some(next) = accept(&listener, &connection_permits).now_or_never()
+        {
+            accepted.push(next);
         }
+        spawn_connections(accepted, &limits, &handle, &graceful).await;
     }
+    let mut accepted = Vec::new();
     while let Some(Ok((stream, caller))) = listener.accept().now_or_never() {
         let Ok(permit) = Arc::clone(&connection_permits).try_acquire_owned() else {
             break;
         };
-        apply_socket_options(&stream, &limits);
-        spawn_connection(stream, caller, permit, &limits, handle.clone(), &graceful);
+        accepted.push((stream, caller, permit));
     }
+    spawn_connections(accepted, &limits, &handle, &graceful).await;
     drop(listener);
     sleep(FIRST_REQUEST_GRACE).await;
     timeout(limits.drain_timeout, graceful.shutdown())
@@ -110,6 +121,25 @@
     }
 }
 
+/// Serves accepted connections, the first one first. Before that, their first events are
+/// awaited: an accepted stream counts as readable without one, and only the event tells
+/// that its caller has left.
+async fn spawn_connections<H, F>(
+    accepted: Vec<(TcpStream, SocketAddr, OwnedSemaphorePermit)>,
+    limits: &ServerLimits,
+    handle: &H,
+    graceful: &GracefulShutdown,
+) where
+    H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + 'static,
+    F: Future<Output = Response<HttpBody>> + Send + 'static,
+{
+    yield_now().await;
+    for (stream, caller, permit) in accepted {
+        apply_socket_options(&stream, limits);
+        spawn_connection(stream, caller, permit, limits, handle.clone(), graceful);
+    }
+}
+
 fn spawn_connection<H, F>(
     stream: TcpStream,
     caller: SocketAddr,
@@ -133,9 +163,6 @@
         .serve_connection(stream, service);
     let watched = graceful.watch(connection);
     tokio::spawn(async move {
-        // An accepted stream counts as readable before its first event, which may tell
-        // that its caller has left.
-        yield_now().await;
         if let Err(e) = watched.await {
             log::debug!("http: Connection ended: {e}.");
         }
--- a/tests/http_server.rs
+++ b/tests/http_server.rs
@@ -111,3 +111,26 @@
     let paths = handled.lock().expect("not poisoned").clone();
     assert_eq!(paths, ["/first", "/stall"]);
 }
+
+/// Guards against callers that came last being served first, when several connections
+/// wait to be accepted.
+#[tokio::test]
+async fn connections_accepted_together_are_served_in_order() {
+    let handled = HandledPaths::default();
+    let address = start_server(Arc::clone(&handled));
+    let mut stalling = TcpStream::connect(address).await.expect("connect");
+    send(&mut stalling, "/stall", "").await;
+    sleep(STALL / 6).await;
+    let mut callers = Vec::new();
+    for number in 0..4 {
+        let mut caller = TcpStream::connect(address).await.expect("connect");
+        send(&mut caller, &format!("/{number}"), "").await;
+        callers.push(caller);
+    }
+    let mut buf = [0; 1_024];
+    for caller in &mut callers {
+        assert!(caller.read(&mut buf).await.expect("response") > 0);
+    }
+    let paths = handled.lock().expect("not poisoned").clone();
+    assert_eq!(paths, ["/stall", "/0", "/1", "/2", "/3"]);
+}
