Use the token bucket for limits of servers, and hyper's own end of a connection

A share of a server's limit refilled itself as TokenBucket does; the bucket's level can now be read without changing it. The stream that reset abandoned connections forwarded every read and write only to skip the shutdown: hyper hands the stream back when it is polled without one, which also holds after an error. The longest pause stands once.

--- a/src/core/fleet/mod.rs
+++ b/src/core/fleet/mod.rs
@@ -130,6 +130,7 @@
 pub use route_rule::WeightedService;
 pub use route_table::RouteTable;
 pub use run_key::RunKey;
+pub use run_limits::MAX_PAUSE;
 pub use server_limits::ServerLimits;
 pub use service_rule::EngineRule;
 pub use service_rule::KvCacheStore;
--- a/src/core/fleet/run_limits.rs
+++ b/src/core/fleet/run_limits.rs
@@ -11,7 +11,7 @@
 const LEAVING_MEMORY: Duration = Duration::from_secs(3_600);
 
 /// Longest pause that a server may ask for.
-const MAX_PAUSE: Duration = Duration::from_secs(600);
+pub const MAX_PAUSE: Duration = Duration::from_secs(600);
 
 /// Which runs have said that they leave, and which want no calls for a while. It
 /// outlives the records of the servers.
--- a/src/core/fleet/server_limit.rs
+++ b/src/core/fleet/server_limit.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::token_bucket::TokenBucket;
 use crate::core::MonotonicTime;
 
 /// Time for which an unused share is kept for later calls.
@@ -20,11 +21,13 @@
     pub observed_at: MonotonicTime,
     /// When `calls_per_s` last became another value.
     pub changed_at: MonotonicTime,
-    /// This entry's part of `calls_per_s`, and the generation of entries for which it
-    /// was computed.
-    pub share: (f64, u64),
-    saved_calls: f64,
-    saved_at: MonotonicTime,
+    /// This entry's part of `calls_per_s`.
+    pub share: f64,
+    /// Change of the shares for which `share` was computed; 0 if it has to be computed
+    /// anew.
+    pub generation: u64,
+    /// Calls that this entry may send; fills at the rate `share`.
+    saved_calls: TokenBucket,
 }
 
 impl ServerLimit {
@@ -34,9 +37,9 @@
             calls_per_s: calls_per_s.map(|limit| limit.max(MIN_CALLS_PER_S)),
             observed_at,
             changed_at: now,
-            share: (0.0, 0),
-            saved_calls: 0.0,
-            saved_at: now,
+            share: 0.0,
+            generation: 0,
+            saved_calls: TokenBucket::new(0.0, 0.0, 0.0, now),
         }
     }
 
@@ -53,50 +56,38 @@
             return false;
         }
         // Named anew after an end: what was saved before does not count.
-        let kept_share = if self.calls_per_s.is_some() {
-            self.share.0
-        } else {
-            0.0
-        };
-        self.set_share((kept_share, 0), now);
+        let share = self.calls_per_s.map_or(0.0, |_| self.share);
+        self.set_share(share, 0, now);
         self.calls_per_s = calls_per_s;
         self.changed_at = now;
         true
     }
 
-    /// Sets the share from now on.
-    pub fn set_share(&mut self, share: (f64, u64), now: MonotonicTime) {
-        self.saved_calls = self.available_calls(now);
-        self.saved_at = now;
+    /// Sets the share from now on. Without one, no saved call is left, so that none stay
+    /// with entries whose shares went to others.
+    pub fn set_share(&mut self, share: f64, generation: u64, now: MonotonicTime) {
         self.share = share;
-        self.saved_calls = self.saved_calls.min(self.capacity());
+        self.generation = generation;
+        let capacity = if share > 0.0 {
+            (share * MAX_SAVED_TIME.as_secs_f64()).max(1.0)
+        } else {
+            0.0
+        };
+        self.saved_calls.set_limits(share, capacity, now);
     }
 
-    /// Returns how many calls this entry may send at once.
-    pub fn available_calls(&self, now: MonotonicTime) -> f64 {
-        let earned = now.since(self.saved_at).as_secs_f64() * self.share.0;
-        (self.saved_calls + earned).min(self.capacity())
+    /// Returns whether this entry may send a call.
+    pub fn allows_call(&self, now: MonotonicTime) -> bool {
+        self.saved_calls.level(now) >= 1.0
     }
 
     /// Takes one call from what this entry may send.
     pub fn take_call(&mut self, now: MonotonicTime) {
-        self.saved_calls = self.available_calls(now) - 1.0;
-        self.saved_at = now;
+        self.saved_calls.take(1.0, now);
     }
 
     /// Returns the time until this entry may send a call; `None` without a share.
     pub fn time_until_call(&self, now: MonotonicTime) -> Option<Duration> {
-        let missing = (1.0 - self.available_calls(now)).max(0.0);
-        (self.share.0 > 0.0).then(|| Duration::from_secs_f64(missing / self.share.0))
-    }
-
-    /// Returns how many calls may be saved; none without a share, so that no calls stay
-    /// with entries whose share goes to others.
-    fn capacity(&self) -> f64 {
-        if self.share.0 > 0.0 {
-            (self.share.0 * MAX_SAVED_TIME.as_secs_f64()).max(1.0)
-        } else {
-            0.0
-        }
+        (self.share > 0.0).then(|| self.saved_calls.time_until_available(1.0, now))
     }
 }
--- a/src/core/fleet/server_limits.rs
+++ b/src/core/fleet/server_limits.rs
@@ -218,12 +218,12 @@
     }
 
     /// Returns how many calls this entry gets for each one that it may send to servers
-    /// with limits, at most 20. Callers that return spread over so many
-    /// times the wait find about one call each.
+    /// with limits, at most 20. Callers that return spread over so many times the wait
+    /// find about one call each.
     pub fn excess(&self, now: MonotonicTime) -> f64 {
         let limits = self.limits.values();
         let limited = limits.filter(|limit| limit.calls_per_s.is_some());
-        let share: f64 = limited.map(|limit| limit.share.0).sum();
+        let share: f64 = limited.map(|limit| limit.share).sum();
         let calls_per_s = self.own_rate.at(now);
         if calls_per_s < share * MAX_EXCESS {
             calls_per_s / share
@@ -236,7 +236,7 @@
     pub fn allows_call(&self, run: RunKey, now: MonotonicTime) -> bool {
         self.limits
             .get(&run)
-            .is_none_or(|limit| limit.calls_per_s.is_none() || limit.available_calls(now) >= 1.0)
+            .is_none_or(|limit| limit.calls_per_s.is_none() || limit.allows_call(now))
     }
 
     /// Counts a call that is sent to a run.
@@ -271,10 +271,10 @@
         let mut limits = std::mem::take(&mut self.limits);
         for (run, limit) in &mut limits {
             if let Some(calls_per_s) = limit.calls_per_s
-                && limit.share.1 != self.generation
+                && limit.generation != self.generation
             {
                 let share = self.compute_share(*run, calls_per_s);
-                limit.set_share((share, self.generation), now);
+                limit.set_share(share, self.generation, now);
             }
         }
         self.limits = limits;
--- a/src/core/fleet/token_bucket.rs
+++ b/src/core/fleet/token_bucket.rs
@@ -41,16 +41,15 @@
     }
 
     /// Returns the current level.
-    pub fn level(&mut self, now: MonotonicTime) -> f64 {
-        self.refill(now);
-        self.level
+    pub fn level(&self, now: MonotonicTime) -> f64 {
+        let elapsed_s = now.since(self.refilled_at).as_secs_f64();
+        (self.level + self.rate * elapsed_s).min(self.burst)
     }
 
     /// Returns the time until `tokens`, or at most a full burst, are available;
     /// capped at 60 s.
-    pub fn time_until_available(&mut self, tokens: f64, now: MonotonicTime) -> Duration {
-        self.refill(now);
-        let missing = (tokens.min(self.burst) - self.level).max(0.0);
+    pub fn time_until_available(&self, tokens: f64, now: MonotonicTime) -> Duration {
+        let missing = (tokens.min(self.burst) - self.level(now)).max(0.0);
         if self.rate <= 0.0 {
             return Duration::from_secs(60);
         }
@@ -58,8 +57,7 @@
     }
 
     fn refill(&mut self, now: MonotonicTime) {
-        let elapsed_s = now.since(self.refilled_at).as_secs_f64();
-        self.level = (self.level + self.rate * elapsed_s).min(self.burst);
+        self.level = self.level(now);
         self.refilled_at = now;
     }
 }
--- a/src/http/client_connection.rs
+++ b/src/http/client_connection.rs
@@ -1,16 +1,19 @@
 //! Connection of a [`Client`](super::Client) that is reset if its request is
 //! abandoned.
 
+use std::future::poll_fn;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
+use hyper_util::rt::TokioIo;
+use socket2::SockRef;
 use tokio::net::TcpStream;
 
 use super::HttpBody;
-use super::resetting_stream::ResettingStream;
 
 /// Maximum size of the head of a response, in bytes.
 const MAX_HEAD_BYTES: usize = 128 * 1024;
@@ -36,15 +39,19 @@
     pub async fn start(stream: TcpStream) -> hyper::Result<Self> {
         let address = stream.peer_addr();
         let has_request = Arc::new(AtomicBool::new(false));
-        let io = ResettingStream::new(stream, Arc::clone(&has_request));
-        let (sender, connection) = http1::Builder::new()
+        let has_running_request = Arc::clone(&has_request);
+        let (sender, mut connection) = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
-            .handshake(io)
+            .handshake(TokioIo::new(stream))
             .await?;
         tokio::spawn(async move {
-            if let Err(e) = connection.await {
+            let result = poll_fn(|cx| connection.poll_without_shutdown(cx)).await;
+            if let Err(e) = result {
                 log::debug!("http: Connection to {address:?} ended: {e}.");
             }
+            if has_running_request.load(Ordering::Acquire) {
+                reset_at_close(&connection.into_parts().io.into_inner());
+            }
         });
         Ok(Self {
             sender,
@@ -62,3 +69,10 @@
         self.has_request.store(false, Ordering::Release);
     }
 }
+
+/// Makes the close of a stream drop what was not delivered.
+fn reset_at_close(stream: &TcpStream) {
+    if let Err(e) = SockRef::from(stream).set_linger(Some(Duration::ZERO)) {
+        log::debug!("http: Connection is closed in order, not reset: {e}.");
+    }
+}
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -14,7 +14,6 @@
 mod event_stream;
 mod exchange;
 mod hop_by_hop_headers;
-mod resetting_stream;
 mod serve;
 mod server_limits;
 mod socket_options;
--- a/src/sidecar/local_pause.rs
+++ b/src/sidecar/local_pause.rs
@@ -7,9 +7,7 @@
 use super::engine_pause::EnginePause;
 use crate::clock::Clock;
 use crate::core::MonotonicTime;
-
-/// Longest pause that an engine may ask for.
-const MAX_PAUSE: Duration = Duration::from_secs(600);
+use crate::core::fleet::MAX_PAUSE;
 
 /// Pause of the engine beside a sidecar, which alone sends requests to it in this
 /// process.
