Move the decisions of a fleet into folders named for what they decide

core/fleet held more than sixty files in one folder. A newcomer now finds one folder for each decision: configuration, membership, routing, weights, streams, quota, server limits, collectors and quarantine.

--- a/src/core/fleet/collected_engines.rs
+++ b/src/core/fleet/collectors/collected_engines.rs
@@ -7,10 +7,10 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use super::AgentReport;
-use super::CachedPartChange;
-use super::part_table::PartTable;
 use crate::core::ServerName;
+use crate::core::fleet::AgentReport;
+use crate::core::fleet::CachedPartChange;
+use crate::core::fleet::routing::PartTable;
 
 /// Changes of cached parts kept for each engine; a reader that lacks more gets
 /// the full list.
--- a/src/core/fleet/collector_plan.rs
+++ b/src/core/fleet/collectors/collector_plan.rs
@@ -6,8 +6,8 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::kv_cache_stores::hash_address;
 use crate::core::ServerName;
+use crate::core::fleet::routing::hash_address;
 
 /// Number of engines up to which an entry follows each agent itself, which is
 /// faster by one hop.
--- a/src/core/fleet/route_rule.rs
+++ b/src/core/fleet/configuration/route_rule.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use super::CallKind;
+use crate::core::fleet::CallKind;
 
 /// A route from a host name and path prefix to services.
 #[derive(Debug, Clone, PartialEq)]
--- a/src/core/fleet/route_table.rs
+++ b/src/core/fleet/configuration/route_table.rs
@@ -5,10 +5,10 @@
 use std::sync::Arc;
 
 use super::AccountRule;
-use super::CallRefusal;
 use super::Configuration;
 use super::RouteRule;
 use crate::core::KeyDigest;
+use crate::core::fleet::CallRefusal;
 
 /// Lookup tables of one configuration.
 #[derive(Debug)]
--- a/src/core/fleet/member.rs
+++ b/src/core/fleet/membership/member.rs
@@ -5,10 +5,10 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use super::Build;
-use super::ModelName;
 use crate::core::ServerName;
 use crate::core::WeightsVersion;
+use crate::core::fleet::Build;
+use crate::core::fleet::ModelName;
 
 /// A backend server's record in the store.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
--- a/src/core/fleet/alive_run.rs
+++ b/src/core/fleet/quarantine/alive_run.rs
@@ -5,7 +5,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use super::RunKey;
+use crate::core::fleet::RunKey;
 
 /// Run of a server that has answered after a connection to it broke, so that it has not
 /// crashed, as processes tell each other.
--- a/src/core/fleet/broken_run.rs
+++ b/src/core/fleet/quarantine/broken_run.rs
@@ -6,7 +6,7 @@
 use serde::Serialize;
 
 use super::CrashSuspect;
-use super::RunKey;
+use crate::core::fleet::RunKey;
 
 /// Run of a server whose connection broke under calls that it was beginning to
 /// answer, as processes tell each other.
--- a/src/core/fleet/call_digest.rs
+++ b/src/core/fleet/quarantine/call_digest.rs
@@ -7,8 +7,8 @@
 use sha2::Digest;
 use sha2::Sha256;
 
-use super::PromptPart;
 use crate::core::AccountName;
+use crate::core::fleet::PromptPart;
 
 /// First bytes of the SHA-256 digest of a call's host, method, target, account, body and
 /// the prompt parts that it shares. It is the same at all entries, and for each repeat
--- a/src/core/fleet/crash.rs
+++ b/src/core/fleet/quarantine/crash.rs
@@ -5,10 +5,10 @@
 
 use super::BrokenRun;
 use super::CrashSuspect;
-use super::RunKey;
 use super::Suspect;
 use super::suspect_run::SuspectRun;
 use crate::core::MonotonicTime;
+use crate::core::fleet::RunKey;
 
 /// Time after a break without an answer of the run from which it has crashed.
 pub(super) const CONFIRM_TIME: Duration = Duration::from_millis(300);
--- a/src/core/fleet/crash_suspect.rs
+++ b/src/core/fleet/quarantine/crash_suspect.rs
@@ -6,8 +6,8 @@
 use serde::Serialize;
 
 use super::CallDigest;
-use super::PartId;
 use super::Suspect;
+use crate::core::fleet::PartId;
 
 /// Suspect of one crash, as processes tell each other.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
--- a/src/core/fleet/suspect.rs
+++ b/src/core/fleet/quarantine/suspect.rs
@@ -6,7 +6,7 @@
 use serde::Serialize;
 
 use super::CallDigest;
-use super::PartId;
+use crate::core::fleet::PartId;
 
 /// What may crash every server that begins to answer a call with it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
--- a/src/core/fleet/quarantine.rs
+++ b/src/core/fleet/quarantine/suspect_quarantine.rs
@@ -21,10 +21,8 @@
 use super::CrashSuspect;
 use super::Culprit;
 use super::LearnedNews;
-use super::PromptPart;
 use super::QuarantineNews;
 use super::QuarantinedSuspect;
-use super::RunKey;
 use super::Suspect;
 use super::TrialRequest;
 use super::answered_call::AnsweredCall;
@@ -34,6 +32,8 @@
 use super::quarantine_period::QuarantinePeriod;
 use super::suspicion::Suspicion;
 use crate::core::MonotonicTime;
+use crate::core::fleet::PromptPart;
+use crate::core::fleet::RunKey;
 
 /// Crashes, at different moments, from which a suspect is quarantined if calls without
 /// it are answered meanwhile. One fewer is likely to hit a sound call that was resent
--- a/src/core/fleet/fleet_quota.rs
+++ b/src/core/fleet/quota/fleet_quota.rs
@@ -5,13 +5,13 @@
 use std::mem::take;
 use std::time::Duration;
 
-use super::AccountRule;
 use super::PeerUsage;
 use super::UsageCursor;
 use super::UsageQuery;
 use super::token_bucket::TokenBucket;
 use crate::core::AccountName;
 use crate::core::MonotonicTime;
+use crate::core::fleet::AccountRule;
 
 /// Time without a message from a peer after which it is assumed to use its even
 /// share of every rate: eight exchange intervals of a small fleet.
--- a/src/core/fleet/token_bucket.rs
+++ b/src/core/fleet/quota/token_bucket.rs
@@ -7,7 +7,7 @@
 /// Token bucket whose level may become negative, because peers use the same
 /// tokens and report it later.
 #[derive(Debug, Clone)]
-pub(super) struct TokenBucket {
+pub(in crate::core::fleet) struct TokenBucket {
     rate: f64,
     burst: f64,
     level: f64,
--- a/src/core/fleet/backend_view.rs
+++ b/src/core/fleet/routing/backend_view.rs
@@ -8,16 +8,16 @@
 use serde::Serialize;
 
 use super::CachedPartChange;
-use super::Member;
-use super::MemberState;
-use super::ModelName;
-use super::PartId;
 use super::ReportedLoad;
-use super::RunKey;
 use super::backend_load::BackendLoad;
 use super::part_table::PartTable;
 use crate::core::MonotonicTime;
 use crate::core::WeightsVersion;
+use crate::core::fleet::Member;
+use crate::core::fleet::MemberState;
+use crate::core::fleet::ModelName;
+use crate::core::fleet::PartId;
+use crate::core::fleet::RunKey;
 
 /// Age from which an agent's report is ignored, except for the announced time
 /// of an order and for the load estimate. Agents answer at least twice a
--- a/src/core/fleet/cached_parts.rs
+++ b/src/core/fleet/routing/cached_parts.rs
@@ -6,8 +6,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use super::PartId;
 use super::part_table::PartTable;
+use crate::core::fleet::PartId;
 
 /// Changes kept for readers; a reader that is further behind gets the full
 /// list.
--- a/src/core/fleet/call_costs.rs
+++ b/src/core/fleet/routing/call_costs.rs
@@ -2,9 +2,9 @@
 //! milliseconds of equivalent delay, so that costs can be added.
 
 use super::BackendView;
-use super::Prompt;
 use super::fetch_plan::FetchPlan;
 use crate::core::MonotonicTime;
+use crate::core::fleet::Prompt;
 
 /// Prompt tokens that an engine prefills per millisecond; engines in use reach
 /// 85 to 101.
--- a/src/core/fleet/fetch_plan.rs
+++ b/src/core/fleet/routing/fetch_plan.rs
@@ -6,11 +6,11 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::BackendView;
-use super::PartId;
-use super::Prompt;
-use super::PromptPart;
 use super::part_table::PartTable;
 use crate::core::MonotonicTime;
+use crate::core::fleet::PartId;
+use crate::core::fleet::Prompt;
+use crate::core::fleet::PromptPart;
 
 /// Origin of a prompt's tokens at one engine.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
--- a/src/core/fleet/kv_cache_stores.rs
+++ b/src/core/fleet/routing/kv_cache_stores.rs
@@ -6,12 +6,12 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::CachedPartChange;
-use super::Prompt;
 use super::part_table::PartTable;
+use crate::core::fleet::Prompt;
 
 /// What is known of a KV cache store.
 #[derive(Debug)]
-pub(super) struct KvCacheStoreView {
+pub(in crate::core::fleet) struct KvCacheStoreView {
     pub address: SocketAddr,
     pub parts: PartTable,
     pub is_unreachable: bool,
@@ -23,7 +23,7 @@
 /// The KV cache stores. Each prompt belongs to one of them, so that together
 /// they hold as many different parts as possible.
 #[derive(Debug, Default)]
-pub(super) struct KvCacheStores {
+pub(in crate::core::fleet) struct KvCacheStores {
     stores: Vec<KvCacheStoreView>,
 }
 
@@ -84,7 +84,7 @@
 }
 
 /// Hashes an address; used for choices on which all processes agree.
-pub(super) fn hash_address(address: SocketAddr, seed: u64) -> u64 {
+pub(in crate::core::fleet) fn hash_address(address: SocketAddr, seed: u64) -> u64 {
     let seed = seed.wrapping_add(u64::from(address.port()));
     match address.ip() {
         IpAddr::V4(ip) => xxh3_64_with_seed(&ip.octets(), seed),
--- /dev/null
+++ b/src/core/fleet/routing/mod.rs
@@ -0,0 +1,29 @@
+//! Chooses the backend server of a call, from predicted times and cached prompt parts.
+
+mod backend_key;
+mod backend_load;
+mod backend_view;
+mod cached_parts;
+mod call_costs;
+mod dispatcher;
+mod fetch_plan;
+mod kv_cache_stores;
+mod part_table;
+mod prefill_queue;
+mod prefill_time_factor;
+mod versioned_salt;
+
+pub use backend_key::BackendKey;
+pub use backend_load::ReportedLoad;
+pub use backend_view::AgentReport;
+pub use backend_view::BackendView;
+pub use cached_parts::CachedPartChange;
+pub use cached_parts::CachedParts;
+pub use dispatcher::BackendChoice;
+pub use dispatcher::DispatchError;
+pub use dispatcher::DispatchRequest;
+pub use dispatcher::Dispatcher;
+pub(super) use kv_cache_stores::hash_address;
+pub(super) use part_table::PartTable;
+pub use prefill_queue::PrefillQueue;
+pub use versioned_salt::VersionedSalt;
--- a/src/core/fleet/part_table.rs
+++ b/src/core/fleet/routing/part_table.rs
@@ -3,11 +3,11 @@
 use std::collections::HashMap;
 
 use super::CachedPartChange;
-use super::PartId;
+use crate::core::fleet::PartId;
 
 /// Cached prompt parts with their token counts, keyed by namespace and part.
 #[derive(Debug, Default)]
-pub(super) struct PartTable {
+pub(in crate::core::fleet) struct PartTable {
     tokens: HashMap<(u64, PartId), u32>,
 }
 
--- a/src/core/fleet/versioned_salt.rs
+++ b/src/core/fleet/routing/versioned_salt.rs
@@ -6,10 +6,10 @@
 use xxhash_rust::xxh3::xxh3_64;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use super::ModelName;
 use crate::core::AccountName;
 use crate::core::CacheSalt;
 use crate::core::WeightsVersion;
+use crate::core::fleet::ModelName;
 
 /// Cache salt sent to engines with a call. A call never finds parts that were
 /// computed with other weights, or by another account if either account is
--- a/src/core/fleet/limit_notice.rs
+++ b/src/core/fleet/server_limits/limit_notice.rs
@@ -3,7 +3,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use super::RunKey;
+use crate::core::fleet::RunKey;
 
 /// Limit of one run, as an entry knows it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
--- a/src/core/fleet/server_limits.rs
+++ b/src/core/fleet/server_limits/limit_table.rs
@@ -13,10 +13,10 @@
 
 use super::LimitNotice;
 use super::LimitUpdate;
-use super::RunKey;
 use super::call_rate::CallRate;
 use super::server_limit::ServerLimit;
 use crate::core::MonotonicTime;
+use crate::core::fleet::RunKey;
 
 /// Time for which the share of an entry stays reserved that is not heard, and whose
 /// host does not refuse connections: it may be cut off and go on sending.
--- a/src/core/fleet/run_limits.rs
+++ b/src/core/fleet/server_limits/run_limits.rs
@@ -3,8 +3,8 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use super::RunKey;
 use crate::core::MonotonicTime;
+use crate::core::fleet::RunKey;
 
 /// Time for which a leaving run is remembered. Its record may be removed and
 /// written again meanwhile.
--- a/src/core/fleet/server_limit.rs
+++ b/src/core/fleet/server_limits/server_limit.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use super::token_bucket::TokenBucket;
 use crate::core::MonotonicTime;
+use crate::core::fleet::quota::TokenBucket;
 
 /// Time for which an unused share is kept for later calls.
 const MAX_SAVED_TIME: Duration = Duration::from_millis(500);
--- a/src/core/fleet/build_history.rs
+++ b/src/core/fleet/streams/build_history.rs
@@ -3,10 +3,10 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use super::Build;
-use super::Member;
 use crate::core::MonotonicTime;
 use crate::core::ServerName;
+use crate::core::fleet::Build;
+use crate::core::fleet::Member;
 
 /// Time after which a list of servers that nobody confirms may lack new ones.
 const LIST_MAX_AGE: Duration = Duration::from_secs(3);
--- a/src/core/fleet/known_origin.rs
+++ b/src/core/fleet/streams/known_origin.rs
@@ -3,7 +3,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use super::Build;
+use crate::core::fleet::Build;
 
 /// What a process knows of the build at which a stream began.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
--- a/src/core/fleet/stream_keepers.rs
+++ b/src/core/fleet/streams/stream_keepers.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use super::StreamKey;
-use super::kv_cache_stores::hash_address;
+use crate::core::fleet::routing::hash_address;
 
 /// Processes of each role that are told of a stream.
 const KEEPERS_PER_ROLE: usize = 2;
--- a/src/core/fleet/stream_origin.rs
+++ b/src/core/fleet/streams/stream_origin.rs
@@ -3,8 +3,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use super::Build;
 use super::StreamKey;
+use crate::core::fleet::Build;
 
 /// Build at which a stream began.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
--- a/src/core/fleet/stream_origins.rs
+++ b/src/core/fleet/streams/stream_origins.rs
@@ -4,12 +4,12 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use super::Build;
 use super::BuildHistory;
 use super::KnownOrigin;
 use super::StreamKey;
 use super::StreamOrigin;
 use crate::core::MonotonicTime;
+use crate::core::fleet::Build;
 
 /// Maximum number of recorded streams; the oldest are dropped beyond that.
 const MAX_STREAMS: usize = 16_384;
--- /dev/null
+++ b/src/core/fleet/weights/mod.rs
@@ -0,0 +1,14 @@
+//! Decides when engines are ordered to change their weights.
+
+mod target_history;
+mod target_version;
+mod weights_change;
+
+pub(super) use target_history::TargetHistory;
+pub(super) use target_history::VersionStatus;
+pub use target_version::TargetVersion;
+pub use weights_change::EngineStatus;
+pub use weights_change::OrderOutcome;
+pub use weights_change::RunningCalls;
+pub use weights_change::WeightsChange;
+pub use weights_change::WeightsChangeStep;
--- a/src/core/fleet/target_history.rs
+++ b/src/core/fleet/weights/target_history.rs
@@ -13,7 +13,7 @@
 
 /// How an engine's weights version compares with the target versions.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum VersionStatus {
+pub(in crate::core::fleet) enum VersionStatus {
     /// No newer version is known.
     Current,
     /// An older version. Holds the time at which this process learned of the
@@ -25,7 +25,7 @@
 /// An engine is outdated from the first newer version on; later versions do not
 /// restart that time.
 #[derive(Debug, Default)]
-pub(super) struct TargetHistory {
+pub(in crate::core::fleet) struct TargetHistory {
     versions: VecDeque<(TargetVersion, Option<MonotonicTime>)>,
 }
 
--- a/src/core/fleet/target_version.rs
+++ b/src/core/fleet/weights/target_version.rs
@@ -3,8 +3,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use super::ModelName;
 use crate::core::WeightsVersion;
+use crate::core::fleet::ModelName;
 
 /// Target weights version of a model, as set by the operator.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
--- a/src/core/fleet/rollout.rs
+++ b/src/core/fleet/weights/weights_change.rs
@@ -4,13 +4,13 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use super::ModelName;
-use super::TAKEOVER_DELAY;
 use super::TargetVersion;
 use super::target_history::TargetHistory;
 use super::target_history::VersionStatus;
 use crate::core::MonotonicTime;
 use crate::core::WeightsVersion;
+use crate::core::fleet::ModelName;
+use crate::core::fleet::TAKEOVER_DELAY;
 
 /// Minimum time between announcing that the engine takes no new calls and the
 /// order: entries learn of it within one round trip, and calls already sent
@@ -51,7 +51,7 @@
 
 /// Action that the agent has to take.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub enum RolloutStep {
+pub enum WeightsChangeStep {
     /// Do nothing.
     Wait,
     /// Announce that the engine takes no new calls.
@@ -119,7 +119,7 @@
 /// avoid it for calls that would not end in time, stops new calls, gives the
 /// order and resumes when the version is loaded.
 #[derive(Debug)]
-pub struct Rollout {
+pub struct WeightsChange {
     targets: HashMap<ModelName, TargetHistory>,
     batch_position: (u64, u64),
     phase: Phase,
@@ -130,7 +130,7 @@
     not_before: MonotonicTime,
 }
 
-impl Rollout {
+impl WeightsChange {
     /// Creates the state of an engine without target versions.
     pub fn new() -> Self {
         Self {
@@ -193,35 +193,35 @@
         self.find_target_and_order_time(&status).is_none()
     }
 
-    /// Advances the rollout by the engine's status and returns the next action.
-    pub fn advance(&mut self, status: &EngineStatus, now: MonotonicTime) -> RolloutStep {
+    /// Advances the change by the engine's status and returns the next action.
+    pub fn advance(&mut self, status: &EngineStatus, now: MonotonicTime) -> WeightsChangeStep {
         match (self.phase, self.find_target_and_order_time(status)) {
             (Phase::Accepting, Some((_, order_at))) if !status.is_busy => {
                 if now + MIN_TIME_BEFORE_ORDER < order_at {
-                    return RolloutStep::Wait;
+                    return WeightsChangeStep::Wait;
                 }
                 self.phase = Phase::Stopping { since: now };
-                RolloutStep::StopAccepting
+                WeightsChangeStep::StopAccepting
             }
             (Phase::Stopping { since }, Some((target, _))) => {
                 let elapsed = now.since(since);
                 let is_drained = status.waiting == 0 && elapsed >= MIN_TIME_BEFORE_ORDER;
                 if status.is_busy || !(is_drained || elapsed >= MAX_TIME_BEFORE_ORDER) {
-                    return RolloutStep::Wait;
+                    return WeightsChangeStep::Wait;
                 }
                 self.give_order(target, status, now)
             }
             (Phase::Ordered { at }, Some((target, _))) => {
                 if status.is_busy || now.since(at) < ORDER_RETRY_INTERVAL {
-                    return RolloutStep::Wait;
+                    return WeightsChangeStep::Wait;
                 }
                 self.give_order(target, status, now)
             }
             (Phase::Stopping { .. } | Phase::Ordered { .. }, None) if !status.is_busy => {
                 self.phase = Phase::Accepting;
-                RolloutStep::ResumeAccepting
+                WeightsChangeStep::ResumeAccepting
             }
-            _ => RolloutStep::Wait,
+            _ => WeightsChangeStep::Wait,
         }
     }
 
@@ -230,9 +230,9 @@
         target: TargetVersion,
         status: &EngineStatus,
         now: MonotonicTime,
-    ) -> RolloutStep {
+    ) -> WeightsChangeStep {
         self.phase = Phase::Ordered { at: now };
-        RolloutStep::Order {
+        WeightsChangeStep::Order {
             target,
             running: RunningCalls::Continue,
             accepted_orders: status.accepted_orders,
@@ -274,7 +274,7 @@
     }
 }
 
-impl Default for Rollout {
+impl Default for WeightsChange {
     fn default() -> Self {
         Self::new()
     }
--- a/src/gateway/follow_agents.rs
+++ b/src/gateway/follow_agents.rs
@@ -212,7 +212,7 @@
 }
 
 impl AgentObserver for DirectObserver {
-    fn read_rollout_fields(&self) -> (Vec<TargetVersion>, (u64, u64)) {
+    fn read_weights_fields(&self) -> (Vec<TargetVersion>, (u64, u64)) {
         let state = self.cx.lock();
         let targets = state.dispatcher.list_target_versions();
         let Some(engine) = state.dispatcher.find_backend(&self.name) else {
--- a/src/gateway/substitute_agents.rs
+++ b/src/gateway/substitute_agents.rs
@@ -313,9 +313,9 @@
         let mut engine_state = substitute.engine.lock();
         engine_state.engine_run = Some(engine.name.to_string());
         let (index, count) = engine.batch_position;
-        engine_state.rollout.set_batch_position(index, count);
+        engine_state.weights_change.set_batch_position(index, count);
         for target in targets {
-            engine_state.rollout.observe_target(target, now);
+            engine_state.weights_change.observe_target(target, now);
         }
     }
     for (name, substitute) in &mut state.substitutes {
@@ -333,7 +333,7 @@
         let is_listed = cx.lock().dispatcher.find_backend(name).is_some();
         let engine_state = substitute.engine.lock();
         let is_current = engine_state
-            .rollout
+            .weights_change
             .is_current(&engine_state.report.versions);
         is_listed && !(substitute.has_yielded && is_current)
     });
--- a/src/mesh/follow_agent.rs
+++ b/src/mesh/follow_agent.rs
@@ -28,7 +28,7 @@
 pub trait AgentObserver: Send + Sync {
     /// Returns the target versions, the engine's position among those that
     /// change weights, and their number.
-    fn read_rollout_fields(&self) -> (Vec<TargetVersion>, (u64, u64));
+    fn read_weights_fields(&self) -> (Vec<TargetVersion>, (u64, u64));
 
     /// Returns a receiver that changes when the agent should receive the fields
     /// above at once, and not only with the next request; `None` if that is
@@ -89,7 +89,7 @@
         if let Some(changes) = &mut urgent_changes {
             changes.mark_unchanged();
         }
-        (request.targets, request.batch_position) = observer.read_rollout_fields();
+        (request.targets, request.batch_position) = observer.read_weights_fields();
         let mut context: Context = tarpc::context::current();
         context.deadline = Instant::now() + OBSERVE_TIMEOUT;
         let response = tokio::select! {
--- a/src/sidecar/collector.rs
+++ b/src/sidecar/collector.rs
@@ -415,7 +415,7 @@
 }
 
 impl AgentObserver for CollectingObserver {
-    fn read_rollout_fields(&self) -> (Vec<TargetVersion>, (u64, u64)) {
+    fn read_weights_fields(&self) -> (Vec<TargetVersion>, (u64, u64)) {
         let state = self.collector.lock();
         let followed = state.followed.get(&self.name);
         let position = followed.map_or((0, 1), |followed| followed.engine.batch_position);
--- a/src/sidecar/context.rs
+++ b/src/sidecar/context.rs
@@ -18,9 +18,9 @@
 use crate::core::fleet::CachedParts;
 use crate::core::fleet::PrefillQueue;
 use crate::core::fleet::Quarantine;
-use crate::core::fleet::Rollout;
 use crate::core::fleet::StreamOrigins;
 use crate::core::fleet::TargetVersion;
+use crate::core::fleet::WeightsChange;
 use crate::metrics::SidecarMetrics;
 use crate::ports::EngineClient;
 use crate::ports::KvCacheFeed;
@@ -43,7 +43,7 @@
 #[derive(Debug, Default)]
 pub struct SidecarState {
     /// Decides when the engine changes its weights.
-    pub rollout: Rollout,
+    pub weights_change: WeightsChange,
     /// Prompt parts that the engine holds.
     pub cached_parts: CachedParts,
     /// Whether `cached_parts` has changed since entries were last notified.
--- a/src/sidecar/reconcile_engine.rs
+++ b/src/sidecar/reconcile_engine.rs
@@ -13,7 +13,7 @@
 use crate::core::fleet::OrderOutcome;
 use crate::core::fleet::PrefillQueue;
 use crate::core::fleet::ReportedLoad;
-use crate::core::fleet::RolloutStep;
+use crate::core::fleet::WeightsChangeStep;
 use crate::ports::EngineReport;
 use crate::ports::PortError;
 use crate::ports::WeightsOrder;
@@ -44,7 +44,7 @@
         let requested_at = Instant::now();
         match cx.ports.engine.read_report(cx.settings.engine).await {
             Ok(report) => {
-                let is_accepting = cx.lock().rollout.is_accepting();
+                let is_accepting = cx.lock().weights_change.is_accepting();
                 cx.metrics
                     .count_report(requested_at.elapsed(), is_accepting);
                 if failed_reads >= MAX_FAILED_READS {
@@ -68,7 +68,7 @@
                 }
             }
         }
-        let is_accepting = cx.lock().rollout.is_accepting();
+        let is_accepting = cx.lock().weights_change.is_accepting();
         sleep(if is_accepting {
             cx.report_interval
         } else {
@@ -91,12 +91,12 @@
     let now = cx.now();
     let step = {
         let mut state = cx.lock();
-        let step = state.rollout.advance(&report.status, now);
+        let step = state.weights_change.advance(&report.status, now);
         let agent_report = AgentReport {
-            is_accepting: state.rollout.is_accepting() && !report.is_leaving,
+            is_accepting: state.weights_change.is_accepting() && !report.is_leaving,
             is_alive: true,
             switch_in_ms: state
-                .rollout
+                .weights_change
                 .time_until_order(&report.status, now)
                 .map(|time| u32::try_from(time.as_millis()).unwrap_or(u32::MAX)),
             versions: report.status.versions.clone(),
@@ -122,19 +122,19 @@
         step
     };
     match step {
-        RolloutStep::Wait => {}
-        RolloutStep::StopAccepting => log::info!(
+        WeightsChangeStep::Wait => {}
+        WeightsChangeStep::StopAccepting => log::info!(
             "weights: stopped accepting calls running={} waiting={}",
             report.load.running,
             report.load.waiting
         ),
-        RolloutStep::ResumeAccepting => {
+        WeightsChangeStep::ResumeAccepting => {
             log::info!(
                 "weights: accepting calls again versions={:?}",
                 report.status.versions
             )
         }
-        RolloutStep::Order {
+        WeightsChangeStep::Order {
             target,
             running,
             accepted_orders,
@@ -143,7 +143,7 @@
                 // Tried again later, like an order that had no effect.
                 let now = cx.now();
                 cx.lock()
-                    .rollout
+                    .weights_change
                     .record_outcome(OrderOutcome::Conflict, now);
                 return;
             };
@@ -209,5 +209,5 @@
     );
     cx.metrics.count_order(outcome.label());
     let now = cx.now();
-    cx.lock().rollout.record_outcome(outcome, now);
+    cx.lock().weights_change.record_outcome(outcome, now);
 }
--- a/src/sidecar/sidecar_service.rs
+++ b/src/sidecar/sidecar_service.rs
@@ -84,7 +84,7 @@
     async fn yield_orders(self, _: Context, fence: u64) {
         log::info!("weights: ordered by another process fence={fence}");
         let now = self.cx.now();
-        self.cx.lock().rollout.yield_orders(fence, now);
+        self.cx.lock().weights_change.yield_orders(fence, now);
     }
 
     async fn keep_streams(self, _: Context, origins: Vec<StreamOrigin>) {
@@ -150,7 +150,7 @@
         let now = self.cx.now();
         let mut state = self.cx.lock();
         state
-            .rollout
+            .weights_change
             .set_batch_position(req.batch_position.0, req.batch_position.1);
         if state.engine_run.as_ref() != Some(&req.engine_run) {
             // The entry names the engine's current run as listed in the store.
@@ -160,7 +160,7 @@
         let new_targets: Vec<&TargetVersion> = req
             .targets
             .iter()
-            .filter(|target| state.rollout.observe_target(target, now))
+            .filter(|target| state.weights_change.observe_target(target, now))
             .collect();
         for target in &new_targets {
             log::info!(
@@ -191,7 +191,7 @@
             .flatten();
         let is_full_list = changes.is_none();
         let prefill_left = state.prefill_queue.remaining(self.cx.now());
-        let mut targets_unknown_to_entry = state.rollout.list_target_versions();
+        let mut targets_unknown_to_entry = state.weights_change.list_target_versions();
         targets_unknown_to_entry.retain(|target| !req.targets.contains(target));
         EngineUpdate {
             incarnation: self.cx.incarnation,
