Read the bounds of rollouts and the options of a deployment

The platform's settings file states the exposure share, the exposure slack and the rollback time, which nothing read, and lists the features of a deployment. New features are to act only where a deployment has them. Nothing uses the fields yet.

--- a/src/settings/bounds.rs
+++ b/src/settings/bounds.rs
@@ -1,4 +1,4 @@
-//! Limits on retries and quotas that hold for all gateways of a fleet
+//! Limits on retries, quotas and rollouts that hold for all gateways of a fleet
 //! together.
 
 use std::time::Duration;
@@ -18,12 +18,23 @@
     pub quota_overage: f64,
     /// Tolerated excess over an account's burst, in tokens.
     pub quota_slack: f64,
+    /// Share of a service's requests that a build under rollout may get before it is
+    /// known to be good; 0 to 1.
+    pub rollout_exposure_share: f64,
+    /// Requests that such a build may get in addition.
+    pub rollout_exposure_slack: f64,
+    /// Time from the 50th bad response of a build under rollout within which it gets
+    /// no more requests.
+    pub rollback_time: Duration,
 }
 
 impl BoundSettings {
     /// Reads the section `bounds`.
     pub fn read(section: &mut Section) -> Self {
         let window_s: f64 = section.take("retry_window_s", 10.0);
+        let exposure_share: f64 = section.take("rollout_exposure_share", 0.1);
+        let exposure_slack: f64 = section.take("rollout_exposure_slack", 0.0);
+        let rollback_ms = section.take_number("rollback_ms", 5_000, 100..=3_600_000);
         // The value is ignored. A file rendered from the template ends the
         // section with this field, because JSON allows no comma after the
         // last one.
@@ -34,6 +45,9 @@
             retry_window: Duration::from_secs_f64(window_s.clamp(0.1, 3_600.0)),
             quota_overage: section.take("quota_overage", 0.0),
             quota_slack: section.take("quota_slack", 0.0),
+            rollout_exposure_share: exposure_share.clamp(0.0, 1.0),
+            rollout_exposure_slack: exposure_slack.max(0.0),
+            rollback_time: Duration::from_millis(rollback_ms),
         }
     }
 }
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -63,6 +63,8 @@
     pub stop_timeout: Duration,
     /// Limits that hold for all gateways together.
     pub bounds: BoundSettings,
+    /// Names of the optional features of the deployment; unknown names are ignored.
+    pub options: Vec<String>,
     /// Level and format of the log.
     pub log: LogSettings,
 }
@@ -122,6 +124,11 @@
         (descriptors.saturating_sub(RESERVED_DESCRIPTORS) / 2).max(16)
     }
 
+    /// Returns whether the deployment has the optional feature `name`.
+    pub fn has_option(&self, name: &str) -> bool {
+        self.options.iter().any(|option| option == name)
+    }
+
     fn read(section: &mut Section) -> Self {
         let stop_s: f64 = section.take("stop_timeout_s", 8.0);
         Self {
@@ -135,6 +142,7 @@
             descriptors: section.take_number("descriptors", 1_024, 400..=10_000_000),
             stop_timeout: Duration::from_secs_f64(stop_s.clamp(0.1, 3_600.0)),
             bounds: section.take_section("bounds", BoundSettings::read),
+            options: section.take("options", Vec::new()),
             log: section.take_section("log", LogSettings::read),
         }
     }
