Move a service to a build under a leader that judges it

The traffic of a service has to move to servers of a new build within a deadline, and away from it if the build is bad. Until now builds of a service got calls alike.

Adds the decisions of a rollout (core/fleet/version_rollout), the port and the store keys of its state, the task that leads it under a claim or reports to the leader, and a filter of builds in DispatchRequest.

--- a/src/cli/gateway.rs
+++ b/src/cli/gateway.rs
@@ -79,6 +79,7 @@
         source: Arc::clone(&store) as _,
         kv_cache: Arc::new(PlatformKvCacheFeed::new(client.clone())),
         engine: Arc::new(PlatformEngineClient::new(client)),
-        claims: store,
+        claims: Arc::clone(&store) as _,
+        rollouts: store,
     }
 }
--- a/src/core/fleet/configuration/service_rule.rs
+++ b/src/core/fleet/configuration/service_rule.rs
@@ -7,6 +7,8 @@
 pub struct ServiceRule {
     /// Name that routes and members refer to.
     pub name: String,
+    /// Path at which its servers state their load, to everyone and at once.
+    pub health_path: String,
     /// Maximum connections that one server accepts from all callers together.
     pub max_connections: u32,
     /// Capacity of its engines; `None` for a plain service.
--- a/src/core/fleet/order_claim.rs
+++ b/src/core/fleet/order_claim.rs
@@ -173,6 +173,12 @@
         Some(held.grant.fence)
     }
 
+    /// Returns the claim, whether orders may be sent under it or not.
+    pub fn held_grant(&self, now: MonotonicTime) -> Option<ClaimGrant> {
+        let held = self.held.filter(|held| now < held.valid_until)?;
+        Some(held.grant)
+    }
+
     /// Returns whether no claim is held.
     pub fn is_idle(&self) -> bool {
         self.held.is_none()
--- a/src/core/fleet/routing/backend_load.rs
+++ b/src/core/fleet/routing/backend_load.rs
@@ -42,6 +42,11 @@
         self.own_prefill += prefill_time;
     }
 
+    /// Returns the calls of this process that are running at the server.
+    pub fn own_calls(&self) -> u32 {
+        self.own_calls
+    }
+
     /// Removes a call's `prefill_time`, after its first token or when it will
     /// not be prefilled.
     pub fn end_prefill(&mut self, prefill_time: Duration) {
--- a/src/core/fleet/routing/backend_view.rs
+++ b/src/core/fleet/routing/backend_view.rs
@@ -130,6 +130,11 @@
         RunKey::new(&self.member.name, self.member.started_at_ms)
     }
 
+    /// Returns the calls of this process that are running at the server.
+    pub fn own_calls(&self) -> u32 {
+        self.load.own_calls()
+    }
+
     /// Returns whether new calls may be sent to the server.
     pub fn accepts_calls(&self, now: MonotonicTime) -> bool {
         let is_backing_off = self.backoff_until.is_some_and(|until| now < until);
--- a/src/core/fleet/routing/dispatcher.rs
+++ b/src/core/fleet/routing/dispatcher.rs
@@ -21,6 +21,7 @@
 use crate::core::ServerName;
 use crate::core::WeightsVersion;
 use crate::core::fleet::Build;
+use crate::core::fleet::BuildFilter;
 use crate::core::fleet::LimitNotice;
 use crate::core::fleet::Member;
 use crate::core::fleet::ModelName;
@@ -65,10 +66,18 @@
     /// Build at which the stream of the call began, if it goes on with one; servers
     /// of other builds are not chosen.
     pub build: Option<&'a Build>,
+    /// Builds at which the call may run.
+    pub builds: BuildFilter,
     /// Time until the caller's deadline.
     pub time_left: Duration,
 }
 
+impl DispatchRequest<'_> {
+    fn allows_build(&self, build: &Build) -> bool {
+        self.build.is_none_or(|begun| begun == build) && self.builds.allows(build)
+    }
+}
+
 /// Chosen server and how it obtains the prompt's parts, with the predictions
 /// that led to the choice.
 #[derive(Debug, Clone, PartialEq)]
@@ -400,7 +409,7 @@
             if view.is_limited && !self.server_limits.allows_call(view.run(), now) {
                 continue;
             }
-            if req.build.is_some_and(|build| *build != view.member.build) {
+            if !req.allows_build(&view.member.build) {
                 continue;
             }
             let evaluated = match req.prompt {
@@ -435,7 +444,7 @@
     ) -> DispatchError {
         let views = keys.iter().filter_map(|key| self.backends.get(*key));
         let views: Vec<&BackendView> = views
-            .filter(|view| req.build.is_none_or(|build| *build == view.member.build))
+            .filter(|view| req.allows_build(&view.member.build))
             .collect();
         let pause = views.iter().filter_map(|view| view.pause_left(now)).min();
         let limit = views
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -13,6 +13,7 @@
 
 use super::context::GatewayContext;
 use super::liveness_check::wait_while_alive;
+use super::permit_builds::record_outcome;
 use super::read_call::Call;
 use super::report_break::report_break;
 use crate::core::MonotonicTime;
@@ -199,6 +200,7 @@
     if let AttemptOutcome::Unknown(BROKEN | ANSWER_BROKEN) = outcome {
         report_break(cx, call, &sent_to, sent_at, None);
     }
+    record_outcome(cx, call, &sent_to, sent_at, &outcome);
     let now = cx.now();
     let mut state = cx.lock();
     match &outcome {
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -15,6 +15,7 @@
 use super::agent_connections::AgentConnections;
 use super::clock_offsets::ClockOffsets;
 use super::known_entries::KnownEntries;
+use super::led_rollouts::LedRollouts;
 use super::state::GatewayState;
 use super::stream_keepers::StreamKeepers;
 use crate::clock::Clock;
@@ -28,6 +29,7 @@
 use crate::ports::FleetSource;
 use crate::ports::KvCacheFeed;
 use crate::ports::OrderClaims;
+use crate::ports::RolloutRecords;
 use crate::settings::GatewaySettings;
 
 /// Interfaces to the systems around a gateway.
@@ -43,6 +45,8 @@
     pub engine: Arc<dyn EngineClient>,
     /// Claims to the right to order such engines.
     pub claims: Arc<dyn OrderClaims>,
+    /// States of rollouts.
+    pub rollouts: Arc<dyn RolloutRecords>,
 }
 
 /// Settings, clients, metrics and state of a running gateway.
@@ -75,6 +79,8 @@
     pub known_entries: KnownEntries,
     /// Processes that keep the origins of streams.
     pub stream_keepers: StreamKeepers,
+    /// Rollouts that this gateway leads.
+    pub rollouts: LedRollouts,
     /// Clock offsets of other processes.
     pub clock_offsets: ClockOffsets,
     clock: Clock,
@@ -99,6 +105,7 @@
             collected_stores: watch::channel(HashSet::new()).0,
             known_entries: KnownEntries::default(),
             stream_keepers: StreamKeepers::default(),
+            rollouts: LedRollouts::default(),
             clock_offsets: ClockOffsets::default(),
             clock: Clock::start(),
             state: Mutex::new(state),
--- a/src/gateway/exchange_peer_state.rs
+++ b/src/gateway/exchange_peer_state.rs
@@ -26,6 +26,7 @@
 use super::context::GatewayContext;
 use super::follow_members::serve_members;
 use super::known_entries::PEER_EXPIRY;
+use super::lead_rollouts::learn_rollouts;
 use super::peer_contacts::PeerContacts;
 use super::share_quarantine::apply_quarantine_news;
 use super::state::GatewayState;
@@ -35,6 +36,8 @@
 use crate::core::fleet::KnownOrigin;
 use crate::core::fleet::Member;
 use crate::core::fleet::QuarantineNews;
+use crate::core::fleet::RolloutPlan;
+use crate::core::fleet::RolloutReport;
 use crate::core::fleet::StreamKey;
 use crate::core::fleet::StreamOrigin;
 use crate::core::fleet::UsageQuery;
@@ -201,6 +204,11 @@
         news
     }
 
+    async fn report_rollout(self, _: Context, report: RolloutReport) -> Option<RolloutPlan> {
+        let cx = &self.exchange.cx;
+        cx.rollouts.answer(report, cx.now())
+    }
+
     async fn follow_members(self, _: Context, known: MembersCursor) -> Option<MembersUpdate> {
         serve_members(&self.exchange.cx, known).await
     }
@@ -524,6 +532,7 @@
             .dispatcher
             .server_limits
             .build_update(news_period, is_full, now),
+        rollouts: state.rollouts.list().filter_map(|r| r.news(now)).collect(),
     };
     PeerState {
         clock_ms: read_wall_clock_ms(),
@@ -570,6 +579,7 @@
             );
         }
     }
+    learn_rollouts(cx, &mut state, &peer_state.news.rollouts, now);
     let limits = peer_state.news.limits;
     let calls_per_s = limits.as_ref().map(|limits| limits.calls_per_s);
     let name = &peer_state.usage.name;
--- a/src/gateway/follow_store.rs
+++ b/src/gateway/follow_store.rs
@@ -9,6 +9,7 @@
 use super::follow_members::FailedReaders;
 use super::follow_members::follow_peer_members;
 use super::follow_members::is_member_reader;
+use super::lead_rollouts::observe_rollout_order;
 use crate::core::fleet::MemberChange;
 use crate::ports::Area;
 use crate::ports::PortError;
@@ -142,6 +143,9 @@
                     );
                 }
             }
+            SourceChange::RolloutOrder(order) => {
+                observe_rollout_order(cx, &mut state, order, !is_full_read, now);
+            }
             SourceChange::MemberUpdated { member, write } => {
                 if !state.directory.accept_record(&member, write) {
                     log::info!(
@@ -168,6 +172,9 @@
             }
             SourceChange::MalformedRecord(key, problem) => {
                 log::warn!("store: malformed key={key} problem=\"{problem}\"");
+                if cx.ports.source.is_rollout_order(&key) {
+                    cx.metrics.count_rejected_rollout("unreadable");
+                }
             }
         }
     }
--- a/src/gateway/read_call.rs
+++ b/src/gateway/read_call.rs
@@ -21,6 +21,7 @@
 use crate::core::AccountName;
 use crate::core::MonotonicTime;
 use crate::core::fleet::AccountRule;
+use crate::core::fleet::BuildFilter;
 use crate::core::fleet::CallDigest;
 use crate::core::fleet::CallHead;
 use crate::core::fleet::CallRefusal;
@@ -120,6 +121,7 @@
             isolated_account: self.isolated_account(),
             tried: &progress.tried,
             build: progress.build.as_ref(),
+            builds: BuildFilter::Any,
             time_left: self.time_left(),
         }
     }
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -18,6 +18,7 @@
 use super::follow_kv_cache_stores::follow_kv_cache_stores;
 use super::follow_store::follow_area;
 use super::follow_store::ping_store;
+use super::lead_rollouts::lead_rollouts;
 use super::serve_call::serve_call;
 use super::share_quarantine::quarantine_culprits;
 use super::status_pages::serve_status_page;
@@ -143,6 +144,7 @@
     tokio::spawn(follow_kv_cache_stores(Arc::clone(&cx)));
     tokio::spawn(tell_stream_keepers(Arc::clone(&cx)));
     tokio::spawn(quarantine_culprits(Arc::clone(&cx)));
+    tokio::spawn(lead_rollouts(Arc::clone(&cx)));
     tokio::spawn(run_maintenance(Arc::clone(&cx)));
     let traffic = open_tokio_listener(listen.traffic)?;
     let traffic_server = tokio::spawn(serve_traffic(Arc::clone(&cx), traffic, stop.clone()));
--- a/src/gateway/serve_call.rs
+++ b/src/gateway/serve_call.rs
@@ -96,6 +96,9 @@
         let mut state = cx.lock();
         state.retries.record_request(&call.service, now);
         state.dispatcher.server_limits.record_call(now);
+        if let Some(rollout) = state.rollouts.find_mut(&call.service) {
+            rollout.record_request(&call.route.name);
+        }
     }
     let id = call.head.id.clone();
     let mut progress = CallProgress::default();
@@ -281,7 +284,8 @@
     let now = cx.now();
     let req = call.dispatch_request(progress);
     let digest = digest_if_needed(cx, call);
-    let chosen = cx.lock().choose_server(&req, digest, now);
+    let route = &call.route.name;
+    let chosen = cx.lock().choose_permitted(&req, route, digest, now);
     chosen.map_err(|refusal| match refusal {
         DispatchError::NoServer(retry_after) => CallRefusal::NoServer(retry_after),
         DispatchError::Paused(time_left) => CallRefusal::ServersPaused(time_left),
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -21,6 +21,7 @@
 use crate::core::fleet::MemberLog;
 use crate::core::fleet::Prompt;
 use crate::core::fleet::Quarantine;
+use crate::core::fleet::RolloutTable;
 use crate::core::fleet::RouteTable;
 use crate::core::fleet::StreamOrigins;
 use crate::core::fleet::Suspect;
@@ -52,6 +53,8 @@
     pub quarantine: Quarantine,
     /// Builds at which streams began.
     pub streams: StreamOrigins,
+    /// Rollouts of services' builds.
+    pub rollouts: RolloutTable,
     /// Chooses the server of each call.
     pub dispatcher: Dispatcher,
     /// Rate limits of the accounts.
@@ -89,6 +92,7 @@
             follows_peer_members: false,
             quarantine: Quarantine::for_process(name),
             streams: StreamOrigins::default(),
+            rollouts: RolloutTable::default(),
             dispatcher: Dispatcher::for_entry(zone, name),
             quota: FleetQuota::new(bounds.quota_overage, bounds.quota_slack),
             retries: FleetRetryBudget::new(bounds.retry_ratio, bounds.retry_extra, window_s),
--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -16,6 +16,8 @@
 use super::call_progress::CallProgress;
 use super::context::GatewayContext;
 use super::liveness_check::wait_while_alive;
+use super::permit_builds::record_end;
+use super::permit_builds::record_first_event;
 use super::read_call::Call;
 use super::report_break::report_break;
 use super::serve_call::MAX_SENDS_PER_CALL;
@@ -144,6 +146,7 @@
             return;
         }
         let build = in_flight.choice().build.clone();
+        record_first_event(&self.cx, &self.call, in_flight);
         self.progress.build = Some(build.clone());
         let origin = StreamOrigin {
             stream: StreamKey::from_call_id(&self.call.head.id),
@@ -186,6 +189,7 @@
     fn close_upstream(&mut self, is_failure: bool) {
         if let Some((_, in_flight)) = self.upstream.take() {
             let key = in_flight.choice().key;
+            record_end(&self.cx, &self.call, in_flight.choice(), is_failure);
             let now = self.cx.now();
             let mut state = self.cx.lock();
             state.dispatcher.record_outcome(key, is_failure);
@@ -208,7 +212,8 @@
                 let now = self.cx.now();
                 let req = self.call.dispatch_request(&self.progress);
                 let digest = digest_if_needed(&self.cx, &self.call);
-                self.cx.lock().choose_server(&req, digest, now)
+                let route = &self.call.route.name;
+                self.cx.lock().choose_permitted(&req, route, digest, now)
             };
             let Ok(choice) = chosen else {
                 self.call_log.record_failure("no-server");
--- a/src/mesh/service.rs
+++ b/src/mesh/service.rs
@@ -20,6 +20,8 @@
 use crate::core::fleet::KnownOrigin;
 use crate::core::fleet::Member;
 use crate::core::fleet::QuarantineNews;
+use crate::core::fleet::RolloutPlan;
+use crate::core::fleet::RolloutReport;
 use crate::core::fleet::StreamKey;
 use crate::core::fleet::StreamOrigin;
 
@@ -70,4 +72,8 @@
     /// Tells an agent which prompt parts crash servers, and asks for those that it
     /// knows.
     async fn share_quarantine(news: QuarantineNews) -> QuarantineNews;
+
+    /// Reports what an entry counts for a rollout to its leader, and asks what the
+    /// entry may send to the new build; `None` if the receiver does not lead it.
+    async fn report_rollout(report: RolloutReport) -> Option<RolloutPlan>;
 }
--- a/src/metrics/gateway_metrics.rs
+++ b/src/metrics/gateway_metrics.rs
@@ -29,6 +29,18 @@
     of: &'static str,
 }
 
+/// Label of the counter of orders that are not started.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ReasonLabels {
+    reason: &'static str,
+}
+
+/// Label of the gauges of rollouts.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ServiceLabels {
+    service: String,
+}
+
 /// Values that the gauges show at the time of a scrape. They reflect what this
 /// gateway knows and may lag behind the rest of the fleet.
 #[derive(Debug, Clone, Copy)]
@@ -62,6 +74,9 @@
     first_event_time: Histogram,
     call_time: Histogram,
     config_version: Gauge,
+    rejected_rollouts: Family<ReasonLabels, Counter>,
+    rollout_phases: Family<ServiceLabels, Gauge>,
+    rollout_leaders: Family<ServiceLabels, Gauge>,
 }
 
 impl GatewayMetrics {
@@ -112,6 +127,24 @@
             "Version of the configuration in force",
             config_version.clone(),
         );
+        let rejected_rollouts = Family::<ReasonLabels, Counter>::default();
+        registry.register(
+            "rollout_orders_rejected",
+            "Orders to move a service to a build that are not started, by reason",
+            rejected_rollouts.clone(),
+        );
+        let rollout_phases = Family::<ServiceLabels, Gauge>::default();
+        registry.register(
+            "rollout_phase",
+            "Phase of a rollout: 0 to 2 shares, 3 whole, 4 closing, 5 completed, 6 rolled back",
+            rollout_phases.clone(),
+        );
+        let rollout_leaders = Family::<ServiceLabels, Gauge>::default();
+        registry.register(
+            "rollout_led",
+            "Whether this gateway leads the rollout of a service",
+            rollout_leaders.clone(),
+        );
         Self {
             registry,
             calls,
@@ -122,9 +155,29 @@
             first_event_time,
             call_time,
             config_version,
+            rejected_rollouts,
+            rollout_phases,
+            rollout_leaders,
         }
     }
 
+    /// Counts an order to move a service to a build that is not started.
+    pub fn count_rejected_rollout(&self, reason: &'static str) {
+        let labels = ReasonLabels { reason };
+        self.rejected_rollouts.get_or_create(&labels).inc();
+    }
+
+    /// Sets the phase of a rollout, and whether this gateway leads it.
+    pub fn set_rollout(&self, service: &str, phase: i64, is_leader: bool) {
+        let labels = ServiceLabels {
+            service: service.to_owned(),
+        };
+        self.rollout_phases.get_or_create(&labels).set(phase);
+        self.rollout_leaders
+            .get_or_create(&labels)
+            .set(i64::from(is_leader));
+    }
+
     /// Counts a call that has ended, and records the time since the arrival of its
     /// head.
     pub fn count_call(&self, outcome: &'static str, elapsed: Duration) {
--- a/src/ports/engine_client.rs
+++ b/src/ports/engine_client.rs
@@ -49,6 +49,13 @@
     /// Fetches the engine's current report.
     fn read_report(&self, engine: SocketAddr) -> BoxFuture<'_, Result<EngineReport, PortError>>;
 
+    /// Asks a server for its load at its health path; `None` if it does not state it.
+    fn read_load<'a>(
+        &'a self,
+        server: SocketAddr,
+        health_path: &'a str,
+    ) -> BoxFuture<'a, Result<Option<ReportedLoad>, PortError>>;
+
     /// Sends an order to change weights and returns the engine's reply to it.
     fn order_weights<'a>(
         &'a self,
--- a/src/ports/fleet_source.rs
+++ b/src/ports/fleet_source.rs
@@ -11,6 +11,7 @@
 use crate::core::ServerName;
 use crate::core::fleet::Configuration;
 use crate::core::fleet::Member;
+use crate::core::fleet::RolloutOrder;
 use crate::core::fleet::TargetVersion;
 
 /// Set of records of the source that is read and watched separately.
@@ -44,6 +45,8 @@
     Configuration(Arc<Configuration>, Bytes),
     /// Target weights version of a model.
     TargetVersion(TargetVersion),
+    /// Order to move a service to a build.
+    RolloutOrder(RolloutOrder),
     /// Record of a backend server, new or changed.
     MemberUpdated {
         /// The record.
@@ -91,6 +94,10 @@
     /// Sends a small request to check that the source is reachable.
     fn ping(&self) -> BoxFuture<'_, Result<(), PortError>>;
 
+    /// Returns whether `key`, of a malformed record, is that of an order to move a
+    /// service to a build.
+    fn is_rollout_order(&self, key: &str) -> bool;
+
     /// Decodes a configuration from the bytes that a peer passed on.
     ///
     /// # Errors
--- a/src/ports/mod.rs
+++ b/src/ports/mod.rs
@@ -14,6 +14,7 @@
 mod order_claims;
 mod port_error;
 mod response_metadata;
+mod rollout_records;
 
 pub use dialect::Dialect;
 pub use engine_client::EngineClient;
@@ -31,3 +32,6 @@
 pub use order_claims::OrderClaims;
 pub use port_error::PortError;
 pub use response_metadata::ResponseMetadata;
+pub use rollout_records::RolloutRecords;
+pub use rollout_records::RolloutWrite;
+pub use rollout_records::StoredRollout;
--- a/src/sidecar/sidecar_service.rs
+++ b/src/sidecar/sidecar_service.rs
@@ -15,6 +15,8 @@
 use crate::core::fleet::KnownOrigin;
 use crate::core::fleet::Member;
 use crate::core::fleet::QuarantineNews;
+use crate::core::fleet::RolloutPlan;
+use crate::core::fleet::RolloutReport;
 use crate::core::fleet::StreamKey;
 use crate::core::fleet::StreamOrigin;
 use crate::core::fleet::TargetVersion;
@@ -100,6 +102,10 @@
         self.cx.lock().streams.find(stream, &service, self.cx.now())
     }
 
+    async fn report_rollout(self, _: Context, _: RolloutReport) -> Option<RolloutPlan> {
+        None
+    }
+
     async fn share_quarantine(self, _: Context, news: QuarantineNews) -> QuarantineNews {
         let now = self.cx.now();
         let mut state = self.cx.lock();
--- a/tests/fleet_dispatch.rs
+++ b/tests/fleet_dispatch.rs
@@ -12,6 +12,7 @@
 use teaseldrum::core::fleet::AgentReport;
 use teaseldrum::core::fleet::BackendChoice;
 use teaseldrum::core::fleet::Build;
+use teaseldrum::core::fleet::BuildFilter;
 use teaseldrum::core::fleet::CachedPartChange;
 use teaseldrum::core::fleet::DispatchError;
 use teaseldrum::core::fleet::DispatchRequest;
@@ -86,6 +87,7 @@
         isolated_account: None,
         tried: &[],
         build: None,
+        builds: BuildFilter::Any,
         time_left: Duration::from_secs(12),
     }
 }
