--- a/src/core/fleet/version_rollout/rollout_leader.rs
+++ b/src/core/fleet/version_rollout/rollout_leader.rs
@@ -49,9 +49,9 @@
 /// One of so many requests of a route has to be answered by the new build before an
 /// increase, and the most such responses before each one.
 const REQUESTS_PER_RESPONSE: u64 = 20;
-const FIRST_STEP_RESPONSES: u64 = 8;
-const SECOND_STEP_RESPONSES: u64 = 12;
-const WHOLE_RESPONSES: u64 = 16;
+const FIRST_STEP_RESPONSES: u64 = 6;
+const SECOND_STEP_RESPONSES: u64 = 7;
+const WHOLE_RESPONSES: u64 = 8;
 
 /// Time of unused grants that an entry holds: above the interval of reports.
 const HEADROOM: Duration = Duration::from_millis(400);
@@ -410,10 +410,14 @@
     /// Returns the routes with traffic from which the new build lacks good responses,
     /// of which at most `needed` are needed.
     fn routes_lacking(&self, needed: u64) -> Vec<&RouteReport> {
+        // Half of what each route gets if all get alike; the bound may allow no more.
+        let fair_part = self.charged() / (2 * self.route_count() as u64);
         let lacks = |route: &&RouteReport| {
             let has_traffic = route.requests >= MIN_ROUTE_REQUESTS
                 && self.evidence.recent_requests(&route.route) > 0;
-            let needed = (route.requests / REQUESTS_PER_RESPONSE).clamp(1, needed);
+            let needed = (route.requests / REQUESTS_PER_RESPONSE)
+                .min(fair_part)
+                .clamp(1, needed);
             let good = route.new.responses().saturating_sub(route.new.failed);
             has_traffic && good < needed
         };
--- a/src/gateway/lead_rollouts.rs
+++ b/src/gateway/lead_rollouts.rs
@@ -72,6 +72,9 @@
 /// Time for which a leader goes on to answer after the end of a rollout.
 const FINAL_LINGER: Duration = Duration::from_secs(3);
 
+/// Time after the end of a rollout from which entries check that it is in the store.
+const END_CHECK_DELAY: Duration = Duration::from_secs(2);
+
 /// Time to connect to an entry that does not report, and for an old server's load.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(200);
 
@@ -177,6 +180,7 @@
         client: None,
         is_rewrite_due: false,
         ended_at: None,
+        is_end_stored: false,
         idle_servers: HashSet::new(),
         cx,
         service,
@@ -214,7 +218,10 @@
     client: Option<(SocketAddr, MeshClient)>,
     /// The store lacks the end of the rollout that this entry remembers.
     is_rewrite_due: bool,
+    /// When this entry first saw that the rollout has ended.
     ended_at: Option<MonotonicTime>,
+    /// Whether the end of the rollout is known to be in the store.
+    is_end_stored: bool,
     /// Old servers that have stated to run nothing since they were closed.
     idle_servers: HashSet<ServerName>,
 }
@@ -249,13 +256,17 @@
             }
         }
         self.start_request(&snapshot, is_leading);
+        if !snapshot.phase.is_final() {
+            self.ended_at = None;
+            self.is_end_stored = false;
+        }
         let phase = snapshot.phase as i64;
         self.cx
             .metrics
             .set_rollout(&self.service, phase, is_leading);
         !(snapshot.phase.is_final()
             && !snapshot.needs_record
-            && !self.is_rewrite_due
+            && self.is_end_stored
             && self.claim.is_idle()
             && self.request.is_none())
     }
@@ -299,7 +310,9 @@
             self.group.clone(),
         );
         let is_held = self.claim.held_fence(now).is_some();
-        let needs_read = snapshot.needs_record || (is_held && self.record_revision.is_none());
+        let needs_read = snapshot.needs_record
+            || (is_held && self.record_revision.is_none())
+            || (!is_held && self.is_end_check_due(snapshot, now));
         let is_needed = self.is_claim_needed(snapshot, is_leading, now);
         let step = self.claim.next_step(is_needed, 0, now);
         let request =
@@ -343,6 +356,16 @@
         self.request = Some(request);
     }
 
+    /// Returns whether this entry has to check that the end of the rollout is in the
+    /// store: its leader may have ended before that.
+    fn is_end_check_due(&mut self, snapshot: &Snapshot, now: MonotonicTime) -> bool {
+        if !snapshot.phase.is_final() || self.is_end_stored || self.is_rewrite_due {
+            return false;
+        }
+        let ended_at = *self.ended_at.get_or_insert(now);
+        now.since(ended_at) >= END_CHECK_DELAY + RANK_DELAY * self.rank(now)
+    }
+
     /// Returns whether this entry has to hold the claim, or to try for it.
     fn is_claim_needed(
         &mut self,
@@ -381,9 +404,9 @@
             let leaders = self.cx.rollouts.lock();
             let led = leaders.get(&self.service);
             let is_written = led.is_none_or(|led| led.leader.pending_write().is_none());
+            self.is_end_stored = is_written;
             return !is_written || now.since(ended_at) < FINAL_LINGER;
         }
-        self.ended_at = None;
         let knows_others = !self.cx.known_entries.list_names(now).is_empty();
         if knows_others && now.since(self.heard_entry_at) >= UNHEARD_TIME {
             log::warn!(
@@ -450,7 +473,11 @@
                 self.next_claim_at = now;
                 self.heard_entry_at = now;
             }
-            StoreOutcome::Acquired(Ok(None), _) => {}
+            StoreOutcome::Acquired(Ok(None), _) => {
+                // The holder may write the end of the rollout, so it is read again.
+                self.is_rewrite_due = false;
+                self.ended_at = None;
+            }
             StoreOutcome::Renewed(Ok(true), sent_at) => {
                 self.claim.record_renewed(sent_at);
                 self.update_led_claim();
@@ -502,7 +529,11 @@
         }
     }
 
-    fn confirm_write(&self, record: RolloutRecord, now: MonotonicTime) {
+    fn confirm_write(&mut self, record: RolloutRecord, now: MonotonicTime) {
+        if record.phase.is_final() {
+            self.is_end_stored = true;
+            self.is_rewrite_due = false;
+        }
         log::info!(
             "rollouts: written service={} target={} phase={:?} granted_bound={} requests={}",
             self.service,
@@ -538,7 +569,9 @@
                 rollout.observe_record(known, now);
             }
         }
-        self.is_rewrite_due = snapshot.phase.is_final() && stored_phase != Some(snapshot.phase);
+        let is_end_stored = stored_phase.is_some_and(RolloutPhase::is_final);
+        self.is_end_stored = is_end_stored;
+        self.is_rewrite_due = snapshot.phase.is_final() && !is_end_stored;
         if self.claim.held_fence(now).is_none() {
             return;
         }
