Pace changes of weights by the time that loads take

Engines were ordered in six batches 300 ms apart, whatever a load takes. Where it takes 0.8 s, three batches loaded at once: half of the engines were away, and loads above the deployment's limit took longer still. An agent now measures its engine's load and spaces the batches by it, within a third of the time that the deployment allows for a new version; entries use an older version for three quarters of that time. With the 6 s of before, both are as they were.

--- a/src/core/fleet/mod.rs
+++ b/src/core/fleet/mod.rs
@@ -105,6 +105,7 @@
 pub use streams::StreamOrigins;
 pub use streams::StreamResumption;
 pub use streams::choose_keepers;
+pub use weights::DEFAULT_VERSION_TIME;
 pub use weights::EngineStatus;
 pub use weights::OrderOutcome;
 pub use weights::RunningCalls;
--- a/src/core/fleet/routing/dispatcher.rs
+++ b/src/core/fleet/routing/dispatcher.rs
@@ -21,6 +21,7 @@
 use crate::core::ServerName;
 use crate::core::WeightsVersion;
 use crate::core::fleet::Build;
+use crate::core::fleet::DEFAULT_VERSION_TIME;
 use crate::core::fleet::LimitNotice;
 use crate::core::fleet::Member;
 use crate::core::fleet::ModelName;
@@ -37,9 +38,9 @@
 /// much.
 const OUTDATED_VERSION_GRACE: Duration = Duration::from_millis(1_300);
 
-/// Time after this process learns of a newer version from which no call is sent
-/// to an engine on an older one.
-const OUTDATED_VERSION_MAX_AGE: Duration = Duration::from_millis(4_500);
+/// Share of the time allowed for a new version, from when this process learns of it,
+/// after which no call is sent to an engine on an older one.
+const OUTDATED_VERSION_MAX_SHARE: f64 = 0.75;
 
 /// Cost of an older version between these times, in milliseconds.
 const OUTDATED_VERSION_COST_MS: f64 = 250.0;
@@ -139,6 +140,8 @@
     prefill_factors: HashMap<ModelName, PrefillTimeFactor>,
     kv_cache_stores: KvCacheStores,
     run_limits: RunLimits,
+    /// Time within which all engines have to be at a new weights version.
+    version_time: Duration,
     /// Limits that servers name on the calls of all entries together.
     pub server_limits: ServerLimits,
 }
@@ -162,10 +165,16 @@
             prefill_factors: HashMap::new(),
             kv_cache_stores: KvCacheStores::default(),
             run_limits: RunLimits::default(),
+            version_time: DEFAULT_VERSION_TIME,
             server_limits: ServerLimits::new(name, MonotonicTime::ZERO),
         }
     }
 
+    /// Sets the time within which all engines have to be at a new weights version.
+    pub fn set_version_time(&mut self, version_time: Duration) {
+        self.version_time = version_time;
+    }
+
     /// Inserts or updates a server's record. Of two records with the same
     /// address, the one with the earlier start belongs to a run that has ended.
     pub fn upsert_member(&mut self, member: Member) -> BackendKey {
@@ -749,7 +758,7 @@
         let age = now.since(since?);
         if age < OUTDATED_VERSION_GRACE {
             Some(0.0)
-        } else if age < OUTDATED_VERSION_MAX_AGE {
+        } else if age < self.version_time.mul_f64(OUTDATED_VERSION_MAX_SHARE) {
             Some(OUTDATED_VERSION_COST_MS)
         } else {
             None
--- a/src/core/fleet/weights/mod.rs
+++ b/src/core/fleet/weights/mod.rs
@@ -7,6 +7,7 @@
 pub(super) use target_history::TargetHistory;
 pub(super) use target_history::VersionStatus;
 pub use target_version::TargetVersion;
+pub use weights_change::DEFAULT_VERSION_TIME;
 pub use weights_change::EngineStatus;
 pub use weights_change::OrderOutcome;
 pub use weights_change::RunningCalls;
--- a/src/core/fleet/weights/weights_change.rs
+++ b/src/core/fleet/weights/weights_change.rs
@@ -32,9 +32,15 @@
 /// first batch. Meanwhile entries send long calls elsewhere and many running calls end.
 const FIRST_BATCH_DELAY: Duration = Duration::from_millis(500);
 
-/// Time between the orders of two batches: about what loading the weights
-/// takes.
-const BATCH_INTERVAL: Duration = Duration::from_millis(300);
+/// Minimum time between the orders of two batches.
+const MIN_BATCH_INTERVAL: Duration = Duration::from_millis(300);
+
+/// Part of the time allowed for a new version in which the last batch is ordered.
+/// The rest is left for its load, for orders without answer and for absent agents.
+const LAST_BATCH_SHARE: u32 = 3;
+
+/// Time allowed for a new version unless the settings name another.
+pub const DEFAULT_VERSION_TIME: Duration = Duration::from_secs(6);
 
 /// Status that an engine reports.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -128,6 +134,10 @@
     other_fence: u64,
     /// No order is given before this time.
     not_before: MonotonicTime,
+    /// Time within which all engines have to be at a new version.
+    version_time: Duration,
+    /// Time from the last order of this engine until its version was loaded.
+    load_time: Option<Duration>,
 }
 
 impl WeightsChange {
@@ -139,9 +149,32 @@
             phase: Phase::Accepting,
             other_fence: 0,
             not_before: MonotonicTime::ZERO,
+            version_time: DEFAULT_VERSION_TIME,
+            load_time: None,
         }
     }
 
+    /// Creates the state of an engine without target versions, of a fleet that has
+    /// to be at a new version within `version_time`.
+    pub fn within(version_time: Duration) -> Self {
+        Self {
+            version_time,
+            ..Self::new()
+        }
+    }
+
+    /// Returns the time between the orders of two batches. It is the engine's own load
+    /// time, since loads of several batches at once take longer and leave too few
+    /// engines for calls; before the first load, as much as the allowed time permits.
+    fn batch_interval(&self) -> Duration {
+        let last_order = self.version_time / LAST_BATCH_SHARE;
+        let batch_gaps = u32::try_from(BATCH_COUNT - 1).unwrap_or(1);
+        let longest = last_order.saturating_sub(FIRST_BATCH_DELAY) / batch_gaps;
+        let longest = longest.max(MIN_BATCH_INTERVAL);
+        self.load_time
+            .map_or(longest, |time| time.clamp(MIN_BATCH_INTERVAL, longest))
+    }
+
     /// Records that another process orders the engine with the fencing token
     /// `fence`. From then on only targets of a higher revision are ordered here,
     /// and none before [`TAKEOVER_DELAY`] has passed.
@@ -218,6 +251,9 @@
                 self.give_order(target, status, now)
             }
             (Phase::Stopping { .. } | Phase::Ordered { .. }, None) if !status.is_busy => {
+                if let Phase::Ordered { at } = self.phase {
+                    self.load_time = Some(now.since(at));
+                }
                 self.phase = Phase::Accepting;
                 WeightsChangeStep::ResumeAccepting
             }
@@ -266,7 +302,7 @@
             // An unknown time counts as the clock's origin, so that the order is
             // normally due at once.
             let since = since.unwrap_or(MonotonicTime::ZERO);
-            let order_at = since + FIRST_BATCH_DELAY + BATCH_INTERVAL * batch;
+            let order_at = since + FIRST_BATCH_DELAY + self.batch_interval() * batch;
             let newest = history.newest()?;
             let is_own = newest.revision > self.other_fence;
             is_own.then(|| (newest.clone(), order_at.max(self.not_before)))
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -79,6 +79,8 @@
     /// Creates the state of a gateway without configuration and members.
     pub fn new(name: &str, zone: &str, bounds: &BoundSettings) -> Self {
         let window_s = bounds.retry_window.as_secs_f64();
+        let mut dispatcher = Dispatcher::for_entry(zone, name);
+        dispatcher.set_version_time(bounds.version_time);
         Self {
             route_table: None,
             raw_configuration: Bytes::new(),
@@ -89,7 +91,7 @@
             follows_peer_members: false,
             quarantine: Quarantine::for_process(name),
             streams: StreamOrigins::default(),
-            dispatcher: Dispatcher::for_entry(zone, name),
+            dispatcher,
             quota: FleetQuota::new(bounds.quota_overage, bounds.quota_slack),
             retries: FleetRetryBudget::new(bounds.retry_ratio, bounds.retry_extra, window_s),
             has_members: false,
--- a/src/gateway/substitute_agents.rs
+++ b/src/gateway/substitute_agents.rs
@@ -355,6 +355,7 @@
         listen: absent.agent,
         metrics: None,
         engine: absent.address,
+        version_time: cx.settings.bounds.version_time,
         log: cx.settings.log,
     };
     let ports = SidecarPorts {
--- a/src/settings/bounds.rs
+++ b/src/settings/bounds.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::Section;
+use crate::core::fleet::DEFAULT_VERSION_TIME;
 
 /// Limits that the operator of a fleet sets for all gateways together.
 #[derive(Debug, Clone, PartialEq)]
@@ -26,6 +27,8 @@
     /// Time from the 50th bad response of a build under rollout within which it gets
     /// no more requests.
     pub rollback_time: Duration,
+    /// Time within which all engines have to be at a new weights version.
+    pub version_time: Duration,
 }
 
 impl BoundSettings {
@@ -48,6 +51,13 @@
             rollout_exposure_share: exposure_share.clamp(0.0, 1.0),
             rollout_exposure_slack: exposure_slack.max(0.0),
             rollback_time: Duration::from_millis(rollback_ms),
+            version_time: read_version_time(section),
         }
     }
 }
+
+/// Reads the time within which all engines have to be at a new weights version.
+pub(super) fn read_version_time(section: &mut Section) -> Duration {
+    let default_ms = u64::try_from(DEFAULT_VERSION_TIME.as_millis()).unwrap_or(u64::MAX);
+    Duration::from_millis(section.take_number("version_ms", default_ms, 1_000..=3_600_000))
+}
--- a/src/settings/sidecar.rs
+++ b/src/settings/sidecar.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::path::Path;
+use std::time::Duration;
 
 use serde_json::Value;
 
@@ -9,6 +10,7 @@
 use super::LogSettings;
 use super::Section;
 use super::SettingsError;
+use super::bounds::read_version_time;
 use super::section::read_json;
 
 /// Settings of a sidecar, which manages the engine on its host.
@@ -25,6 +27,8 @@
     pub metrics: Option<SocketAddr>,
     /// Address on which the engine accepts calls.
     pub engine: SocketAddr,
+    /// Time within which all engines have to be at a new weights version.
+    pub version_time: Duration,
     /// Level and format of the log.
     pub log: LogSettings,
 }
@@ -55,6 +59,7 @@
             listen: section.take_required("listen", ListenSettings::placeholder_address()),
             metrics: section.take_optional("metrics"),
             engine: section.take_required("engine", ListenSettings::placeholder_address()),
+            version_time: read_version_time(section),
             log: section.take_section("log", LogSettings::read),
         }
     }
--- a/src/sidecar/context.rs
+++ b/src/sidecar/context.rs
@@ -96,6 +96,10 @@
     /// Creates the context of a sidecar that has received no report and no
     /// request yet.
     pub fn new(settings: SidecarSettings, ports: SidecarPorts) -> Self {
+        let state = SidecarState {
+            weights_change: WeightsChange::within(settings.version_time),
+            ..SidecarState::default()
+        };
         Self {
             // The only process that orders the engine needs no other token.
             fence_source: Box::new(|target| Some(target.revision)),
@@ -107,7 +111,7 @@
             collector: Arc::new(Collector::new(Arc::clone(&ports.kv_cache))),
             ports,
             clock: Clock::start(),
-            state: Mutex::default(),
+            state: Mutex::new(state),
             update_number: watch::channel(1).0,
         }
     }
--- a/tests/fleet_weights_change.rs
+++ b/tests/fleet_weights_change.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use rstest::rstest;
 use teaseldrum::core::MonotonicTime;
 use teaseldrum::core::WeightsVersion;
 use teaseldrum::core::fleet::EngineStatus;
@@ -188,3 +189,32 @@
     assert_eq!(target.version, WeightsVersion(3));
     assert!(ms >= 6_000 + 3_000, "{ms}");
 }
+
+/// Slow loads of many batches at once would leave too few engines for calls: the
+/// interval between batches follows the time allowed, then the measured load time.
+#[rstest]
+#[case::short_time(6_000, 290, 300, 300)]
+#[case::slow_loads(12_000, 830, 700, 700)]
+#[case::loads_faster_than_allowed(12_000, 420, 700, 420)]
+fn advance_batches_follow_load_time(
+    #[case] version_ms: u64,
+    #[case] load_ms: u64,
+    #[case] first_interval_ms: u64,
+    #[case] later_interval_ms: u64,
+) {
+    let order_second_batch = |weights_change: &mut WeightsChange, version: u64, from_ms: u64| {
+        weights_change.observe_target(&target(version + 1), at(from_ms));
+        weights_change.set_batch_position(1, 6);
+        let (step, ms) = advance_to_order(weights_change, &status(version, 0), from_ms);
+        assert!(matches!(step, WeightsChangeStep::Order { .. }));
+        ms
+    };
+    let mut weights_change = WeightsChange::within(Duration::from_millis(version_ms));
+    let first_ms = order_second_batch(&mut weights_change, 1, 0);
+    let loaded = weights_change.advance(&status(2, 1), at(first_ms + load_ms));
+    assert_eq!(loaded, WeightsChangeStep::ResumeAccepting);
+    let second_ms = order_second_batch(&mut weights_change, 2, 20_000) - 20_000;
+    let is_near = |ms: u64, interval_ms: u64| (500 + interval_ms).abs_diff(ms) <= 20;
+    assert!(is_near(first_ms, first_interval_ms), "{first_ms}");
+    assert!(is_near(second_ms, later_interval_ms), "{second_ms}");
+}
