--- a/src/core/fleet/mod.rs
+++ b/src/core/fleet/mod.rs
@@ -121,6 +121,7 @@
 pub use version_rollout::RouteReport;
 pub use version_rollout::ServiceRollout;
 pub use version_rollout::ServiceServers;
+pub use weights::DEFAULT_VERSION_TIME;
 pub use weights::EngineStatus;
 pub use weights::OrderOutcome;
 pub use weights::RunningCalls;
