Pass the state of entries between zones through relays, and count it

Cause: each pair of entries exchanged its state, so that in a fleet of 24 entries in four zones 216 pairs crossed a zone boundary every 115 ms, and no figure showed which messages made up the bytes.

Change: control messages are counted at the codec by method, role and zone of the other process (metrics and a log line a minute). From nine entries in two zones on, one relay of each zone, chosen by rendezvous hashing over the entries that are heard, exchanges with the relays of the others and passes on usage with its age and news. Entries that are not heard through relays are exchanged with directly. FleetQuota judges silence by the age of what was passed on; target versions are left out while confirmed. An entry of an earlier release closes the connection at the unknown method and is then asked with `exchange`.

--- a/src/core/fleet/quota/fleet_quota.rs
+++ b/src/core/fleet/quota/fleet_quota.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use super::PeerUsage;
+use super::RelayedOutcome;
 use super::UsageCursor;
 use super::UsageQuery;
 use super::token_bucket::TokenBucket;
@@ -87,10 +88,21 @@
     sequence: Option<u64>,
     last_heard_at: MonotonicTime,
     is_stopped: bool,
-    admitted: HashMap<AccountName, u64>,
+    /// When its host was last found to refuse connections, less at most
+    /// [`SILENT_CHARGE_INTERVAL`].
+    stopped_at: MonotonicTime,
+    admitted: HashMap<AccountName, PeerAdmissions>,
     assumed_usage: HashMap<AccountName, f64>,
 }
 
+/// What a peer has admitted for one account.
+#[derive(Debug, Clone, Copy)]
+struct PeerAdmissions {
+    tokens: u64,
+    /// Number of the peer's change up to which the account has not changed since.
+    last_change: u64,
+}
+
 impl FleetQuota {
     /// Creates a quota without accounts. `overage` is the tolerated excess as a
     /// fraction of a rate, and `slack` the tolerated excess over a burst in
@@ -328,6 +340,7 @@
                 sequence: None,
                 last_heard_at: now,
                 is_stopped: false,
+                stopped_at: MonotonicTime::ZERO,
                 admitted: HashMap::new(),
                 assumed_usage: HashMap::new(),
             });
@@ -346,6 +359,82 @@
         // Otherwise it is not known when the peer admitted what precedes the first
         // contact.
         let is_first = peer.sequence.is_none() && !started_together;
+        self.charge_for_peer(usage, is_first, now);
+    }
+
+    /// Like [`Self::observe_peer_usage`], for what a relay passed on of a peer that it
+    /// heard `age` ago. The run must have been heard directly before. Silence is judged by
+    /// the age, as if the peer itself had been heard then.
+    pub fn observe_relayed_usage(
+        &mut self,
+        usage: &PeerUsage,
+        age: Duration,
+        now: MonotonicTime,
+    ) -> RelayedOutcome {
+        self.charge_for_silent_peers(now);
+        let heard_at = now.saturating_sub(age);
+        let known_peer = self.peers.get_mut(&usage.name);
+        let Some(peer) = known_peer.filter(|peer| peer.incarnation == usage.incarnation) else {
+            return RelayedOutcome::UnknownRun;
+        };
+        let Some(known) = peer.sequence else {
+            return RelayedOutcome::UnknownRun;
+        };
+        if age >= PEER_TIMEOUT {
+            return RelayedOutcome::TooOld;
+        }
+        if heard_at > peer.stopped_at {
+            peer.is_stopped = false;
+        }
+        peer.last_heard_at = peer.last_heard_at.max(heard_at);
+        if known < usage.base {
+            return RelayedOutcome::UnknownBase;
+        }
+        if known <= usage.sequence {
+            self.charge_for_peer(usage, false, now);
+        }
+        RelayedOutcome::Applied
+    }
+
+    /// Returns what a peer has admitted since the state in `known`, to be passed on to
+    /// another entry, and the time since the peer was heard. `None` for a peer that is
+    /// silent, has stopped or has not sent all its admissions.
+    pub fn build_relayed_usage(
+        &self,
+        peer: &str,
+        known: Option<UsageCursor>,
+        now: MonotonicTime,
+    ) -> Option<(PeerUsage, Duration)> {
+        let state = self.peers.get(peer)?;
+        let age = now.since(state.last_heard_at);
+        let sequence = state.sequence?;
+        if age >= PEER_TIMEOUT || state.is_stopped {
+            return None;
+        }
+        let known = known
+            .filter(|known| known.incarnation == state.incarnation && known.sequence <= sequence);
+        let base = known.map_or(0, |known| known.sequence);
+        let changed = state
+            .admitted
+            .iter()
+            .filter(|(_, admitted)| base == 0 || admitted.last_change > base);
+        let usage = PeerUsage {
+            name: peer.into(),
+            incarnation: state.incarnation,
+            sequence,
+            base,
+            admitted: changed.map(|(n, a)| (n.clone(), a.tokens)).collect(),
+            levels: Vec::new(),
+        };
+        Some((usage, age))
+    }
+
+    /// Charges what a peer has admitted since its last known change. `is_first` tells
+    /// that it is not known when it admitted what it names.
+    fn charge_for_peer(&mut self, usage: &PeerUsage, is_first: bool, now: MonotonicTime) {
+        let Some(peer) = self.peers.get_mut(&usage.name) else {
+            return;
+        };
         peer.sequence = Some(usage.sequence);
         let mut corrections = take(&mut peer.assumed_usage);
         corrections
@@ -354,7 +443,13 @@
         for (name, admitted) in &usage.admitted {
             // Recorded for accounts without a rate as well, because a process
             // hears from its peers before it has a configuration.
-            let before = peer.admitted.insert(name.clone(), *admitted);
+            // An account that is listed may have changed and changed back by a refund.
+            let admissions = PeerAdmissions {
+                tokens: *admitted,
+                last_change: usage.sequence,
+            };
+            let before = peer.admitted.insert(name.clone(), admissions);
+            let before = before.map(|before| before.tokens);
             let before = before.unwrap_or(if is_first { *admitted } else { 0 });
             *corrections.entry(name.clone()).or_default() += *admitted as f64 - before as f64;
         }
@@ -371,6 +466,7 @@
     pub fn mark_peer_stopped(&mut self, name: &str) {
         if let Some(peer) = self.peers.get_mut(name) {
             peer.is_stopped = true;
+            peer.stopped_at = self.charged_at;
         }
     }
 
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -1,5 +1,6 @@
 //! State and clients that the tasks of a gateway share.
 
+use std::collections::BTreeMap;
 use std::collections::HashSet;
 use std::fmt;
 use std::net::SocketAddr;
@@ -15,13 +16,16 @@
 use super::agent_connections::AgentConnections;
 use super::clock_offsets::ClockOffsets;
 use super::known_entries::KnownEntries;
+use super::report_mesh_traffic::ReportedTraffic;
 use super::state::GatewayState;
 use super::stream_keepers::StreamKeepers;
+use super::zone_relaying::ZoneRelaying;
 use crate::clock::Clock;
 use crate::core::MonotonicTime;
 use crate::http::BodyBudget;
 use crate::http::Client;
 use crate::metrics::GatewayMetrics;
+use crate::metrics::MeshLabels;
 use crate::ports::Area;
 use crate::ports::Dialect;
 use crate::ports::EngineClient;
@@ -75,6 +79,12 @@
     pub known_entries: KnownEntries,
     /// Processes that keep the origins of streams.
     pub stream_keepers: StreamKeepers,
+    /// Control messages that are part of the metrics already.
+    pub reported_traffic: ReportedTraffic,
+    /// Bytes of control messages since the last log line about them.
+    pub logged_traffic: Mutex<BTreeMap<MeshLabels, u64>>,
+    /// Zones of the other entries, and which ones pass on the state of others.
+    pub zone_relaying: ZoneRelaying,
     /// Clock offsets of other processes.
     pub clock_offsets: ClockOffsets,
     clock: Clock,
@@ -99,6 +109,9 @@
             collected_stores: watch::channel(HashSet::new()).0,
             known_entries: KnownEntries::default(),
             stream_keepers: StreamKeepers::default(),
+            reported_traffic: ReportedTraffic::default(),
+            logged_traffic: Mutex::default(),
+            zone_relaying: ZoneRelaying::new(&settings.name, &settings.zone),
             clock_offsets: ClockOffsets::default(),
             clock: Clock::start(),
             state: Mutex::new(state),
--- a/src/gateway/exchange_peer_state.rs
+++ b/src/gateway/exchange_peer_state.rs
@@ -12,6 +12,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use tarpc::client::RpcError;
 use tarpc::context::Context;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc::UnboundedSender;
@@ -29,12 +30,16 @@
 use super::peer_contacts::PeerContacts;
 use super::share_quarantine::apply_quarantine_news;
 use super::state::GatewayState;
+use super::zone_relaying::apply_relayed;
+use super::zone_relaying::build_zone_exchange;
 use crate::clock::read_wall_clock_ms;
 use crate::core::MonotonicTime;
 use crate::core::ServerName;
+use crate::core::fleet::Exchange;
 use crate::core::fleet::KnownOrigin;
 use crate::core::fleet::Member;
 use crate::core::fleet::QuarantineNews;
+use crate::core::fleet::RelayLink;
 use crate::core::fleet::StreamKey;
 use crate::core::fleet::StreamOrigin;
 use crate::core::fleet::UsageQuery;
@@ -48,6 +53,7 @@
 use crate::mesh::MeshClient;
 use crate::mesh::ObserveRequest;
 use crate::mesh::PeerState;
+use crate::mesh::ZoneExchange;
 use crate::mesh::connect_mesh;
 use crate::mesh::serve_mesh;
 use crate::peer::accept_peers;
@@ -65,6 +71,9 @@
 /// break with a server.
 const NEWS_DELAY: Duration = Duration::from_millis(10);
 
+/// Like [`NEWS_DELAY`], while there are relays: news is gathered three times then.
+const RELAYED_NEWS_DELAY: Duration = Duration::from_millis(3);
+
 /// Time, besides two intervals, without an exchange that the peer starts after
 /// which the other side starts one.
 const CONTACT_MARGIN: Duration = Duration::from_millis(400);
@@ -74,6 +83,9 @@
 /// entry receives the list from each of them.
 const MIN_EXCHANGES_PER_ENTRY_LIST: u64 = 16;
 
+/// Like [`MIN_EXCHANGES_PER_ENTRY_LIST`], over a connection with a shorter interval.
+const MIN_RELAY_EXCHANGES_PER_ENTRY_LIST: u64 = 64;
+
 /// Timeout of a request to a peer.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -115,6 +127,7 @@
 struct ServedConnection {
     exchange: Arc<PeerExchange>,
     peer: Mutex<Option<SocketAddr>>,
+    link: Mutex<RelayLink>,
 }
 
 impl ServedConnection {
@@ -135,22 +148,10 @@
     }
 }
 
-impl Mesh for EntryService {
-    async fn observe(self, _: Context, _: ObserveRequest) -> Option<EngineUpdate> {
-        None
-    }
-
-    async fn announce(self, _: Context, _: Duration) {}
-
-    async fn collect(self, _: Context, _: CollectRequest) -> Option<CollectResponse> {
-        None
-    }
-
-    async fn forward_announcement(self, _: Context, _: ServerName, _: Duration) {}
-
-    async fn yield_orders(self, _: Context, _: u64) {}
-
-    async fn exchange(self, _: Context, peer_state: PeerState) -> Option<PeerState> {
+impl EntryService {
+    /// Applies the state of a peer, whose zone is `None` if it is of an earlier release,
+    /// and returns the state of this entry.
+    fn answer_exchange(&self, peer_state: PeerState, zone: Option<&str>) -> PeerState {
         let (address, usage_query) = (peer_state.address, peer_state.usage_query);
         let peer = peer_state.usage.name.clone();
         let peer_sent_entries = !peer_state.known_entries.is_empty();
@@ -158,7 +159,7 @@
         let peer_read_store = peer_state.newest_revisions.iter().any(|newest| *newest > 0);
         self.connection.record_contact(address);
         let exchange = &self.exchange;
-        apply_peer_state(exchange, peer_state);
+        apply_peer_state(exchange, peer_state, zone);
         if peer_read_store && is_fetch_due(&exchange.cx, version) {
             // Outlives this response, which the peer waits for.
             tokio::spawn(fetch_from_peer(Arc::clone(&exchange.cx), address, version));
@@ -170,7 +171,44 @@
         if peer_sent_entries {
             own_state.known_entries = exchange.cx.known_entries.list(exchange.cx.now());
         }
-        Some(own_state)
+        own_state
+    }
+}
+
+impl Mesh for EntryService {
+    async fn observe(self, _: Context, _: ObserveRequest) -> Option<EngineUpdate> {
+        None
+    }
+
+    async fn announce(self, _: Context, _: Duration) {}
+
+    async fn collect(self, _: Context, _: CollectRequest) -> Option<CollectResponse> {
+        None
+    }
+
+    async fn forward_announcement(self, _: Context, _: ServerName, _: Duration) {}
+
+    async fn yield_orders(self, _: Context, _: u64) {}
+
+    async fn exchange(self, _: Context, peer_state: PeerState) -> Option<PeerState> {
+        Some(self.answer_exchange(peer_state, None))
+    }
+
+    async fn exchange_zones(self, _: Context, message: ZoneExchange) -> Option<ZoneExchange> {
+        let peer = message.state.usage.name.clone();
+        let own_state = self.answer_exchange(message.state, Some(&message.zone));
+        let cx = &self.exchange.cx;
+        let wants_all = apply_relayed(cx, message.relayed, Duration::ZERO);
+        let link = &self.connection.link;
+        let mut link = link.lock().unwrap_or_else(PoisonError::into_inner);
+        link.record_received(message.wants_all);
+        Some(build_zone_exchange(
+            cx,
+            &mut link,
+            Some(&peer),
+            own_state,
+            wants_all,
+        ))
     }
 
     async fn get_configuration(self, _: Context, held: u64) -> Option<Bytes> {
@@ -221,6 +259,7 @@
         let connection = ServedConnection {
             exchange: Arc::clone(&served_exchange),
             peer: Mutex::default(),
+            link: Mutex::default(),
         };
         let service = EntryService {
             exchange: Arc::clone(&served_exchange),
@@ -264,7 +303,13 @@
     let cx = &exchange.cx;
     let starts_exchanges = cx.settings.listen.peers < address;
     let mut last_heard_at = cx.now();
+    let mut is_earlier_release = false;
     while is_seed || cx.now().since(last_heard_at) < PEER_EXPIRY {
+        if is_reached_through_relays(cx, address) {
+            wait_for_direct_exchange(cx, address).await;
+            last_heard_at = cx.now();
+            continue;
+        }
         if !starts_exchanges
             && exchange
                 .contacts
@@ -283,8 +328,19 @@
                     last_heard_at: &mut last_heard_at,
                     address,
                     starts_exchanges,
+                    is_earlier_release,
                 };
+                is_earlier_release = false;
                 match exchange_over_connection(&exchange, &client, contact).await {
+                    ExchangeEnd::ThroughRelays => {
+                        log::info!("peers: closed address={address} reason=\"relays\"");
+                        continue;
+                    }
+                    ExchangeEnd::EarlierRelease => {
+                        log::info!("peers: of an earlier release address={address}");
+                        is_earlier_release = true;
+                        continue;
+                    }
                     ExchangeEnd::PeerStarts => log::info!("peers: closed address={address}"),
                     ExchangeEnd::Lost(reason) => {
                         log::info!("peers: lost address={address} reason=\"{reason}\"");
@@ -294,6 +350,7 @@
             Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => {
                 if let Some(name) = cx.known_entries.find_name(address) {
                     let now = cx.now();
+                    cx.zone_relaying.record_stopped_entry(&name);
                     let mut state = cx.lock();
                     state.quota.mark_peer_stopped(&name);
                     let limits = &mut state.dispatcher.server_limits;
@@ -316,6 +373,30 @@
     ))
 }
 
+/// Returns the interval between exchanges with an entry of the same zone or a relay;
+/// `None` for other peers.
+fn find_peer_interval(cx: &GatewayContext, peer: Option<&str>) -> Option<Duration> {
+    match cx.zone_relaying.find_exchange(peer?) {
+        Exchange::Every(interval) => Some(interval),
+        Exchange::Direct | Exchange::ThroughRelays => None,
+    }
+}
+
+/// Returns whether relays pass on the states of this entry and the peer at `address`.
+fn is_reached_through_relays(cx: &GatewayContext, address: SocketAddr) -> bool {
+    let name = cx.known_entries.find_name(address);
+    name.is_some_and(|name| cx.zone_relaying.find_exchange(&name) == Exchange::ThroughRelays)
+}
+
+/// Waits until the peer at `address` is to be exchanged with directly.
+async fn wait_for_direct_exchange(cx: &GatewayContext, address: SocketAddr) {
+    let mut plan_rx = cx.zone_relaying.subscribe();
+    while is_reached_through_relays(cx, address) {
+        // The sender is in the context, so it still exists.
+        let _ = plan_rx.changed().await;
+    }
+}
+
 /// Returns the time without an exchange after which a peer that should start
 /// them counts as lost.
 fn max_contact_age(cx: &GatewayContext) -> Duration {
@@ -327,6 +408,8 @@
 struct PeerContact<'a> {
     address: SocketAddr,
     starts_exchanges: bool,
+    /// Whether it knows no zones.
+    is_earlier_release: bool,
     last_heard_at: &'a mut MonotonicTime,
 }
 
@@ -334,6 +417,10 @@
 enum ExchangeEnd {
     /// The peer starts them, as it should.
     PeerStarts,
+    /// Relays pass on the states of both.
+    ThroughRelays,
+    /// The peer does not know the request.
+    EarlierRelease,
     /// The connection failed; holds the reason.
     Lost(String),
 }
@@ -353,28 +440,69 @@
     let mut exchange_count = 0_u64;
     let mut news_rx = cx.news_count.subscribe();
     let mut woken_at = None;
+    let mut link = RelayLink::default();
+    let mut wants_all = false;
     loop {
+        let peer_interval = find_peer_interval(cx, peer_name.as_deref());
+        let min_exchanges = match peer_interval {
+            Some(_) => MIN_RELAY_EXCHANGES_PER_ENTRY_LIST,
+            None => MIN_EXCHANGES_PER_ENTRY_LIST,
+        };
         let entry_count = cx.lock().quota.count_entries() as u64;
-        let is_full = exchange_count.is_multiple_of(entry_count.max(MIN_EXCHANGES_PER_ENTRY_LIST));
+        let is_full = exchange_count.is_multiple_of(entry_count.max(min_exchanges));
         let mut own_state = build_peer_state(cx, peer_name.as_deref(), usage_query, is_full);
         if is_full {
             own_state.known_entries = cx.known_entries.list(cx.now());
         }
-        match client.exchange(rpc_context(), own_state).await {
-            Ok(Some(peer_state)) => {
+        let response = if contact.is_earlier_release {
+            let response = client.exchange(rpc_context(), own_state).await;
+            response.map(|state| state.map(|state| (state, None)))
+        } else {
+            let peer = peer_name.as_deref();
+            let message = build_zone_exchange(cx, &mut link, peer, own_state, wants_all);
+            let sent_at = cx.now();
+            let response = client.exchange_zones(rpc_context(), message).await;
+            response.map(|message| {
+                message.map(|message| {
+                    link.record_received(message.wants_all);
+                    let delay = cx.now().since(sent_at);
+                    (message.state, Some((message.zone, message.relayed, delay)))
+                })
+            })
+        };
+        match response {
+            Ok(Some((peer_state, zone_state))) => {
                 usage_query = peer_state.usage_query;
                 *contact.last_heard_at = cx.now();
                 peer_name = Some(peer_state.usage.name.clone());
                 let version = peer_state.configuration_version;
-                apply_peer_state(exchange, peer_state);
+                let zone = zone_state.as_ref().map(|(zone, ..)| zone.as_str());
+                apply_peer_state(exchange, peer_state, zone);
+                wants_all =
+                    zone_state.is_some_and(|(_, relayed, delay)| apply_relayed(cx, relayed, delay));
                 if is_fetch_due(cx, version) {
-                    fetch_missing_state(cx, client, version).await;
+                    if peer_interval.is_some() {
+                        // What relays pass on must not wait for a large configuration.
+                        let cx = Arc::clone(&exchange.cx);
+                        tokio::spawn(fetch_from_peer(cx, contact.address, version));
+                    } else {
+                        fetch_missing_state(cx, client, version).await;
+                    }
                 }
             }
             Ok(None) => return ExchangeEnd::Lost("the process is not an entry".into()),
+            Err(RpcError::Shutdown) if exchange_count == 0 && !contact.is_earlier_release => {
+                return ExchangeEnd::EarlierRelease;
+            }
             Err(e) => return ExchangeEnd::Lost(e.to_string()),
         }
-        woken_at = wait_for_next_exchange(cx, &mut news_rx, woken_at).await;
+        let interval = find_peer_interval(cx, peer_name.as_deref());
+        let interval = interval.unwrap_or_else(|| exchange_interval(cx));
+        woken_at = wait_for_next_exchange(cx, interval, &mut news_rx, woken_at).await;
+        let peer = peer_name.as_deref().unwrap_or_default();
+        if cx.zone_relaying.find_exchange(peer) == Exchange::ThroughRelays {
+            return ExchangeEnd::ThroughRelays;
+        }
         let max_age = max_contact_age(cx);
         if !contact.starts_exchanges && exchange.contacts.is_recent(cx, contact.address, max_age) {
             return ExchangeEnd::PeerStarts;
@@ -388,10 +516,10 @@
 /// it, so that there are at most twice as many exchanges.
 async fn wait_for_next_exchange(
     cx: &GatewayContext,
+    interval: Duration,
     news_rx: &mut watch::Receiver<u64>,
     woken_at: Option<MonotonicTime>,
 ) -> Option<MonotonicTime> {
-    let interval = exchange_interval(cx);
     let until_wakeable = woken_at.map_or(Duration::ZERO, |at| {
         interval.saturating_sub(cx.now().since(at))
     });
@@ -401,7 +529,12 @@
     if timeout(rest, news_rx.changed()).await.is_err() {
         return None;
     }
-    sleep(NEWS_DELAY).await;
+    let news_delay = if cx.zone_relaying.is_active() {
+        RELAYED_NEWS_DELAY
+    } else {
+        NEWS_DELAY
+    };
+    sleep(news_delay).await;
     news_rx.mark_unchanged();
     Some(cx.now())
 }
@@ -541,9 +674,9 @@
     }
 }
 
-/// Applies the state that a peer sent, and reports the entries that it lists as
+/// Applies the state that a peer in `zone` sent, and reports the entries that it lists as
 /// discovered.
-fn apply_peer_state(exchange: &PeerExchange, peer_state: PeerState) {
+fn apply_peer_state(exchange: &PeerExchange, peer_state: PeerState, zone: Option<&str>) {
     let cx = &*exchange.cx;
     if peer_state.usage.name == cx.settings.name {
         return;
@@ -552,6 +685,7 @@
     let owner = ClockOwner::Entry(&peer_state.usage.name);
     cx.clock_offsets
         .record(owner, peer_state.clock_ms, read_wall_clock_ms());
+    cx.zone_relaying.record_direct(&peer_state, zone, now);
     cx.known_entries
         .record(&peer_state.usage.name, peer_state.address, now);
     for entry in &peer_state.known_entries {
--- a/src/gateway/known_entries.rs
+++ b/src/gateway/known_entries.rs
@@ -26,6 +26,14 @@
         entries.insert(name.into(), (address, now));
     }
 
+    /// Records that a relay has heard an entry that is known.
+    pub fn refresh(&self, name: &str, heard_at: MonotonicTime) {
+        let mut entries = self.entries.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some((_, last_heard_at)) = entries.get_mut(name) {
+            *last_heard_at = heard_at.max(*last_heard_at);
+        }
+    }
+
     /// Removes an entry that is about to stop.
     pub fn remove(&self, name: &str) {
         let mut entries = self.entries.lock().unwrap_or_else(PoisonError::into_inner);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -24,6 +24,7 @@
 mod peer_contacts;
 mod read_call;
 mod report_break;
+mod report_mesh_traffic;
 mod run;
 mod serve_call;
 mod share_quarantine;
@@ -32,6 +33,7 @@
 mod stream_keepers;
 mod stream_relay;
 mod substitute_agents;
+mod zone_relaying;
 
 pub use context::GatewayPorts;
 pub use run::GatewayError;
--- a/src/gateway/status_pages.rs
+++ b/src/gateway/status_pages.rs
@@ -8,6 +8,7 @@
 use hyper::body::Incoming;
 
 use super::context::GatewayContext;
+use super::report_mesh_traffic::update_mesh_metrics;
 use crate::http::HttpBody;
 use crate::http::full_body;
 
@@ -21,6 +22,7 @@
         "/ready" if cx.is_ready() => (StatusCode::OK, "ready\n".into()),
         "/ready" => (StatusCode::SERVICE_UNAVAILABLE, "not ready\n".into()),
         "/metrics" => {
+            update_mesh_metrics(&cx);
             let gauges = cx.lock().read_gauges(cx.now());
             (StatusCode::OK, cx.metrics.encode(&gauges))
         }
--- a/src/mesh/connect_mesh.rs
+++ b/src/mesh/connect_mesh.rs
@@ -6,12 +6,12 @@
 
 use tarpc::client;
 use tarpc::serde_transport;
-use tarpc::tokio_serde::formats::MessagePack;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 use tokio_util::codec::LengthDelimitedCodec;
 
 use super::MeshClient;
+use super::counted_codec::CountedCodec;
 use super::serve_mesh::MAX_MESSAGE_BYTES;
 use crate::http::set_socket_options;
 
@@ -34,6 +34,6 @@
     let framed = LengthDelimitedCodec::builder()
         .max_frame_length(MAX_MESSAGE_BYTES)
         .new_framed(stream);
-    let transport = serde_transport::new(framed, MessagePack::default());
+    let transport = serde_transport::new(framed, CountedCodec::new(Some(address.ip())));
     Ok(MeshClient::new(client::Config::default(), transport).spawn())
 }
--- a/src/mesh/fleet_news.rs
+++ b/src/mesh/fleet_news.rs
@@ -1,5 +1,7 @@
 //! What entries tell each other of servers, besides the records in the store.
 
+use std::time::Duration;
+
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -21,6 +23,28 @@
 }
 
 impl FleetNews {
+    /// Returns what a relay passes on of this news `held` after it has received it. What
+    /// the relay tells itself once it knows it is left out: what is quarantined, the runs
+    /// that leave and the limits.
+    pub fn to_passed_on(&self, held: Duration) -> Self {
+        let mut news = self.clone();
+        news.quarantine.quarantined.clear();
+        news.leaving.clear();
+        if let Some(limits) = &mut news.limits {
+            limits.notices.clear();
+        }
+        for broken in &mut news.quarantine.broken {
+            broken.age += held;
+        }
+        for alive in &mut news.quarantine.alive {
+            alive.age += held;
+        }
+        for cleared in &mut news.quarantine.cleared {
+            cleared.age += held;
+        }
+        news
+    }
+
     /// Returns whether there is nothing to tell.
     pub fn is_empty(&self) -> bool {
         self.quarantine.is_empty() && self.leaving.is_empty() && self.limits.is_none()
--- a/src/mesh/serve_mesh.rs
+++ b/src/mesh/serve_mesh.rs
@@ -6,11 +6,11 @@
 use tarpc::serde_transport;
 use tarpc::server::BaseChannel;
 use tarpc::server::Channel;
-use tarpc::tokio_serde::formats::MessagePack;
 use tokio::net::TcpStream;
 use tokio_util::codec::LengthDelimitedCodec;
 
 use super::Mesh;
+use super::counted_codec::CountedCodec;
 use super::service::MeshRequest;
 use super::service::MeshResponse;
 use crate::http::set_socket_options;
@@ -32,11 +32,12 @@
     if let Err(e) = set_socket_options(&stream, DEAD_PEER_TIMEOUT) {
         log::warn!("mesh: Cannot set socket options: {e}.");
     }
+    let host = stream.peer_addr().ok().map(|address| address.ip());
     let framed = LengthDelimitedCodec::builder()
         .max_frame_length(MAX_MESSAGE_BYTES)
         .new_framed(stream);
     let codec =
-        MessagePack::<tarpc::ClientMessage<MeshRequest>, tarpc::Response<MeshResponse>>::default();
+        CountedCodec::<tarpc::ClientMessage<MeshRequest>, tarpc::Response<MeshResponse>>::new(host);
     BaseChannel::with_defaults(serde_transport::new(framed, codec))
         .max_concurrent_requests(MAX_CONCURRENT_REQUESTS)
         .execute(service.serve())
--- a/src/mesh/service.rs
+++ b/src/mesh/service.rs
@@ -16,6 +16,7 @@
 use super::MembersUpdate;
 use super::ObserveRequest;
 use super::PeerState;
+use super::ZoneExchange;
 use crate::core::ServerName;
 use crate::core::fleet::KnownOrigin;
 use crate::core::fleet::Member;
@@ -70,4 +71,7 @@
     /// Tells an agent which prompt parts crash servers, and asks for those that it
     /// knows.
     async fn share_quarantine(news: QuarantineNews) -> QuarantineNews;
+
+    /// Like [`Self::exchange`], with the sender's zone and states that relays pass on.
+    async fn exchange_zones(message: ZoneExchange) -> Option<ZoneExchange>;
 }
--- a/src/metrics/gateway_metrics.rs
+++ b/src/metrics/gateway_metrics.rs
@@ -10,6 +10,7 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+use super::MeshMetrics;
 use super::PREFIX;
 use super::encode_registry;
 use crate::logs::dropped_line_count;
@@ -53,6 +54,8 @@
 
 /// Metrics of a gateway.
 pub struct GatewayMetrics {
+    /// Control messages.
+    pub mesh: MeshMetrics,
     registry: Registry,
     calls: Family<OutcomeLabels, Counter>,
     attempts: Family<OutcomeLabels, Counter>,
@@ -68,6 +71,7 @@
     /// Registers the metrics, all at zero.
     pub fn new() -> Self {
         let mut registry = Registry::with_prefix(PREFIX);
+        let mesh = MeshMetrics::register(&mut registry);
         let calls = Family::<OutcomeLabels, Counter>::default();
         let attempts = Family::<OutcomeLabels, Counter>::default();
         registry.register(
@@ -113,6 +117,7 @@
             config_version.clone(),
         );
         Self {
+            mesh,
             registry,
             calls,
             attempts,
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -3,6 +3,7 @@
 mod agent_metrics;
 mod entry_metrics;
 mod gateway_metrics;
+mod mesh_metrics;
 mod request_labels;
 mod sidecar_metrics;
 
@@ -10,6 +11,8 @@
 pub use entry_metrics::EntryMetrics;
 pub use gateway_metrics::GatewayGauges;
 pub use gateway_metrics::GatewayMetrics;
+pub use mesh_metrics::MeshLabels;
+pub use mesh_metrics::MeshMetrics;
 pub use request_labels::RequestLabels;
 pub use sidecar_metrics::SidecarMetrics;
 
--- a/src/sidecar/sidecar_service.rs
+++ b/src/sidecar/sidecar_service.rs
@@ -26,6 +26,7 @@
 use crate::mesh::Mesh;
 use crate::mesh::ObserveRequest;
 use crate::mesh::PeerState;
+use crate::mesh::ZoneExchange;
 
 /// Maximum wait for a change before a request is answered. It is shorter than
 /// the silence after which an entry stops trusting the last update.
@@ -123,6 +124,10 @@
         None
     }
 
+    async fn exchange_zones(self, _: Context, _: ZoneExchange) -> Option<ZoneExchange> {
+        None
+    }
+
     async fn get_configuration(self, _: Context, _: u64) -> Option<Bytes> {
         None
     }
