Follow the few engines of other zones through a collector of the own zone

Cause: up to 64 engines, each entry followed each agent itself, so that the updates of 45 agents passed zone boundaries once for each of 24 entries.

Change: while entries use relays, the engines of other zones are followed through collectors of the own zone; those of the own zone directly, and all if no agent of the zone is usable.

--- a/src/core/fleet/collectors/collector_plan.rs
+++ b/src/core/fleet/collectors/collector_plan.rs
@@ -44,22 +44,57 @@
     if engines.len() <= MAX_DIRECT_ENGINES {
         return HashMap::new();
     }
-    let find_candidates = |is_in_zone: &dyn Fn(&EngineAgent) -> bool| -> Vec<SocketAddr> {
-        let candidates = engines.iter().filter(|engine| is_in_zone(engine));
-        let mut agents: Vec<SocketAddr> = candidates
-            .map(|engine| engine.agent)
-            .filter(|agent| is_usable(*agent))
-            .collect();
-        agents
-            .sort_unstable_by_key(|agent| (hash_address(*agent, xxh3_64(zone.as_bytes())), *agent));
-        agents.dedup();
-        agents.truncate(engines.len().div_ceil(ENGINES_PER_COLLECTOR));
-        agents
-    };
-    let mut collectors = find_candidates(&|engine| engine.zone == zone);
+    let count = engines.len().div_ceil(ENGINES_PER_COLLECTOR);
+    let mut collectors = choose_collectors(zone, engines, count, |engine| {
+        engine.zone == zone && is_usable(engine.agent)
+    });
     if collectors.is_empty() {
-        collectors = find_candidates(&|_| true);
+        collectors = choose_collectors(zone, engines, count, |engine| is_usable(engine.agent));
     }
+    assign_engines(engines, &collectors)
+}
+
+/// Like [`plan_collectors`], for the entries of a fleet of several zones whose engines
+/// may be few: assigns the engines of other zones to collectors of `zone`, so that their
+/// updates pass between two zones once. The engines of `zone`, and all if no agent there
+/// is usable, are followed directly.
+pub fn plan_zone_collectors(
+    zone: &str,
+    engines: &[EngineAgent],
+    is_usable: impl Fn(SocketAddr) -> bool,
+) -> HashMap<SocketAddr, Vec<ServerName>> {
+    if engines.len() > MAX_DIRECT_ENGINES {
+        return plan_collectors(zone, engines, is_usable);
+    }
+    let others = engines.iter().filter(|engine| engine.zone != zone);
+    let others: Vec<EngineAgent> = others.cloned().collect();
+    let count = others.len().div_ceil(ENGINES_PER_COLLECTOR);
+    let collectors = choose_collectors(zone, engines, count, |engine| {
+        engine.zone == zone && is_usable(engine.agent)
+    });
+    assign_engines(&others, &collectors)
+}
+
+/// Chooses `count` agents of the engines that qualify, the same for all entries of
+/// `zone`.
+fn choose_collectors(
+    zone: &str,
+    engines: &[EngineAgent],
+    count: usize,
+    qualifies: impl Fn(&EngineAgent) -> bool,
+) -> Vec<SocketAddr> {
+    let candidates = engines.iter().filter(|engine| qualifies(engine));
+    let mut agents: Vec<SocketAddr> = candidates.map(|engine| engine.agent).collect();
+    agents.sort_unstable_by_key(|agent| (hash_address(*agent, xxh3_64(zone.as_bytes())), *agent));
+    agents.dedup();
+    agents.truncate(count);
+    agents
+}
+
+fn assign_engines(
+    engines: &[EngineAgent],
+    collectors: &[SocketAddr],
+) -> HashMap<SocketAddr, Vec<ServerName>> {
     let mut plan: HashMap<SocketAddr, Vec<ServerName>> = HashMap::new();
     for engine in engines {
         let engine_hash = hash_address(engine.agent, 0);
--- a/src/core/fleet/collectors/mod.rs
+++ b/src/core/fleet/collectors/mod.rs
@@ -9,3 +9,4 @@
 pub use collector_plan::MAX_DIRECT_ENGINES;
 pub use collector_plan::choose_store_collector;
 pub use collector_plan::plan_collectors;
+pub use collector_plan::plan_zone_collectors;
--- a/src/core/fleet/mod.rs
+++ b/src/core/fleet/mod.rs
@@ -38,6 +38,7 @@
 pub use collectors::MAX_DIRECT_ENGINES;
 pub use collectors::choose_store_collector;
 pub use collectors::plan_collectors;
+pub use collectors::plan_zone_collectors;
 pub use configuration::AccountRule;
 pub use configuration::CallerLimits;
 pub use configuration::Configuration;
--- a/src/gateway/follow_agents.rs
+++ b/src/gateway/follow_agents.rs
@@ -24,6 +24,7 @@
 use crate::core::fleet::TargetVersion;
 use crate::core::fleet::choose_store_collector;
 use crate::core::fleet::plan_collectors;
+use crate::core::fleet::plan_zone_collectors;
 use crate::mesh::AgentObserver;
 use crate::mesh::AnnouncementReceiver;
 use crate::mesh::EngineUpdate;
@@ -59,9 +60,12 @@
         let engines = list_engines(&cx);
         let agents: Vec<EngineAgent> = engines.iter().map(|(agent, _)| agent.clone()).collect();
         let now = cx.now();
-        let plan = plan_collectors(&cx.settings.zone, &agents, |agent| {
-            health.is_usable(agent, now)
-        });
+        let is_usable = |agent| health.is_usable(agent, now);
+        let plan = if cx.zone_relaying.is_active() {
+            plan_zone_collectors(&cx.settings.zone, &agents, is_usable)
+        } else {
+            plan_collectors(&cx.settings.zone, &agents, is_usable)
+        };
         let collected: HashSet<&ServerName> = plan.values().flatten().collect();
         let direct: HashMap<&ServerName, SocketAddr> = agents
             .iter()
--- a/tests/fleet_collectors.rs
+++ b/tests/fleet_collectors.rs
@@ -21,6 +21,7 @@
 use teaseldrum::core::fleet::ModelName;
 use teaseldrum::core::fleet::PartId;
 use teaseldrum::core::fleet::plan_collectors;
+use teaseldrum::core::fleet::plan_zone_collectors;
 
 const ZONES: [&str; 5] = ["a", "b", "c", "d", "e"];
 
@@ -111,6 +112,35 @@
     assert!(plan("d", &engines, &all).is_empty());
 }
 
+/// Guards against updates that pass between two zones once for each entry: 45 engines are
+/// few enough to be followed directly, but most are in other zones.
+#[rstest]
+#[case::all_usable(0)]
+#[case::collector_lost(1)]
+#[case::all_lost(9)]
+fn plan_few_engines_of_other_zones_collected_in_own(#[case] lost_count: usize) {
+    let engines = engines(45);
+    let of_zone = engines.iter().filter(|engine| engine.zone == "b");
+    let mut agents: Vec<SocketAddr> = of_zone.map(|engine| engine.agent).collect();
+    let whole = plan_zone_collectors("b", &engines, |_| true);
+    agents.sort_by_key(|agent| !whole.contains_key(agent));
+    let lost = &agents[..lost_count];
+    let plan = plan_zone_collectors("b", &engines, |agent| !lost.contains(&agent));
+    let followed: BTreeSet<&ServerName> = plan.values().flatten().collect();
+    if lost_count == agents.len() {
+        assert!(plan.is_empty(), "{plan:?}");
+        return;
+    }
+    assert_eq!(plan.len(), 1);
+    assert!(
+        plan.keys()
+            .all(|agent| !lost.contains(agent) && agents.contains(agent))
+    );
+    for engine in &engines {
+        assert_eq!(followed.contains(&engine.name), engine.zone != "b");
+    }
+}
+
 fn change(part: u64, tokens: u32) -> CachedPartChange {
     CachedPartChange {
         namespace: 1,
