--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -27,6 +27,7 @@
 mod permit_builds;
 mod read_call;
 mod report_break;
+mod report_mesh_traffic;
 mod run;
 mod serve_call;
 mod share_quarantine;
@@ -35,6 +36,7 @@
 mod stream_keepers;
 mod stream_relay;
 mod substitute_agents;
+mod zone_relaying;
 
 pub use context::GatewayPorts;
 pub use run::GatewayError;
--- a/src/mesh/service.rs
+++ b/src/mesh/service.rs
@@ -16,6 +16,7 @@
 use super::MembersUpdate;
 use super::ObserveRequest;
 use super::PeerState;
+use super::ZoneExchange;
 use crate::core::ServerName;
 use crate::core::fleet::KnownOrigin;
 use crate::core::fleet::Member;
@@ -76,4 +77,6 @@
     /// Reports what an entry counts for a rollout to its leader, and asks what the
     /// entry may send to the new build; `None` if the receiver does not lead it.
     async fn report_rollout(report: RolloutReport) -> Option<RolloutPlan>;
+    /// Like [`Self::exchange`], with the sender's zone and states that relays pass on.
+    async fn exchange_zones(message: ZoneExchange) -> Option<ZoneExchange>;
 }
