--- a/lab/src/soak/check.rs
+++ b/lab/src/soak/check.rs
@@ -5,6 +5,7 @@
 
 use serde::Serialize;
 
+use super::ObservedRollout;
 use crate::platform_stand_in::EVENTS_PER_STREAM;
 use crate::platform_stand_in::encode_event;
 
@@ -66,6 +67,8 @@
     /// Gateways and the times, in milliseconds since the start of the soak, in
     /// which they drained and restarted while no other fault was active.
     pub undisturbed_drains: Vec<(usize, (u64, u64))>,
+    /// The rollout that was ordered, if one was.
+    pub rollout: Option<ObservedRollout>,
 }
 
 /// Violation of a guarantee, with the request id of the call that shows it.
@@ -94,6 +97,8 @@
     /// The gateway with this index did not serve again after the last fault.
     #[serde(rename = "NotBack")]
     GatewayNotRecovered(usize),
+    /// A rollout did not end, went back, or sent too many calls to a bad build.
+    Rollout(String),
 }
 
 /// Returns all violations in the observations, in the order of [`Violation`].
@@ -124,6 +129,12 @@
         runs.keys()
             .map(|id| Violation::UnknownRun((*id).to_owned())),
     );
+    let rollout = observations.rollout.iter();
+    violations.extend(
+        rollout
+            .filter_map(ObservedRollout::find_problem)
+            .map(Violation::Rollout),
+    );
     violations.extend(find_configuration_rollbacks(&observations.calls));
     violations.sort();
     violations
--- a/lab/src/soak/mod.rs
+++ b/lab/src/soak/mod.rs
@@ -6,6 +6,7 @@
 mod fault;
 mod fault_link;
 mod process;
+mod rollout;
 mod run;
 mod traffic;
 
@@ -15,6 +16,7 @@
 pub use check::Violation;
 pub use check::check_guarantees;
 pub use process::GatewayProcess;
+pub use rollout::ObservedRollout;
 pub use run::SoakError;
 pub use run::SoakPlan;
 pub use run::SoakSummary;
--- a/lab/src/soak/run.rs
+++ b/lab/src/soak/run.rs
@@ -21,6 +21,7 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use serde::Serialize;
+use serde_json::Value;
 use serde_json::json;
 use teaseldrum::threads::StartError;
 use teaseldrum::threads::build_runtime;
@@ -30,6 +31,7 @@
 use super::CallKind;
 use super::CallRecord;
 use super::Observations;
+use super::ObservedRollout;
 use super::Violation;
 use super::check_guarantees;
 use super::fault::Fault;
@@ -37,6 +39,9 @@
 use super::fault_link::FaultLink;
 use super::fault_link::LinkMode;
 use super::process::GatewayProcess;
+use super::rollout::EXPOSURE_SHARE;
+use super::rollout::EXPOSURE_SLACK;
+use super::rollout::PlannedRollout;
 use super::traffic::Traffic;
 use crate::loopback::allocate_address;
 use crate::platform_stand_in::Backend;
@@ -157,6 +162,8 @@
     fault_injector: FaultInjector,
     /// Start time in the record of each server.
     births: Vec<AtomicU64>,
+    /// Records of the rollout in the store.
+    rollout_records: Mutex<Vec<(String, Value)>>,
 }
 
 impl Soak {
@@ -184,7 +191,11 @@
                 "name": name, "zone": "a", "agent_port": 1, "store": link.address(),
                 "seeds": seeds, "stop_timeout_s": 8.0,
                 "listen": {"traffic": traffic, "health": health, "peers": peers},
-                "bounds": {"retry_ratio": 1.0, "retry_extra": 10_000.0, "retry_window_s": 10.0},
+                "bounds": {
+                    "retry_ratio": 1.0, "retry_extra": 10_000.0, "retry_window_s": 10.0,
+                    "rollout_exposure_share": EXPOSURE_SHARE,
+                    "rollout_exposure_slack": EXPOSURE_SLACK,
+                },
             });
             let process = GatewayProcess::prepare(&plan.program, &plan.folder, &name, &settings)?;
             processes.push(Mutex::new(process));
@@ -209,6 +220,7 @@
             traffic: Arc::new(traffic),
             fault_injector,
             births: (0..plan.servers).map(|_| AtomicU64::new(1_000)).collect(),
+            rollout_records: Mutex::default(),
         };
         soak.send_configuration();
         (0..plan.servers).for_each(|server| soak.register(server, "ready"));
@@ -229,6 +241,9 @@
             })
             .collect();
         let started_at = Instant::now();
+        let soak = Arc::clone(&self);
+        let planned = PlannedRollout::draw(plan.seed, plan.duration);
+        let rollout = tokio::spawn(async move { soak.roll_out(planned).await });
         let mut running_faults = Vec::new();
         for planned_fault in &faults {
             sleep(planned_fault.at.saturating_sub(started_at.elapsed())).await;
@@ -243,6 +258,7 @@
             fault.await.map_err(io::Error::other)??;
         }
         let not_recovered = self.await_recovery().await;
+        let rollout = rollout.await.map_err(io::Error::other)?;
         let undisturbed_drains = self.drain_each_undisturbed().await?;
         self.traffic.is_stopped.store(true, Ordering::Relaxed);
         for caller in callers {
@@ -263,6 +279,7 @@
             forwarded_keys: u32::try_from(forwarded_keys.count()).unwrap_or(u32::MAX),
             not_recovered,
             undisturbed_drains,
+            rollout: Some(rollout),
         };
         let is_success = |call: &&CallRecord| call.status == 200 && call.is_complete;
         Ok(SoakSummary {
@@ -336,6 +353,9 @@
                 self.store.set_unavailable(false);
                 self.write_configuration();
                 (0..self.backends.len()).for_each(|server| self.register(server, "ready"));
+                for (key, value) in self.rollout_records().iter() {
+                    self.store.put(key, value);
+                }
             }
             Fault::LeaveServer(server) => {
                 let trouble = ServerTrouble::Leaving;
@@ -364,6 +384,67 @@
         Ok(())
     }
 
+    /// Orders a rollout, starts two servers of the new build and waits until the rollout
+    /// has ended. The old servers stay, so that other faults can go on with them.
+    async fn roll_out(&self, planned: PlannedRollout) -> ObservedRollout {
+        sleep(planned.at).await;
+        let ordered_at_ms = self.traffic.now_ms();
+        let seconds = planned.duration.as_secs_f64();
+        let order = json!({"Service": "s", "Target": "v2", "DurationS": seconds});
+        self.put_rollout_record("op/rollout/s", order);
+        let mut new_servers = Vec::new();
+        for number in 0..2 {
+            let injector = self.fault_injector.clone();
+            let serve = move |stream, backend| serve_with_faults(stream, backend, injector.clone());
+            let backend = Backend::start(&format!("n-{number}"), serve).await;
+            if planned.is_bad {
+                let trouble = Some(ServerTrouble::Failing);
+                self.fault_injector.set_trouble(&backend, trouble);
+            }
+            let mut record = backend.member_record("s", "ready");
+            record["Version"] = "v2".into();
+            self.put_rollout_record(&backend.member_key(), record);
+            new_servers.push(backend);
+        }
+        sleep(planned.duration).await;
+        let deadline_ms = self.traffic.now_ms();
+        let sent = new_servers
+            .iter()
+            .map(|server| server.received_requests().len() as u64);
+        let sent_to_new = sent.sum();
+        let read_states = || -> Vec<String> {
+            let statuses = self.store.written_values("status/rollout/s").into_iter();
+            let states = statuses.map(|status| status["State"].as_str().unwrap_or("").to_owned());
+            states.collect()
+        };
+        let started_at = Instant::now();
+        while !read_states().iter().any(|state| state != "running")
+            && started_at.elapsed() < RECOVERY_TIMEOUT
+        {
+            sleep(POLL_INTERVAL).await;
+        }
+        let calls = self.traffic.calls.lock().expect("no caller panicked");
+        let is_within = |call: &&CallRecord| (ordered_at_ms..deadline_ms).contains(&call.span_ms.0);
+        ObservedRollout {
+            is_bad: planned.is_bad,
+            states: read_states(),
+            sent_to_new,
+            calls: calls.iter().filter(is_within).count() as u64,
+        }
+    }
+
+    /// Writes a record that is written again after the store was restored.
+    fn put_rollout_record(&self, key: &str, value: Value) {
+        self.store.put(key, &value);
+        self.rollout_records().push((key.to_owned(), value));
+    }
+
+    fn rollout_records(&self) -> MutexGuard<'_, Vec<(String, Value)>> {
+        self.rollout_records
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Tells a gateway to stop, waits for its end and starts it again. A gateway
     /// that another fault has restarted meanwhile is left alone.
     async fn drain(&self, gateway: usize) -> io::Result<()> {
--- a/lab/tests/soak_check.rs
+++ b/lab/tests/soak_check.rs
@@ -5,6 +5,7 @@
 use teaseldrum_lab::soak::CallKind;
 use teaseldrum_lab::soak::CallRecord;
 use teaseldrum_lab::soak::Observations;
+use teaseldrum_lab::soak::ObservedRollout;
 use teaseldrum_lab::soak::Violation;
 use teaseldrum_lab::soak::check_guarantees;
 
@@ -183,3 +184,35 @@
         is_violation
     );
 }
+
+fn check_rollout(is_bad: bool, states: &[&str], sent_to_new: u64) -> Vec<Violation> {
+    check_guarantees(&Observations {
+        rollout: Some(ObservedRollout {
+            is_bad,
+            states: states.iter().map(|state| (*state).to_owned()).collect(),
+            sent_to_new,
+            calls: 100,
+        }),
+        ..Observations::default()
+    })
+}
+
+/// Guards against a checker that misses rollouts which do not end, go back or send too
+/// much to a bad build, or that reports sound ones.
+#[rstest]
+#[case::completed(false, &["running", "completed"], 90, true)]
+#[case::written_again(true, &["running", "rolled_back", "rolled_back"], 60, true)]
+#[case::not_ended(false, &["running"], 0, false)]
+#[case::went_back(false, &["running", "completed", "running"], 0, false)]
+#[case::too_many(true, &["running", "rolled_back"], 61, false)]
+fn check_rollout_states(
+    #[case] is_bad: bool,
+    #[case] states: &[&str],
+    #[case] sent_to_new: u64,
+    #[case] is_sound: bool,
+) {
+    assert_eq!(
+        check_rollout(is_bad, states, sent_to_new).is_empty(),
+        is_sound
+    );
+}
--- a/src/core/fleet/version_rollout/build_comparison.rs
+++ b/src/core/fleet/version_rollout/build_comparison.rs
@@ -1,17 +1,49 @@
 //! Compares how many responses of two builds are bad, in strata of the same time and
 //! route.
 
-/// Probability below which as many bad responses of the new build are no accident. Some
-/// thirty comparisons are made at each look, so a good build fails one of them in about
-/// one of a hundred rollouts.
-const MAX_TAIL: f64 = 3e-5;
-
-/// Standard deviations above the expected number from which they are none.
-const MAX_DEVIATIONS: f64 = 3.7;
+/// How far the bad responses of the new build may exceed their expected number.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct DeviationLimit {
+    /// Probability (Poisson tail) below which as many are no accident.
+    max_tail: f64,
+    /// Standard deviations from which they are none.
+    max_deviations: f64,
+}
 
-/// Like these two, for bad responses that only delay an increase of the share.
-const SUSPECT_TAIL: f64 = 1e-3;
-const SUSPECT_DEVIATIONS: f64 = 3.0;
+impl DeviationLimit {
+    /// Limit for one route. Some thirty comparisons are made at each look, so a good
+    /// build fails one of them in about one of a hundred rollouts.
+    pub const BAD_ROUTE: Self = Self {
+        max_tail: 3e-5,
+        max_deviations: 3.7,
+    };
+    /// Limit for all routes together, which are fewer comparisons.
+    pub const BAD_SERVICE: Self = Self {
+        max_tail: 1e-4,
+        max_deviations: 3.5,
+    };
+    /// Limits from which an increase of the share waits.
+    pub const SUSPECT_ROUTE: Self = Self {
+        max_tail: 1e-3,
+        max_deviations: 3.0,
+    };
+    /// Limits from which the end of a rollout waits for more responses; it cannot be
+    /// taken back.
+    pub const DOUBTFUL_ROUTE: Self = Self {
+        max_tail: 3e-3,
+        max_deviations: 2.7,
+    };
+    /// The same for all routes together.
+    pub const DOUBTFUL_SERVICE: Self = Self {
+        max_tail: 2e-2,
+        max_deviations: 2.3,
+    };
+    /// The same as for a route, for all routes together.
+    pub const SUSPECT_SERVICE: Self = Self {
+        max_tail: 3e-3,
+        max_deviations: 2.7,
+    };
+}
 
 /// Bad responses below which nothing is decided.
 const MIN_BAD: f64 = 3.0;
@@ -56,30 +88,21 @@
         self.variance += other.variance;
     }
 
-    /// Returns whether the new build has too many bad responses.
-    pub fn is_bad(&self) -> bool {
-        self.exceeds(MAX_TAIL, MAX_DEVIATIONS)
-    }
-
-    /// Returns whether it may have too many.
-    pub fn is_suspect(&self) -> bool {
-        self.exceeds(SUSPECT_TAIL, SUSPECT_DEVIATIONS)
-    }
-
-    /// Returns the bad responses of the new build and their expected number.
-    pub fn counts(&self) -> (f64, f64) {
-        (self.observed, self.expected)
-    }
-
-    fn exceeds(&self, max_tail: f64, max_deviations: f64) -> bool {
+    /// Returns whether the new build has more bad responses than `limit` allows.
+    pub fn exceeds(&self, limit: DeviationLimit) -> bool {
         if self.observed < MIN_BAD || self.observed <= self.expected {
             return false;
         }
         let deviations = (self.observed - self.expected - 0.5) / self.variance.max(1e-9).sqrt();
         let is_normal =
             self.observed >= MIN_NORMAL_BAD && self.variance < MAX_NORMAL_QUOTIENT * self.expected;
-        poisson_tail(self.expected, self.observed) < max_tail
-            || (is_normal && deviations > max_deviations)
+        poisson_tail(self.expected, self.observed) < limit.max_tail
+            || (is_normal && deviations > limit.max_deviations)
+    }
+
+    /// Returns the bad responses of the new build and their expected number.
+    pub fn counts(&self) -> (f64, f64) {
+        (self.observed, self.expected)
     }
 }
 
--- a/src/core/fleet/version_rollout/evidence_window.rs
+++ b/src/core/fleet/version_rollout/evidence_window.rs
@@ -7,6 +7,7 @@
 use super::BuildCounters;
 use super::RouteReport;
 use super::build_comparison::BuildComparison;
+use super::build_comparison::DeviationLimit;
 use crate::core::MonotonicTime;
 
 /// Length of a slice of time.
@@ -33,6 +34,15 @@
 const STAND_IN_FACTOR: f64 = 1.5;
 const STAND_IN_SHARE: f64 = 0.03;
 
+/// Names of the periods that are compared: before all calls went to the new build, the
+/// last seconds of that, after it, and all together.
+const PERIODS: [&str; 4] = ["before-whole", "recent", "whole", "all"];
+
+/// Responses of the old build on a route, and slices, from which the last ones before
+/// all calls went to the new build stand in for those that lack.
+const STAND_IN_RESPONSES: u64 = 40;
+const STAND_IN_SLICES: usize = 10;
+
 /// Counters of both builds and requests, of one route.
 type RouteCounters = RouteReport;
 
@@ -116,17 +126,38 @@
         self.rates.iter().copied().fold(0.0, f64::max)
     }
 
+    /// Returns the responses of the new build since all calls go to it.
+    pub fn whole_responses(&self) -> u64 {
+        let count = self.whole_slices.unwrap_or(0);
+        let slices = self.slices.iter().rev().take(count);
+        let routes = slices.flat_map(BTreeMap::values);
+        routes.map(|counters| counters.new.responses()).sum()
+    }
+
     /// Returns a description of what is bad at the new build, if it is bad.
     pub fn find_fault(&self) -> Option<String> {
-        self.find(BuildComparison::is_bad)
+        self.find(DeviationLimit::BAD_ROUTE, DeviationLimit::BAD_SERVICE)
     }
 
     /// Returns whether the new build may be bad.
     pub fn is_suspect(&self) -> bool {
-        self.find(BuildComparison::is_suspect).is_some()
+        self.find(
+            DeviationLimit::SUSPECT_ROUTE,
+            DeviationLimit::SUSPECT_SERVICE,
+        )
+        .is_some()
     }
 
-    fn find(&self, is_found: fn(&BuildComparison) -> bool) -> Option<String> {
+    /// Returns whether there is a weak sign that the new build is bad.
+    pub fn is_doubtful(&self) -> bool {
+        self.find(
+            DeviationLimit::DOUBTFUL_ROUTE,
+            DeviationLimit::DOUBTFUL_SERVICE,
+        )
+        .is_some()
+    }
+
+    fn find(&self, of_route: DeviationLimit, of_service: DeviationLimit) -> Option<String> {
         let kinds: [(&str, BadCount<'_>); 2] = [
             ("failed", &|stratum, _| {
                 let count = |c: &BuildCounters| (c.failed, c.ended);
@@ -138,32 +169,25 @@
             }),
         ];
         for (kind, count) in kinds {
-            let mut all = BuildComparison::default();
-            let mut all_recent = BuildComparison::default();
-            let mut all_whole = BuildComparison::default();
+            let mut service = [BuildComparison::default(); 4];
             for route in self.total.keys() {
                 let since_order = self.compare(route, self.slices.len(), count);
-                let recent = self.compare(route, RECENT_SLICES, count);
                 let whole = self.compare_whole(route, count);
-                for (comparison, period) in [
-                    (&since_order, "all"),
-                    (&recent, "recent"),
-                    (&whole, "whole"),
-                ] {
-                    if is_found(comparison) {
+                let mut both = since_order;
+                both.add(&whole);
+                let recent = self.compare(route, RECENT_SLICES, count);
+                let of_periods = [since_order, recent, whole, both];
+                for (comparison, period) in of_periods.iter().zip(PERIODS) {
+                    if comparison.exceeds(of_route) {
                         return Some(describe(kind, route, period, comparison));
                     }
                 }
-                all.add(&since_order);
-                all_recent.add(&recent);
-                all_whole.add(&whole);
+                for (sum, comparison) in service.iter_mut().zip(&of_periods) {
+                    sum.add(comparison);
+                }
             }
-            for (comparison, period) in [
-                (&all, "all"),
-                (&all_recent, "recent"),
-                (&all_whole, "whole"),
-            ] {
-                if is_found(comparison) {
+            for (comparison, period) in service.iter().zip(PERIODS) {
+                if comparison.exceeds(of_service) {
                     return Some(describe(kind, "all", period, comparison));
                 }
             }
@@ -207,7 +231,9 @@
             if position < count {
                 stratum.new.add(&counters.new);
             }
-            if position < count + RECENT_SLICES {
+            let is_recent = position < count + RECENT_SLICES;
+            let is_near = position < count + STAND_IN_SLICES;
+            if is_recent || (is_near && stratum.old.ended < STAND_IN_RESPONSES) {
                 stratum.old.add(&counters.old);
             }
         }
--- a/src/core/fleet/version_rollout/rollout_leader.rs
+++ b/src/core/fleet/version_rollout/rollout_leader.rs
@@ -19,12 +19,16 @@
 /// them, most of it is left for the phase in which all calls go there.
 const CANARY_SHARE: f64 = 0.012;
 
-/// Responses of each route that the small share is to bring at low rates, where
-/// [`CANARY_SHARE`] is too little, within the first half of the duration.
-const CANARY_RESPONSES: f64 = 10.0;
+/// Responses of each route that the small share is to bring over the whole duration at
+/// low rates, where [`CANARY_SHARE`] is too little. They come steadily, so that a fault
+/// that shows late is found.
+const CANARY_RESPONSES: f64 = 20.0;
 
-/// Largest part of the bound that the small share may take.
-const MAX_CANARY_PART: f64 = 1.0 / 3.0;
+/// Least and largest part of the bound that the small share may take, and the part of
+/// the duration for which the rest is to cover all requests.
+const MIN_CANARY_PART: f64 = 0.25;
+const MAX_CANARY_PART: f64 = 0.65;
+const MIN_WHOLE_PART: f64 = 0.12;
 
 /// Shares of the steps, and the part of the duration that each one lasts.
 const FIRST_STEP_SHARE: f64 = 0.05;
@@ -56,6 +60,13 @@
 /// Time of unused grants that an entry holds: above the interval of reports.
 const HEADROOM: Duration = Duration::from_millis(400);
 
+/// Time since its last request for which an entry holds unused grants.
+const BUSY_TIME: Duration = Duration::from_secs(3);
+
+/// Time after which a new leader decides although entries have not reported: the store
+/// may have been restored from a copy that lacks what they know.
+const SETTLE_TIME: Duration = Duration::from_millis(600);
+
 /// Time of grants by which the bound in the state record is raised ahead.
 const BOUND_AHEAD: Duration = Duration::from_millis(1_500);
 
@@ -68,6 +79,12 @@
 /// Shortest phase whole: the new servers show that they carry the full load.
 const MIN_WHOLE_TIME: Duration = Duration::from_millis(300);
 
+/// Responses of the new build in the phase whole after which it may end, and the part of
+/// the duration (at least the time) before the deadline from which it may end with fewer.
+const WHOLE_PHASE_RESPONSES: u64 = 40;
+const COMPLETION_PART: f64 = 0.06;
+const MIN_COMPLETION_TIME: Duration = Duration::from_millis(600);
+
 /// Time without any new server that accepts calls after which the phase whole ends.
 const NO_SERVER_TIME: Duration = Duration::from_secs(1);
 
@@ -89,6 +106,9 @@
     bounds: RolloutBounds,
     order: RolloutOrder,
     fence: u64,
+    started_at: MonotonicTime,
+    /// Whether the entries have had time to tell what an earlier leader announced.
+    is_settled: bool,
     /// Time since the order at `known_age_at`.
     known_age: Duration,
     known_age_at: MonotonicTime,
@@ -102,6 +122,8 @@
     step_start: (u64, u64),
     whole_since: Option<MonotonicTime>,
     closing_since: Option<MonotonicTime>,
+    /// Whether an earlier leader has announced the end of the rollout.
+    is_end_adopted: bool,
     had_server_at: MonotonicTime,
     reason: String,
 }
@@ -139,6 +161,8 @@
             bounds,
             order,
             fence,
+            started_at: now,
+            is_settled: false,
             known_age: age,
             known_age_at: now,
             inherited: record.granted_bound,
@@ -149,6 +173,7 @@
             step_start: (0, 0),
             whole_since: None,
             closing_since: None,
+            is_end_adopted: false,
             had_server_at: now,
             reason: String::new(),
         };
@@ -292,6 +317,7 @@
             return;
         }
         if phase.is_final() || phase.stored() > self.record.phase.stored() {
+            self.is_end_adopted = phase.is_final();
             self.record.phase = phase.stored();
             self.reason = "told by an entry".into();
         }
@@ -305,14 +331,15 @@
         let calls_per_s = self.grant_rate(now);
         let total = self.requests().max(1);
         let is_open = !self.phase().is_whole() && !self.phase().is_final();
+        let is_ample = room > self.entries.len() as u64;
         let Some(entry) = self.entries.get_mut(key) else {
             return 0;
         };
         let is_busy = entry
             .requests_at
-            .is_some_and(|at| now.since(at) < Duration::from_secs(1));
+            .is_some_and(|at| now.since(at) < BUSY_TIME);
         let share = entry.report.requests() as f64 / total as f64;
-        let headroom = if is_open && is_busy {
+        let headroom = if is_open && (is_busy || is_ample) {
             (calls_per_s * share * HEADROOM.as_secs_f64()).ceil() as u64 + 1
         } else {
             0
@@ -332,12 +359,12 @@
 
     /// Returns the calls a second that are granted at present.
     fn grant_rate(&self, now: MonotonicTime) -> f64 {
-        let half = (self.order_duration().as_secs_f64() / 2.0).max(0.1);
+        let duration = self.order_duration().as_secs_f64().max(0.1);
         let rate = self.request_rate(now);
         match self.record.phase {
             RolloutPhase::FirstStep => FIRST_STEP_SHARE * rate,
             RolloutPhase::SecondStep => SECOND_STEP_SHARE * rate,
-            _ => (CANARY_SHARE * rate).max(self.route_count() * CANARY_RESPONSES / half),
+            _ => (CANARY_SHARE * rate).max(self.route_count() * CANARY_RESPONSES / duration),
         }
     }
 
@@ -354,16 +381,26 @@
             RolloutPhase::FirstStep => step(FIRST_STEP_SHARE),
             RolloutPhase::SecondStep => step(SECOND_STEP_SHARE),
             _ => {
-                let half = self.order_duration().as_secs_f64() / 2.0;
-                let progress = (self.age(now).as_secs_f64() / half.max(0.1)).min(1.0);
-                let floor = self.route_count() * CANARY_RESPONSES * progress;
+                let duration = self.order_duration().as_secs_f64().max(0.1);
+                let progress = self.age(now).as_secs_f64() / duration;
+                let floor = self.route_count() * (1.0 + CANARY_RESPONSES * progress);
                 (CANARY_SHARE * requests)
                     .max(floor)
-                    .min(limit * MAX_CANARY_PART)
+                    .min(limit * self.canary_part(now))
             }
         }
     }
 
+    /// Returns the part of the bound that the small share may take: at low rates, all
+    /// requests of the last seconds fit into a part of it.
+    fn canary_part(&self, now: MonotonicTime) -> f64 {
+        let rate = self.request_rate(now);
+        let expected = self.requests() as f64 + rate * self.time_left(now).as_secs_f64();
+        let whole = rate * MIN_WHOLE_PART * self.order_duration().as_secs_f64();
+        let part = 1.0 - whole / self.limit(expected).max(1.0);
+        part.clamp(MIN_CANARY_PART, MAX_CANARY_PART)
+    }
+
     /// Returns the calls that the new build may get if `requests` reach the service.
     fn limit(&self, requests: f64) -> f64 {
         self.bounds.share * requests + self.bounds.slack
@@ -458,7 +495,12 @@
         if servers.new_accepting > 0 {
             self.had_server_at = now;
         }
-        if !before.is_final() {
+        if !self.is_settled {
+            let is_heard = |name: &String| self.is_heard(name, now);
+            self.is_settled =
+                entries.iter().all(is_heard) || now.since(self.started_at) >= SETTLE_TIME;
+        }
+        if self.is_settled && !before.is_final() {
             self.record.requests = self.record.requests.max(self.requests());
             match self.find_problem(before, now) {
                 Some(reason) => self.enter(RolloutPhase::RolledBack, reason),
@@ -466,6 +508,7 @@
             }
             self.raise_bound(now);
         }
+        self.recheck_completion(servers, entries, now);
         self.keep_stored_requests();
         (self.record.phase != before).then_some(self.record.phase)
     }
@@ -534,17 +577,11 @@
             return;
         };
         let closing = self.closing_since.is_some();
-        let phase = self.phase();
-        let is_idle = entries.iter().all(|name| {
-            let mut runs = self.entries.iter().filter(|((entry, _), _)| entry == name);
-            // An earlier run of an entry has ended with its calls.
-            runs.any(|(_, state)| {
-                now.since(state.heard_at) < MAX_REPORT_AGE
-                    && state.report.phase == phase
-                    && state.report.old_running == 0
-            })
-        });
-        if !is_idle {
+        let is_idle = self.are_entries_idle(entries, now);
+        let completion_time = self.order_duration().mul_f64(COMPLETION_PART);
+        let is_tried = self.evidence.whole_responses() >= WHOLE_PHASE_RESPONSES
+            || self.time_left(now) <= completion_time.max(MIN_COMPLETION_TIME);
+        if !is_idle || !is_tried {
             return;
         }
         if !closing {
@@ -552,12 +589,45 @@
         } else if servers.old_running == Some(0)
             && servers.new_accepting > 0
             && now.since(whole_since) >= MIN_WHOLE_TIME
-            && !self.evidence.is_suspect()
+            && !self.evidence.is_doubtful()
         {
             self.enter(RolloutPhase::Completed, "old servers are empty".into());
         }
     }
 
+    /// Returns whether all entries act in the announced phase and run no calls at the old
+    /// servers.
+    fn are_entries_idle(&self, entries: &[String], now: MonotonicTime) -> bool {
+        let phase = self.phase();
+        entries.iter().all(|name| {
+            let mut runs = self.entries.iter().filter(|((entry, _), _)| entry == name);
+            // An earlier run of an entry has ended with its calls.
+            runs.any(|(_, state)| {
+                now.since(state.heard_at) < MAX_REPORT_AGE
+                    && state.report.phase == phase
+                    && state.report.old_running == 0
+            })
+        })
+    }
+
+    /// Takes the end of a rollout back as long as it is not stored, if an entry has
+    /// started meanwhile that may send calls to the old servers.
+    fn recheck_completion(
+        &mut self,
+        servers: ServiceServers,
+        entries: &[String],
+        now: MonotonicTime,
+    ) {
+        let is_pending = self.record.phase == RolloutPhase::Completed
+            && self.is_closing()
+            && !self.is_end_adopted;
+        let holds = self.are_entries_idle(entries, now) && servers.old_running == Some(0);
+        if is_pending && !holds {
+            self.record.phase = RolloutPhase::Whole;
+            self.reason = "old servers may run calls again".into();
+        }
+    }
+
     /// Returns whether an entry has reported recently.
     pub fn is_heard(&self, name: &str, now: MonotonicTime) -> bool {
         let mut runs = self.entries.iter().filter(|((entry, _), _)| entry == name);
@@ -574,7 +644,10 @@
 
     /// Returns whether the old servers have to be asked for their load.
     pub fn is_closing(&self) -> bool {
-        self.closing_since.is_some() && !self.record.phase.is_final()
+        let stored = self.stored.as_ref().map(|record| record.phase);
+        self.closing_since.is_some()
+            && stored == Some(RolloutPhase::Whole)
+            && self.record.phase != RolloutPhase::RolledBack
     }
 
     /// Raises the bound in the record ahead of the grants.
--- a/src/gateway/lead_rollouts.rs
+++ b/src/gateway/lead_rollouts.rs
@@ -542,8 +542,15 @@
             record.granted_bound,
             record.requests
         );
-        if let Some(led) = self.cx.rollouts.lock().get_mut(&self.service) {
-            led.leader.confirm_write(record, now);
+        let announced = {
+            let mut leaders = self.cx.rollouts.lock();
+            leaders.get_mut(&self.service).map(|led| {
+                led.leader.confirm_write(record, now);
+                (led.leader.fence(), led.leader.phase())
+            })
+        };
+        if let Some((fence, phase)) = announced {
+            self.learn_own_phase(fence, phase, now);
         }
         self.cx.announce_news();
     }
@@ -664,7 +671,8 @@
         let entries = if is_whole {
             self.list_running_entries().await
         } else {
-            Vec::new()
+            let names = self.cx.known_entries.list_names(now).into_iter();
+            names.chain([self.cx.settings.name.clone()]).collect()
         };
         let old_running = if is_closing {
             self.read_old_load(&snapshot.order).await
