Learn the speed of servers and predict times from it

One constant time held a slot and one rate prefilled prompts at all servers, the fourth figure of the load header was not read, and waiting calls of other entries lost weight with the age of a report, so that a stalled engine looked as if its queue had run empty.

Entries now read the stated slowness, measure prefilling, decoding and plain work for each server against the mean of its service, and exchange what they measured. In services whose servers state the figure or differ clearly, factors, slot times, waiting calls in full and late starts go into the predictions and costs; elsewhere the costs stay as they were. Servers that owe an answer for longer than usual, while others answer, get no new calls except probes. FleetNews leaves out only the empty fields at its end, since messages hold fields by position.

--- a/src/core/fleet/routing/backend_view.rs
+++ b/src/core/fleet/routing/backend_view.rs
@@ -18,6 +18,8 @@
 use crate::core::fleet::ModelName;
 use crate::core::fleet::PartId;
 use crate::core::fleet::RunKey;
+use crate::core::fleet::server_speed::AnswerGap;
+use crate::core::fleet::server_speed::ServerSpeed;
 
 /// Age from which an agent's report is ignored, except for the announced time
 /// of an order and for the load estimate. Agents answer at least twice a
@@ -39,6 +41,10 @@
 /// as dead: several times a normal response time.
 const LIVENESS_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// Maximum factor by which [`LIVENESS_TIMEOUT`] is longer at a slow server: neighbours
+/// were seen to slow servers by 2.5 times, some of which are slow themselves.
+const MAX_LIVENESS_FACTOR: f64 = 4.0;
+
 /// Report of the agent beside an engine.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct AgentReport {
@@ -62,6 +68,10 @@
     pub used_tokens: u64,
     /// Size of the KV cache, in tokens.
     pub capacity_tokens: u64,
+    /// Slowness that the engine has usually stated, in percent. Left out if it states
+    /// none, so that an earlier release can read the message.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub usual_slowness: Option<u16>,
 }
 
 /// Known state of one backend server.
@@ -78,6 +88,11 @@
     /// Whether this run names a limit on the calls that it takes.
     pub(super) is_limited: bool,
     pub(super) load: BackendLoad,
+    pub(super) speed: ServerSpeed,
+    pub(super) answer_gap: AnswerGap,
+    /// Whether the log says that the server's speed differs, or that it is silent.
+    pub(super) is_logged_uneven: bool,
+    pub(super) is_logged_silent: bool,
     pub(super) failure_ratio: f64,
     pub(super) backoff_until: Option<MonotonicTime>,
     backoff: Duration,
@@ -98,6 +113,10 @@
             paused_until: None,
             is_limited: false,
             load: BackendLoad::default(),
+            speed: ServerSpeed::default(),
+            answer_gap: AnswerGap::default(),
+            is_logged_uneven: false,
+            is_logged_silent: false,
             failure_ratio: 0.0,
             backoff_until: None,
             backoff: MIN_BACKOFF,
@@ -110,7 +129,7 @@
     }
 
     /// Replaces the record. A different start time means a restart: the agent
-    /// report, versions, cached and expected parts and failure ratio of the
+    /// report, versions, cached and expected parts, speed and failure ratio of the
     /// earlier run are dropped, and an exclusion by backoff ends. The load and
     /// the length of the next backoff stay.
     pub(super) fn update(&mut self, member: Member) {
@@ -121,6 +140,8 @@
             self.expected_parts.clear();
             self.failure_ratio = 0.0;
             self.backoff_until = None;
+            self.speed = ServerSpeed::default();
+            self.answer_gap = AnswerGap::default();
         }
         self.member = member;
     }
@@ -190,6 +211,12 @@
     /// Stores the agent's report and updates the load estimate from it.
     pub(super) fn observe_agent_report(&mut self, report: AgentReport, now: MonotonicTime) {
         self.load.observe_report(report.load, now);
+        if let Some(percent) = report.load.slowness {
+            self.speed.observe_stated(percent, now);
+        }
+        if let Some(percent) = report.usual_slowness {
+            self.speed.observe_usual(percent);
+        }
         let prefill_time = Duration::from_millis(u64::from(report.prefill_ms));
         self.load.observe_prefill(prefill_time, now);
         self.agent_report = Some((report, now));
@@ -269,12 +296,30 @@
     /// Records that the server has answered, with whatever status.
     pub(super) fn record_answer(&mut self, now: MonotonicTime) {
         self.answered_at = Some(now);
+        self.answer_gap.record_answer(now);
+    }
+
+    /// Returns how long ago the agent last reported and the server has not answered
+    /// since; `None` if there is no report.
+    pub(super) fn agent_silence(&self, now: MonotonicTime) -> Option<Duration> {
+        let (_, received_at) = self.agent_report.as_ref()?;
+        let heard_at = self
+            .answered_at
+            .map_or(*received_at, |at| at.max(*received_at));
+        Some(now.since(heard_at))
     }
 
     /// Returns whether a call that has waited for `waited` should treat the
     /// server as dead: the agent says so, or the call has waited for
-    /// [`LIVENESS_TIMEOUT`] and the server has answered no call in that time.
-    pub(super) fn is_suspected_dead(&self, waited: Duration, now: MonotonicTime) -> bool {
+    /// [`LIVENESS_TIMEOUT`] and the server has answered no call in that time. The time
+    /// is longer by the factor `slowness` of a server that works slowly.
+    pub(super) fn is_suspected_dead(
+        &self,
+        waited: Duration,
+        slowness: f64,
+        now: MonotonicTime,
+    ) -> bool {
+        let liveness_timeout = LIVENESS_TIMEOUT.mul_f64(slowness.clamp(1.0, MAX_LIVENESS_FACTOR));
         if self
             .recent_agent_report(now)
             .is_some_and(|report| !report.is_alive)
@@ -283,8 +328,8 @@
         }
         let is_silent = self
             .answered_at
-            .is_none_or(|at| now.since(at) >= LIVENESS_TIMEOUT);
-        waited >= LIVENESS_TIMEOUT && is_silent
+            .is_none_or(|at| now.since(at) >= liveness_timeout);
+        waited >= liveness_timeout && is_silent
     }
 
     /// Excludes the server for the backoff period after a failed connection,
--- a/src/core/fleet/routing/call_costs.rs
+++ b/src/core/fleet/routing/call_costs.rs
@@ -60,6 +60,30 @@
 /// a whole answer of 1,500 ms costs about 600 ms.
 const LOST_OUTPUT_COST_PER_MS: f64 = 0.4;
 
+/// Share of the time that a slow server needs longer for the whole output that counts
+/// as a cost: callers read the output while it is generated.
+const SLOW_DECODE_SHARE: f64 = 0.25;
+
+/// Cost of a silent server. Above all ordinary costs, so that it gets a call only if
+/// all servers are silent.
+pub(super) const SILENT_COST_MS: f64 = 20_000.0;
+
+/// Predicts the time to generate a call's output at an engine of normal speed.
+pub(super) fn predict_output_ms(prompt: &Prompt) -> f64 {
+    f64::from(prompt.expected_output_tokens) * MS_PER_OUTPUT_TOKEN
+}
+
+/// Returns the cost of decoding that takes `factor` times as long as usual; negative
+/// for an engine that is faster.
+pub(super) fn slow_decode_cost_ms(prompt: &Prompt, factor: f64) -> f64 {
+    predict_output_ms(prompt) * (factor - 1.0) * SLOW_DECODE_SHARE
+}
+
+/// Returns the usual time between two events of a stream, each of one token.
+pub(super) fn usual_ms_per_token() -> f64 {
+    MS_PER_OUTPUT_TOKEN
+}
+
 /// Predicts the time to prefill the last `prefill_tokens` of a prompt. Each
 /// token also attends to all tokens before it.
 pub(super) fn predict_prefill_ms(prompt: &Prompt, prefill_tokens: u32) -> f64 {
@@ -86,6 +110,18 @@
     ((load + 1.0 - slots).max(0.0) / slots) * hold_ms
 }
 
+/// Predicts the wait for a slot like [`slot_wait_ms`], if the load is only known with the
+/// standard deviation `deviation`. Without it, entries that see the same free slot all
+/// send there.
+pub(super) fn uncertain_slot_wait_ms(load: f64, deviation: f64, slots: u32, hold_ms: f64) -> f64 {
+    let slots = f64::from(slots.max(1));
+    let excess = load + 1.0 - slots;
+    // Mean of the positive part of a normal distribution: exact at zero, where it is
+    // 0.4 deviations, and far from it.
+    let mean_excess = 0.5 * (excess + excess.hypot(0.8 * deviation));
+    mean_excess / slots * hold_ms
+}
+
 /// Returns the cost of computing new shared parts away from their preferred
 /// engine.
 pub(super) fn affinity_cost_ms(plan: &FetchPlan, is_preferred: bool) -> f64 {
--- a/src/core/fleet/routing/dispatcher.rs
+++ b/src/core/fleet/routing/dispatcher.rs
@@ -16,6 +16,7 @@
 use super::fetch_plan::PartSources;
 use super::kv_cache_stores::KvCacheStores;
 use super::prefill_time_factor::PrefillTimeFactor;
+use super::server_pace::ServerPace;
 use crate::core::AccountName;
 use crate::core::MonotonicTime;
 use crate::core::ServerName;
@@ -29,6 +30,10 @@
 use crate::core::fleet::ServerLimits;
 use crate::core::fleet::TargetVersion;
 use crate::core::fleet::server_limits::RunLimits;
+use crate::core::fleet::server_speed::HotParts;
+use crate::core::fleet::server_speed::ServiceSpeed;
+use crate::core::fleet::server_speed::SpeedEvidence;
+use crate::core::fleet::server_speed::WorkKind;
 use crate::core::fleet::weights::TargetHistory;
 use crate::core::fleet::weights::VersionStatus;
 
@@ -100,6 +105,10 @@
     pub prefill_time: Duration,
     /// Predicted time to first token.
     pub predicted_ttft: Duration,
+    /// Predicted time to the end of the response.
+    pub predicted_end: Duration,
+    /// Factor of the server's speed in the prediction of the prefill.
+    pub prefill_factor: f64,
     /// Estimated number of calls at the server.
     pub load: f64,
     /// Age of the server's last load report.
@@ -132,13 +141,16 @@
 #[derive(Debug)]
 pub struct Dispatcher {
     zone: String,
-    backends: SlotMap<BackendKey, BackendView>,
+    pub(super) backends: SlotMap<BackendKey, BackendView>,
     keys_by_name: HashMap<ServerName, BackendKey>,
-    keys_by_service: HashMap<String, Vec<BackendKey>>,
+    pub(super) keys_by_service: HashMap<String, Vec<BackendKey>>,
     target_versions: HashMap<ModelName, TargetHistory>,
     prefill_factors: HashMap<ModelName, PrefillTimeFactor>,
     kv_cache_stores: KvCacheStores,
     run_limits: RunLimits,
+    pub(super) service_speeds: HashMap<String, ServiceSpeed>,
+    pub(super) speed_evidence: SpeedEvidence,
+    hot_parts: HotParts,
     /// Limits that servers name on the calls of all entries together.
     pub server_limits: ServerLimits,
 }
@@ -162,6 +174,9 @@
             prefill_factors: HashMap::new(),
             kv_cache_stores: KvCacheStores::default(),
             run_limits: RunLimits::default(),
+            service_speeds: HashMap::new(),
+            speed_evidence: SpeedEvidence::default(),
+            hot_parts: HotParts::default(),
             server_limits: ServerLimits::new(name, MonotonicTime::ZERO),
         }
     }
@@ -328,6 +343,9 @@
         if let Some(view) = self.find_backend_mut(name) {
             view.observe_agent_report(report, now);
         }
+        if let Some(key) = self.keys_by_name.get(name) {
+            self.activate_if_stated(*key, now);
+        }
     }
 
     /// Applies changes of an engine's cached parts; `is_whole` means that it
@@ -347,7 +365,11 @@
     pub fn observe_load(&mut self, key: BackendKey, load: ReportedLoad, now: MonotonicTime) {
         if let Some(view) = self.backends.get_mut(key) {
             view.load.observe_report(load, now);
+            if let Some(percent) = load.slowness {
+                view.speed.observe_stated(percent, now);
+            }
         }
+        self.activate_if_stated(key, now);
     }
 
     /// Updates a server's weights version from a response.
@@ -391,6 +413,7 @@
     ) -> Result<BackendChoice, DispatchError> {
         let keys = self.keys_by_service.get(req.service);
         let keys = keys.map_or(&[][..], Vec::as_slice);
+        let speed = self.service_speeds.get(req.service);
         let mut sources: HashMap<u64, PartSources<'_>> = HashMap::new();
         let mut best: Option<(f64, BackendChoice)> = None;
         for &key in keys.iter().filter(|key| !req.tried.contains(key)) {
@@ -404,14 +427,15 @@
                 continue;
             }
             let evaluated = match req.prompt {
-                None => Some(self.evaluate_plain_call(key, view, now)),
+                None => Some(self.evaluate_plain_call(key, view, speed, now)),
                 Some(prompt) => {
-                    self.evaluate_engine_call(key, view, prompt, req, &mut sources, now)
+                    self.evaluate_engine_call((key, view), prompt, req, speed, &mut sources, now)
                 }
             };
             let Some((cost_ms, choice)) = evaluated else {
                 continue;
             };
+            let cost_ms = cost_ms + self.silence_cost_ms(view, speed, now);
             if best
                 .as_ref()
                 .is_none_or(|(lowest_ms, _)| cost_ms < *lowest_ms)
@@ -464,10 +488,20 @@
         let Some(view) = self.backends.get_mut(choice.key) else {
             return;
         };
+        if let Some(last) = prompt.and_then(|prompt| prompt.shared_parts().last()) {
+            self.hot_parts.record_call(last.id, now);
+        }
         if view.is_limited {
             self.server_limits.take_call(choice.run, now);
         }
-        view.load.begin_call(choice.prefill_time);
+        // A call without a prompt shows its start only by its end, and its work differs.
+        let work = choice.predicted_end.saturating_sub(choice.predicted_ttft);
+        let (due_after, answer_after) = match prompt {
+            None => (choice.predicted_end + work, choice.predicted_end),
+            Some(_) => (choice.predicted_ttft, choice.predicted_ttft),
+        };
+        view.load.begin_call(choice.prefill_time, now + due_after);
+        view.answer_gap.record_send(answer_after, now);
         if let (Some(prompt), Some(salt)) = (prompt, &choice.salt) {
             let namespace = salt.namespace(&prompt.model);
             for part in prompt.shared_parts() {
@@ -500,6 +534,9 @@
     pub fn end_call(&mut self, choice: &BackendChoice) {
         if let Some(view) = self.backends.get_mut(choice.key) {
             view.load.end_call();
+            if view.load.own_calls() == 0 {
+                view.answer_gap.record_idle();
+            }
         }
     }
 
@@ -522,14 +559,18 @@
         if let Some(view) = self.backends.get_mut(key) {
             view.record_answer(now);
         }
+        if let Some(speed) = self.find_service_speed(key) {
+            speed.record_answer(now);
+        }
     }
 
     /// Returns whether a call that has waited for `waited` should treat the
     /// server as dead. True for removed and superseded servers.
     pub fn is_suspected_dead(&self, key: BackendKey, waited: Duration, now: MonotonicTime) -> bool {
-        self.backends
-            .get(key)
-            .is_none_or(|view| view.is_superseded || view.is_suspected_dead(waited, now))
+        self.backends.get(key).is_none_or(|view| {
+            let slowness = self.pace_of(view, now).slowest();
+            view.is_superseded || view.is_suspected_dead(waited, slowness, now)
+        })
     }
 
     /// Updates a server's failure ratio by the outcome of a call.
@@ -656,25 +697,31 @@
         &self,
         key: BackendKey,
         view: &BackendView,
+        speed: Option<&ServiceSpeed>,
         now: MonotonicTime,
     ) -> (f64, BackendChoice) {
-        let load = view.load.estimate_calls(now);
-        let wait_ms =
-            call_costs::slot_wait_ms(load, view.member.slots, call_costs::PLAIN_SLOT_HOLD_MS);
+        let pace = ServerPace::new(view, speed, now);
+        let load = pace.estimate_calls(view, now);
+        let hold_ms = pace.slot_hold_ms(WorkKind::Plain, call_costs::PLAIN_SLOT_HOLD_MS);
+        let wait_ms = pace.slot_wait_ms(view, hold_ms, now) + pace.overdue_ms(view, now);
         // Spreads calls over servers with free slots, whose wait is 0.
-        let spread_ms =
-            load / f64::from(view.member.slots.max(1)) * call_costs::PLAIN_SLOT_HOLD_MS / 4.0;
-        let cost_ms = wait_ms + spread_ms + self.server_cost_ms(view);
-        let choice = build_choice(key, view, load, wait_ms, now);
+        let spread_ms = load / f64::from(view.member.slots.max(1)) * hold_ms / 4.0;
+        // The work itself takes longer at a slow server, also if a slot is free.
+        let work_ms = if pace.is_active { hold_ms } else { 0.0 };
+        let cost_ms = wait_ms + spread_ms + work_ms + self.server_cost_ms(view);
+        let choice = BackendChoice {
+            predicted_end: milliseconds(wait_ms + hold_ms),
+            ..build_choice(key, view, load, wait_ms, now)
+        };
         (cost_ms, choice)
     }
 
     fn evaluate_engine_call<'a>(
         &self,
-        key: BackendKey,
-        view: &BackendView,
+        (key, view): (BackendKey, &BackendView),
         prompt: &'a Prompt,
         req: &DispatchRequest<'_>,
+        speed: Option<&ServiceSpeed>,
         sources: &mut HashMap<u64, PartSources<'a>>,
         now: MonotonicTime,
     ) -> Option<(f64, BackendChoice)> {
@@ -689,20 +736,20 @@
             PartSources::find(prompt, namespace, store, engines, now)
         });
         let plan = sources.plan_fetch(view, now);
-        let load = view.load.estimate_calls(now);
+        let pace = ServerPace::new(view, speed, now);
+        let load = pace.estimate_calls(view, now);
         let prefill_tokens = plan.recomputed_tokens + plan.new_tokens;
         let prefill_factor = self
             .prefill_factors
             .get(&prompt.model)
             .copied()
             .unwrap_or_default();
-        let prefill_ms =
-            call_costs::predict_prefill_ms(prompt, prefill_tokens) * prefill_factor.value();
-        let queued_prefill_ms = view
-            .load
-            .estimate_prefill_ms(call_costs::ASSUMED_PREFILL_MS, now);
-        let wait_ms = queued_prefill_ms
-            + call_costs::slot_wait_ms(load, view.member.slots, call_costs::ENGINE_SLOT_HOLD_MS);
+        let prefill_ms = call_costs::predict_prefill_ms(prompt, prefill_tokens)
+            * prefill_factor.value()
+            * pace.prefill.value;
+        let queued_prefill_ms = pace.estimate_prefill_ms(view, call_costs::ASSUMED_PREFILL_MS, now);
+        let hold_ms = pace.slot_hold_ms(WorkKind::Decode, call_costs::ENGINE_SLOT_HOLD_MS);
+        let wait_ms = queued_prefill_ms + pace.slot_wait_ms(view, hold_ms, now);
         let is_from_store = plan
             .source
             .is_some_and(|source| self.kv_cache_stores.contains(source));
@@ -711,8 +758,11 @@
             + f64::from(plan.fetched_tokens) / call_costs::fetch_tokens_per_ms(is_from_store);
         let cost_ms = ttft_ms
             + version_cost_ms
-            + load * call_costs::CONCURRENT_CALL_COST_MS
-            + f64::from(plan.recomputed_tokens) * call_costs::RECOMPUTE_COST_MS_PER_TOKEN
+            + load * call_costs::CONCURRENT_CALL_COST_MS * pace.decode.value
+            + call_costs::slow_decode_cost_ms(prompt, pace.decode.value)
+            + f64::from(plan.recomputed_tokens)
+                * call_costs::RECOMPUTE_COST_MS_PER_TOKEN
+                * self.copy_share(prompt, pace, now)
             + call_costs::switch_cost_ms(prompt, ttft_ms, view, now)
             + call_costs::affinity_cost_ms(&plan, sources.is_preferred(view))
             + call_costs::memory_cost_ms(prompt, view, now)
@@ -725,6 +775,10 @@
             save_to,
             prefill_tokens,
             prefill_time: Duration::from_secs_f64(prefill_ms / 1_000.0),
+            predicted_end: milliseconds(
+                ttft_ms + call_costs::predict_output_ms(prompt) * pace.output_factor(),
+            ),
+            prefill_factor: pace.prefill.value,
             recomputed_tokens: plan.recomputed_tokens,
             ..build_choice(key, view, load, ttft_ms, now)
         };
@@ -756,6 +810,16 @@
         }
     }
 
+    /// Returns the share of the cost of computing parts again that a call bears. Less
+    /// than 1 for prompts in demand, so that they spread over more engines when those
+    /// that hold them are busy.
+    fn copy_share(&self, prompt: &Prompt, pace: ServerPace, now: MonotonicTime) -> f64 {
+        match prompt.shared_parts().last() {
+            Some(last) if pace.is_active => self.hot_parts.copy_share(last.id, now),
+            _ => 1.0,
+        }
+    }
+
     fn server_cost_ms(&self, view: &BackendView) -> f64 {
         let zone = if view.member.zone == self.zone {
             0.0
@@ -766,6 +830,10 @@
     }
 }
 
+fn milliseconds(ms: f64) -> Duration {
+    Duration::from_secs_f64(ms.max(0.0) / 1_000.0)
+}
+
 fn build_choice(
     key: BackendKey,
     view: &BackendView,
@@ -786,7 +854,9 @@
         prefill_tokens: 0,
         prefill_time: Duration::ZERO,
         recomputed_tokens: 0,
-        predicted_ttft: Duration::from_secs_f64(ttft_ms.max(0.0) / 1_000.0),
+        predicted_ttft: milliseconds(ttft_ms),
+        predicted_end: milliseconds(ttft_ms),
+        prefill_factor: 1.0,
         load,
         report_age: view.load.report_age(now),
     }
--- /dev/null
+++ b/src/core/fleet/server_speed/answer_gap.rs
@@ -0,0 +1,113 @@
+//! Decides whether a server is silent, from its own answers and those of others.
+
+use std::time::Duration;
+
+use crate::core::MonotonicTime;
+
+/// Time without any answer after which a server is silent whatever other servers do,
+/// unless its usual gaps are longer. Also used before any response time is known.
+const UNPROVEN_SILENCE: Duration = Duration::from_millis(700);
+
+/// Range of the time after which a server counts as silent. The lower end allows for
+/// a pause of the entry's own threads, the upper one for long queues.
+const MIN_PATIENCE: Duration = Duration::from_millis(100);
+const MAX_PATIENCE: Duration = Duration::from_secs(3);
+
+/// Multiple of the usual time after which a server counts as silent.
+const PATIENCE_FACTOR: f64 = 2.0;
+
+/// Time in which the longest gap seen loses half of its effect.
+const GAP_HALF_LIFE: Duration = Duration::from_secs(5);
+
+/// Maximum time between two probes of a silent server.
+const MAX_PROBE_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Since when a server owes an answer, and its usual gap between answers.
+#[derive(Debug, Clone, Copy, Default)]
+pub(in crate::core::fleet) struct AnswerGap {
+    owes_since: Option<MonotonicTime>,
+    last_sent_at: MonotonicTime,
+    answered_at: Option<MonotonicTime>,
+    predicted: Duration,
+    usual_gap: Duration,
+    usual_gap_at: MonotonicTime,
+}
+
+impl AnswerGap {
+    /// Records that a call was sent whose answer is predicted after `predicted`.
+    pub fn record_send(&mut self, predicted: Duration, now: MonotonicTime) {
+        if self.owes_since.is_none() {
+            self.owes_since = Some(now);
+            self.predicted = Duration::ZERO;
+        }
+        self.predicted = self.predicted.max(predicted);
+        self.last_sent_at = now;
+    }
+
+    /// Records an answer or an event of one. Other calls may be left.
+    pub fn record_answer(&mut self, now: MonotonicTime) {
+        if let Some(since) = self.owes_since.replace(now) {
+            self.usual_gap = self.usual_gap(now).max(now.since(since));
+            self.usual_gap_at = now;
+        }
+        self.answered_at = Some(now);
+    }
+
+    /// Records that no call is left. If the last ones ended without an answer, the
+    /// server still owes it.
+    pub fn record_idle(&mut self) {
+        if self.answered_at.is_some_and(|at| at >= self.last_sent_at) {
+            self.owes_since = None;
+        }
+    }
+
+    /// Returns whether the server owes an answer.
+    pub fn owes_answer(&self) -> bool {
+        self.owes_since.is_some()
+    }
+
+    /// Returns whether the server is silent. `usual` is the time in which a server of
+    /// the service usually answers, scaled to the speed of this one; `others_answered_at`
+    /// is the latest answer of any server of the service.
+    pub fn is_silent(
+        &self,
+        usual: Option<Duration>,
+        others_answered_at: Option<MonotonicTime>,
+        now: MonotonicTime,
+    ) -> bool {
+        let Some(since) = self.owes_since else {
+            return false;
+        };
+        let silence = now.since(since);
+        let patience = self.patience(usual, now);
+        if silence <= patience {
+            return false;
+        }
+        let is_proven = others_answered_at.is_some_and(|at| at > since + patience / 2);
+        is_proven || silence > patience.max(UNPROVEN_SILENCE)
+    }
+
+    /// Returns whether a silent server may get one call, to see whether it answers
+    /// again. The interval grows with the silence.
+    pub fn is_probe_due(&self, usual: Option<Duration>, now: MonotonicTime) -> bool {
+        let silence = self.owes_since.map_or(Duration::ZERO, |at| now.since(at));
+        let interval = (silence / 2).max(self.patience(usual, now));
+        now.since(self.last_sent_at) >= interval.min(MAX_PROBE_INTERVAL)
+    }
+
+    fn patience(&self, usual: Option<Duration>, now: MonotonicTime) -> Duration {
+        let Some(usual) = usual else {
+            return UNPROVEN_SILENCE.max(self.predicted.mul_f64(PATIENCE_FACTOR));
+        };
+        let expected = usual.max(self.usual_gap(now)) + self.predicted;
+        expected
+            .mul_f64(PATIENCE_FACTOR)
+            .clamp(MIN_PATIENCE, MAX_PATIENCE)
+    }
+
+    fn usual_gap(&self, now: MonotonicTime) -> Duration {
+        let age = now.since(self.usual_gap_at).as_secs_f64();
+        self.usual_gap
+            .mul_f64(0.5_f64.powf(age / GAP_HALF_LIFE.as_secs_f64()))
+    }
+}
--- /dev/null
+++ b/src/core/fleet/server_speed/speed.rs
@@ -0,0 +1,210 @@
+//! Speed of one server run, relative to its service.
+
+use std::time::Duration;
+
+use super::ServiceSpeed;
+use super::SpeedNotice;
+use super::WorkKind;
+use super::log_mean::LogMean;
+use crate::core::MonotonicTime;
+use crate::core::fleet::RunKey;
+
+/// Slowness of a server that works at its normal speed, in percent.
+const NORMAL_PERCENT: f64 = 100.0;
+
+/// Time in which a stated figure loses most of its meaning. Neighbours that slow a
+/// server were seen to change every 600 ms.
+const STATED_DECAY: Duration = Duration::from_millis(600);
+
+/// Weight of a new figure in the usual one.
+const USUAL_WEIGHT: f64 = 0.05;
+
+/// Age from which the stated figure is no longer used at all.
+const STATED_MAX_AGE: Duration = Duration::from_secs(10);
+
+/// A measured speed counts only if it differs from the mean of the service by more
+/// than this factor and by more than four standard errors, from at least
+/// `MIN_OBSERVATIONS`. With fewer errors or observations, some of 40 even servers with
+/// an ordinary spread of work were taken for uneven ones.
+const CLEAR_FACTOR: f64 = 1.15;
+const CLEAR_ERRORS: f64 = 4.0;
+const MIN_OBSERVATIONS: f64 = 24.0;
+
+/// Range of the factor; beyond it, a figure is more likely wrong than the server so
+/// slow.
+const MIN_FACTOR: f64 = 0.2;
+const MAX_FACTOR: f64 = 10.0;
+
+/// Multiple of the usual time that work takes at a server at the moment.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct SpeedFactor {
+    /// The multiple; 1 for a server that is as fast as the mean of its service.
+    pub value: f64,
+    /// Standard error of its logarithm.
+    pub error: f64,
+}
+
+impl SpeedFactor {
+    /// The factor of a server of which nothing is known.
+    pub const NORMAL: Self = Self {
+        value: 1.0,
+        error: 0.0,
+    };
+}
+
+/// Speed of one run of a server: the slowness that it states and the times that its
+/// work has taken.
+#[derive(Debug, Clone, Default)]
+pub struct ServerSpeed {
+    stated: Option<(f64, MonotonicTime)>,
+    usual_stated: Option<f64>,
+    /// Mean distance of the stated figure from the usual one.
+    stated_spread: f64,
+    measured: [LogMean; 3],
+    /// What this entry has measured since it last told other entries.
+    untold: [LogMean; 3],
+}
+
+impl ServerSpeed {
+    /// Records the slowness that the server states, in percent; 0 is ignored.
+    pub fn observe_stated(&mut self, percent: u16, now: MonotonicTime) {
+        if percent == 0 {
+            return;
+        }
+        let slowness = (f64::from(percent) / NORMAL_PERCENT).clamp(MIN_FACTOR, MAX_FACTOR);
+        let usual = self.usual_stated.get_or_insert(slowness);
+        let distance = (slowness - *usual).abs();
+        *usual += USUAL_WEIGHT * (slowness - *usual);
+        self.stated_spread += USUAL_WEIGHT * (distance - self.stated_spread);
+        self.stated = Some((slowness, now));
+    }
+
+    /// Sets the usual slowness that an agent has seen over a longer time, in percent.
+    pub fn observe_usual(&mut self, percent: u16) {
+        let usual = f64::from(percent) / NORMAL_PERCENT;
+        self.usual_stated = Some(usual.clamp(MIN_FACTOR, MAX_FACTOR));
+    }
+
+    /// Returns the usual slowness in percent, if the server states it.
+    pub fn usual_percent(&self) -> Option<u16> {
+        self.usual_stated
+            .map(|usual| (usual * NORMAL_PERCENT).round() as u16)
+    }
+
+    /// Returns whether the server has stated its slowness lately.
+    pub fn states_slowness(&self, now: MonotonicTime) -> bool {
+        self.stated
+            .is_some_and(|(_, at)| now.since(at) < STATED_MAX_AGE)
+    }
+
+    /// Records work that took `measured`, for which a server of normal speed was
+    /// predicted to take `expected`.
+    pub fn observe_work(
+        &mut self,
+        kind: WorkKind,
+        measured: Duration,
+        expected: Duration,
+        service: &mut ServiceSpeed,
+        now: MonotonicTime,
+    ) {
+        if measured.is_zero() || expected.is_zero() {
+            return;
+        }
+        let ratio = measured.as_secs_f64() / expected.as_secs_f64();
+        let log = (ratio / self.current_slowness(now)).ln();
+        self.measured[kind.index()].observe(log);
+        self.untold[kind.index()].observe(log);
+        service.observe_work(kind, log);
+    }
+
+    /// Adds what another entry has measured.
+    pub fn apply_notice(&mut self, notice: &SpeedNotice, service: &mut ServiceSpeed) {
+        let told = notice.to_mean();
+        self.measured[notice.kind.index()].merge(told);
+        service.apply_mean(notice.kind, told);
+    }
+
+    /// Returns the number of observations that other entries were not told of.
+    pub fn count_untold(&self) -> f64 {
+        self.untold.iter().map(|mean| mean.weight).sum()
+    }
+
+    /// Takes what other entries were not told of.
+    pub fn take_notices(&mut self, run: RunKey) -> Vec<SpeedNotice> {
+        let untold = std::mem::take(&mut self.untold);
+        WorkKind::ALL
+            .into_iter()
+            .zip(untold)
+            .filter(|(_, mean)| mean.weight >= 1.0)
+            .map(|(kind, mean)| SpeedNotice::new(run, kind, mean))
+            .collect()
+    }
+
+    /// Returns the factor by which the server's measured times differ from the mean of its
+    /// service; `None` if they do not clearly.
+    pub fn clear_factor(&self, service: &ServiceSpeed) -> Option<f64> {
+        let mut kinds = WorkKind::ALL.into_iter();
+        kinds
+            .find_map(|kind| self.clear_log(kind, service))
+            .map(f64::exp)
+    }
+
+    /// Returns the factor for a kind of work. Exactly 1 if the server neither states its
+    /// slowness nor differs clearly from its service.
+    pub fn factor(
+        &self,
+        kind: WorkKind,
+        service: &ServiceSpeed,
+        now: MonotonicTime,
+    ) -> SpeedFactor {
+        // A kind without observations of its own is as fast as the others.
+        let has_own = self.measured[kind.index()].weight >= MIN_OBSERVATIONS;
+        let log = if has_own {
+            self.clear_log(kind, service)
+        } else {
+            WorkKind::ALL
+                .into_iter()
+                .find_map(|other| self.clear_log(other, service))
+        };
+        let value = log.map_or(1.0, f64::exp) * self.current_slowness(now);
+        let own_error = log.map_or(0.0, |_| self.measured[kind.index()].error());
+        let own_error = if own_error.is_finite() {
+            own_error
+        } else {
+            0.5
+        };
+        let forgotten = 1.0 - self.stated_weight(now);
+        let stated_error = forgotten * self.stated_spread;
+        SpeedFactor {
+            value: value.clamp(MIN_FACTOR, MAX_FACTOR),
+            error: own_error.hypot(stated_error),
+        }
+    }
+
+    /// Returns the logarithm of the measured factor if it is clear.
+    fn clear_log(&self, kind: WorkKind, service: &ServiceSpeed) -> Option<f64> {
+        let measured = &self.measured[kind.index()];
+        let log = measured.mean - service.mean_log(kind);
+        let is_clear = measured.weight >= MIN_OBSERVATIONS
+            && log.abs() > CLEAR_FACTOR.ln()
+            && log.abs() > CLEAR_ERRORS * measured.error();
+        is_clear.then_some(log)
+    }
+
+    /// Returns the slowness now, from the stated figure and its usual value.
+    fn current_slowness(&self, now: MonotonicTime) -> f64 {
+        let (Some((stated, _)), Some(usual)) = (self.stated, self.usual_stated) else {
+            return 1.0;
+        };
+        if !self.states_slowness(now) {
+            return 1.0;
+        }
+        usual + (stated - usual) * self.stated_weight(now)
+    }
+
+    fn stated_weight(&self, now: MonotonicTime) -> f64 {
+        self.stated.map_or(0.0, |(_, at)| {
+            (-now.since(at).as_secs_f64() / STATED_DECAY.as_secs_f64()).exp()
+        })
+    }
+}
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -120,6 +120,9 @@
     choice: BackendChoice,
     sent_at: MonotonicTime,
     is_prefilling: bool,
+    /// When the first event arrived, and how many have arrived since.
+    first_event_at: MonotonicTime,
+    later_events: u32,
 }
 
 impl InFlightGuard {
@@ -136,6 +139,8 @@
             choice,
             sent_at: now,
             is_prefilling: true,
+            first_event_at: now,
+            later_events: 0,
         }
     }
 
@@ -149,14 +154,43 @@
         self.sent_at
     }
 
-    /// Records that the first token arrived, which ends the prefill.
-    pub fn record_first_token(&mut self, call: &Call) {
+    /// Records that `events` arrived. The first one ends the prefill.
+    pub fn record_events(&mut self, call: &Call, events: u32) {
+        if self.is_prefilling {
+            self.record_first_token(call);
+        } else {
+            self.later_events += events;
+        }
+    }
+
+    /// Records that the response is complete, for the speed of the server.
+    pub fn record_complete(&mut self) {
+        let now = self.cx.now();
+        let elapsed = now.since(self.sent_at);
+        let decoding = now.since(self.first_event_at);
+        let predicted = self.choice.predicted_end;
+        self.cx
+            .metrics
+            .observe_prediction("end", predicted, elapsed);
+        let mut state = self.cx.lock();
+        let dispatcher = &mut state.dispatcher;
+        dispatcher.observe_decoding(&self.choice, self.later_events, decoding, now);
+        dispatcher.observe_hold(&self.choice, elapsed, now);
+    }
+
+    fn record_first_token(&mut self, call: &Call) {
         if self.is_prefilling
             && let Some(prompt) = &call.head.prompt
         {
             let now = self.cx.now();
             let elapsed = now.since(self.sent_at);
+            self.first_event_at = now;
+            let predicted = self.choice.predicted_ttft;
+            self.cx
+                .metrics
+                .observe_prediction("first", predicted, elapsed);
             let mut state = self.cx.lock();
+            state.dispatcher.observe_ttft(&self.choice, elapsed, now);
             state.dispatcher.record_saved_parts(&self.choice, prompt);
             state
                 .dispatcher
@@ -221,7 +255,7 @@
 async fn send_and_read(
     cx: &Arc<GatewayContext>,
     call: &Call,
-    in_flight: InFlightGuard,
+    mut in_flight: InFlightGuard,
     last_event_id: Option<&str>,
     may_run_again: bool,
 ) -> AttemptOutcome {
@@ -263,6 +297,11 @@
         record_limit(cx, &choice, None, sent_at);
     }
     record_response_metadata(cx, call, &choice, &metadata);
+    if !metadata.is_not_run {
+        let elapsed = cx.now().since(sent_at);
+        let mut state = cx.lock();
+        state.dispatcher.observe_first_answer(choice.key, elapsed);
+    }
     if metadata.is_not_run {
         forget_expected_parts(cx, call, &choice);
         // The body is read only so that the connection can be reused.
@@ -283,17 +322,42 @@
     let mut reservation = cx.body_budget.start_reservation();
     let body_read = exchange.read_rest_in_budget(MAX_RESPONSE_BYTES, &mut reservation);
     match wait_while_alive(cx, choice.key, may_run_again, call.deadline, body_read).await {
-        Some(Ok(body)) => AttemptOutcome::Answered(FullResponse {
-            status,
-            headers,
-            body,
-            _reservation: reservation,
-        }),
+        Some(Ok(body)) => {
+            record_full_response(cx, call, &mut in_flight, status);
+            AttemptOutcome::Answered(FullResponse {
+                status,
+                headers,
+                body,
+                _reservation: reservation,
+            })
+        }
         Some(Err(_)) => AttemptOutcome::Unknown(ANSWER_BROKEN),
         None => AttemptOutcome::Unknown("answer-silent"),
     }
 }
 
+/// Records the time of a successful response. Failures are often faster or slower than
+/// the work would have been.
+fn record_full_response(
+    cx: &GatewayContext,
+    call: &Call,
+    in_flight: &mut InFlightGuard,
+    status: StatusCode,
+) {
+    if !status.is_success() {
+        return;
+    }
+    if call.head.prompt.is_none() {
+        let now = cx.now();
+        let elapsed = now.since(in_flight.sent_at);
+        let route = &call.route.name;
+        cx.lock()
+            .dispatcher
+            .observe_plain_response(&in_flight.choice, route, elapsed, now);
+    }
+    in_flight.record_complete();
+}
+
 /// Returns why a server did not run a call. If another server answered at its
 /// address, it is also marked as replaced, so that it gets no more calls.
 fn classify_not_run(
--- a/src/gateway/call_log.rs
+++ b/src/gateway/call_log.rs
@@ -58,7 +58,7 @@
     pub fn log_send(&mut self, choice: &BackendChoice, reason: &str) {
         self.attempts += 1;
         log::info!(
-            "call: sent id={}{} attempt={} why={reason} server={} build={} v={} load={:.1} age_ms={} predicted_ms={} read={} again={} fetch={}",
+            "call: sent id={}{} attempt={} why={reason} server={} build={} v={} load={:.1} age_ms={} predicted_ms={} end_ms={} read={} again={} fetch={}",
             self.id,
             take(&mut self.unlogged_fields),
             self.attempts,
@@ -68,6 +68,7 @@
             choice.load,
             choice.report_age.map_or(-1, |age| age.as_millis() as i64),
             choice.predicted_ttft.as_millis(),
+            choice.predicted_end.as_millis(),
             choice.prefill_tokens,
             choice.recomputed_tokens,
             choice.fetch_from.is_some(),
--- a/src/gateway/exchange_peer_state.rs
+++ b/src/gateway/exchange_peer_state.rs
@@ -74,6 +74,19 @@
 /// entry receives the list from each of them.
 const MIN_EXCHANGES_PER_ENTRY_LIST: u64 = 16;
 
+/// Minimum time between two windows of measured speeds, and the number of exchanges with
+/// each peer in which one is sent, since an exchange may be lost.
+const MIN_SPEED_WINDOW: Duration = Duration::from_secs(1);
+const SPEED_SENDS: u32 = 2;
+
+/// Bytes a second that an entry sends of measured speeds, a third of the 12 KB a second
+/// for control messages, and the size of one.
+const SPEED_BYTES_PER_S: f64 = 4_000.0;
+const SPEED_NOTICE_BYTES: f64 = 20.0;
+
+/// Maximum number of measured speeds in a message of a small fleet.
+const MAX_SPEED_NOTICES: usize = 64;
+
 /// Timeout of a request to a peer.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -515,8 +528,10 @@
     is_full: bool,
 ) -> PeerState {
     let now = cx.now();
-    let news_period = exchange_interval(cx) * 3 + CONTACT_MARGIN;
+    let interval = exchange_interval(cx);
+    let news_period = interval * 3 + CONTACT_MARGIN;
     let mut state = cx.lock();
+    let max_notices = max_speed_notices(interval, state.quota.count_entries());
     let news = FleetNews {
         quarantine: state.quarantine.build_news(news_period, now),
         leaving: state.dispatcher.list_leaving_runs(),
@@ -524,6 +539,13 @@
             .dispatcher
             .server_limits
             .build_update(news_period, is_full, now),
+        speeds: state.dispatcher.build_speed_update(
+            MIN_SPEED_WINDOW.max(interval * SPEED_SENDS),
+            interval * SPEED_SENDS,
+            max_notices,
+            read_wall_clock_ms(),
+            now,
+        ),
     };
     PeerState {
         clock_ms: read_wall_clock_ms(),
@@ -541,6 +563,16 @@
     }
 }
 
+/// Returns how many speeds of servers one message holds, so that those to all peers
+/// stay below [`SPEED_BYTES_PER_S`].
+fn max_speed_notices(interval: Duration, entry_count: usize) -> usize {
+    let window = MIN_SPEED_WINDOW.max(interval * SPEED_SENDS);
+    let bytes_per_window = SPEED_BYTES_PER_S * window.as_secs_f64();
+    let sends = entry_count.max(1) as f64 * f64::from(SPEED_SENDS);
+    let notices = bytes_per_window / (SPEED_NOTICE_BYTES * sends);
+    (notices as usize).clamp(1, MAX_SPEED_NOTICES)
+}
+
 /// Applies the state that a peer sent, and reports the entries that it lists as
 /// discovered.
 fn apply_peer_state(exchange: &PeerExchange, peer_state: PeerState) {
@@ -581,6 +613,9 @@
     for (server, calls_per_s) in state.dispatcher.apply_limit_notices(&notices, now) {
         log_limit(&server, calls_per_s, name);
     }
+    if let Some(update) = &peer_state.news.speeds {
+        state.dispatcher.apply_speed_update(name, update, now);
+    }
     state.quota.observe_peer_usage(&peer_state.usage, now);
     state.learn_targets(&peer_state.targets, "peer", now);
     resync_if_behind(cx, &mut state, peer_state.newest_revisions, now);
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -24,6 +24,7 @@
 use super::stream_keepers::tell_stream_keepers;
 use super::substitute_agents::substitute_agents;
 use crate::core::fleet::CallerLimits;
+use crate::core::fleet::SpeedChange;
 use crate::http::ServerLimits;
 use crate::http::serve;
 use crate::http::status_page_limits;
@@ -257,5 +258,22 @@
         let changes = state.directory.apply_deferred_removals(now);
         state.apply_member_changes(changes, now);
         state.streams.expire(now);
+        log_speed_changes(state.dispatcher.refresh_speeds(now));
+    }
+}
+
+/// Logs which servers are slower or faster than their service, or silent.
+fn log_speed_changes(changes: Vec<SpeedChange>) {
+    for change in changes {
+        match change {
+            SpeedChange::Uneven(server, Some(factor)) => {
+                log::info!("speed: uneven server={server} factor={factor:.2}");
+            }
+            SpeedChange::Uneven(server, None) => log::info!("speed: even server={server}"),
+            SpeedChange::Silent(server, true) => log::info!("speed: silent server={server}"),
+            SpeedChange::Silent(server, false) => {
+                log::info!("speed: answering server={server}");
+            }
+        }
     }
 }
--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -86,7 +86,7 @@
     pub async fn next_events(&mut self) -> Result<Option<Bytes>, BodyAborted> {
         loop {
             if let Some(events) = self.take_events() {
-                self.record_events();
+                self.record_events(&events);
                 return Ok(Some(events));
             }
             let may_run_again = self.call.may_run_again(self.progress.runs);
@@ -113,6 +113,9 @@
                     }
                     Some(Ok(None)) if is_unframed_start => "ended-before-event",
                     Some(Ok(None)) if self.buffer.is_empty() => {
+                        if let Some((_, in_flight)) = &mut self.upstream {
+                            in_flight.record_complete();
+                        }
                         self.close_upstream(false);
                         record_completion(&self.cx, &self.call, StatusCode::OK);
                         self.call_log.log_end("complete", 200);
@@ -133,11 +136,11 @@
 
     /// Records the build of the server that sent the stream's first event: the
     /// stream may go on only there, also when the caller takes it up elsewhere.
-    fn record_events(&mut self) {
+    fn record_events(&mut self, events: &[u8]) {
         let Some((_, in_flight)) = &mut self.upstream else {
             return;
         };
-        in_flight.record_first_token(&self.call);
+        in_flight.record_events(&self.call, count_events(events));
         self.call_log.record_first_event();
         self.first_event_at.get_or_insert_with(Instant::now);
         if self.progress.build.is_some() {
@@ -257,6 +260,12 @@
     !headers.contains_key(CONTENT_LENGTH) && !headers.contains_key(TRANSFER_ENCODING)
 }
 
+fn count_events(events: &[u8]) -> u32 {
+    let ends = events.windows(EVENT_TERMINATOR.len());
+    let count = ends.filter(|window| *window == EVENT_TERMINATOR).count();
+    u32::try_from(count).unwrap_or(u32::MAX)
+}
+
 fn find_last_match(buffer: &[u8], pattern: &[u8]) -> Option<usize> {
     buffer
         .windows(pattern.len())
--- a/src/mesh/fleet_news.rs
+++ b/src/mesh/fleet_news.rs
@@ -2,13 +2,19 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+use serde::Serializer;
+use serde::ser::SerializeStruct;
 
 use crate::core::fleet::LimitUpdate;
 use crate::core::fleet::QuarantineNews;
 use crate::core::fleet::RunKey;
+use crate::core::fleet::SpeedUpdate;
 
 /// What an entry tells another one of servers, besides the records in the store.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+///
+/// Messages hold fields by position, so that a field can be left out only if all later
+/// ones are; see the implementation of [`Serialize`].
+#[derive(Debug, Clone, Default, PartialEq, Eq, Deserialize)]
 pub struct FleetNews {
     /// Crashed servers, and the quarantined parts and calls.
     pub quarantine: QuarantineNews,
@@ -16,13 +22,101 @@
     pub leaving: Vec<RunKey>,
     /// Limits that servers name; `None` while there are none, so that an earlier
     /// release can read the message.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde(default)]
     pub limits: Option<LimitUpdate>,
+    /// Speeds of servers that the sender has measured; `None` while there are none.
+    #[serde(default)]
+    pub speeds: Option<SpeedUpdate>,
+}
+
+impl Serialize for FleetNews {
+    /// Leaves out the empty fields at the end, so that an earlier release, which does
+    /// not have them, can read the message.
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let filled = [true, true, self.limits.is_some(), self.speeds.is_some()];
+        let count = filled.iter().rposition(|is_filled| *is_filled);
+        let count = count.map_or(0, |index| index + 1);
+        let mut fields = serializer.serialize_struct("FleetNews", count)?;
+        fields.serialize_field("quarantine", &self.quarantine)?;
+        fields.serialize_field("leaving", &self.leaving)?;
+        if count > 2 {
+            fields.serialize_field("limits", &self.limits)?;
+        }
+        if count > 3 {
+            fields.serialize_field("speeds", &self.speeds)?;
+        }
+        fields.end()
+    }
 }
 
 impl FleetNews {
     /// Returns whether there is nothing to tell.
     pub fn is_empty(&self) -> bool {
-        self.quarantine.is_empty() && self.leaving.is_empty() && self.limits.is_none()
+        self.quarantine.is_empty()
+            && self.leaving.is_empty()
+            && self.limits.is_none()
+            && self.speeds.is_none()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use rstest::rstest;
+
+    use super::*;
+    use crate::core::fleet::LimitUpdate;
+
+    /// `FleetNews` as the release before the last field had it.
+    #[derive(Debug, PartialEq, Serialize, Deserialize)]
+    struct EarlierNews {
+        quarantine: QuarantineNews,
+        leaving: Vec<RunKey>,
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        limits: Option<LimitUpdate>,
+    }
+
+    fn update() -> SpeedUpdate {
+        SpeedUpdate {
+            window: 3,
+            notices: Vec::new(),
+        }
+    }
+
+    /// Guards against a field that takes the position of one before it that is empty.
+    #[rstest]
+    #[case::empty(None, None)]
+    #[case::limits(Some(LimitUpdate::default()), None)]
+    #[case::speeds(None, Some(update()))]
+    #[case::both(Some(LimitUpdate::default()), Some(update()))]
+    fn serialize_returns_same_fields(
+        #[case] limits: Option<LimitUpdate>,
+        #[case] speeds: Option<SpeedUpdate>,
+    ) {
+        let news = FleetNews {
+            leaving: vec![RunKey(1)],
+            limits,
+            speeds,
+            ..FleetNews::default()
+        };
+        let encoded = rmp_serde::to_vec(&news).expect("the value is serializable");
+        let decoded: FleetNews = rmp_serde::from_slice(&encoded).expect("it is valid");
+        assert_eq!(decoded, news);
+    }
+
+    /// Guards against a change of release in which entries cannot read each other.
+    #[rstest]
+    #[case::empty(None)]
+    #[case::limits(Some(LimitUpdate::default()))]
+    fn serialize_without_speeds_is_read_by_earlier_release(#[case] limits: Option<LimitUpdate>) {
+        let news = FleetNews {
+            limits: limits.clone(),
+            ..FleetNews::default()
+        };
+        let encoded = rmp_serde::to_vec(&news).expect("the value is serializable");
+        let decoded: EarlierNews = rmp_serde::from_slice(&encoded).expect("it is valid");
+        assert_eq!(decoded.limits, limits);
+        let encoded = rmp_serde::to_vec(&decoded).expect("the value is serializable");
+        let decoded: FleetNews = rmp_serde::from_slice(&encoded).expect("it is valid");
+        assert_eq!(decoded, news);
     }
 }
--- a/src/metrics/gateway_metrics.rs
+++ b/src/metrics/gateway_metrics.rs
@@ -23,6 +23,14 @@
     outcome: &'static str,
 }
 
+/// Labels of the prediction errors: the time that was predicted, `first` token or
+/// `end`, and whether the response was `early` or `late`.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct PredictionLabels {
+    of: &'static str,
+    side: &'static str,
+}
+
 /// Label of the `beliefs` gauges: what each one counts.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct GaugeLabels {
@@ -61,6 +69,8 @@
     fleet_counts: Family<GaugeLabels, Gauge>,
     first_event_time: Histogram,
     call_time: Histogram,
+    prediction_errors: Family<PredictionLabels, Histogram>,
+    hedges: Family<OutcomeLabels, Counter>,
     config_version: Gauge,
 }
 
@@ -112,6 +122,20 @@
             "Version of the configuration in force",
             config_version.clone(),
         );
+        let prediction_errors = Family::<PredictionLabels, Histogram>::new_with_constructor(|| {
+            Histogram::new(TIME_BUCKETS_S)
+        });
+        registry.register(
+            "prediction_error_seconds",
+            "Difference of the predicted and the observed time to the first event or the end of a response",
+            prediction_errors.clone(),
+        );
+        let hedges = Family::<OutcomeLabels, Counter>::default();
+        registry.register(
+            "hedges",
+            "Second sends of calls whose response was late, by outcome",
+            hedges.clone(),
+        );
         Self {
             registry,
             calls,
@@ -121,6 +145,8 @@
             fleet_counts,
             first_event_time,
             call_time,
+            prediction_errors,
+            hedges,
             config_version,
         }
     }
@@ -144,6 +170,24 @@
         self.retries.inc();
     }
 
+    /// Records the error of a prediction of the time until `of`: `first` event or `end`.
+    pub fn observe_prediction(&self, of: &'static str, predicted: Duration, observed: Duration) {
+        let side = if observed > predicted {
+            "late"
+        } else {
+            "early"
+        };
+        self.prediction_errors
+            .get_or_create(&PredictionLabels { of, side })
+            .observe(predicted.abs_diff(observed).as_secs_f64());
+    }
+
+    /// Counts a second send of a call by its outcome: `won`, `lost`, or why none was
+    /// made.
+    pub fn count_hedge(&self, outcome: &'static str) {
+        self.hedges.get_or_create(&OutcomeLabels { outcome }).inc();
+    }
+
     /// Records the time from the arrival of a call's head to the first event of
     /// its stream.
     pub fn observe_first_event(&self, elapsed: Duration) {
--- a/src/sidecar/context.rs
+++ b/src/sidecar/context.rs
@@ -18,6 +18,7 @@
 use crate::core::fleet::CachedParts;
 use crate::core::fleet::PrefillQueue;
 use crate::core::fleet::Quarantine;
+use crate::core::fleet::ServerSpeed;
 use crate::core::fleet::StreamOrigins;
 use crate::core::fleet::TargetVersion;
 use crate::core::fleet::WeightsChange;
@@ -48,6 +49,8 @@
     pub cached_parts: CachedParts,
     /// Whether `cached_parts` has changed since entries were last notified.
     pub has_unpublished_changes: bool,
+    /// Slowness that the engine states.
+    pub speed: ServerSpeed,
     /// Prompts that the engine still has to prefill.
     pub prefill_queue: PrefillQueue,
     /// Prompt parts and calls that crash servers, kept for entries.
--- a/src/sidecar/reconcile_engine.rs
+++ b/src/sidecar/reconcile_engine.rs
@@ -92,6 +92,9 @@
     let step = {
         let mut state = cx.lock();
         let step = state.weights_change.advance(&report.status, now);
+        if let Some(percent) = report.load.slowness {
+            state.speed.observe_stated(percent, now);
+        }
         let agent_report = AgentReport {
             is_accepting: state.weights_change.is_accepting() && !report.is_leaving,
             is_alive: true,
@@ -105,6 +108,7 @@
             prefill_ms: 0,
             used_tokens: report.used_kv_tokens,
             capacity_tokens: report.total_kv_tokens,
+            usual_slowness: state.speed.usual_percent(),
         };
         let should_publish = take(&mut state.has_unpublished_changes)
             || has_notable_change(
@@ -179,6 +183,15 @@
     let calls = |state: &AgentReport| state.load.running + state.load.waiting;
     let change = calls(published).abs_diff(calls(current));
     change >= MIN_PUBLISHED_LOAD_CHANGE.max(calls(published) / 4)
+        || has_other_slowness(published.load.slowness, current.load.slowness)
+}
+
+/// Returns whether the slowness differs by more than a quarter, or is stated only once.
+fn has_other_slowness(published: Option<u16>, current: Option<u16>) -> bool {
+    match (published, current) {
+        (Some(published), Some(current)) => published.abs_diff(current) > published / 4,
+        (published, current) => published != current,
+    }
 }
 
 async fn send_order(cx: &SidecarContext, order: WeightsOrder, reported_load: ReportedLoad) {
--- a/tests/fleet_dispatch.rs
+++ b/tests/fleet_dispatch.rs
@@ -142,10 +142,12 @@
         load: ReportedLoad {
             running: 64,
             waiting: 30,
+            slowness: None,
         },
         prefill_ms: 0,
         used_tokens: 0,
         capacity_tokens: 300_000,
+        usual_slowness: None,
     };
     dispatcher.observe_agent_report(&holder, report, at(0));
     let choice = choose(&dispatcher, &prompt, at(1));
@@ -336,6 +338,7 @@
         let load = ReportedLoad {
             running: number % 3,
             waiting: 0,
+            slowness: None,
         };
         let report = AgentReport {
             is_accepting: true,
