Send late idempotent calls to a second server

A call to a plain service waited for its server although another one had a free slot, so that one slowed server decided the latency tail.

After the 95th percentile of the route's latest response times, and not before a quarter of the latency objective, an idempotent call without a prompt is also sent to a second server with a free slot, if at most half of the shared retry budget is used. The first response that is no server error wins. Calls of kind Once are never sent twice, and no call goes to more servers than max_attempts.

--- a/src/core/fleet/fleet_retry_budget.rs
+++ b/src/core/fleet/fleet_retry_budget.rs
@@ -15,6 +15,10 @@
 /// knows no peers.
 const MIN_ENTRIES: usize = 4;
 
+/// Share of the enforced limit up to which calls that have not failed may use it, so that
+/// failed ones find some left.
+const SPARE_SHARE: f64 = 0.5;
+
 /// Steps per window. A count may cover one step more than the window, which
 /// makes the limit stricter for retries.
 const WINDOW_STEPS: u32 = 20;
@@ -70,6 +74,23 @@
     /// Consumes one retry and returns true, or returns false if the budget is
     /// used up.
     pub fn take_retry(&mut self, service: &str, now: MonotonicTime) -> bool {
+        let (retries, max_retries) = self.usage(service, now);
+        if retries + 1.0 > max_retries {
+            return false;
+        }
+        self.current_step(service, now).retries += 1;
+        true
+    }
+
+    /// Returns whether the budget has enough left for a retry that is not necessary, such
+    /// as that of a call whose response is only late.
+    pub fn has_spare(&mut self, service: &str, now: MonotonicTime) -> bool {
+        let (retries, max_retries) = self.usage(service, now);
+        retries + 1.0 <= max_retries * SPARE_SHARE
+    }
+
+    /// Returns the retries in the window and their limit.
+    fn usage(&mut self, service: &str, now: MonotonicTime) -> (f64, f64) {
         let step_time = self.step_time;
         self.current_step(service, now);
         let window = self.services.get(service);
@@ -83,11 +104,7 @@
         }
         let extra_share = self.extra / self.entry_count as f64;
         let max_retries = (self.ratio * f64::from(requests) + extra_share) * ENFORCED_SHARE;
-        if f64::from(retries + 1) > max_retries {
-            return false;
-        }
-        self.current_step(service, now).retries += 1;
-        true
+        (f64::from(retries), max_retries)
     }
 
     /// Returns the current step and removes those that have left the window.
--- a/src/core/fleet/routing/observe_speed.rs
+++ b/src/core/fleet/routing/observe_speed.rs
@@ -101,6 +101,24 @@
         }
     }
 
+    /// Records that a call without a prompt would have taken longer than `elapsed`, when
+    /// another server answered it.
+    pub fn observe_overtaken(
+        &mut self,
+        choice: &BackendChoice,
+        route: &str,
+        elapsed: Duration,
+        now: MonotonicTime,
+    ) {
+        let Some(service) = self.find_service_speed(choice.key) else {
+            return;
+        };
+        service.observe_response(route, elapsed);
+        if let Some(expected) = service.median_response_time(route) {
+            self.observe_work(choice, WorkKind::Plain, elapsed, expected, now);
+        }
+    }
+
     /// Records that a call held its slot for `elapsed`, waiting time included.
     pub fn observe_hold(&mut self, choice: &BackendChoice, elapsed: Duration, now: MonotonicTime) {
         let Some(view) = self.backends.get(choice.key) else {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -19,6 +19,7 @@
 mod follow_kv_cache_stores;
 mod follow_members;
 mod follow_store;
+mod hedged_attempt;
 mod known_entries;
 mod liveness_check;
 mod peer_contacts;
--- a/src/gateway/serve_call.rs
+++ b/src/gateway/serve_call.rs
@@ -22,10 +22,10 @@
 use super::attempt::FullResponse;
 use super::attempt::StreamingResponse;
 use super::attempt::UNREACHABLE;
-use super::attempt::attempt_call;
 use super::call_log::CallLog;
 use super::call_progress::CallProgress;
 use super::context::GatewayContext;
+use super::hedged_attempt::attempt_hedged;
 use super::read_call::Call;
 use super::read_call::read_call;
 use super::share_quarantine::digest_if_needed;
@@ -130,8 +130,9 @@
         call_log.log_send(&choice, reason);
         progress.tried.push(choice.key);
         progress.runs += 1;
+        let outcome = attempt_hedged(cx, &call, choice, &mut progress, &mut call_log).await;
         let may_run_again = call.may_run_again(progress.runs);
-        match attempt_call(cx, &call, choice, None, may_run_again).await {
+        match outcome {
             AttemptOutcome::Answered(response) => {
                 record_completion(cx, &call, response.status);
                 if !response.status.is_server_error() || !may_run_again {
