--- a/src/core/fleet/routing/observe_speed.rs
+++ b/src/core/fleet/routing/observe_speed.rs
@@ -148,6 +148,24 @@
         }
     }
 
+    /// Records a predicted and the observed time until a response began or, without a
+    /// prompt, ended.
+    pub fn observe_prediction(
+        &mut self,
+        choice: &BackendChoice,
+        predicted: Duration,
+        observed: Duration,
+    ) {
+        if let Some(service) = self.find_service_speed(choice.key) {
+            service.observe_prediction(predicted, observed);
+        }
+    }
+
+    /// Returns the mean error of the latest predictions for a service.
+    pub fn prediction_error(&self, service: &str) -> Option<Duration> {
+        self.service_speeds.get(service)?.mean_error()
+    }
+
     /// Returns the time after which a response on a route is later than most; `None` if
     /// too few have been seen.
     pub fn high_response_time(&self, service: &str, route: &str) -> Option<Duration> {
@@ -229,12 +247,14 @@
             let Some(service) = self.service_speeds.get(&view.member.service) else {
                 continue;
             };
-            let factor = view.speed.clear_factor(service);
-            let differs = factor.is_some();
+
             let is_silent = self.is_silent(view, Some(service), now);
             let Some(view) = self.backends.get_mut(key) else {
                 continue;
             };
+            view.speed.refresh(service);
+            let factor = view.speed.clear_factor();
+            let differs = factor.is_some();
             let name = &view.member.name;
             if view.is_logged_uneven != differs {
                 changes.push(SpeedChange::Uneven(name.clone(), factor));
--- a/src/core/fleet/routing/server_pace.rs
+++ b/src/core/fleet/routing/server_pace.rs
@@ -35,11 +35,12 @@
                 mean_decode: 1.0,
             };
         };
+        let [prefill, decode, plain] = view.speed.factors(now);
         Self {
             is_active: true,
-            prefill: view.speed.factor(WorkKind::Prefill, service, now),
-            decode: view.speed.factor(WorkKind::Decode, service, now),
-            plain: view.speed.factor(WorkKind::Plain, service, now),
+            prefill,
+            decode,
+            plain,
             hold_ms: service.hold().map(|hold| hold.as_secs_f64() * 1_000.0),
             mean_decode: service.mean_factor(WorkKind::Decode),
         }
--- a/src/core/fleet/server_speed/service_speed.rs
+++ b/src/core/fleet/server_speed/service_speed.rs
@@ -19,6 +19,9 @@
 /// Number of observations from which the learned time of a slot is used.
 const MIN_HOLD_OBSERVATIONS: f64 = 8.0;
 
+/// Weight of the latest prediction in their mean error.
+const ERROR_WEIGHT: f64 = 0.05;
+
 /// Maximum number of routes whose response times are kept.
 const MAX_ROUTES: usize = 64;
 
@@ -35,6 +38,9 @@
     routes: HashMap<String, ResponseTimes>,
     first_answers: ResponseTimes,
     answered_at: Option<MonotonicTime>,
+    /// Mean distance of the predicted and the observed time until a response begins or,
+    /// without a prompt, ends; in seconds.
+    mean_error_s: Option<f64>,
 }
 
 impl ServiceSpeed {
@@ -120,6 +126,18 @@
         self.first_answers.observe(time);
     }
 
+    /// Records a predicted and the observed time.
+    pub fn observe_prediction(&mut self, predicted: Duration, observed: Duration) {
+        let error_s = predicted.abs_diff(observed).as_secs_f64();
+        let mean_s = self.mean_error_s.get_or_insert(error_s);
+        *mean_s += ERROR_WEIGHT * (error_s - *mean_s);
+    }
+
+    /// Returns the mean error of the latest predictions.
+    pub fn mean_error(&self) -> Option<Duration> {
+        self.mean_error_s.map(Duration::from_secs_f64)
+    }
+
     /// Records that some server has answered.
     pub fn record_answer(&mut self, now: MonotonicTime) {
         self.answered_at = Some(now);
--- a/src/core/fleet/server_speed/speed.rs
+++ b/src/core/fleet/server_speed/speed.rs
@@ -30,6 +30,9 @@
 const CLEAR_ERRORS: f64 = 4.0;
 const MIN_OBSERVATIONS: f64 = 24.0;
 
+/// Error of a factor that was measured for another kind of work only.
+const MAX_LOG_ERROR: f64 = 0.5;
+
 /// Range of the factor; beyond it, a figure is more likely wrong than the server so
 /// slow.
 const MIN_FACTOR: f64 = 0.2;
@@ -61,6 +64,8 @@
     /// Mean distance of the stated figure from the usual one.
     stated_spread: f64,
     measured: [LogMean; 3],
+    /// Logarithms of the clear factors, as of the last refresh.
+    clear_logs: [Option<f64>; 3],
     /// What this entry has measured since it last told other entries.
     untold: [LogMean; 3],
 }
@@ -140,49 +145,46 @@
             .collect()
     }
 
+    /// Compares the server's measured times with the means of its service. Choices use
+    /// the result, so that they need not compare them for each server.
+    pub fn refresh(&mut self, service: &ServiceSpeed) {
+        self.clear_logs = WorkKind::ALL.map(|kind| self.find_clear_log(kind, service));
+    }
+
     /// Returns the factor by which the server's measured times differ from the mean of its
     /// service; `None` if they do not clearly.
-    pub fn clear_factor(&self, service: &ServiceSpeed) -> Option<f64> {
-        let mut kinds = WorkKind::ALL.into_iter();
-        kinds
-            .find_map(|kind| self.clear_log(kind, service))
-            .map(f64::exp)
+    pub fn clear_factor(&self) -> Option<f64> {
+        self.clear_logs.into_iter().flatten().next().map(f64::exp)
     }
 
-    /// Returns the factor for a kind of work. Exactly 1 if the server neither states its
-    /// slowness nor differs clearly from its service.
-    pub fn factor(
-        &self,
-        kind: WorkKind,
-        service: &ServiceSpeed,
-        now: MonotonicTime,
-    ) -> SpeedFactor {
-        // A kind without observations of its own is as fast as the others.
-        let has_own = self.measured[kind.index()].weight >= MIN_OBSERVATIONS;
-        let log = if has_own {
-            self.clear_log(kind, service)
+    /// Returns the factors for all kinds of work, by [`WorkKind::index`]. Exactly 1 if the
+    /// server neither states its slowness nor differs clearly from its service.
+    pub fn factors(&self, now: MonotonicTime) -> [SpeedFactor; 3] {
+        let slowness = self.current_slowness(now);
+        let forgotten = if self.stated.is_some() {
+            1.0 - self.stated_weight(now)
         } else {
-            WorkKind::ALL
-                .into_iter()
-                .find_map(|other| self.clear_log(other, service))
+            0.0
         };
-        let value = log.map_or(1.0, f64::exp) * self.current_slowness(now);
-        let own_error = log.map_or(0.0, |_| self.measured[kind.index()].error());
-        let own_error = if own_error.is_finite() {
-            own_error
-        } else {
-            0.5
-        };
-        let forgotten = 1.0 - self.stated_weight(now);
-        let stated_error = forgotten * self.stated_spread;
-        SpeedFactor {
-            value: value.clamp(MIN_FACTOR, MAX_FACTOR),
-            error: own_error.hypot(stated_error),
-        }
+        let any_log = self.clear_logs.into_iter().flatten().next();
+        WorkKind::ALL.map(|kind| {
+            let measured = &self.measured[kind.index()];
+            // A kind without observations of its own is as fast as the others.
+            let log = if measured.weight >= MIN_OBSERVATIONS {
+                self.clear_logs[kind.index()]
+            } else {
+                any_log
+            };
+            let log_error = log.map_or(0.0, |_| measured.error().min(MAX_LOG_ERROR));
+            SpeedFactor {
+                value: (log.map_or(1.0, f64::exp) * slowness).clamp(MIN_FACTOR, MAX_FACTOR),
+                error: log_error.hypot(forgotten * self.stated_spread),
+            }
+        })
     }
 
     /// Returns the logarithm of the measured factor if it is clear.
-    fn clear_log(&self, kind: WorkKind, service: &ServiceSpeed) -> Option<f64> {
+    fn find_clear_log(&self, kind: WorkKind, service: &ServiceSpeed) -> Option<f64> {
         let measured = &self.measured[kind.index()];
         let log = measured.mean - service.mean_log(kind);
         let is_clear = measured.weight >= MIN_OBSERVATIONS
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -176,6 +176,9 @@
         let dispatcher = &mut state.dispatcher;
         dispatcher.observe_decoding(&self.choice, self.later_events, decoding, now);
         dispatcher.observe_hold(&self.choice, elapsed, now);
+        if self.choice.salt.is_none() {
+            dispatcher.observe_prediction(&self.choice, predicted, elapsed);
+        }
     }
 
     fn record_first_token(&mut self, call: &Call) {
@@ -190,6 +193,9 @@
                 .metrics
                 .observe_prediction("first", predicted, elapsed);
             let mut state = self.cx.lock();
+            state
+                .dispatcher
+                .observe_prediction(&self.choice, predicted, elapsed);
             state.dispatcher.observe_ttft(&self.choice, elapsed, now);
             state.dispatcher.record_saved_parts(&self.choice, prompt);
             state
--- a/tests/fleet_server_speed.rs
+++ b/tests/fleet_server_speed.rs
@@ -702,3 +702,41 @@
         prop_assert!(predicted < Duration::from_secs(1_000), "{predicted:?}");
     }
 }
+
+/// Prints what a choice costs at the target size, for docs/CAPACITY.md.
+#[test]
+fn print_cost_at_target_size() {
+    for (is_stating, is_busy) in [(false, false), (true, false), (true, true)] {
+        let mut dispatcher = Dispatcher::new("a");
+        let mut keys = Vec::new();
+        for number in 0..2_000_u32 {
+            let mut listed = member(0, false);
+            listed.name = ServerName::from(format!("i-{number}").as_str());
+            listed.address = SocketAddr::from((number.to_be_bytes(), 8_000));
+            keys.push(dispatcher.upsert_member(listed));
+        }
+        for key in &keys {
+            let slowness = is_stating.then_some(150);
+            dispatcher.observe_load(*key, load(5, 1, slowness), at(0));
+        }
+        if is_busy {
+            for step in 0..2_000 {
+                let choice = choose_plain(&dispatcher, at(step / 100));
+                dispatcher.begin_call(&choice, None, at(step / 100));
+            }
+        }
+        let started = std::time::Instant::now();
+        for _ in 0..200 {
+            std::hint::black_box(choose_plain(&dispatcher, at(30)));
+        }
+        let choice = started.elapsed() / 200;
+        let started = std::time::Instant::now();
+        let changes = dispatcher.refresh_speeds(at(30)).len();
+        let refresh = started.elapsed();
+        println!(
+            "2,000 servers, stating {is_stating}, owing answers {is_busy}: choice {choice:?}, \
+             refresh {refresh:?}, {changes} changes; {} bytes a server",
+            size_of::<teaseldrum::core::fleet::ServerSpeed>()
+        );
+    }
+}
