Learn slot times and engine speeds from calls that did not wait

The learned slot time included waits that had not been predicted, so that it grew under overload, and a response that is no stream counted as not begun while its output was generated. Slot times now come from the time after the first event, or from calls that waited little; responses that are no streams are due at their predicted end, and their times show the engine's speed against the mean of their route.

--- a/src/core/fleet/routing/dispatcher.rs
+++ b/src/core/fleet/routing/dispatcher.rs
@@ -109,6 +109,8 @@
     pub predicted_end: Duration,
     /// Factor of the server's speed in the prediction of the prefill.
     pub prefill_factor: f64,
+    /// Whether the response shows when the server begins it, as a stream does.
+    pub shows_start: bool,
     /// Estimated number of calls at the server.
     pub load: f64,
     /// Age of the server's last load report.
@@ -343,8 +345,12 @@
         if let Some(view) = self.find_backend_mut(name) {
             view.observe_agent_report(report, now);
         }
-        if let Some(key) = self.keys_by_name.get(name) {
-            self.activate_if_stated(*key, now);
+        let Some(key) = self.keys_by_name.get(name).copied() else {
+            return;
+        };
+        self.activate_if_stated(key, now);
+        if let Some(speed) = self.find_service_speed(key) {
+            speed.record_agent_report(now);
         }
     }
 
@@ -494,11 +500,12 @@
         if view.is_limited {
             self.server_limits.take_call(choice.run, now);
         }
-        // A call without a prompt shows its start only by its end, and its work differs.
+        // Other calls show their start only by their end, and their work differs.
         let work = choice.predicted_end.saturating_sub(choice.predicted_ttft);
-        let (due_after, answer_after) = match prompt {
-            None => (choice.predicted_end + work, choice.predicted_end),
-            Some(_) => (choice.predicted_ttft, choice.predicted_ttft),
+        let (due_after, answer_after) = if prompt.is_some() && choice.shows_start {
+            (choice.predicted_ttft, choice.predicted_ttft)
+        } else {
+            (choice.predicted_end + work, choice.predicted_end)
         };
         view.load.begin_call(choice.prefill_time, now + due_after);
         view.answer_gap.record_send(answer_after, now);
@@ -857,6 +864,7 @@
         predicted_ttft: milliseconds(ttft_ms),
         predicted_end: milliseconds(ttft_ms),
         prefill_factor: 1.0,
+        shows_start: true,
         load,
         report_age: view.load.report_age(now),
     }
--- a/src/core/fleet/routing/observe_speed.rs
+++ b/src/core/fleet/routing/observe_speed.rs
@@ -31,7 +31,8 @@
 const MIN_EVENTS: u32 = 8;
 
 /// Time without a report of an agent, and without an answer of its engine, after which
-/// the engine counts as silent. Agents report at least twice a second.
+/// the engine counts as silent if other agents report. They do so at least twice a
+/// second.
 const AGENT_SILENCE: Duration = Duration::from_millis(900);
 
 /// Time from which a silent agent says nothing of its engine any more.
@@ -40,6 +41,15 @@
 /// Untold observations from which a server's speed is worth telling.
 const MIN_UNTOLD: f64 = 4.0;
 
+impl BackendChoice {
+    /// Returns whether the call was predicted to begin almost at once, so that its time
+    /// shows the speed of the server.
+    pub fn waits_little(&self) -> bool {
+        let wait = self.predicted_ttft.saturating_sub(self.prefill_time);
+        wait <= self.predicted_end.mul_f64(MAX_OTHER_SHARE)
+    }
+}
+
 /// Change of what is known of a server's speed, for the log.
 #[derive(Debug, Clone, PartialEq)]
 pub enum SpeedChange {
@@ -94,9 +104,9 @@
             return;
         };
         service.observe_response(route, elapsed);
-        let is_wait_short = choice.predicted_ttft <= choice.predicted_end.mul_f64(MAX_OTHER_SHARE);
+
         let expected = service.median_response_time(route);
-        if let Some(expected) = expected.filter(|_| is_wait_short) {
+        if let Some(expected) = expected.filter(|_| choice.waits_little()) {
             self.observe_work(choice, WorkKind::Plain, elapsed, expected, now);
         }
     }
@@ -119,23 +129,47 @@
         }
     }
 
-    /// Records that a call held its slot for `elapsed`, waiting time included.
-    pub fn observe_hold(&mut self, choice: &BackendChoice, elapsed: Duration, now: MonotonicTime) {
+    /// Records the time of a complete response of an engine that is no stream.
+    pub fn observe_whole_response(
+        &mut self,
+        choice: &BackendChoice,
+        route: &str,
+        elapsed: Duration,
+        now: MonotonicTime,
+    ) {
+        self.record_start(choice, now);
+        let expected = choice.predicted_end.saturating_sub(choice.predicted_ttft);
+        let measured = elapsed.saturating_sub(choice.predicted_ttft);
+        let is_wait_short = choice.waits_little();
+        let Some(view) = self.backends.get(choice.key).filter(|_| is_wait_short) else {
+            return;
+        };
+        // What the prediction says of a route's output is often wrong, for all servers alike.
+        let expected = expected.div_f64(self.pace_of(view, now).output_factor());
+        if measured.is_zero() || expected.is_zero() {
+            return;
+        }
+        let log = (measured.as_secs_f64() / expected.as_secs_f64()).ln();
+        let bias = self
+            .find_service_speed(choice.key)
+            .and_then(|service| service.observe_route_bias(route, log));
+        if let Some(bias) = bias {
+            let expected = expected.mul_f64(bias);
+            self.observe_work(choice, WorkKind::Decode, measured, expected, now);
+        }
+    }
+
+    /// Records that a call held its slot for `held`, waiting time not included.
+    pub fn observe_hold(&mut self, choice: &BackendChoice, held: Duration, now: MonotonicTime) {
         let Some(view) = self.backends.get(choice.key) else {
             return;
         };
-        let pace = self.pace_of(view, now);
         let kind = if choice.salt.is_some() {
             WorkKind::Decode
         } else {
             WorkKind::Plain
         };
-        let wait = choice.predicted_ttft.saturating_sub(choice.prefill_time);
-        let held = elapsed.saturating_sub(wait);
-        if held.is_zero() {
-            return;
-        }
-        let held = held.div_f64(pace.factor(kind).value);
+        let held = held.div_f64(self.pace_of(view, now).factor(kind).value);
         if let Some(service) = self.find_service_speed(choice.key) {
             service.observe_hold(held);
         }
@@ -282,7 +316,8 @@
             return 0.0;
         }
         let usual = usual_answer_time(view, service, now);
-        if view.answer_gap.is_probe_due(usual, now) {
+        // A silent agent is heard again by itself.
+        if view.answer_gap.owes_answer() && view.answer_gap.is_probe_due(usual, now) {
             0.0
         } else {
             call_costs::SILENT_COST_MS
@@ -311,9 +346,11 @@
         service: Option<&ServiceSpeed>,
         now: MonotonicTime,
     ) -> bool {
-        let is_agent_silent = view
-            .agent_silence(now)
-            .is_some_and(|silence| (AGENT_SILENCE..AGENT_GONE).contains(&silence));
+        let agents_heard_at = service.and_then(ServiceSpeed::agents_heard_at);
+        let is_agent_silent = view.agent_silence(now).is_some_and(|silence| {
+            let others_heard = agents_heard_at.is_some_and(|at| now.since(at) < silence / 2);
+            others_heard && (AGENT_SILENCE..AGENT_GONE).contains(&silence)
+        });
         if is_agent_silent || !view.answer_gap.owes_answer() {
             return is_agent_silent;
         }
--- a/src/core/fleet/server_speed/service_speed.rs
+++ b/src/core/fleet/server_speed/service_speed.rs
@@ -22,6 +22,9 @@
 /// Weight of the latest prediction in their mean error.
 const ERROR_WEIGHT: f64 = 0.05;
 
+/// Number of responses of a route from which their mean is used.
+const MIN_ROUTE_RESPONSES: f64 = 32.0;
+
 /// Maximum number of routes whose response times are kept.
 const MAX_ROUTES: usize = 64;
 
@@ -36,8 +39,10 @@
     means: [(f64, f64); 3],
     hold: LogMean,
     routes: HashMap<String, ResponseTimes>,
+    route_biases: HashMap<String, LogMean>,
     first_answers: ResponseTimes,
     answered_at: Option<MonotonicTime>,
+    agents_heard_at: Option<MonotonicTime>,
     /// Mean distance of the predicted and the observed time until a response begins or,
     /// without a prompt, ends; in seconds.
     mean_error_s: Option<f64>,
@@ -111,6 +116,21 @@
         }
     }
 
+    /// Records the logarithm of the ratio of measured to expected time of a response of
+    /// a route. Returns the mean ratio of the route; `None` before enough responses.
+    pub fn observe_route_bias(&mut self, route: &str, log: f64) -> Option<f64> {
+        if let Some(bias) = self.route_biases.get_mut(route) {
+            bias.observe(log);
+            return (bias.weight >= MIN_ROUTE_RESPONSES).then(|| bias.mean.exp());
+        }
+        if self.route_biases.len() < MAX_ROUTES {
+            let mut bias = LogMean::default();
+            bias.observe(log);
+            self.route_biases.insert(route.into(), bias);
+        }
+        None
+    }
+
     /// Returns the median of the latest response times on a route.
     pub fn median_response_time(&self, route: &str) -> Option<Duration> {
         self.routes.get(route)?.median()
@@ -148,6 +168,16 @@
         self.first_answers.high()
     }
 
+    /// Records that an agent beside a server of the service has reported.
+    pub fn record_agent_report(&mut self, now: MonotonicTime) {
+        self.agents_heard_at = Some(now);
+    }
+
+    /// Returns when an agent beside a server of the service last reported.
+    pub fn agents_heard_at(&self) -> Option<MonotonicTime> {
+        self.agents_heard_at
+    }
+
     /// Returns when a server of the service last answered.
     pub fn answered_at(&self) -> Option<MonotonicTime> {
         self.answered_at
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -129,7 +129,8 @@
     /// Counts a call that is about to be sent, and passes it to
     /// [`AgentConnections::announce_call`](super::agent_connections::AgentConnections::announce_call),
     /// which announces calls with a long prompt to the agent of their engine.
-    pub fn start(cx: &Arc<GatewayContext>, call: &Call, choice: BackendChoice) -> Self {
+    pub fn start(cx: &Arc<GatewayContext>, call: &Call, mut choice: BackendChoice) -> Self {
+        choice.shows_start = call.route.kind.is_stream();
         let now = cx.now();
         let prompt = call.head.prompt.as_ref();
         cx.lock().dispatcher.begin_call(&choice, prompt, now);
@@ -175,7 +176,13 @@
         let mut state = self.cx.lock();
         let dispatcher = &mut state.dispatcher;
         dispatcher.observe_decoding(&self.choice, self.later_events, decoding, now);
-        dispatcher.observe_hold(&self.choice, elapsed, now);
+        if self.later_events > 0 {
+            // The time in the queue before the first event is not known.
+            let held = decoding + self.choice.prefill_time;
+            dispatcher.observe_hold(&self.choice, held, now);
+        } else if self.choice.waits_little() {
+            dispatcher.observe_hold(&self.choice, elapsed, now);
+        }
         if self.choice.salt.is_none() {
             dispatcher.observe_prediction(&self.choice, predicted, elapsed);
         }
@@ -353,13 +360,17 @@
     if !status.is_success() {
         return;
     }
-    if call.head.prompt.is_none() {
-        let now = cx.now();
-        let elapsed = now.since(in_flight.sent_at);
-        let route = &call.route.name;
-        cx.lock()
-            .dispatcher
-            .observe_plain_response(&in_flight.choice, route, elapsed, now);
+    let now = cx.now();
+    let elapsed = now.since(in_flight.sent_at);
+    let (choice, route) = (&in_flight.choice, &call.route.name);
+    {
+        let mut state = cx.lock();
+        let dispatcher = &mut state.dispatcher;
+        if call.head.prompt.is_none() {
+            dispatcher.observe_plain_response(choice, route, elapsed, now);
+        } else {
+            dispatcher.observe_whole_response(choice, route, elapsed, now);
+        }
     }
     in_flight.record_complete();
 }
--- a/tests/fleet_server_speed.rs
+++ b/tests/fleet_server_speed.rs
@@ -141,7 +141,9 @@
     dispatcher.observe_load(choice.key, load(0, 0, slowness), now);
     dispatcher.observe_first_answer(choice.key, time);
     dispatcher.observe_plain_response(choice, "r", time, now);
-    dispatcher.observe_hold(choice, time, now);
+    if choice.waits_little() {
+        dispatcher.observe_hold(choice, time, now);
+    }
     dispatcher.end_prefill(choice);
     dispatcher.end_call(choice);
 }
@@ -386,6 +388,33 @@
     );
 }
 
+/// Load: a quarter of the engines is silent, with their agents. Guards against calls that
+/// go there until the last report is too old, and against an entry that was frozen itself
+/// and takes all engines for silent.
+#[test]
+fn choose_silent_agents_lose_calls_if_others_report() {
+    let (mut dispatcher, mut frozen) = (dispatcher(8, true), dispatcher(8, true));
+    for number in 0..8 {
+        let report = agent_report(load(0, 0, None));
+        dispatcher.observe_agent_report(&name(number), report.clone(), at(0));
+        frozen.observe_agent_report(&name(number), report.clone(), at(0));
+        if number >= 2 {
+            dispatcher.observe_agent_report(&name(number), report, at(500));
+        }
+    }
+    let count_silent = |dispatcher: &Dispatcher| {
+        let tokens = 1_000..1_200;
+        let chosen = tokens.map(|own_tokens| {
+            let mut prompt = prompt(own_tokens);
+            prompt.parts[0].id = PartId::from_name(&format!("hot{own_tokens}"));
+            choose(dispatcher, Some(&prompt), at(950)).expect("a server")
+        });
+        chosen.filter(|choice| number_of(choice) < 2).count()
+    };
+    assert_eq!(count_silent(&dispatcher), 0);
+    assert!(count_silent(&frozen) > 20);
+}
+
 /// Guards against an entry that was frozen itself and then takes all servers for
 /// silent: it goes on with them.
 #[test]
@@ -481,6 +510,57 @@
     assert!(last >= first.predicted_ttft + overdue, "{last:?}");
 }
 
+/// Guards against calls that show their start only by their end, and then count as not
+/// begun while they generate their output.
+#[test]
+fn choose_engine_call_without_stream_is_not_overdue() {
+    let mut dispatcher = dispatcher(1, true);
+    let prompt = prompt(3_000);
+    let report = agent_report(load(0, 0, Some(100)));
+    dispatcher.observe_agent_report(&name(0), report, at(0));
+    let mut first = choose(&dispatcher, Some(&prompt), at(0)).expect("a server");
+    first.shows_start = false;
+    dispatcher.begin_call(&first, Some(&prompt), at(0));
+    let predict = |ms| {
+        let choice = choose(&dispatcher, Some(&prompt), at(ms)).expect("a server");
+        choice.predicted_ttft
+    };
+    let end = first.predicted_end.as_millis() as u64;
+    assert_eq!(predict(1), predict(end));
+    assert!(predict(end * 4) > predict(end));
+}
+
+/// Load: engines with speeds from 0.7 to 1.7 whose responses are no streams and shorter
+/// than predicted. Guards against speeds that are only learned from streams.
+#[test]
+fn observe_whole_response_uneven_engines_are_found() {
+    let mut dispatcher = dispatcher(6, true);
+    let speeds = uneven_speeds(6);
+    for round in 0..120_u64 {
+        for (number, speed) in speeds.iter().enumerate() {
+            let prompt = prompt(1_000);
+            let now = at(round * 50);
+            let choice = choose(&dispatcher, Some(&prompt), now).expect("a server");
+            let key = dispatcher.upsert_member(member(number, true));
+            let run = dispatcher
+                .find_backend(&name(number))
+                .expect("listed")
+                .run();
+            let choice = BackendChoice { key, run, ..choice };
+            let output = choice.predicted_end.saturating_sub(choice.predicted_ttft);
+            let share = 0.3 + 0.01 * (round % 7) as f64;
+            let time = choice.predicted_ttft + output.mul_f64(share / speed);
+            dispatcher.observe_whole_response(&choice, "r", time, now);
+        }
+    }
+    let changes = dispatcher.refresh_speeds(at(6_000));
+    let is_slowest_found = changes.iter().any(|change| {
+        matches!(change, SpeedChange::Uneven(server, Some(factor))
+            if *server == name(0) && *factor > 1.3)
+    });
+    assert!(is_slowest_found, "{changes:?}");
+}
+
 /// Guards against waiting calls of other entries that lose weight with the age of the
 /// report although nothing was started.
 #[test]
