--- a/src/mesh/fleet_news.rs
+++ b/src/mesh/fleet_news.rs
@@ -11,21 +11,27 @@
 use crate::core::fleet::QuarantineNews;
 use crate::core::fleet::RolloutNews;
 use crate::core::fleet::RunKey;
+use crate::core::fleet::SpeedUpdate;
 
 /// What an entry tells another one of servers, besides the records in the store.
+///
+/// Messages hold fields by position, so that a field can be left out only if all later
+/// ones are; see the implementation of [`Serialize`].
 #[derive(Debug, Clone, Default, PartialEq, Eq, Deserialize)]
 pub struct FleetNews {
     /// Crashed servers, and the quarantined parts and calls.
     pub quarantine: QuarantineNews,
     /// Listed runs that have said that they leave.
     pub leaving: Vec<RunKey>,
-    /// Limits that servers name; `None` while there are none, so that an earlier
-    /// release can read the message.
+    /// Limits that servers name; `None` while there are none.
     #[serde(default)]
     pub limits: Option<LimitUpdate>,
-    /// Rollouts of services' builds; left out while there are none.
+    /// Rollouts of services' builds.
     #[serde(default)]
     pub rollouts: Vec<RolloutNews>,
+    /// Speeds of servers that the sender has measured; `None` while there are none.
+    #[serde(default)]
+    pub speeds: Option<SpeedUpdate>,
 }
 
 impl FleetNews {
@@ -53,33 +59,103 @@
 
     /// Returns whether there is nothing to tell.
     pub fn is_empty(&self) -> bool {
-        self.quarantine.is_empty()
-            && self.leaving.is_empty()
-            && self.limits.is_none()
-            && self.rollouts.is_empty()
+        self.quarantine.is_empty() && self.leaving.is_empty() && self.count_fields() == 2
+    }
+
+    /// Returns the number of fields up to the last one that is not empty; the first two
+    /// are always written.
+    fn count_fields(&self) -> usize {
+        let filled = [
+            true,
+            true,
+            self.limits.is_some(),
+            !self.rollouts.is_empty(),
+            self.speeds.is_some(),
+        ];
+        let last = filled.iter().rposition(|is_filled| *is_filled);
+        last.map_or(0, |index| index + 1)
     }
 }
 
 impl Serialize for FleetNews {
-    /// Leaves out the last fields while they are empty. A field before one that is not
-    /// empty is written, since the message holds the fields by position.
+    /// Leaves out the empty fields at the end, so that an earlier release, which does
+    /// not have them, can read the message.
     fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
-        let field_count = if !self.rollouts.is_empty() {
-            4
-        } else if self.limits.is_some() {
-            3
-        } else {
-            2
-        };
-        let mut fields = serializer.serialize_struct("FleetNews", field_count)?;
+        let count = self.count_fields();
+        let mut fields = serializer.serialize_struct("FleetNews", count)?;
         fields.serialize_field("quarantine", &self.quarantine)?;
         fields.serialize_field("leaving", &self.leaving)?;
-        if field_count > 2 {
+        if count > 2 {
             fields.serialize_field("limits", &self.limits)?;
         }
-        if field_count > 3 {
+        if count > 3 {
             fields.serialize_field("rollouts", &self.rollouts)?;
         }
+        if count > 4 {
+            fields.serialize_field("speeds", &self.speeds)?;
+        }
         fields.end()
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use rstest::rstest;
+
+    use super::*;
+    use crate::core::fleet::LimitUpdate;
+
+    /// `FleetNews` as the release before the last field had it.
+    #[derive(Debug, PartialEq, Serialize, Deserialize)]
+    struct EarlierNews {
+        quarantine: QuarantineNews,
+        leaving: Vec<RunKey>,
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        limits: Option<LimitUpdate>,
+    }
+
+    fn update() -> SpeedUpdate {
+        SpeedUpdate {
+            window: 3,
+            notices: Vec::new(),
+        }
+    }
+
+    /// Guards against a field that takes the position of one before it that is empty.
+    #[rstest]
+    #[case::empty(None, None)]
+    #[case::limits(Some(LimitUpdate::default()), None)]
+    #[case::speeds(None, Some(update()))]
+    #[case::both(Some(LimitUpdate::default()), Some(update()))]
+    fn serialize_returns_same_fields(
+        #[case] limits: Option<LimitUpdate>,
+        #[case] speeds: Option<SpeedUpdate>,
+    ) {
+        let news = FleetNews {
+            leaving: vec![RunKey(1)],
+            limits,
+            speeds,
+            ..FleetNews::default()
+        };
+        let encoded = rmp_serde::to_vec(&news).expect("the value is serializable");
+        let decoded: FleetNews = rmp_serde::from_slice(&encoded).expect("it is valid");
+        assert_eq!(decoded, news);
+    }
+
+    /// Guards against a change of release in which entries cannot read each other.
+    #[rstest]
+    #[case::empty(None)]
+    #[case::limits(Some(LimitUpdate::default()))]
+    fn serialize_without_speeds_is_read_by_earlier_release(#[case] limits: Option<LimitUpdate>) {
+        let news = FleetNews {
+            limits: limits.clone(),
+            ..FleetNews::default()
+        };
+        let encoded = rmp_serde::to_vec(&news).expect("the value is serializable");
+        let decoded: EarlierNews = rmp_serde::from_slice(&encoded).expect("it is valid");
+        assert_eq!(decoded.limits, limits);
+        let encoded = rmp_serde::to_vec(&decoded).expect("the value is serializable");
+        let decoded: FleetNews = rmp_serde::from_slice(&encoded).expect("it is valid");
+        assert_eq!(decoded, news);
+    }
+}
