Decide which calls wait in the entry, start or are refused

The new folder core/fleet/admission holds calls per service until a server is predicted to have room, in the order of priority, fair share and latest start, and refuses what cannot start in time. Entries share servers by their demand. FairQueue learns to return the share of cancelled requests and to order requests within a quantum; its tags are finer.

Nothing calls the queue yet.

--- a/lab/src/bench/policy/agent_model.rs
+++ b/lab/src/bench/policy/agent_model.rs
@@ -64,6 +64,7 @@
             tokens: u64::from(uncached_tokens) + u64::from(request.output_tokens),
             weight: 1,
             priority: 0,
+            order: 0,
         };
         let queued = QueuedAttempt {
             attempt,
--- a/src/core/fair_queue/mod.rs
+++ b/src/core/fair_queue/mod.rs
@@ -5,5 +5,6 @@
 mod scheduling_params;
 
 pub use queue::FairQueue;
+pub use queue::QueuePosition;
 pub use queue_full::QueueFull;
 pub use scheduling_params::SchedulingParams;
--- a/src/core/fair_queue/queue.rs
+++ b/src/core/fair_queue/queue.rs
@@ -15,6 +15,7 @@
 #[derive(Debug)]
 pub struct FairQueue<A, T> {
     max_waiting: usize,
+    quantum: u64,
     next_sequence: u64,
     virtual_time: u64,
     finish_tags: HashMap<A, u64>,
@@ -22,24 +23,33 @@
 }
 
 /// Position of a waiting request. The least position is served first: by
-/// priority, of which a higher number is served first, then by start tag, then
-/// in order of arrival.
+/// priority, of which a higher number is served first, then by start tag in
+/// quanta, then by the caller's order, then by arrival.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct QueuePosition {
     priority: Reverse<i32>,
-    start_tag: u64,
+    start_quantum: u64,
+    order: u64,
     sequence: u64,
+    start_tag: u64,
 }
 
-/// Virtual time of one token at weight 1. Greater than 1 because tags are
-/// integers and a token's virtual time is divided by the weight.
-const TAG_UNITS_PER_TOKEN: u64 = 1_000;
+/// Virtual time of one token at weight 1. Weights may be rates in tokens a second;
+/// a unit is then a microsecond of the account's rate.
+const TAG_UNITS_PER_TOKEN: u64 = 1_000_000;
 
 impl<A: Clone + Eq + Hash, T> FairQueue<A, T> {
     /// Creates an empty queue that holds at most `max_waiting` requests.
     pub fn new(max_waiting: usize) -> Self {
+        Self::with_quantum(max_waiting, 1)
+    }
+
+    /// Creates an empty queue in which start tags count in steps of `quantum`: a
+    /// millionth of it is in tokens at weight 1.
+    pub fn with_quantum(max_waiting: usize, quantum: u64) -> Self {
         Self {
             max_waiting,
+            quantum: quantum.max(1),
             next_sequence: 0,
             virtual_time: 0,
             finish_tags: HashMap::new(),
@@ -73,14 +83,14 @@
         }
         let previous_finish = self.finish_tags.get(account).copied().unwrap_or(0);
         let start_tag = previous_finish.max(self.virtual_time);
-        let span =
-            params.tokens.saturating_mul(TAG_UNITS_PER_TOKEN) / u64::from(params.weight.max(1));
         self.finish_tags
-            .insert(account.clone(), start_tag.saturating_add(span));
+            .insert(account.clone(), start_tag.saturating_add(span_of(params)));
         let position = QueuePosition {
             priority: Reverse(params.priority),
-            start_tag,
+            start_quantum: start_tag / self.quantum,
+            order: params.order,
             sequence: self.next_sequence,
+            start_tag,
         };
         self.next_sequence += 1;
         self.waiting.insert(position, item);
@@ -89,12 +99,44 @@
 
     /// Removes and returns the request to be served next.
     pub fn pop(&mut self) -> Option<T> {
-        let (position, item) = self.waiting.pop_first()?;
+        let (position, _) = self.waiting.first_key_value()?;
+        self.take(*position)
+    }
+
+    /// Removes a request that is served now, not necessarily the first.
+    pub fn take(&mut self, position: QueuePosition) -> Option<T> {
+        let item = self.waiting.remove(&position)?;
         self.virtual_time = self.virtual_time.max(position.start_tag);
         self.drop_idle_accounts();
         Some(item)
     }
 
+    /// Removes a request that will not be served, and returns its tokens to the
+    /// account's share. `params` are those that it was added with.
+    pub fn cancel(
+        &mut self,
+        account: &A,
+        params: SchedulingParams,
+        position: QueuePosition,
+    ) -> Option<T> {
+        let item = self.waiting.remove(&position)?;
+        if let Some(finish) = self.finish_tags.get_mut(account) {
+            *finish = finish.saturating_sub(span_of(params));
+        }
+        self.drop_idle_accounts();
+        Some(item)
+    }
+
+    /// Returns the request that would be served last.
+    pub fn last(&self) -> Option<&T> {
+        self.waiting.values().next_back()
+    }
+
+    /// Lists the requests that will be served before `position`, in their order.
+    pub fn iter_before(&self, position: QueuePosition) -> impl Iterator<Item = &T> {
+        self.waiting.range(..position).map(|(_, item)| item)
+    }
+
     /// Removes a request whose caller has disconnected. Its tokens still count
     /// towards the account's share.
     pub fn remove(&mut self, position: QueuePosition) -> Option<T> {
@@ -121,6 +163,11 @@
     }
 }
 
+/// Returns the virtual time that a request takes of its account's share.
+fn span_of(params: SchedulingParams) -> u64 {
+    params.tokens.saturating_mul(TAG_UNITS_PER_TOKEN) / u64::from(params.weight.max(1))
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -130,6 +177,7 @@
             tokens,
             weight,
             priority,
+            order: 0,
         }
     }
 
@@ -201,6 +249,23 @@
         assert!((4..=6).contains(&late));
     }
 
+    /// Guards against an account that pays with its later share for requests that were
+    /// refused while they waited.
+    #[test]
+    fn cancel_returns_share() {
+        let mut queue = FairQueue::new(100);
+        for _ in 0..50 {
+            let params = make_params(100, 1, 0);
+            let position = queue.push(&"busy", params, "busy").expect("room");
+            assert_eq!(queue.cancel(&"busy", params, position), Some("busy"));
+        }
+        push(&mut queue, "other", 100);
+        push(&mut queue, "busy", 100);
+        push(&mut queue, "other", 100);
+        let taken: Vec<_> = (0..2).filter_map(|_| queue.pop()).collect();
+        assert_eq!(taken, ["other", "busy"]);
+    }
+
     #[test]
     fn push_full() {
         let mut queue = FairQueue::new(1);
--- a/src/core/fair_queue/scheduling_params.rs
+++ b/src/core/fair_queue/scheduling_params.rs
@@ -11,4 +11,7 @@
     /// Priority; a request with a higher number is served first, whatever its
     /// account.
     pub priority: i32,
+    /// Order among requests of the same priority whose start tags fall into the
+    /// same [`quantum`](super::FairQueue::with_quantum); the lowest is first.
+    pub order: u64,
 }
--- a/src/core/fleet/mod.rs
+++ b/src/core/fleet/mod.rs
@@ -9,6 +9,7 @@
 //! whose calls have no prompt. A *member* is a server's record in the store. A
 //! *slot* is a server's capacity for one running call.
 
+mod admission;
 mod build;
 mod call_head;
 mod call_kind;
@@ -28,6 +29,17 @@
 mod streams;
 mod weights;
 
+pub use admission::AdmissionDecision;
+pub use admission::AdmissionGauges;
+pub use admission::AdmissionQueue;
+pub use admission::AdmissionRefusal;
+pub use admission::AdmissionTicket;
+pub use admission::Candidates;
+pub use admission::OfferedCall;
+pub use admission::PredictionError;
+pub use admission::RefusalReason;
+pub use admission::ServiceDemand;
+pub use admission::StartEstimate;
 pub use build::Build;
 pub use call_head::CallHead;
 pub use call_kind::CallKind;
