--- a/src/core/fleet/admission/admission_queue.rs
+++ b/src/core/fleet/admission/admission_queue.rs
@@ -9,14 +9,20 @@
 use super::Candidates;
 use super::OfferedCall;
 use super::ServiceDemand;
+use super::account_weights::AccountWeights;
 use super::service_queue::ServiceQueue;
+use crate::core::AccountName;
 use crate::core::MonotonicTime;
+use crate::core::fleet::AccountRule;
 
 /// Time without a message after which a peer's share lapses. In a large fleet, where
 /// exchanges are rarer, it is two intervals.
 const PEER_LIFETIME: Duration = Duration::from_secs(1);
 
-/// Names a waiting call, together with its service.
+/// Bits of a ticket that count the calls of one service.
+const TICKET_BITS: u32 = 48;
+
+/// Names a waiting call; unique in the process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct AdmissionTicket(pub(super) u64);
 
@@ -40,6 +46,7 @@
 pub struct AdmissionQueue {
     own_hash: u64,
     entry_count: usize,
+    weights: AccountWeights,
     services: BTreeMap<String, ServiceQueue>,
     is_stopping: bool,
 }
@@ -50,11 +57,22 @@
         Self {
             own_hash: xxh3_64(name.as_bytes()),
             entry_count: 1,
+            weights: AccountWeights::default(),
             services: BTreeMap::new(),
             is_stopping: false,
         }
     }
 
+    /// Sets the configured accounts, whose rates are the weights of their calls.
+    pub fn set_accounts(&mut self, rules: &[AccountRule]) {
+        self.weights = AccountWeights::new(rules);
+    }
+
+    /// Returns the weight of an account, or of callers without one.
+    pub fn weight_of(&self, account: Option<&AccountName>) -> u32 {
+        self.weights.get(account)
+    }
+
     /// Decides on a call that is new here.
     pub fn offer(
         &mut self,
@@ -150,6 +168,11 @@
         }
     }
 
+    /// Returns whether no call waits or is to be told that it is refused.
+    pub fn is_idle(&self) -> bool {
+        self.services.values().all(ServiceQueue::is_idle)
+    }
+
     /// Returns the number of waiting calls.
     pub fn count_waiting(&self) -> usize {
         self.services.values().map(ServiceQueue::len).sum()
@@ -170,8 +193,9 @@
 
     fn service_mut(&mut self, service: &str) -> &mut ServiceQueue {
         let (own_hash, entry_count) = (self.own_hash, self.entry_count);
+        let first_ticket = (self.services.len() as u64) << TICKET_BITS;
         self.services
             .entry(service.to_owned())
-            .or_insert_with(|| ServiceQueue::new(own_hash, entry_count))
+            .or_insert_with(|| ServiceQueue::new(own_hash, entry_count, first_ticket))
     }
 }
--- a/src/core/fleet/admission/mod.rs
+++ b/src/core/fleet/admission/mod.rs
@@ -1,6 +1,7 @@
 //! Holds calls in the entry until a server is predicted to have room, and refuses
 //! those that cannot start in time.
 
+mod account_weights;
 mod admission_decision;
 mod admission_queue;
 mod call_kind_state;
--- a/src/core/fleet/admission/service_queue.rs
+++ b/src/core/fleet/admission/service_queue.rs
@@ -138,11 +138,12 @@
 }
 
 impl ServiceQueue {
-    /// Creates the queue of the entry with `own_hash`, one of `entry_count`.
-    pub fn new(own_hash: u64, entry_count: usize) -> Self {
+    /// Creates the queue of the entry with `own_hash`, one of `entry_count`. Tickets
+    /// count from `first_ticket`.
+    pub fn new(own_hash: u64, entry_count: usize, first_ticket: u64) -> Self {
         Self {
             own_hash,
-            next_ticket: 0,
+            next_ticket: first_ticket,
             kinds: BTreeMap::new(),
             waiting: BTreeMap::new(),
             refused: BTreeMap::new(),
@@ -158,6 +159,11 @@
         }
     }
 
+    /// Returns whether no call waits or is to be told that it is refused.
+    pub fn is_idle(&self) -> bool {
+        self.waiting.is_empty() && self.refused.is_empty()
+    }
+
     /// Returns the number of waiting calls.
     pub fn len(&self) -> usize {
         self.waiting.len()
--- a/src/core/fleet/refusal.rs
+++ b/src/core/fleet/refusal.rs
@@ -41,6 +41,12 @@
     /// Servers did not run the call, and no further attempt is allowed; retry
     /// after the given time.
     NotAccepted(Duration),
+    /// The call cannot start in time, by the calls that wait; retry after the given
+    /// time, at which capacity is expected.
+    NotAdmitted(Duration),
+    /// The entry stops, and the call would have to wait; retry after the given time, at
+    /// another entry.
+    Stopping(Duration),
 }
 
 impl CallRefusal {
@@ -62,6 +68,8 @@
             Self::QuarantinedPart(_) => "quarantined-part",
             Self::QuarantinedCall(_) => "quarantined-call",
             Self::NotAccepted(_) => "not-accepted",
+            Self::NotAdmitted(_) => "not-admitted",
+            Self::Stopping(_) => "stopping",
         }
     }
 
@@ -82,7 +90,9 @@
             | Self::ServersLimited(_)
             | Self::QuarantinedPart(_)
             | Self::QuarantinedCall(_)
-            | Self::NotAccepted(_) => 503,
+            | Self::NotAccepted(_)
+            | Self::NotAdmitted(_)
+            | Self::Stopping(_) => 503,
         }
     }
 
@@ -98,7 +108,9 @@
             | Self::ServersLimited(after)
             | Self::QuarantinedPart(after)
             | Self::QuarantinedCall(after)
-            | Self::NotAccepted(after) => Some(after),
+            | Self::NotAccepted(after)
+            | Self::NotAdmitted(after)
+            | Self::Stopping(after) => Some(after),
             Self::NoConfiguration => Some(Duration::from_millis(500)),
             _ => None,
         }
--- a/src/core/fleet/routing/dispatcher.rs
+++ b/src/core/fleet/routing/dispatcher.rs
@@ -368,6 +368,17 @@
             .filter(|view| !view.is_superseded)
     }
 
+    /// Lists the servers of a service that accept calls.
+    pub fn list_accepting(&self, service: &str, now: MonotonicTime) -> Vec<BackendKey> {
+        let keys = self.keys_by_service.get(service);
+        let keys = keys.map_or(&[][..], Vec::as_slice).iter().copied();
+        let accepts = |key: &BackendKey| {
+            let view = self.backends.get(*key);
+            view.is_some_and(|view| view.accepts_calls(now))
+        };
+        keys.filter(accepts).collect()
+    }
+
     /// Returns the server with a name, unless it is superseded.
     pub fn find_backend(&self, name: &ServerName) -> Option<&BackendView> {
         let key = self.keys_by_name.get(name)?;
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -11,6 +11,8 @@
 use hyper::Request;
 use tokio::time::timeout;
 
+use super::admission::observe_start;
+use super::admission::predict_output_time;
 use super::context::GatewayContext;
 use super::liveness_check::wait_while_alive;
 use super::read_call::Call;
@@ -151,6 +153,9 @@
 
     /// Records that the first token arrived, which ends the prefill.
     pub fn record_first_token(&mut self, call: &Call) {
+        if self.is_prefilling {
+            observe_start(&self.cx, call, &self.choice, self.sent_at, Duration::ZERO);
+        }
         if self.is_prefilling
             && let Some(prompt) = &call.head.prompt
         {
@@ -169,6 +174,7 @@
         if self.is_prefilling {
             self.is_prefilling = false;
             self.cx.lock().dispatcher.end_prefill(&self.choice);
+            self.cx.waiting_calls.wake();
         }
     }
 }
@@ -177,6 +183,7 @@
     fn drop(&mut self) {
         self.finish_prefill();
         self.cx.lock().dispatcher.end_call(&self.choice);
+        self.cx.waiting_calls.wake();
     }
 }
 
@@ -199,6 +206,13 @@
     if let AttemptOutcome::Unknown(BROKEN | ANSWER_BROKEN) = outcome {
         report_break(cx, call, &sent_to, sent_at, None);
     }
+    if let AttemptOutcome::Answered(response) = &outcome
+        && response.status.is_success()
+    {
+        let output_time = call.head.prompt.as_ref().map(predict_output_time);
+        let output_time = output_time.unwrap_or_default();
+        observe_start(cx, call, &sent_to, sent_at, output_time);
+    }
     let now = cx.now();
     let mut state = cx.lock();
     match &outcome {
--- a/src/gateway/call_progress.rs
+++ b/src/gateway/call_progress.rs
@@ -1,5 +1,6 @@
 //! Progress of a call over its attempts.
 
+use crate::core::MonotonicTime;
 use crate::core::fleet::BackendKey;
 use crate::core::fleet::Build;
 
@@ -12,4 +13,7 @@
     pub runs: u32,
     /// Build at which the call's stream began; `None` before its first event.
     pub build: Option<Build>,
+    /// When the call first asked to be sent; `None` before that or without admission
+    /// control.
+    pub offered_at: Option<MonotonicTime>,
 }
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -12,6 +12,7 @@
 
 use tokio::sync::watch;
 
+use super::admission::WaitingCalls;
 use super::agent_connections::AgentConnections;
 use super::clock_offsets::ClockOffsets;
 use super::known_entries::KnownEntries;
@@ -19,6 +20,7 @@
 use super::stream_keepers::StreamKeepers;
 use crate::clock::Clock;
 use crate::core::MonotonicTime;
+use crate::core::fleet::AdmissionQueue;
 use crate::http::BodyBudget;
 use crate::http::Client;
 use crate::metrics::GatewayMetrics;
@@ -75,6 +77,8 @@
     pub known_entries: KnownEntries,
     /// Processes that keep the origins of streams.
     pub stream_keepers: StreamKeepers,
+    /// Tasks of calls that wait for servers with room.
+    pub waiting_calls: WaitingCalls,
     /// Clock offsets of other processes.
     pub clock_offsets: ClockOffsets,
     clock: Clock,
@@ -85,7 +89,10 @@
 impl GatewayContext {
     /// Creates the context of a gateway without configuration and members.
     pub fn new(settings: GatewaySettings, ports: GatewayPorts) -> Self {
-        let state = GatewayState::new(&settings.name, &settings.zone, &settings.bounds);
+        let mut state = GatewayState::new(&settings.name, &settings.zone, &settings.bounds);
+        if settings.has_admission() {
+            state.admission = Some(AdmissionQueue::new(&settings.name));
+        }
         Self {
             client: Client::new(settings.client_timeouts()),
             body_budget: Arc::new(BodyBudget::new(settings.max_buffered_bytes())),
@@ -99,6 +106,7 @@
             collected_stores: watch::channel(HashSet::new()).0,
             known_entries: KnownEntries::default(),
             stream_keepers: StreamKeepers::default(),
+            waiting_calls: WaitingCalls::default(),
             clock_offsets: ClockOffsets::default(),
             clock: Clock::start(),
             state: Mutex::new(state),
@@ -151,9 +159,14 @@
     }
 
     /// Starts to drain: the gateway is no longer ready and closes connections
-    /// after the next response.
+    /// after the next response. Calls that wait are refused.
     pub fn start_drain(&self) {
         self.draining.store(true, Ordering::Release);
+        let now = self.now();
+        if let Some(admission) = &mut self.lock().admission {
+            admission.stop(now);
+        }
+        self.waiting_calls.wake();
     }
 
     /// Returns whether the gateway can serve calls: it has a configuration and
--- a/src/gateway/exchange_peer_state.rs
+++ b/src/gateway/exchange_peer_state.rs
@@ -309,7 +309,7 @@
 }
 
 /// Returns the interval between exchanges with one peer.
-fn exchange_interval(cx: &GatewayContext) -> Duration {
+pub fn exchange_interval(cx: &GatewayContext) -> Duration {
     let peer_count = cx.lock().quota.count_entries() as u64 - 1;
     EXCHANGE_INTERVAL.max(Duration::from_millis(
         1_000 * peer_count / MAX_EXCHANGES_PER_S,
@@ -524,6 +524,10 @@
             .dispatcher
             .server_limits
             .build_update(news_period, is_full, now),
+        demand: state
+            .admission
+            .as_ref()
+            .map_or_else(Vec::new, |admission| admission.build_demand(now)),
     };
     PeerState {
         clock_ms: read_wall_clock_ms(),
@@ -570,6 +574,9 @@
             );
         }
     }
+    if let Some(admission) = &mut state.admission {
+        admission.record_demand(&peer_state.usage.name, peer_state.news.demand, now);
+    }
     let limits = peer_state.news.limits;
     let calls_per_s = limits.as_ref().map(|limits| limits.calls_per_s);
     let name = &peer_state.usage.name;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 //! peers in the settings. An *area* is a set of records in the store that is
 //! read and watched separately: the operator's records, or the members.
 
+mod admission;
 mod agent_connections;
 mod attempt;
 mod call_log;
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -11,6 +11,7 @@
 use tokio::time::Instant;
 use tokio::time::sleep;
 
+use super::admission::look_at_waiting_calls;
 use super::context::GatewayContext;
 use super::context::GatewayPorts;
 use super::exchange_peer_state::exchange_peer_state;
@@ -144,6 +145,9 @@
     tokio::spawn(tell_stream_keepers(Arc::clone(&cx)));
     tokio::spawn(quarantine_culprits(Arc::clone(&cx)));
     tokio::spawn(run_maintenance(Arc::clone(&cx)));
+    if cx.settings.has_admission() {
+        tokio::spawn(look_at_waiting_calls(Arc::clone(&cx)));
+    }
     let traffic = open_tokio_listener(listen.traffic)?;
     let traffic_server = tokio::spawn(serve_traffic(Arc::clone(&cx), traffic, stop.clone()));
     wait_for_stop(stop_request).await;
--- a/src/gateway/serve_call.rs
+++ b/src/gateway/serve_call.rs
@@ -18,6 +18,7 @@
 use hyper::body::Incoming;
 use tokio::time::Instant;
 
+use super::admission::wait_for_server;
 use super::attempt::AttemptOutcome;
 use super::attempt::FullResponse;
 use super::attempt::StreamingResponse;
@@ -110,7 +111,7 @@
         }
     }
     while progress.tried.len() < MAX_SENDS_PER_CALL && !call.time_left().is_zero() {
-        let choice = match choose_server(cx, &call, &progress) {
+        let choice = match wait_for_server(cx, &call, &mut progress).await {
             Ok(choice) => choice,
             Err(refusal) => {
                 let tells_when = matches!(
@@ -119,6 +120,8 @@
                         | CallRefusal::ServersLimited(_)
                         | CallRefusal::QuarantinedPart(_)
                         | CallRefusal::QuarantinedCall(_)
+                        | CallRefusal::NotAdmitted(_)
+                        | CallRefusal::Stopping(_)
                 ) && matches!(failure, CallFailure::Refused(_));
                 if progress.tried.is_empty() || tells_when {
                     failure = CallFailure::Refused(refusal);
@@ -273,7 +276,12 @@
         .ok_or(CallRefusal::UnknownStream(REJECTED_RETRY_AFTER))
 }
 
-fn choose_server(
+/// Chooses the server of a call now, other than those that it was sent to.
+///
+/// # Errors
+///
+/// The call must not be sent, or no server accepts it.
+pub fn choose_server(
     cx: &GatewayContext,
     call: &Call,
     progress: &CallProgress,
@@ -282,7 +290,12 @@
     let req = call.dispatch_request(progress);
     let digest = digest_if_needed(cx, call);
     let chosen = cx.lock().choose_server(&req, digest, now);
-    chosen.map_err(|refusal| match refusal {
+    chosen.map_err(refusal_for_error)
+}
+
+/// Returns the refusal of a call for which no server was chosen.
+pub fn refusal_for_error(e: DispatchError) -> CallRefusal {
+    match e {
         DispatchError::NoServer(retry_after) => CallRefusal::NoServer(retry_after),
         DispatchError::Paused(time_left) => CallRefusal::ServersPaused(time_left),
         DispatchError::Limited(time_left) => CallRefusal::ServersLimited(time_left),
@@ -290,7 +303,7 @@
         DispatchError::QuarantinedCall(time_left) => CallRefusal::QuarantinedCall(time_left),
         // Holds the predicted time to the first token.
         DispatchError::Overloaded(retry_after) => CallRefusal::Overloaded(retry_after),
-    })
+    }
 }
 
 fn into_response(full_response: FullResponse) -> Response<HttpBody> {
@@ -333,6 +346,7 @@
                 | CallRefusal::QuarantinedCall(_)
                 | CallRefusal::ServersPaused(_)
                 | CallRefusal::ServersLimited(_)
+                | CallRefusal::NotAdmitted(_)
         ) {
             MAX_LONG_RETRY_AFTER
         } else {
@@ -345,6 +359,8 @@
                 let excess = cx.lock().dispatcher.server_limits.excess(now);
                 excess.max(RETRY_AFTER_JITTER)
             }
+            // These times are spread already, and a third of the caller's time at most.
+            CallRefusal::NotAdmitted(_) => 0.0,
             _ => RETRY_AFTER_JITTER,
         };
         let jittered = retry_after * (1.0 + jitter * rand::random::<f64>());
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 
 use crate::core::MonotonicTime;
+use crate::core::fleet::AdmissionQueue;
 use crate::core::fleet::BackendChoice;
 use crate::core::fleet::BackendView;
 use crate::core::fleet::CallDigest;
@@ -54,6 +55,8 @@
     pub streams: StreamOrigins,
     /// Chooses the server of each call.
     pub dispatcher: Dispatcher,
+    /// Calls that wait for servers with room; `None` if calls are sent at once.
+    pub admission: Option<AdmissionQueue>,
     /// Rate limits of the accounts.
     pub quota: FleetQuota,
     /// Retry budgets of the services.
@@ -90,6 +93,7 @@
             quarantine: Quarantine::for_process(name),
             streams: StreamOrigins::default(),
             dispatcher: Dispatcher::for_entry(zone, name),
+            admission: None,
             quota: FleetQuota::new(bounds.quota_overage, bounds.quota_slack),
             retries: FleetRetryBudget::new(bounds.retry_ratio, bounds.retry_extra, window_s),
             has_members: false,
@@ -109,8 +113,28 @@
         digest: Option<CallDigest>,
         now: MonotonicTime,
     ) -> Result<BackendChoice, DispatchError> {
+        self.check_quarantine(req, digest, now)?;
+        let choice = self.dispatcher.choose(req, now)?;
+        if let Some(digest) = digest {
+            self.quarantine.record_send(digest, now);
+        }
+        Ok(choice)
+    }
+
+    /// Checks that neither a call nor a part of its prompt is quarantined. `digest` is
+    /// the digest of the call, needed if the quarantine is active.
+    ///
+    /// # Errors
+    ///
+    /// The call must not be sent.
+    pub fn check_quarantine(
+        &mut self,
+        req: &DispatchRequest<'_>,
+        digest: Option<CallDigest>,
+        now: MonotonicTime,
+    ) -> Result<(), DispatchError> {
         let Some(digest) = digest else {
-            return self.dispatcher.choose(req, now);
+            return Ok(());
         };
         let parts = req.prompt.map_or(&[][..], Prompt::shared_parts);
         match self.quarantine.find_quarantined(parts, digest, now) {
@@ -125,9 +149,7 @@
         {
             return Err(DispatchError::QuarantinedCall(delay));
         }
-        let choice = self.dispatcher.choose(req, now)?;
-        self.quarantine.record_send(digest, now);
-        Ok(choice)
+        Ok(())
     }
 
     /// Describes a call under which servers have crashed, and the servers that could be
@@ -189,6 +211,9 @@
             return false;
         }
         self.quota.set_accounts(&configuration.accounts, now);
+        if let Some(admission) = &mut self.admission {
+            admission.set_accounts(&configuration.accounts);
+        }
         let services = configuration.services.iter();
         let kv_stores: Vec<SocketAddr> = services
             .filter_map(|service| service.kv_cache_store.as_ref())
--- a/src/gateway/status_pages.rs
+++ b/src/gateway/status_pages.rs
@@ -21,7 +21,11 @@
         "/ready" if cx.is_ready() => (StatusCode::OK, "ready\n".into()),
         "/ready" => (StatusCode::SERVICE_UNAVAILABLE, "not ready\n".into()),
         "/metrics" => {
-            let gauges = cx.lock().read_gauges(cx.now());
+            let now = cx.now();
+            let gauges = cx.lock().read_gauges(now);
+            if let Some(admission) = &cx.lock().admission {
+                cx.metrics.admission.set_gauges(&admission.read_gauges(now));
+            }
             (StatusCode::OK, cx.metrics.encode(&gauges))
         }
         _ => (StatusCode::NOT_FOUND, "no such page\n".into()),
--- a/src/metrics/gateway_metrics.rs
+++ b/src/metrics/gateway_metrics.rs
@@ -10,6 +10,7 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+use super::AdmissionMetrics;
 use super::PREFIX;
 use super::encode_registry;
 use crate::logs::dropped_line_count;
@@ -53,6 +54,8 @@
 
 /// Metrics of a gateway.
 pub struct GatewayMetrics {
+    /// Metrics of calls that wait for servers with room.
+    pub admission: AdmissionMetrics,
     registry: Registry,
     calls: Family<OutcomeLabels, Counter>,
     attempts: Family<OutcomeLabels, Counter>,
@@ -112,7 +115,9 @@
             "Version of the configuration in force",
             config_version.clone(),
         );
+        let admission = AdmissionMetrics::register(&mut registry);
         Self {
+            admission,
             registry,
             calls,
             attempts,
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -1,11 +1,13 @@
 //! Prometheus metrics of each role, served at `/metrics` on its operator port.
 
+mod admission_metrics;
 mod agent_metrics;
 mod entry_metrics;
 mod gateway_metrics;
 mod request_labels;
 mod sidecar_metrics;
 
+pub use admission_metrics::AdmissionMetrics;
 pub use agent_metrics::AgentMetrics;
 pub use entry_metrics::EntryMetrics;
 pub use gateway_metrics::GatewayGauges;
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -7,6 +7,7 @@
 
 use serde_json::Value;
 
+use super::AdmissionSettings;
 use super::BoundSettings;
 use super::ListenSettings;
 use super::LogSettings;
@@ -65,6 +66,8 @@
     pub bounds: BoundSettings,
     /// Names of the optional features of the deployment; unknown names are ignored.
     pub options: Vec<String>,
+    /// Whether calls wait while servers have no room.
+    pub admission: AdmissionSettings,
     /// Level and format of the log.
     pub log: LogSettings,
 }
@@ -129,6 +132,11 @@
         self.options.iter().any(|option| option == name)
     }
 
+    /// Returns whether calls wait in the gateway while servers have no room.
+    pub fn has_admission(&self) -> bool {
+        self.admission.is_enabled || self.has_option("pressure")
+    }
+
     fn read(section: &mut Section) -> Self {
         let stop_s: f64 = section.take("stop_timeout_s", 8.0);
         Self {
@@ -143,6 +151,7 @@
             stop_timeout: Duration::from_secs_f64(stop_s.clamp(0.1, 3_600.0)),
             bounds: section.take_section("bounds", BoundSettings::read),
             options: section.take("options", Vec::new()),
+            admission: section.take_section("admission", AdmissionSettings::read),
             log: section.take_section("log", LogSettings::read),
         }
     }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -3,6 +3,7 @@
 //! together with the paths of their fields. A *seed* is a peer address through
 //! which a process finds the rest of the fleet.
 
+mod admission;
 mod agent;
 mod bounds;
 mod entry;
@@ -18,6 +19,7 @@
 mod sidecar;
 mod traffic;
 
+pub use admission::AdmissionSettings;
 pub use agent::AgentSettings;
 pub use bounds::BoundSettings;
 pub use entry::EntrySettings;
