Keep fetches out of the wait, and try servers whose reports are old

The wait of a call included what it fetches, so that a prompt with a long fetch would never have started; `BackendChoice::predicted_wait` holds the wait alone. A server without an agent reports its load only in responses: while all entries took it to be busy, no response said otherwise for up to 1.5 s. One call is now sent once the reported wait has passed.

--- a/src/core/fleet/admission/service_queue.rs
+++ b/src/core/fleet/admission/service_queue.rs
@@ -75,7 +75,7 @@
 
 /// Multiple of the usual age of reports from which an engine probably stands still, and
 /// the factor on the excess that its wait is taken to be longer.
-const STALE_AGE_RATIO: f64 = 2.5;
+const STALE_AGE_RATIO: f64 = 2.0;
 const STALE_WAIT_FACTOR: f64 = 4.0;
 
 /// Weight of an observation in the usual age of reports.
@@ -116,8 +116,7 @@
     pub shares: DemandShares,
     pub error: PredictionError,
     started_ms: DecayingSum,
-    /// Last slot in which a call was sent to a server, and the work sent in it.
-    slot_sends: HashMap<BackendKey, (u64, Duration)>,
+    sends: HashMap<BackendKey, ServerSends>,
     returns: ReturnSchedule,
     server_count: usize,
     /// Entries that send calls to the service, including this one.
@@ -128,6 +127,15 @@
     no_room_at: Option<MonotonicTime>,
 }
 
+/// What this entry last sent to a server.
+#[derive(Debug, Clone, Copy, Default)]
+struct ServerSends {
+    /// Slot of the last send, and the work sent in it.
+    slot: u64,
+    work: Duration,
+    last_at: MonotonicTime,
+}
+
 /// Call that waits.
 #[derive(Debug)]
 struct WaitingCall {
@@ -150,7 +158,7 @@
             shares: DemandShares::default(),
             error: PredictionError::default(),
             started_ms: DecayingSum::new(START_RATE_TIME),
-            slot_sends: HashMap::new(),
+            sends: HashMap::new(),
             returns: ReturnSchedule::default(),
             server_count: 0,
             entry_count,
@@ -256,8 +264,8 @@
     pub fn expire(&mut self, lifetime: Duration, now: MonotonicTime) -> Vec<AdmissionTicket> {
         self.shares.expire(lifetime, now);
         self.returns.expire(now);
-        let slots = [ENGINE_SLOT, PLAIN_SLOT].map(|length| slot_at(length, now));
-        self.slot_sends.retain(|_, (slot, _)| slots.contains(slot));
+        self.sends
+            .retain(|_, sends| now.since(sends.last_at) < MAX_REPORT_AGE);
         self.kinds
             .retain(|_, kind| !kind.queue.is_empty() || kind.is_active(now));
         let late = |waiting: &WaitingCall| now >= waiting.call.latest_start(waiting.work);
@@ -438,8 +446,23 @@
         let factor = (1.0 + age.div_duration_f64(ERROR_AGE)).min(MAX_ERROR_FACTOR);
         let error = self.error.lateness(now).mul_f64(factor);
         let error = error.min(call.objective.mul_f64(MAX_ERROR_SHARE));
-        wait <= self.depth(call.priority, now)
-            && now + wait + error <= call.latest_start(estimate.work)
+        let is_open = wait <= self.depth(call.priority, now) || self.may_probe(estimate, wait, now);
+        let wait = if is_open {
+            wait.min(self.depth(call.priority, now))
+        } else {
+            wait
+        };
+        is_open && now + wait + error <= call.latest_start(estimate.work)
+    }
+
+    /// Returns whether the wait that a server without an agent reported has passed since,
+    /// and this entry has sent it nothing meanwhile. Such servers report only in
+    /// responses, so that without a call all entries would take it to be busy.
+    fn may_probe(&self, estimate: &StartEstimate, wait: Duration, now: MonotonicTime) -> bool {
+        let sends = self.sends.get(&estimate.server);
+        !estimate.has_agent
+            && estimate.report_age.is_some_and(|age| age >= wait)
+            && sends.is_none_or(|sends| now.since(sends.last_at) >= wait)
     }
 
     /// Returns the wait at a server, with what other entries have sent since its last
@@ -450,18 +473,25 @@
         };
         let others = self.entry_count.saturating_sub(1) as f64;
         let others_rate = self.started_ms.rate(now) * others / self.server_count.max(1) as f64;
-        let unreported = age.mul_f64((others_rate / 1_000.0).min(1.0));
-        let usual = self.usual_age.mul_f64(STALE_AGE_RATIO);
-        let stale = if estimate.is_plain {
-            Duration::ZERO
+        // Servers without an agent report only when they are used.
+        let unreported = if estimate.has_agent {
+            age
         } else {
+            age.min(slot_length(estimate))
+        };
+        let unreported = unreported.mul_f64((others_rate / 1_000.0).min(1.0));
+        let usual = self.usual_age.mul_f64(STALE_AGE_RATIO);
+        let stale = if estimate.has_agent {
             age.saturating_sub(usual).mul_f64(STALE_WAIT_FACTOR)
+        } else {
+            Duration::ZERO
         };
         estimate.wait + unreported + stale
     }
 
     fn observe_age(&mut self, estimate: &StartEstimate) {
-        let Some(age) = estimate.report_age.filter(|age| *age < MAX_REPORT_AGE) else {
+        let age = estimate.report_age.filter(|_| estimate.has_agent);
+        let Some(age) = age.filter(|age| *age < MAX_REPORT_AGE) else {
             return;
         };
         let mean = self.usual_age.mul_f64(1.0 - AGE_WEIGHT) + age.mul_f64(AGE_WEIGHT);
@@ -512,11 +542,11 @@
         now: MonotonicTime,
     ) -> bool {
         let slot = slot_at(slot_length(estimate), now);
-        let sent = self.slot_sends.get(&estimate.server);
-        let sent = sent.filter(|(sent_slot, _)| *sent_slot == slot);
-        sent.is_none_or(|(_, sent)| {
+        let sends = self.sends.get(&estimate.server);
+        let sends = sends.filter(|sends| sends.slot == slot);
+        sends.is_none_or(|sends| {
             let room = self.depth(call.priority, now) + slot_length(estimate);
-            *sent + estimate.work / 2 <= room.mul_f64(share)
+            sends.work + estimate.work / 2 <= room.mul_f64(share)
         })
     }
 
@@ -586,12 +616,12 @@
             kind.started_ms.add(to_ms(estimate.work), now);
         }
         let slot = slot_at(slot_length(estimate), now);
-        let sends = self.slot_sends.entry(estimate.server).or_default();
-        if sends.0 == slot {
-            sends.1 += estimate.work;
-        } else {
-            *sends = (slot, estimate.work);
+        let sends = self.sends.entry(estimate.server).or_default();
+        if sends.slot != slot {
+            (sends.slot, sends.work) = (slot, Duration::ZERO);
         }
+        sends.work += estimate.work;
+        sends.last_at = now;
     }
 
     fn refuse_all(
--- a/src/core/fleet/routing/dispatcher.rs
+++ b/src/core/fleet/routing/dispatcher.rs
@@ -104,6 +104,8 @@
     pub load: f64,
     /// Age of the server's last load report.
     pub report_age: Option<Duration>,
+    /// Part of `predicted_ttft` until the server begins the call's own work.
+    pub predicted_wait: Duration,
 }
 
 /// Reason why no server was chosen.
@@ -730,6 +732,7 @@
             + self.server_cost_ms(view);
         let save_to = sources.find_incomplete_store();
         let choice = BackendChoice {
+            predicted_wait: Duration::from_secs_f64(wait_ms.max(0.0) / 1_000.0),
             salt: Some(salt),
             version: Some(version),
             fetch_from: plan.source,
@@ -800,5 +803,6 @@
         predicted_ttft: Duration::from_secs_f64(ttft_ms.max(0.0) / 1_000.0),
         load,
         report_age: view.load.report_age(now),
+        predicted_wait: Duration::from_secs_f64(ttft_ms.max(0.0) / 1_000.0),
     }
 }
--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -223,7 +223,12 @@
     };
     let dispatcher = &state.dispatcher;
     let best = dispatcher.choose(&req, now).map_err(refusal_for_error)?;
-    let best = StartEstimate::from(&best);
+    let estimate = |choice: &BackendChoice| {
+        let view = dispatcher.find_backend(&choice.name);
+        let has_agent = view.is_some_and(|view| view.has_recent_agent_report(now));
+        StartEstimate::new(choice, has_agent)
+    };
+    let best = estimate(&best);
     let mut choose = |avoid: &[BackendKey]| {
         if avoid.is_empty() {
             return Some(best);
@@ -235,7 +240,7 @@
             ..call.dispatch_request(progress)
         };
         let choice = dispatcher.choose(&req, now).ok()?;
-        Some(StartEstimate::from(&choice))
+        Some(estimate(&choice))
     };
     let servers = dispatcher.list_accepting(&call.service, now);
     let mut candidates = Candidates {
--- a/tests/fleet_admission/main.rs
+++ b/tests/fleet_admission/main.rs
@@ -3,6 +3,7 @@
 
 mod model;
 
+use std::net::SocketAddr;
 use std::ops::Range;
 use std::time::Duration;
 
@@ -16,15 +17,29 @@
 use rstest::rstest;
 use slotmap::SlotMap;
 use teaseldrum::core::AccountName;
+use teaseldrum::core::ServerName;
+use teaseldrum::core::WeightsVersion;
 use teaseldrum::core::fleet::AdmissionDecision;
 use teaseldrum::core::fleet::AdmissionQueue;
 use teaseldrum::core::fleet::AdmissionRefusal;
 use teaseldrum::core::fleet::AdmissionTicket;
+use teaseldrum::core::fleet::AgentReport;
 use teaseldrum::core::fleet::BackendKey;
+use teaseldrum::core::fleet::Build;
+use teaseldrum::core::fleet::CachedPartChange;
 use teaseldrum::core::fleet::Candidates;
+use teaseldrum::core::fleet::DispatchRequest;
+use teaseldrum::core::fleet::Dispatcher;
+use teaseldrum::core::fleet::Member;
+use teaseldrum::core::fleet::MemberState;
+use teaseldrum::core::fleet::ModelName;
 use teaseldrum::core::fleet::OfferedCall;
+use teaseldrum::core::fleet::PartId;
+use teaseldrum::core::fleet::Prompt;
+use teaseldrum::core::fleet::PromptPart;
 use teaseldrum::core::fleet::RefusalReason;
 use teaseldrum::core::fleet::StartEstimate;
+use teaseldrum::core::fleet::VersionedSalt;
 
 const DRAFT: usize = 0;
 const LABEL: usize = 1;
@@ -328,6 +343,7 @@
             work: ms(100),
             report_age: Some(ms(50)),
             is_plain: false,
+            has_agent: true,
         };
         Self {
             queue: AdmissionQueue::new("entry"),
@@ -515,3 +531,82 @@
     assert!(!start(10_000, 900));
     assert!(start(20_000, 0));
 }
+
+/// Guards against a plain server that all entries take to be busy for as long as its last
+/// report counts, and against several calls that find out at once that it is not.
+#[test]
+fn offer_plain_server_is_tried_once_its_reported_wait_has_passed() {
+    let mut engine = OneEngine::new(410);
+    (engine.estimate.is_plain, engine.estimate.has_agent) = (true, false);
+    engine.estimate.work = ms(12);
+    engine.estimate.report_age = Some(ms(30));
+    let waits = engine.offer("a", 1, 1_030);
+    assert!(matches!(waits, AdmissionDecision::Wait(_)));
+    engine.queue.expire(1, ms(75), at(9_000));
+    engine.estimate.report_age = Some(ms(420));
+    let tried = engine.offer("a", 2, 9_000);
+    assert!(matches!(tried, AdmissionDecision::Start { .. }));
+    let waits = engine.offer("a", 3, 9_001);
+    assert!(matches!(waits, AdmissionDecision::Wait(_)));
+}
+
+/// Guards against a call that never starts because what it fetches, which takes longer
+/// than any wait that is accepted, counts as a wait.
+#[test]
+fn estimate_of_fetched_prompt_counts_fetch_as_work() {
+    let mut dispatcher = Dispatcher::new("a");
+    for number in 0..2_u8 {
+        dispatcher.upsert_member(Member {
+            name: ServerName::from(format!("i-{number}").as_str()),
+            service: "s".into(),
+            address: SocketAddr::from(([10, 0, 0, number], 8_000)),
+            zone: "a".into(),
+            slots: 64,
+            state: MemberState::Ready,
+            models: vec![(ModelName::from("m"), WeightsVersion(1))],
+            started_at_ms: Some(1),
+            build: Build::from("v1"),
+        });
+    }
+    let namespace = VersionedSalt::new(WeightsVersion(1), None).namespace(&ModelName::from("m"));
+    let parts = [("shared", 90_000), ("own", 1_000)].map(|(name, tokens)| PromptPart {
+        id: PartId::from_name(name),
+        tokens,
+    });
+    let change = CachedPartChange {
+        namespace,
+        part: parts[0].id,
+        tokens: parts[0].tokens,
+    };
+    dispatcher.observe_cached_parts(&ServerName::from("i-0"), &[change], true);
+    let report = AgentReport {
+        is_accepting: true,
+        is_alive: true,
+        prefill_ms: 2_900,
+        versions: vec![(ModelName::from("m"), WeightsVersion(1))],
+        capacity_tokens: 1_000_000,
+        ..AgentReport::default()
+    };
+    dispatcher.observe_agent_report(&ServerName::from("i-0"), report, at(0));
+    let prompt = Prompt {
+        model: ModelName::from("m"),
+        parts: parts.to_vec(),
+        prompt_tokens: 91_000,
+        max_output_tokens: 100,
+        expected_output_tokens: 100,
+    };
+    let req = DispatchRequest {
+        service: "s",
+        prompt: Some(&prompt),
+        isolated_account: None,
+        tried: &[],
+        build: None,
+        time_left: Duration::from_secs(60),
+    };
+    let choice = dispatcher.choose(&req, at(0)).expect("an engine is chosen");
+    assert_eq!(choice.name, ServerName::from("i-1"));
+    assert!(choice.fetch_from.is_some());
+    let estimate = StartEstimate::new(&choice, true);
+    assert_eq!(estimate.wait, Duration::ZERO);
+    assert!(estimate.work >= ms(600), "{:?}", estimate.work);
+}
--- a/tests/fleet_admission/model.rs
+++ b/tests/fleet_admission/model.rs
@@ -412,5 +412,6 @@
         work: ms(work),
         report_age: Some(ms(age)),
         is_plain: false,
+        has_agent: true,
     })
 }
