--- a/src/core/fleet/routing/dispatcher.rs
+++ b/src/core/fleet/routing/dispatcher.rs
@@ -125,6 +125,8 @@
     pub load: f64,
     /// Age of the server's last load report.
     pub report_age: Option<Duration>,
+    /// Part of `predicted_ttft` until the server begins the call's own work.
+    pub predicted_wait: Duration,
 }
 
 /// Reason why no server was chosen.
@@ -414,6 +416,17 @@
             .filter(|view| !view.is_superseded)
     }
 
+    /// Lists the servers of a service that accept calls.
+    pub fn list_accepting(&self, service: &str, now: MonotonicTime) -> Vec<BackendKey> {
+        let keys = self.keys_by_service.get(service);
+        let keys = keys.map_or(&[][..], Vec::as_slice).iter().copied();
+        let accepts = |key: &BackendKey| {
+            let view = self.backends.get(*key);
+            view.is_some_and(|view| view.accepts_calls(now))
+        };
+        keys.filter(accepts).collect()
+    }
+
     /// Returns the server with a name, unless it is superseded.
     pub fn find_backend(&self, name: &ServerName) -> Option<&BackendView> {
         let key = self.keys_by_name.get(name)?;
@@ -794,6 +807,7 @@
             + self.server_cost_ms(view);
         let save_to = sources.find_incomplete_store();
         let choice = BackendChoice {
+            predicted_wait: Duration::from_secs_f64(wait_ms.max(0.0) / 1_000.0),
             salt: Some(salt),
             version: Some(version),
             fetch_from: plan.source,
@@ -885,5 +899,6 @@
         shows_start: true,
         load,
         report_age: view.load.report_age(now),
+        predicted_wait: Duration::from_secs_f64(ttft_ms.max(0.0) / 1_000.0),
     }
 }
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -11,6 +11,8 @@
 use hyper::Request;
 use tokio::time::timeout;
 
+use super::admission::observe_start;
+use super::admission::predict_output_time;
 use super::context::GatewayContext;
 use super::liveness_check::wait_while_alive;
 use super::permit_builds::record_outcome;
@@ -190,6 +192,9 @@
     }
 
     fn record_first_token(&mut self, call: &Call) {
+        if self.is_prefilling {
+            observe_start(&self.cx, call, &self.choice, self.sent_at, Duration::ZERO);
+        }
         if self.is_prefilling
             && let Some(prompt) = &call.head.prompt
         {
@@ -217,6 +222,7 @@
         if self.is_prefilling {
             self.is_prefilling = false;
             self.cx.lock().dispatcher.end_prefill(&self.choice);
+            self.cx.waiting_calls.wake();
         }
     }
 }
@@ -225,6 +231,7 @@
     fn drop(&mut self) {
         self.finish_prefill();
         self.cx.lock().dispatcher.end_call(&self.choice);
+        self.cx.waiting_calls.wake();
     }
 }
 
@@ -248,6 +255,13 @@
         report_break(cx, call, &sent_to, sent_at, None);
     }
     record_outcome(cx, call, &sent_to, sent_at, &outcome);
+    if let AttemptOutcome::Answered(response) = &outcome
+        && response.status.is_success()
+    {
+        let output_time = call.head.prompt.as_ref().map(predict_output_time);
+        let output_time = output_time.unwrap_or_default();
+        observe_start(cx, call, &sent_to, sent_at, output_time);
+    }
     let now = cx.now();
     let mut state = cx.lock();
     match &outcome {
--- a/src/gateway/exchange_peer_state.rs
+++ b/src/gateway/exchange_peer_state.rs
@@ -4,6 +4,7 @@
 
 use std::collections::HashMap;
 use std::io;
+use std::mem::take;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -386,7 +387,7 @@
 }
 
 /// Returns the interval between exchanges with one peer.
-fn exchange_interval(cx: &GatewayContext) -> Duration {
+pub fn exchange_interval(cx: &GatewayContext) -> Duration {
     let peer_count = cx.lock().quota.count_entries() as u64 - 1;
     EXCHANGE_INTERVAL.max(Duration::from_millis(
         1_000 * peer_count / MAX_EXCHANGES_PER_S,
@@ -687,6 +688,10 @@
             read_wall_clock_ms(),
             now,
         ),
+        demand: state
+            .admission
+            .as_ref()
+            .map_or_else(Vec::new, |admission| admission.build_demand(now)),
     };
     PeerState {
         clock_ms: read_wall_clock_ms(),
@@ -716,7 +721,7 @@
 
 /// Applies the state that a peer in `zone` sent, and reports the entries that it lists as
 /// discovered.
-fn apply_peer_state(exchange: &PeerExchange, peer_state: PeerState, zone: Option<&str>) {
+fn apply_peer_state(exchange: &PeerExchange, mut peer_state: PeerState, zone: Option<&str>) {
     let cx = &*exchange.cx;
     if peer_state.usage.name == cx.settings.name {
         return;
@@ -734,9 +739,10 @@
             let _ = exchange.discovered_tx.send(entry.address);
         }
     }
-    apply_quarantine_news(cx, peer_state.news.quarantine, &peer_state.usage.name);
+    let quarantine = take(&mut peer_state.news.quarantine);
+    apply_quarantine_news(cx, quarantine, &peer_state.usage.name);
     let mut state = cx.lock();
-    for run in peer_state.news.leaving {
+    for run in take(&mut peer_state.news.leaving) {
         if let Some(server) = state.dispatcher.record_leaving(run, now) {
             log::info!(
                 "members: leaving server={server} source={}",
@@ -744,21 +750,13 @@
             );
         }
     }
-    learn_rollouts(cx, &mut state, &peer_state.news.rollouts, now);
-    let limits = peer_state.news.limits;
-    let calls_per_s = limits.as_ref().map(|limits| limits.calls_per_s);
     let name = &peer_state.usage.name;
-    state
-        .dispatcher
-        .server_limits
-        .record_entry(name, calls_per_s, now);
+    apply_entry_news(cx, &mut state, name, &peer_state.news, now);
+    let limits = peer_state.news.limits;
     let notices = limits.map_or_else(Vec::new, |limits| limits.notices);
     for (server, calls_per_s) in state.dispatcher.apply_limit_notices(&notices, now) {
         log_limit(&server, calls_per_s, name);
     }
-    if let Some(update) = &peer_state.news.speeds {
-        state.dispatcher.apply_speed_update(name, update, now);
-    }
     state.quota.observe_peer_usage(&peer_state.usage, now);
     state.learn_targets(&peer_state.targets, "peer", now);
     resync_if_behind(cx, &mut state, peer_state.newest_revisions, now);
@@ -769,6 +767,27 @@
     state.retries.set_entry_count(entry_count);
 }
 
+/// Applies what the entry `name` told, directly or through a relay, of rollouts, of
+/// servers' speeds and of its own load.
+pub fn apply_entry_news(
+    cx: &GatewayContext,
+    state: &mut GatewayState,
+    name: &str,
+    news: &FleetNews,
+    now: MonotonicTime,
+) {
+    learn_rollouts(cx, state, &news.rollouts, now);
+    if let Some(admission) = &mut state.admission {
+        admission.record_demand(name, news.demand.clone(), now);
+    }
+    if let Some(update) = &news.speeds {
+        state.dispatcher.apply_speed_update(name, update, now);
+    }
+    let calls_per_s = news.limits.as_ref().map(|limits| limits.calls_per_s);
+    let limits = &mut state.dispatcher.server_limits;
+    limits.record_entry(name, calls_per_s, now);
+}
+
 /// Requests a resync of an area if a peer has had a newer record for a while:
 /// the watch of this entry may be on a dead connection.
 fn resync_if_behind(
--- a/src/gateway/hedged_attempt.rs
+++ b/src/gateway/hedged_attempt.rs
@@ -126,7 +126,9 @@
         return None;
     }
     let req = call.dispatch_request(progress);
-    let choice = state.choose_server(&req, digest, now).ok()?;
+    let choice = state
+        .choose_permitted(&req, &call.route.name, false, digest, now)
+        .ok()?;
     drop(state);
     cx.take_retry(&call.service).then_some(choice)
 }
--- a/src/gateway/permit_builds.rs
+++ b/src/gateway/permit_builds.rs
@@ -14,7 +14,8 @@
 
 impl GatewayState {
     /// Chooses the server of a call on a route like [`Self::choose_server`], among the
-    /// builds that the rollout of its service permits, and counts the choice as a send.
+    /// builds that the rollout of its service permits, and counts the choice as a send. `is_first` tells that the call was sent to no
+    /// server yet.
     ///
     /// # Errors
     ///
@@ -23,13 +24,14 @@
         &mut self,
         req: &DispatchRequest<'_>,
         route: &str,
+        is_first: bool,
         digest: Option<CallDigest>,
         now: MonotonicTime,
     ) -> Result<BackendChoice, DispatchError> {
         let Some(rollout) = self.rollouts.find(req.service) else {
             return self.choose_server(req, digest, now);
         };
-        let builds = rollout.permit(route, req.tried.is_empty(), req.build, now);
+        let builds = rollout.permit(route, is_first, req.build, now);
         let fallback = self.find_fallback(req, &builds);
         let restrict = |builds| DispatchRequest { builds, ..*req };
         let mut chosen = self.choose_server(&restrict(builds), digest, now);
@@ -41,6 +43,10 @@
         if let Ok(choice) = &chosen
             && let Some(rollout) = self.rollouts.find_mut(req.service)
         {
+            // A call that is refused does not reach the service.
+            if is_first {
+                rollout.record_request(route);
+            }
             rollout.record_send(route, &choice.build);
         }
         chosen
--- a/src/gateway/serve_call.rs
+++ b/src/gateway/serve_call.rs
@@ -18,6 +18,7 @@
 use hyper::body::Incoming;
 use tokio::time::Instant;
 
+use super::admission::wait_for_server;
 use super::attempt::AttemptOutcome;
 use super::attempt::FullResponse;
 use super::attempt::StreamingResponse;
@@ -33,9 +34,11 @@
 use super::stream_keepers::find_stream_build;
 use super::stream_relay::StreamRelay;
 use crate::core::fleet::BackendChoice;
+use crate::core::fleet::BackendKey;
 use crate::core::fleet::Build;
 use crate::core::fleet::CallRefusal;
 use crate::core::fleet::DispatchError;
+use crate::core::fleet::DispatchRequest;
 use crate::core::fleet::StreamKey;
 use crate::http::BodyAborted;
 use crate::http::HttpBody;
@@ -96,9 +99,6 @@
         let mut state = cx.lock();
         state.retries.record_request(&call.service, now);
         state.dispatcher.server_limits.record_call(now);
-        if let Some(rollout) = state.rollouts.find_mut(&call.service) {
-            rollout.record_request(&call.route.name);
-        }
     }
     let id = call.head.id.clone();
     let mut progress = CallProgress::default();
@@ -113,7 +113,7 @@
         }
     }
     while progress.tried.len() < MAX_SENDS_PER_CALL && !call.time_left().is_zero() {
-        let choice = match choose_server(cx, &call, &progress) {
+        let choice = match wait_for_server(cx, &call, &mut progress).await {
             Ok(choice) => choice,
             Err(refusal) => {
                 let tells_when = matches!(
@@ -122,6 +122,8 @@
                         | CallRefusal::ServersLimited(_)
                         | CallRefusal::QuarantinedPart(_)
                         | CallRefusal::QuarantinedCall(_)
+                        | CallRefusal::NotAdmitted(_)
+                        | CallRefusal::Stopping(_)
                 ) && matches!(failure, CallFailure::Refused(_));
                 if progress.tried.is_empty() || tells_when {
                     failure = CallFailure::Refused(refusal);
@@ -277,17 +279,35 @@
         .ok_or(CallRefusal::UnknownStream(REJECTED_RETRY_AFTER))
 }
 
-fn choose_server(
+/// Chooses the server of a call now, other than those that it was sent to and those in
+/// `avoid`.
+///
+/// # Errors
+///
+/// The call must not be sent, or no server accepts it.
+pub fn choose_server(
     cx: &GatewayContext,
     call: &Call,
     progress: &CallProgress,
+    avoid: &[BackendKey],
 ) -> Result<BackendChoice, CallRefusal> {
     let now = cx.now();
-    let req = call.dispatch_request(progress);
+    let tried = [&progress.tried, avoid].concat();
+    let req = DispatchRequest {
+        tried: &tried,
+        ..call.dispatch_request(progress)
+    };
     let digest = digest_if_needed(cx, call);
-    let route = &call.route.name;
-    let chosen = cx.lock().choose_permitted(&req, route, digest, now);
-    chosen.map_err(|refusal| match refusal {
+    let (route, is_first) = (&call.route.name, progress.tried.is_empty());
+    let chosen = cx
+        .lock()
+        .choose_permitted(&req, route, is_first, digest, now);
+    chosen.map_err(refusal_for_error)
+}
+
+/// Returns the refusal of a call for which no server was chosen.
+pub fn refusal_for_error(e: DispatchError) -> CallRefusal {
+    match e {
         DispatchError::NoServer(retry_after) => CallRefusal::NoServer(retry_after),
         DispatchError::Paused(time_left) => CallRefusal::ServersPaused(time_left),
         DispatchError::Limited(time_left) => CallRefusal::ServersLimited(time_left),
@@ -295,7 +315,7 @@
         DispatchError::QuarantinedCall(time_left) => CallRefusal::QuarantinedCall(time_left),
         // Holds the predicted time to the first token.
         DispatchError::Overloaded(retry_after) => CallRefusal::Overloaded(retry_after),
-    })
+    }
 }
 
 fn into_response(full_response: FullResponse) -> Response<HttpBody> {
@@ -338,6 +358,7 @@
                 | CallRefusal::QuarantinedCall(_)
                 | CallRefusal::ServersPaused(_)
                 | CallRefusal::ServersLimited(_)
+                | CallRefusal::NotAdmitted(_)
         ) {
             MAX_LONG_RETRY_AFTER
         } else {
@@ -350,6 +371,8 @@
                 let excess = cx.lock().dispatcher.server_limits.excess(now);
                 excess.max(RETRY_AFTER_JITTER)
             }
+            // These times are spread already, and a third of the caller's time at most.
+            CallRefusal::NotAdmitted(_) => 0.0,
             _ => RETRY_AFTER_JITTER,
         };
         let jittered = retry_after * (1.0 + jitter * rand::random::<f64>());
--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -216,7 +216,9 @@
                 let req = self.call.dispatch_request(&self.progress);
                 let digest = digest_if_needed(&self.cx, &self.call);
                 let route = &self.call.route.name;
-                self.cx.lock().choose_permitted(&req, route, digest, now)
+                self.cx
+                    .lock()
+                    .choose_permitted(&req, route, false, digest, now)
             };
             let Ok(choice) = chosen else {
                 self.call_log.record_failure("no-server");
--- a/src/gateway/zone_relaying.rs
+++ b/src/gateway/zone_relaying.rs
@@ -11,6 +11,7 @@
 use tokio::time::sleep;
 
 use super::context::GatewayContext;
+use super::exchange_peer_state::apply_entry_news;
 use super::share_quarantine::apply_quarantine_news;
 use crate::core::MonotonicTime;
 use crate::core::fleet::Exchange;
@@ -218,11 +219,7 @@
             cx.known_entries.refresh(name, heard_at);
         }
         cx.zone_relaying.record_news(name, &entry.news, heard_at);
-        let calls_per_s = entry.news.limits.as_ref().map(|limits| limits.calls_per_s);
-        cx.lock()
-            .dispatcher
-            .server_limits
-            .record_entry(name, calls_per_s, now);
+        apply_entry_news(cx, &mut cx.lock(), name, &entry.news, now);
         apply_quarantine_news(cx, entry.news.quarantine, name);
     }
     wants_all
--- a/src/mesh/fleet_news.rs
+++ b/src/mesh/fleet_news.rs
@@ -11,6 +11,7 @@
 use crate::core::fleet::QuarantineNews;
 use crate::core::fleet::RolloutNews;
 use crate::core::fleet::RunKey;
+use crate::core::fleet::ServiceDemand;
 use crate::core::fleet::SpeedUpdate;
 
 /// What an entry tells another one of servers, besides the records in the store.
@@ -32,6 +33,9 @@
     /// Speeds of servers that the sender has measured; `None` while there are none.
     #[serde(default)]
     pub speeds: Option<SpeedUpdate>,
+    /// Work that calls ask for at the sender, for services where calls wait.
+    #[serde(default)]
+    pub demand: Vec<ServiceDemand>,
 }
 
 impl FleetNews {
@@ -71,6 +75,7 @@
             self.limits.is_some(),
             !self.rollouts.is_empty(),
             self.speeds.is_some(),
+            !self.demand.is_empty(),
         ];
         let last = filled.iter().rposition(|is_filled| *is_filled);
         last.map_or(0, |index| index + 1)
@@ -94,6 +99,9 @@
         if count > 4 {
             fields.serialize_field("speeds", &self.speeds)?;
         }
+        if count > 5 {
+            fields.serialize_field("demand", &self.demand)?;
+        }
         fields.end()
     }
 }
@@ -121,20 +129,30 @@
         }
     }
 
+    fn demand() -> Vec<ServiceDemand> {
+        vec![ServiceDemand {
+            service: "s".into(),
+            work_ms: vec![(1, 500)],
+        }]
+    }
+
     /// Guards against a field that takes the position of one before it that is empty.
     #[rstest]
-    #[case::empty(None, None)]
-    #[case::limits(Some(LimitUpdate::default()), None)]
-    #[case::speeds(None, Some(update()))]
-    #[case::both(Some(LimitUpdate::default()), Some(update()))]
+    #[case::empty(None, None, Vec::new())]
+    #[case::limits(Some(LimitUpdate::default()), None, Vec::new())]
+    #[case::speeds(None, Some(update()), Vec::new())]
+    #[case::demand(None, None, demand())]
+    #[case::all(Some(LimitUpdate::default()), Some(update()), demand())]
     fn serialize_returns_same_fields(
         #[case] limits: Option<LimitUpdate>,
         #[case] speeds: Option<SpeedUpdate>,
+        #[case] demand: Vec<ServiceDemand>,
     ) {
         let news = FleetNews {
             leaving: vec![RunKey(1)],
             limits,
             speeds,
+            demand,
             ..FleetNews::default()
         };
         let encoded = rmp_serde::to_vec(&news).expect("the value is serializable");
--- a/src/metrics/gateway_metrics.rs
+++ b/src/metrics/gateway_metrics.rs
@@ -10,6 +10,7 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+use super::AdmissionMetrics;
 use super::MeshMetrics;
 use super::PREFIX;
 use super::encode_registry;
@@ -76,6 +77,8 @@
 pub struct GatewayMetrics {
     /// Control messages.
     pub mesh: MeshMetrics,
+    /// Metrics of calls that wait for servers with room.
+    pub admission: AdmissionMetrics,
     registry: Registry,
     calls: Family<OutcomeLabels, Counter>,
     attempts: Family<OutcomeLabels, Counter>,
@@ -173,8 +176,10 @@
             "Second sends of calls whose response was late, by outcome",
             hedges.clone(),
         );
+        let admission = AdmissionMetrics::register(&mut registry);
         Self {
             mesh,
+            admission,
             registry,
             calls,
             attempts,
