Play a storm of one account in the soak

The soak had no load beyond capacity. Gateways hold calls (`admission.enabled`) on even seeds, so that both ways of serving keep the guarantees.

--- a/lab/src/soak/fault.rs
+++ b/lab/src/soak/fault.rs
@@ -50,6 +50,8 @@
     LimitServer(usize),
     /// A server stands still, and goes on with what it finds in its connections.
     FreezeServer(usize),
+    /// One account sends many times the calls of all others to all gateways.
+    Storm,
 }
 
 /// A fault and its time.
@@ -87,7 +89,7 @@
         }
         let gateway = rng.random_range(0..gateways);
         let server = rng.random_range(0..servers);
-        let fault = match rng.random_range(0..22) {
+        let fault = match rng.random_range(0..23) {
             0 => Fault::Pause(gateway),
             1 => Fault::Kill(gateway),
             2 => Fault::KillAll,
@@ -107,6 +109,7 @@
             17 => Fault::PauseServer(server),
             18 => Fault::LimitServer(server),
             19 => Fault::FreezeServer(server),
+            20 => Fault::Storm,
             _ => Fault::NewConfiguration,
         };
         faults.push(PlannedFault {
--- a/lab/src/soak/run.rs
+++ b/lab/src/soak/run.rs
@@ -17,6 +17,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use futures::future::join_all;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -64,6 +65,10 @@
 /// Time between two checks of whether gateways have ended or serve.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Callers of a storm of one account. They pause for an eighth of the time that others
+/// do, so that they send four times as much as 24 others.
+const STORM_CALLERS: u32 = 12;
+
 /// Parameters of a soak.
 #[derive(Debug, Clone)]
 pub struct SoakPlan {
@@ -155,6 +160,8 @@
     processes: Vec<Mutex<GatewayProcess>>,
     traffic: Arc<Traffic>,
     fault_injector: FaultInjector,
+    /// Callers of all storms so far.
+    storm_caller_count: AtomicU32,
     /// Start time in the record of each server.
     births: Vec<AtomicU64>,
 }
@@ -184,6 +191,8 @@
                 "name": name, "zone": "a", "agent_port": 1, "store": link.address(),
                 "seeds": seeds, "stop_timeout_s": 8.0,
                 "listen": {"traffic": traffic, "health": health, "peers": peers},
+                // Both ways of serving calls have to keep the guarantees.
+                "admission": {"enabled": plan.seed.is_multiple_of(2)},
                 "bounds": {"retry_ratio": 1.0, "retry_extra": 10_000.0, "retry_window_s": 10.0},
             });
             let process = GatewayProcess::prepare(&plan.program, &plan.folder, &name, &settings)?;
@@ -208,6 +217,7 @@
             processes,
             traffic: Arc::new(traffic),
             fault_injector,
+            storm_caller_count: AtomicU32::new(0),
             births: (0..plan.servers).map(|_| AtomicU64::new(1_000)).collect(),
         };
         soak.send_configuration();
@@ -355,6 +365,13 @@
                 let trouble = ServerTrouble::Frozen;
                 self.trouble_server(server, trouble, duration).await;
             }
+            Fault::Storm => {
+                let callers = (0..STORM_CALLERS).map(|_| {
+                    let number = self.storm_caller_count.fetch_add(1, Ordering::Relaxed);
+                    Arc::clone(&self.traffic).run_storm_caller(number, duration)
+                });
+                join_all(callers).await;
+            }
             Fault::DrainServer(server) => {
                 self.register(server, "draining");
                 sleep(duration).await;
--- a/lab/src/soak/traffic.rs
+++ b/lab/src/soak/traffic.rs
@@ -29,6 +29,12 @@
 /// Mean pause between two calls of one caller, in milliseconds.
 const MEAN_CALL_GAP_MS: u64 = 40;
 
+/// Pause between two calls of a caller of a storm.
+const STORM_CALL_GAP: Duration = Duration::from_millis(5);
+
+/// API key of the account that causes storms.
+const STORM_KEY: &str = "key-other";
+
 /// State that all callers share.
 #[derive(Debug)]
 pub struct Traffic {
@@ -71,25 +77,79 @@
             count += 1;
             let id = format!("s{number}-{count}");
             let (kind, bytes) = self.draw_call(&mut rng, &id);
-            let sent_at_ms = self.now_ms();
-            let response = exchange(&mut caller, &bytes).await;
-            let record = CallRecord {
-                id,
-                kind,
-                gateway: (gateway, start_count),
-                span_ms: (sent_at_ms, self.now_ms()),
-                status: response.status,
-                body: response.body,
-                is_complete: response.is_complete,
+            let is_reusable = self
+                .make_call(&mut caller, (kind, &bytes), id, (gateway, start_count))
+                .await;
+            if is_reusable {
+                kept_connection = Some((caller, gateway, start_count));
+            }
+        }
+    }
+
+    /// Makes and records calls of one account for `duration`, at one gateway, as fast as
+    /// it answers.
+    pub async fn run_storm_caller(self: Arc<Self>, number: u32, duration: Duration) {
+        let end = Instant::now() + duration;
+        let gateway = number as usize % self.gateways.len();
+        let mut kept_connection: Option<(Caller, usize, u32)> = None;
+        let mut count = 0;
+        while Instant::now() < end {
+            sleep(STORM_CALL_GAP).await;
+            let connection = match kept_connection.take() {
+                Some(kept) => Some(kept),
+                None => self.connect(gateway).await,
+            };
+            let Some((mut caller, gateway, start_count)) = connection else {
+                continue;
             };
-            let is_reusable = record.is_complete && !response.head.contains("connection: close");
-            self.calls.lock().expect("no caller panicked").push(record);
+            count += 1;
+            let id = format!("storm{number}-{count}");
+            let (kind, bytes) = if count % 2 == 0 {
+                let bytes = encode_request("GET", "/look/", &id, "");
+                (CallKind::Idempotent, bytes)
+            } else {
+                let bytes = encode_request("POST", "/book/", &id, "body");
+                (CallKind::NonIdempotent, bytes)
+            };
+            let bytes = String::from_utf8_lossy(&bytes).replace("key-1", STORM_KEY);
+            let is_reusable = self
+                .make_call(
+                    &mut caller,
+                    (kind, bytes.as_bytes()),
+                    id,
+                    (gateway, start_count),
+                )
+                .await;
             if is_reusable {
                 kept_connection = Some((caller, gateway, start_count));
             }
         }
     }
 
+    /// Makes and records a call. Returns whether its connection can be used again.
+    async fn make_call(
+        &self,
+        caller: &mut Caller,
+        (kind, bytes): (CallKind, &[u8]),
+        id: String,
+        gateway: (usize, u32),
+    ) -> bool {
+        let sent_at_ms = self.now_ms();
+        let response = exchange(caller, bytes).await;
+        let record = CallRecord {
+            id,
+            kind,
+            gateway,
+            span_ms: (sent_at_ms, self.now_ms()),
+            status: response.status,
+            body: response.body,
+            is_complete: response.is_complete,
+        };
+        let is_reusable = record.is_complete && !response.head.contains("connection: close");
+        self.calls.lock().expect("no caller panicked").push(record);
+        is_reusable
+    }
+
     async fn connect(&self, gateway: usize) -> Option<(Caller, usize, u32)> {
         let (address, start_count) = &self.gateways[gateway];
         let starts_before = start_count.load(Ordering::Relaxed);
