--- a/tests/fleet_admission/main.rs
+++ b/tests/fleet_admission/main.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::ops::Range;
 use std::time::Duration;
+use std::time::Instant;
 
 use model::Burst;
 use model::Kind;
@@ -38,6 +39,7 @@
 use teaseldrum::core::fleet::Prompt;
 use teaseldrum::core::fleet::PromptPart;
 use teaseldrum::core::fleet::RefusalReason;
+use teaseldrum::core::fleet::ServiceDemand;
 use teaseldrum::core::fleet::StartEstimate;
 use teaseldrum::core::fleet::VersionedSalt;
 
@@ -610,3 +612,54 @@
     assert_eq!(estimate.wait, Duration::ZERO);
     assert!(estimate.work >= ms(600), "{:?}", estimate.work);
 }
+
+/// Prints what decisions cost at the target size, for docs/CAPACITY.md: 350 entries with
+/// demand, one service of 400 engines without room, 256 waiting calls.
+#[test]
+fn print_cost_at_target_size() {
+    const ROUNDS: u32 = 200;
+    let mut slots: SlotMap<BackendKey, ()> = SlotMap::with_key();
+    let servers: Vec<BackendKey> = (0..400).map(|_| slots.insert(())).collect();
+    let mut engine = OneEngine::new(900);
+    let demand = vec![ServiceDemand {
+        service: "drafting".into(),
+        work_ms: vec![(0, 600), (2, 900)],
+    }];
+    for identity in 0..300 {
+        engine.offer(&format!("a{}", identity % 40), identity, 100);
+    }
+    let started_at = Instant::now();
+    for round in 0..ROUNDS {
+        for entry in 0..350 {
+            let name = format!("entry-{entry}");
+            let now = at(100 + u64::from(round));
+            engine.queue.record_demand(&name, demand.clone(), now);
+        }
+    }
+    let exchange = started_at.elapsed() / ROUNDS / 350;
+    let front = engine.front(200);
+    let estimate = engine.estimate;
+    let mut choose = |avoid: &[BackendKey]| {
+        let server = servers.iter().find(|server| !avoid.contains(server));
+        server.map(|server| StartEstimate {
+            server: *server,
+            ..estimate
+        })
+    };
+    let started_at = Instant::now();
+    for round in 0..ROUNDS {
+        for ticket in &front {
+            let mut candidates = Candidates {
+                servers: &servers,
+                choose: &mut choose,
+            };
+            let now = at(200 + u64::from(round % 50));
+            engine.queue.look("s", *ticket, &mut candidates, now);
+        }
+    }
+    let look = started_at.elapsed() / ROUNDS / u32::try_from(front.len()).expect("few");
+    println!(
+        "waiting={} one message {exchange:?}, one look {look:?} without choices",
+        engine.queue.count_waiting()
+    );
+}
