--- a/lab/src/soak/run.rs
+++ b/lab/src/soak/run.rs
@@ -17,6 +17,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use futures::future::join_all;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -69,6 +70,10 @@
 /// Time between two checks of whether gateways have ended or serve.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Callers of a storm of one account. They pause for an eighth of the time that others
+/// do, so that they send four times as much as 24 others.
+const STORM_CALLERS: u32 = 12;
+
 /// Parameters of a soak.
 #[derive(Debug, Clone)]
 pub struct SoakPlan {
@@ -160,6 +165,8 @@
     processes: Vec<Mutex<GatewayProcess>>,
     traffic: Arc<Traffic>,
     fault_injector: FaultInjector,
+    /// Callers of all storms so far.
+    storm_caller_count: AtomicU32,
     /// Start time in the record of each server.
     births: Vec<AtomicU64>,
     /// Records of the rollout in the store.
@@ -196,6 +203,8 @@
                     "rollout_exposure_share": EXPOSURE_SHARE,
                     "rollout_exposure_slack": EXPOSURE_SLACK,
                 },
+                // Both ways of serving calls have to keep the guarantees.
+                "admission": {"enabled": plan.seed.is_multiple_of(2)},
             });
             let process = GatewayProcess::prepare(&plan.program, &plan.folder, &name, &settings)?;
             processes.push(Mutex::new(process));
@@ -219,6 +228,7 @@
             processes,
             traffic: Arc::new(traffic),
             fault_injector,
+            storm_caller_count: AtomicU32::new(0),
             births: (0..plan.servers).map(|_| AtomicU64::new(1_000)).collect(),
             rollout_records: Mutex::default(),
         };
@@ -375,6 +385,13 @@
                 let trouble = ServerTrouble::Frozen;
                 self.trouble_server(server, trouble, duration).await;
             }
+            Fault::Storm => {
+                let callers = (0..STORM_CALLERS).map(|_| {
+                    let number = self.storm_caller_count.fetch_add(1, Ordering::Relaxed);
+                    Arc::clone(&self.traffic).run_storm_caller(number, duration)
+                });
+                join_all(callers).await;
+            }
             Fault::DrainServer(server) => {
                 self.register(server, "draining");
                 sleep(duration).await;
