Keep the patience with a silent server apart from later sends

Each call sent to a server that owed an answer moved the time until which it was waited for, and the gap of one silence hid the next one. The time now follows from the calls that had been sent when the silence began, and a gap counts up to 250 ms or twice the usual one.

--- a/src/core/fleet/server_speed/answer_gap.rs
+++ b/src/core/fleet/server_speed/answer_gap.rs
@@ -19,6 +19,10 @@
 /// Time in which the longest gap seen loses half of its effect.
 const GAP_HALF_LIFE: Duration = Duration::from_secs(5);
 
+/// Maximum gap that counts as usual at once, so that the end of a silence does not hide
+/// the next one.
+const MAX_FIRST_GAP: Duration = Duration::from_millis(250);
+
 /// Maximum time between two probes of a silent server.
 const MAX_PROBE_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -28,7 +32,10 @@
     owes_since: Option<MonotonicTime>,
     last_sent_at: MonotonicTime,
     answered_at: Option<MonotonicTime>,
-    predicted: Duration,
+    /// Until when the calls that had been sent at `owes_since` are predicted to be
+    /// answered, and those that have been sent until now.
+    due_at: MonotonicTime,
+    last_due_at: MonotonicTime,
     usual_gap: Duration,
     usual_gap_at: MonotonicTime,
 }
@@ -36,20 +43,23 @@
 impl AnswerGap {
     /// Records that a call was sent whose answer is predicted after `predicted`.
     pub fn record_send(&mut self, predicted: Duration, now: MonotonicTime) {
+        self.last_due_at = self.last_due_at.max(now + predicted);
         if self.owes_since.is_none() {
             self.owes_since = Some(now);
-            self.predicted = Duration::ZERO;
+            self.due_at = self.last_due_at;
         }
-        self.predicted = self.predicted.max(predicted);
         self.last_sent_at = now;
     }
 
     /// Records an answer or an event of one. Other calls may be left.
     pub fn record_answer(&mut self, now: MonotonicTime) {
         if let Some(since) = self.owes_since.replace(now) {
-            self.usual_gap = self.usual_gap(now).max(now.since(since));
+            let usual = self.usual_gap(now);
+            let gap = now.since(since).min((usual * 2).max(MAX_FIRST_GAP));
+            self.usual_gap = usual.max(gap);
             self.usual_gap_at = now;
         }
+        self.due_at = self.last_due_at;
         self.answered_at = Some(now);
     }
 
@@ -96,10 +106,14 @@
     }
 
     fn patience(&self, usual: Option<Duration>, now: MonotonicTime) -> Duration {
+        let since = self.owes_since.unwrap_or(now);
+
+        let predicted = self.due_at.since(since);
         let Some(usual) = usual else {
-            return UNPROVEN_SILENCE.max(self.predicted.mul_f64(PATIENCE_FACTOR));
+            let expected = predicted.mul_f64(PATIENCE_FACTOR);
+            return expected.clamp(UNPROVEN_SILENCE, MAX_PATIENCE);
         };
-        let expected = usual.max(self.usual_gap(now)) + self.predicted;
+        let expected = usual.max(self.usual_gap(now)) + predicted;
         expected
             .mul_f64(PATIENCE_FACTOR)
             .clamp(MIN_PATIENCE, MAX_PATIENCE)
