Compute the share of calls that leaves a zone

Cause: a constant of 2 ms sends calls to other zones one by one, so entries of a zone differ and two full zones may send load to each other.

Change: ServiceBalance computes the share from capacity and demand of the zones, moves it by at most 0.5 a second, and sends only to less utilized zones with room. It is not wired into the dispatcher, so calls go as before.

--- a/src/core/fleet/mod.rs
+++ b/src/core/fleet/mod.rs
@@ -27,6 +27,7 @@
 mod server_limits;
 mod streams;
 mod weights;
+mod zone_balance;
 mod zone_relays;
 
 pub use build::Build;
@@ -114,6 +115,9 @@
 pub use weights::TargetVersion;
 pub use weights::WeightsChange;
 pub use weights::WeightsChangeStep;
+pub use zone_balance::BalanceInput;
+pub use zone_balance::ServiceBalance;
+pub use zone_balance::ZoneLoad;
 pub use zone_relays::Exchange;
 pub use zone_relays::ExchangePlan;
 pub use zone_relays::HeardEntry;
