--- a/src/core/fleet/mod.rs
+++ b/src/core/fleet/mod.rs
@@ -30,6 +30,7 @@
 mod streams;
 mod version_rollout;
 mod weights;
+mod zone_balance;
 mod zone_relays;
 
 pub use admission::AdmissionDecision;
@@ -152,6 +153,9 @@
 pub use weights::TargetVersion;
 pub use weights::WeightsChange;
 pub use weights::WeightsChangeStep;
+pub use zone_balance::BalanceInput;
+pub use zone_balance::ServiceBalance;
+pub use zone_balance::ZoneLoad;
 pub use zone_relays::Exchange;
 pub use zone_relays::ExchangePlan;
 pub use zone_relays::HeardEntry;
