--- a/lab/src/engine/scripted.rs
+++ b/lab/src/engine/scripted.rs
@@ -68,6 +68,7 @@
         head_timeout: READ_TIMEOUT,
         dead_peer_timeout: READ_TIMEOUT,
         drain_timeout: Duration::from_millis(200),
+        reader: None,
     }
 }
 
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -19,7 +19,7 @@
 use crate::core::ResponseReport;
 use crate::core::ServerName;
 use crate::core::retry::RetryBudget;
-use crate::http::BodyBudget;
+use crate::http::ByteBudget;
 use crate::metrics::EntryMetrics;
 use crate::operator::RoleStatus;
 use crate::peer::HostTable;
@@ -50,7 +50,7 @@
     /// Counters and histograms for the metrics page.
     pub metrics: EntryMetrics,
     /// Bounds the memory that all request bodies take together.
-    pub body_budget: Arc<BodyBudget>,
+    pub body_budget: Arc<ByteBudget>,
     /// Rate limiter of the client accounts.
     pub limiter: SharedLimiter,
     limiter_messages: Mutex<Option<UnboundedReceiver<QueuedMessage>>>,
@@ -90,7 +90,7 @@
             peers: Arc::default(),
             hosts: Arc::new(HostTable::new(settings.peer_addresses())),
             servers: ServerTable::new(&settings),
-            body_budget: Arc::new(BodyBudget::new(settings.max_buffered_bytes)),
+            body_budget: Arc::new(ByteBudget::new(settings.max_buffered_bytes)),
             metrics: EntryMetrics::new(),
             timeline,
             limiter,
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -10,15 +10,17 @@
 use http::header::HOST;
 use hyper::Request;
 use tokio::time::timeout;
+use tokio::time::timeout_at;
 
 use super::context::GatewayContext;
 use super::liveness_check::wait_while_alive;
+use super::outstanding_bytes::OutstandingBytes;
 use super::read_call::Call;
 use super::report_break::report_break;
 use crate::core::MonotonicTime;
 use crate::core::ServerName;
 use crate::core::fleet::BackendChoice;
-use crate::http::BodyReservation;
+use crate::core::fleet::HoldPurpose;
 use crate::http::Exchange;
 use crate::http::HttpBody;
 use crate::http::empty_body;
@@ -94,10 +96,9 @@
     pub status: StatusCode,
     /// Headers for the caller, without those of the server's connection.
     pub headers: HeaderMap,
-    /// Complete body.
+    /// Complete body. With shares, its bytes are reserved until the caller has taken
+    /// them.
     pub body: Bytes,
-    /// Share of the memory budget that the body takes.
-    _reservation: BodyReservation,
 }
 
 /// Streaming response whose head has arrived.
@@ -120,6 +121,7 @@
     choice: BackendChoice,
     sent_at: MonotonicTime,
     is_prefilling: bool,
+    _bytes: OutstandingBytes,
 }
 
 impl InFlightGuard {
@@ -132,6 +134,7 @@
         cx.lock().dispatcher.begin_call(&choice, prompt, now);
         cx.agent_connections.announce_call(&choice);
         Self {
+            _bytes: OutstandingBytes::start(cx, choice.key, call.body.len()),
             cx: Arc::clone(cx),
             choice,
             sent_at: now,
@@ -280,14 +283,27 @@
             in_flight,
         }));
     }
-    let mut reservation = cx.body_budget.start_reservation();
+    let mut reservation = cx
+        .byte_budget
+        .reserve_for(call.holder.clone(), HoldPurpose::RunningCall);
+    // The whole length is reserved first: calls that each hold a part of a response could
+    // wait for each other. The server is not at fault meanwhile.
+    let declared_len = exchange.declared_len().min(MAX_RESPONSE_BYTES);
+    match timeout_at(call.deadline, reservation.grow_to(declared_len)).await {
+        Ok(true) => {}
+        Ok(false) => return AttemptOutcome::Unknown(ANSWER_BROKEN),
+        Err(_) => return AttemptOutcome::Unknown("answer-silent"),
+    }
     let body_read = exchange.read_rest_in_budget(MAX_RESPONSE_BYTES, &mut reservation);
     match wait_while_alive(cx, choice.key, may_run_again, call.deadline, body_read).await {
         Some(Ok(body)) => AttemptOutcome::Answered(FullResponse {
             status,
             headers,
-            body,
-            _reservation: reservation,
+            body: if cx.byte_budget.has_shares() {
+                reservation.attach(body)
+            } else {
+                body
+            },
         }),
         Some(Err(_)) => AttemptOutcome::Unknown(ANSWER_BROKEN),
         None => AttemptOutcome::Unknown("answer-silent"),
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -19,7 +19,8 @@
 use super::stream_keepers::StreamKeepers;
 use crate::clock::Clock;
 use crate::core::MonotonicTime;
-use crate::http::BodyBudget;
+use crate::core::fleet::ServerBytes;
+use crate::http::ByteBudget;
 use crate::http::Client;
 use crate::metrics::GatewayMetrics;
 use crate::ports::Area;
@@ -53,8 +54,10 @@
     pub ports: GatewayPorts,
     /// HTTP client with its connections to backend servers.
     pub client: Client,
-    /// Memory budget of request bodies.
-    pub body_budget: Arc<BodyBudget>,
+    /// Memory budget of everything that is held for callers.
+    pub byte_budget: Arc<ByteBudget>,
+    /// Bytes outstanding at each server; counted only with shares of the memory.
+    server_bytes: Mutex<ServerBytes>,
     /// Metrics of this process.
     pub metrics: GatewayMetrics,
     /// Random number that identifies this run.
@@ -87,8 +90,14 @@
     pub fn new(settings: GatewaySettings, ports: GatewayPorts) -> Self {
         let state = GatewayState::new(&settings.name, &settings.zone, &settings.bounds);
         Self {
-            client: Client::new(settings.client_timeouts()),
-            body_budget: Arc::new(BodyBudget::new(settings.max_buffered_bytes())),
+            client: Client::new(settings.client_timeouts())
+                .with_receive_buffer(settings.receive_buffer_bytes()),
+            byte_budget: Arc::new(if settings.has_memory_shares() {
+                ByteBudget::with_shares(settings.max_buffered_bytes())
+            } else {
+                ByteBudget::new(settings.max_buffered_bytes())
+            }),
+            server_bytes: Mutex::new(ServerBytes::new(settings.memory.server_mb * 1_000_000)),
             metrics: GatewayMetrics::new(),
             incarnation: rand::random(),
             seeds: watch::channel(settings.seeds.clone()).0,
@@ -123,6 +132,14 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks the bytes that are outstanding at servers. The guard must not be held across
+    /// an await point.
+    pub fn lock_server_bytes(&self) -> MutexGuard<'_, ServerBytes> {
+        self.server_bytes
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Takes one retry for a service from the operator's budget and counts it.
     /// Returns false if none is left.
     pub fn take_retry(&self, service: &str) -> bool {
--- a/src/gateway/read_call.rs
+++ b/src/gateway/read_call.rs
@@ -1,5 +1,6 @@
 //! Authenticates the caller of a call, reads the body and admits the call.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::OnceLock;
 use std::time::Duration;
@@ -25,11 +26,13 @@
 use crate::core::fleet::CallHead;
 use crate::core::fleet::CallRefusal;
 use crate::core::fleet::DispatchRequest;
+use crate::core::fleet::HoldPurpose;
+use crate::core::fleet::Holder;
 use crate::core::fleet::Prompt;
 use crate::core::fleet::RouteRule;
 use crate::core::fleet::RouteTable;
 use crate::http::BodyReadError;
-use crate::http::BodyReservation;
+use crate::http::ByteReservation;
 use crate::http::read_body_in_budget;
 use crate::http::strip_hop_by_hop_headers;
 
@@ -60,7 +63,8 @@
     pub uri: Uri,
     /// The caller's headers, without those of its connection.
     pub headers: HeaderMap,
-    /// Complete body.
+    /// Complete body. With shares of the memory, its bytes are reserved until the last
+    /// clone is dropped.
     pub body: Bytes,
     /// When the head of the request arrived.
     pub received_at: Instant,
@@ -71,8 +75,10 @@
     expires_at: MonotonicTime,
     clock: Clock,
     digest: OnceLock<CallDigest>,
-    /// Share of the memory budget that the body takes; released with the call.
-    pub _body_reservation: BodyReservation,
+    /// Reservation of the body without shares; released with the call.
+    _body_reservation: Option<ByteReservation>,
+    /// For whom the bytes of the call are held.
+    pub holder: Holder,
 }
 
 impl Call {
@@ -153,10 +159,27 @@
         .unwrap_or(route.timeout)
         .min(route.timeout);
     let expires_at = cx.now() + timeout.saturating_sub(received_at.elapsed());
-    let mut body_reservation = cx.body_budget.start_reservation();
+    let holder = Holder {
+        account: account.map(|account| account.name.clone()),
+        connection: parts
+            .extensions
+            .get::<CallerAddress>()
+            .map(|caller| caller.0),
+    };
+    let mut body_reservation = cx
+        .byte_budget
+        .reserve_for(holder.clone(), HoldPurpose::NewBody);
     let body =
         read_body_in_budget(body, limits.max_body_bytes, timeout, &mut body_reservation).await;
-    let body = body.map_err(refusal_for_body_error)?;
+    let body = body.map_err(|e| {
+        log_refused_body(cx, &head, &holder, e);
+        refusal_for_body_error(e)
+    })?;
+    let (body, body_reservation) = if cx.byte_budget.has_shares() {
+        (body_reservation.attach(body), None)
+    } else {
+        (body, Some(body_reservation))
+    };
     let tokens = compute_charge(account, &head);
     if let Some(account) = account {
         admit_call(cx, &head, account, tokens)?;
@@ -180,17 +203,35 @@
         uri: parts.uri,
         headers,
         body,
+        _body_reservation: body_reservation,
         received_at,
         deadline: received_at + timeout,
         expires_at,
         clock: cx.clock(),
         digest: OnceLock::new(),
-        _body_reservation: body_reservation,
+        holder,
         head,
         route,
     })
 }
 
+/// Address of the caller of a request, as an extension of its head.
+#[derive(Debug, Clone, Copy)]
+pub struct CallerAddress(pub SocketAddr);
+
+/// Logs a body that was not read because the memory has no room for it.
+fn log_refused_body(cx: &GatewayContext, head: &CallHead, holder: &Holder, e: BodyReadError) {
+    if e != BodyReadError::BudgetExhausted {
+        return;
+    }
+    log::info!(
+        "memory: refused body id={} account={} held_bytes={}",
+        std::str::from_utf8(&head.id).unwrap_or("not-text"),
+        holder.account.as_ref().map_or("-", |name| name.as_str()),
+        cx.byte_budget.held(),
+    );
+}
+
 fn admit_call(
     cx: &GatewayContext,
     head: &CallHead,
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -6,6 +6,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hyper::Request;
+use hyper::body::Incoming;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -18,6 +20,7 @@
 use super::follow_kv_cache_stores::follow_kv_cache_stores;
 use super::follow_store::follow_area;
 use super::follow_store::ping_store;
+use super::read_call::CallerAddress;
 use super::serve_call::serve_call;
 use super::share_quarantine::quarantine_culprits;
 use super::status_pages::serve_status_page;
@@ -165,10 +168,15 @@
     stop: &watch::Receiver<bool>,
 ) -> Result<(), StartError> {
     let listener = open_tokio_listener(address)?;
+    let reader = cx.settings.reader_limits(&cx.byte_budget);
     let cx = Arc::clone(cx);
     let stop = stop.clone();
     let handle = move |req, _caller| serve_status_page(Arc::clone(&cx), req);
-    tokio::spawn(serve(listener, status_page_limits(), handle, stop));
+    let limits = ServerLimits {
+        reader,
+        ..status_page_limits()
+    };
+    tokio::spawn(serve(listener, limits, handle, stop));
     Ok(())
 }
 
@@ -191,8 +199,12 @@
             .settings
             .stop_timeout
             .saturating_sub(DRAIN_LINGER + SHUTDOWN_MARGIN),
+        reader: cx.settings.reader_limits(&cx.byte_budget),
+    };
+    let handle = move |mut req: Request<Incoming>, caller| {
+        req.extensions_mut().insert(CallerAddress(caller));
+        serve_call(Arc::clone(&cx), req)
     };
-    let handle = move |req, _caller| serve_call(Arc::clone(&cx), req);
     serve(listener, limits, handle, stop).await
 }
 
--- a/src/gateway/serve_call.rs
+++ b/src/gateway/serve_call.rs
@@ -25,10 +25,10 @@
 use super::attempt::attempt_call;
 use super::call_log::CallLog;
 use super::call_progress::CallProgress;
+use super::choose_with_room::choose_with_room;
 use super::context::GatewayContext;
 use super::read_call::Call;
 use super::read_call::read_call;
-use super::share_quarantine::digest_if_needed;
 use super::share_quarantine::record_completion;
 use super::stream_keepers::find_stream_build;
 use super::stream_relay::StreamRelay;
@@ -278,11 +278,7 @@
     call: &Call,
     progress: &CallProgress,
 ) -> Result<BackendChoice, CallRefusal> {
-    let now = cx.now();
-    let req = call.dispatch_request(progress);
-    let digest = digest_if_needed(cx, call);
-    let chosen = cx.lock().choose_server(&req, digest, now);
-    chosen.map_err(|refusal| match refusal {
+    choose_with_room(cx, call, progress).map_err(|refusal| match refusal {
         DispatchError::NoServer(retry_after) => CallRefusal::NoServer(retry_after),
         DispatchError::Paused(time_left) => CallRefusal::ServersPaused(time_left),
         DispatchError::Limited(time_left) => CallRefusal::ServersLimited(time_left),
--- a/src/gateway/status_pages.rs
+++ b/src/gateway/status_pages.rs
@@ -22,6 +22,7 @@
         "/ready" => (StatusCode::SERVICE_UNAVAILABLE, "not ready\n".into()),
         "/metrics" => {
             let gauges = cx.lock().read_gauges(cx.now());
+            cx.metrics.set_memory(&cx.byte_budget.read_gauges());
             (StatusCode::OK, cx.metrics.encode(&gauges))
         }
         _ => (StatusCode::NOT_FOUND, "no such page\n".into()),
--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -1,6 +1,7 @@
 //! Relays the events of a stream from servers to the caller.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use bytes::BytesMut;
@@ -8,23 +9,26 @@
 use http::header::CONTENT_LENGTH;
 use http::header::TRANSFER_ENCODING;
 use tokio::time::Instant;
+use tokio::time::timeout_at;
 
 use super::attempt::AttemptOutcome;
 use super::attempt::InFlightGuard;
 use super::attempt::attempt_call;
 use super::call_log::CallLog;
 use super::call_progress::CallProgress;
+use super::choose_with_room::choose_with_room;
 use super::context::GatewayContext;
 use super::liveness_check::wait_while_alive;
 use super::read_call::Call;
 use super::report_break::report_break;
 use super::serve_call::MAX_SENDS_PER_CALL;
-use super::share_quarantine::digest_if_needed;
 use super::share_quarantine::record_completion;
 use super::stream_keepers::record_stream_start;
+use crate::core::fleet::HoldPurpose;
 use crate::core::fleet::StreamKey;
 use crate::core::fleet::StreamOrigin;
 use crate::http::BodyAborted;
+use crate::http::ByteReservation;
 use crate::http::Exchange;
 
 /// Problem of a stream whose server is suspected dead.
@@ -36,6 +40,19 @@
 /// Maximum size of an event, in bytes; it is kept until it is complete.
 const MAX_EVENT_BYTES: usize = 256 * 1024;
 
+/// Problem of a stream that was cut off while its caller read slowly.
+const READER_SLOW: &str = "reader-slow";
+
+/// Problem of a stream for whose events there was no memory.
+const NO_MEMORY: &str = "no-memory";
+
+/// Bytes that are reserved before a chunk is read.
+const CHUNK_BYTES: usize = 16 * 1024;
+
+/// Time for which a caller lets events wait from which a break counts as caused by it.
+/// Servers cut off a response that is not read for some seconds.
+const MIN_READER_LAG: Duration = Duration::from_secs(1);
+
 /// Bytes that end an event.
 const EVENT_TERMINATOR: &[u8] = b"\n\n";
 
@@ -50,6 +67,11 @@
     call: Call,
     upstream: Option<(Exchange, InFlightGuard)>,
     buffer: BytesMut,
+    /// Bytes for `buffer` and the next chunk; `None` without shares of the memory.
+    reservation: Option<ByteReservation>,
+    /// When the caller last wanted events, and since when it has had none to take.
+    wanted_at: Instant,
+    delivered_at: Instant,
     first_event_at: Option<Instant>,
     last_event_id: Option<String>,
     progress: CallProgress,
@@ -67,6 +89,12 @@
     ) -> Self {
         Self {
             cx: Arc::clone(cx),
+            reservation: cx.byte_budget.has_shares().then(|| {
+                cx.byte_budget
+                    .reserve_for(call.holder.clone(), HoldPurpose::RunningCall)
+            }),
+            wanted_at: Instant::now(),
+            delivered_at: Instant::now(),
             call,
             upstream: Some(upstream),
             buffer: BytesMut::new(),
@@ -84,11 +112,18 @@
     ///
     /// The stream broke and could not be resumed.
     pub async fn next_events(&mut self) -> Result<Option<Bytes>, BodyAborted> {
+        self.wanted_at = Instant::now();
         loop {
             if let Some(events) = self.take_events() {
                 self.record_events();
+                self.delivered_at = Instant::now();
                 return Ok(Some(events));
             }
+            if !self.reserve_chunk().await {
+                self.close_upstream(false);
+                self.call_log.log_end(NO_MEMORY, 502);
+                return Err(BodyAborted);
+            }
             let may_run_again = self.call.may_run_again(self.progress.runs);
             let Some((exchange, in_flight)) = &mut self.upstream else {
                 return Ok(None);
@@ -106,6 +141,9 @@
                         let now = self.cx.now();
                         self.cx.lock().record_answer(&choice, now);
                         self.buffer.extend_from_slice(&chunk);
+                        if let Some(reservation) = &mut self.reservation {
+                            reservation.set_held(self.buffer.len());
+                        }
                         if self.buffer.len() <= MAX_EVENT_BYTES || self.has_event() {
                             continue;
                         }
@@ -122,6 +160,11 @@
                     Some(Err(_)) => "stream-broken",
                     None => STREAM_SILENT,
                 };
+            if self.is_reader_slow(problem) {
+                self.close_upstream(false);
+                self.call_log.log_end(READER_SLOW, 502);
+                return Err(BodyAborted);
+            }
             self.report_break(problem);
             self.close_upstream(true);
             if !self.resume(problem).await {
@@ -153,6 +196,27 @@
         record_stream_start(&self.cx, origin);
     }
 
+    /// Reserves bytes for the next chunk, so that nothing is read ahead without them.
+    /// Returns false if there are none before the deadline of the call.
+    async fn reserve_chunk(&mut self) -> bool {
+        let Some(reservation) = &mut self.reservation else {
+            return true;
+        };
+        let bytes = self.buffer.len() + CHUNK_BYTES;
+        timeout_at(self.call.deadline, reservation.grow_to(bytes))
+            .await
+            .unwrap_or(false)
+    }
+
+    /// Returns whether a stream broke because its caller read slowly: servers cut off
+    /// what is not read. It is not resumed then, since that would take from the retry
+    /// budget of all callers, and the server is not at fault.
+    fn is_reader_slow(&self, problem: &str) -> bool {
+        self.reservation.is_some()
+            && problem != STREAM_SILENT
+            && self.wanted_at.duration_since(self.delivered_at) >= MIN_READER_LAG
+    }
+
     /// Reports the connection as broken, unless the server only fell silent.
     fn report_break(&self, problem: &str) {
         if problem != STREAM_SILENT
@@ -180,7 +244,10 @@
         if let Some(id) = find_last_event_id(&events) {
             self.last_event_id = Some(id);
         }
-        Some(events)
+        Some(match &mut self.reservation {
+            Some(reservation) => reservation.attach_part(events),
+            None => events,
+        })
     }
 
     fn close_upstream(&mut self, is_failure: bool) {
@@ -194,6 +261,9 @@
             }
         }
         self.buffer.clear();
+        if let Some(reservation) = &mut self.reservation {
+            reservation.set_held(0);
+        }
     }
 
     /// Resumes the stream at another server after the last event that was
@@ -204,12 +274,7 @@
             && self.progress.tried.len() < MAX_SENDS_PER_CALL
             && !self.call.time_left().is_zero()
         {
-            let chosen = {
-                let now = self.cx.now();
-                let req = self.call.dispatch_request(&self.progress);
-                let digest = digest_if_needed(&self.cx, &self.call);
-                self.cx.lock().choose_server(&req, digest, now)
-            };
+            let chosen = choose_with_room(&self.cx, &self.call, &self.progress);
             let Ok(choice) = chosen else {
                 self.call_log.record_failure("no-server");
                 return false;
--- a/src/gateway/substitute_agents.rs
+++ b/src/gateway/substitute_agents.rs
@@ -355,6 +355,8 @@
         listen: absent.agent,
         metrics: None,
         engine: absent.address,
+        options: Vec::new(),
+        memory: cx.settings.memory.clone(),
         log: cx.settings.log,
     };
     let ports = SidecarPorts {
--- a/src/http/body.rs
+++ b/src/http/body.rs
@@ -15,7 +15,7 @@
 use tokio::time::timeout;
 
 use super::BodyAborted;
-use super::BodyReservation;
+use super::ByteReservation;
 
 /// Body of a response to a caller or of a request to another process.
 pub type HttpBody = UnsyncBoxBody<Bytes, BodyAborted>;
@@ -80,7 +80,8 @@
 }
 
 /// Reads a whole body like [`read_body`] and reserves its bytes in a shared
-/// memory budget as they arrive.
+/// memory budget as they arrive. A body that states a length for which there is no
+/// room is not read at all.
 ///
 /// # Errors
 ///
@@ -89,11 +90,15 @@
     body: B,
     max_bytes: usize,
     time_limit: Duration,
-    reservation: &mut BodyReservation,
+    reservation: &mut ByteReservation,
 ) -> Result<Bytes, BodyReadError>
 where
     B: Body<Data = Bytes>,
 {
+    let declared_len = declared_len(&body);
+    if declared_len <= max_bytes && !reservation.allows_new_body(declared_len) {
+        return Err(BodyReadError::BudgetExhausted);
+    }
     timeout(
         time_limit,
         collect_body(body, max_bytes, |bytes| reservation.try_grow(bytes)),
@@ -102,6 +107,11 @@
     .map_err(|_| BodyReadError::TimedOut)?
 }
 
+/// Returns the length that a body states; zero if it states none.
+fn declared_len<B: Body>(body: &B) -> usize {
+    usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX)
+}
+
 async fn collect_body<B>(
     body: B,
     max_bytes: usize,
@@ -110,12 +120,13 @@
 where
     B: Body<Data = Bytes>,
 {
-    let declared_len = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+    let declared_len = declared_len(&body);
     if declared_len > max_bytes {
         return Err(BodyReadError::TooLarge);
     }
     let mut body = std::pin::pin!(body);
-    let mut buf = BytesMut::new();
+    // Memory that is not written to yet costs nothing, and the buffer need not grow.
+    let mut buf = BytesMut::with_capacity(declared_len);
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| BodyReadError::Broken)?;
         let Some(chunk) = frame.data_ref() else {
@@ -137,7 +148,7 @@
     use std::sync::Arc;
 
     use super::*;
-    use crate::http::BodyBudget;
+    use crate::http::ByteBudget;
 
     const TIME_LIMIT: Duration = Duration::from_secs(5);
 
@@ -155,7 +166,7 @@
 
     #[tokio::test]
     async fn read_body_in_budget_exhausted() {
-        let budget = Arc::new(BodyBudget::new(4));
+        let budget = Arc::new(ByteBudget::new(4));
         let mut reservation = budget.start_reservation();
         let read = read_body_in_budget(full_body("abc"), 3, TIME_LIMIT, &mut reservation).await;
         assert_eq!(read, Ok(Bytes::from_static(b"abc")));
--- a/src/http/caller_stream.rs
+++ b/src/http/caller_stream.rs
@@ -1,19 +1,38 @@
-//! Server's side of a connection, which tells whether its caller has left.
+//! Server's side of a connection, which tells whether its caller has left, and ends it
+//! if the caller stops reading.
 
+use std::future::Future;
 use std::io;
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::task::Context;
 use std::task::Poll;
+use std::task::ready;
+use std::time::Duration;
 
 use futures::FutureExt;
 use hyper::rt::Read;
 use hyper::rt::ReadBufCursor;
 use hyper::rt::Write;
 use hyper_util::rt::TokioIo;
+use socket2::SockRef;
 use tokio::io::Interest;
 use tokio::net::TcpStream;
+use tokio::time::Instant;
+use tokio::time::Sleep;
+use tokio::time::sleep;
 
+use super::ReaderLimits;
 use super::caller_presence::CallerPresence;
+use crate::clock::Clock;
+use crate::core::fleet::ReaderProgress;
+
+/// Number of checks for progress within the timeout of a reader. The kernel announces
+/// room only once a third of the send buffer is free, so it is also asked.
+const CHECKS_PER_TIMEOUT: u32 = 8;
+
+/// Minimum interval between two such checks.
+const MIN_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Connection of a caller. hyper notices its end only when it has read everything
 /// before it, which may be after a request was handled: after a pause of this process,
@@ -21,15 +40,30 @@
 pub(super) struct CallerStream {
     stream: TokioIo<TcpStream>,
     presence: CallerPresence,
+    reader: Option<WatchedReader>,
+}
+
+/// Reader of a connection that is disconnected if it stops reading.
+struct WatchedReader {
+    limits: ReaderLimits,
+    caller: SocketAddr,
+    clock: Clock,
+    progress: ReaderProgress,
+    next_check: Pin<Box<Sleep>>,
 }
 
 impl CallerStream {
     /// Wraps an accepted connection; the second value follows its caller.
-    pub fn new(stream: TcpStream) -> (Self, CallerPresence) {
+    pub fn new(
+        stream: TcpStream,
+        caller: SocketAddr,
+        reader: Option<ReaderLimits>,
+    ) -> (Self, CallerPresence) {
         let presence = CallerPresence::default();
         let stream = Self {
             stream: TokioIo::new(stream),
             presence: presence.clone(),
+            reader: reader.map(|limits| WatchedReader::new(limits, caller)),
         };
         (stream, presence)
     }
@@ -40,6 +74,78 @@
         let ready = self.stream.inner().ready(Interest::READABLE);
         matches!(ready.now_or_never(), Some(Ok(ready)) if ready.is_read_closed())
     }
+
+    /// Follows up on a write of `buf`. While the reader takes nothing, the write is tried
+    /// again from time to time, until the reader is seen as stopped.
+    fn check_reader(
+        &mut self,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+        written: Poll<io::Result<usize>>,
+    ) -> Poll<io::Result<usize>> {
+        let Some(reader) = &mut self.reader else {
+            return written;
+        };
+        if written.is_ready() || buf.is_empty() {
+            reader.progress.record_progress();
+            return written;
+        }
+        reader.record_blocked();
+        loop {
+            ready!(reader.next_check.as_mut().poll(cx));
+            match SockRef::from(self.stream.inner()).send(buf) {
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                result => {
+                    reader.progress.record_progress();
+                    return Poll::Ready(result);
+                }
+            }
+            if reader.has_stopped() {
+                return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
+            }
+            reader.schedule_check();
+        }
+    }
+}
+
+impl WatchedReader {
+    fn new(limits: ReaderLimits, caller: SocketAddr) -> Self {
+        Self {
+            progress: ReaderProgress::new(limits.timeout),
+            limits,
+            caller,
+            clock: Clock::start(),
+            next_check: Box::pin(sleep(Duration::ZERO)),
+        }
+    }
+
+    fn record_blocked(&mut self) {
+        let now = self.clock.now();
+        if self.progress.time_left(now).is_none() {
+            self.progress.record_blocked(now);
+            self.schedule_check();
+        }
+    }
+
+    fn schedule_check(&mut self) {
+        let interval = (self.limits.timeout / CHECKS_PER_TIMEOUT).max(MIN_CHECK_INTERVAL);
+        self.next_check.as_mut().reset(Instant::now() + interval);
+    }
+
+    /// Returns whether the reader has stopped reading; if so, counts and logs it.
+    fn has_stopped(&self) -> bool {
+        let has_stopped = self.progress.has_stopped(self.clock.now());
+        if has_stopped {
+            self.limits.budget.count_stopped_reader();
+            log::warn!(
+                "http: reader stopped caller={} timeout_ms={} held_bytes={}",
+                self.caller,
+                self.limits.timeout.as_millis(),
+                self.limits.budget.held(),
+            );
+        }
+        has_stopped
+    }
 }
 
 impl Read for CallerStream {
@@ -62,7 +168,8 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.check_reader(cx, buf, written)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -82,6 +189,9 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        let first = bufs.iter().find(|buf| !buf.is_empty());
+        let first = first.map_or(&[][..], |buf| &**buf);
+        self.check_reader(cx, first, written)
     }
 }
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -3,6 +3,7 @@
 
 use std::collections::HashMap;
 use std::fmt;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -11,6 +12,7 @@
 use std::time::Duration;
 
 use hyper::Request;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 use tokio::time::timeout;
@@ -57,6 +59,7 @@
 #[derive(Clone)]
 pub struct Client {
     timeouts: Arc<ClientTimeouts>,
+    receive_buffer_bytes: Option<u32>,
     idle_connections: Arc<Mutex<HashMap<SocketAddr, Vec<IdleConnection>>>>,
 }
 
@@ -71,10 +74,21 @@
     pub fn new(timeouts: ClientTimeouts) -> Self {
         Self {
             timeouts: Arc::new(timeouts),
+            receive_buffer_bytes: None,
             idle_connections: Arc::default(),
         }
     }
 
+    /// Sets the receive buffer of new connections in the kernel; `None` leaves it to the
+    /// kernel, which takes megabytes for responses that are read slowly.
+    #[must_use]
+    pub fn with_receive_buffer(self, receive_buffer_bytes: Option<u32>) -> Self {
+        Self {
+            receive_buffer_bytes,
+            ..self
+        }
+    }
+
     /// Sends a request over an idle connection if there is one, else over a new
     /// one, and waits for the head of its response. If the returned future is dropped,
     /// the connection is reset.
@@ -165,7 +179,7 @@
     }
 
     async fn connect(&self, address: SocketAddr) -> Result<ClientConnection, ClientError> {
-        let stream = timeout(self.timeouts.connect, TcpStream::connect(address))
+        let stream = timeout(self.timeouts.connect, self.open_stream(address))
             .await
             .map_err(|_| ClientError::Connect("timeout".into()))?
             .map_err(|e| ClientError::Connect(e.to_string()))?;
@@ -176,6 +190,19 @@
             .map_err(|e| ClientError::Connect(e.to_string()))
     }
 
+    async fn open_stream(&self, address: SocketAddr) -> io::Result<TcpStream> {
+        let Some(bytes) = self.receive_buffer_bytes else {
+            return TcpStream::connect(address).await;
+        };
+        let socket = match address {
+            SocketAddr::V4(_) => TcpSocket::new_v4()?,
+            SocketAddr::V6(_) => TcpSocket::new_v6()?,
+        };
+        // Takes effect on the window only before the connection is established.
+        socket.set_recv_buffer_size(bytes)?;
+        socket.connect(address).await
+    }
+
     fn take_idle_connection(&self, address: SocketAddr) -> Option<ClientConnection> {
         let mut idle_connections = self.lock_idle_connections();
         let address_connections = idle_connections.get_mut(&address)?;
--- a/src/http/exchange.rs
+++ b/src/http/exchange.rs
@@ -10,10 +10,11 @@
 use http::StatusCode;
 use http_body_util::BodyExt;
 use hyper::Response;
+use hyper::body::Body;
 use hyper::body::Incoming;
 use tokio::time::timeout;
 
-use super::BodyReservation;
+use super::ByteReservation;
 use super::Client;
 use super::ClientError;
 use super::client_connection::ClientConnection;
@@ -69,6 +70,12 @@
         self.read_timeout = self.client.read_timeout();
     }
 
+    /// Returns the length that the response states for the rest of its body; zero if it
+    /// states none.
+    pub fn declared_len(&self) -> usize {
+        usize::try_from(self.body.size_hint().lower()).unwrap_or(usize::MAX)
+    }
+
     /// Waits for the next chunk of the body. Returns `None` at its end, and then
     /// the connection can be reused.
     ///
@@ -104,11 +111,11 @@
     /// The connection broke or timed out, or the rest is larger than
     /// `max_bytes`.
     pub async fn read_rest(&mut self, max_bytes: usize) -> Result<Bytes, ClientError> {
-        self.collect_rest(max_bytes, |_| true).await
+        self.collect_rest(max_bytes, None).await
     }
 
     /// Reads the rest of the body like [`Self::read_rest`], and reserves its bytes in a
-    /// shared memory budget as they arrive.
+    /// shared memory budget as they arrive. If the budget has shares, this waits for room.
     ///
     /// # Errors
     ///
@@ -116,20 +123,24 @@
     pub async fn read_rest_in_budget(
         &mut self,
         max_bytes: usize,
-        reservation: &mut BodyReservation,
+        reservation: &mut ByteReservation,
     ) -> Result<Bytes, ClientError> {
-        self.collect_rest(max_bytes, |bytes| reservation.try_grow(bytes))
-            .await
+        self.collect_rest(max_bytes, Some(reservation)).await
     }
 
     async fn collect_rest(
         &mut self,
         max_bytes: usize,
-        mut reserve: impl FnMut(usize) -> bool,
+        mut reservation: Option<&mut ByteReservation>,
     ) -> Result<Bytes, ClientError> {
         let mut buf = Vec::new();
         while let Some(chunk) = self.next_chunk().await? {
-            if buf.len() + chunk.len() > max_bytes || !reserve(chunk.len()) {
+            let len = buf.len() + chunk.len();
+            let has_room = match &mut reservation {
+                Some(reservation) if len <= max_bytes => reservation.grow_to(len).await,
+                _ => true,
+            };
+            if len > max_bytes || !has_room {
                 return Err(ClientError::Broken("answer too large".into()));
             }
             buf.extend_from_slice(&chunk);
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -3,7 +3,8 @@
 //! sent and is therefore safe to send again.
 
 mod body;
-mod body_budget;
+mod byte_budget;
+mod byte_reservation;
 mod caller_left;
 mod caller_presence;
 mod caller_stream;
@@ -14,6 +15,7 @@
 mod event_stream;
 mod exchange;
 mod hop_by_hop_headers;
+mod reader_limits;
 mod serve;
 mod server_limits;
 mod socket_options;
@@ -24,8 +26,8 @@
 pub use body::full_body;
 pub use body::read_body;
 pub use body::read_body_in_budget;
-pub use body_budget::BodyBudget;
-pub use body_budget::BodyReservation;
+pub use byte_budget::ByteBudget;
+pub use byte_reservation::ByteReservation;
 pub use channel_body::BodyAborted;
 pub use channel_body::BodySender;
 pub use channel_body::ChannelBody;
@@ -37,6 +39,7 @@
 pub use event_stream::write_event;
 pub use exchange::Exchange;
 pub use hop_by_hop_headers::strip_hop_by_hop_headers;
+pub use reader_limits::ReaderLimits;
 pub use serve::serve;
 pub use server_limits::ServerLimits;
 pub use server_limits::status_page_limits;
--- a/src/http/serve.rs
+++ b/src/http/serve.rs
@@ -17,6 +17,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioTimer;
 use hyper_util::server::graceful::GracefulShutdown;
+use socket2::SockRef;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::OwnedSemaphorePermit;
@@ -119,6 +120,13 @@
     if let Err(e) = set_socket_options(stream, limits.dead_peer_timeout) {
         log::warn!("http: Cannot set socket options: {e}.");
     }
+    // Without it, the kernel takes megabytes for a slow reader.
+    if let Some(reader) = &limits.reader
+        && let Err(e) =
+            SockRef::from(stream).set_send_buffer_size(reader.send_buffer_bytes as usize)
+    {
+        log::warn!("http: Cannot set the send buffer: {e}.");
+    }
 }
 
 /// Serves accepted connections, the first one first. Before that, their first events are
@@ -151,7 +159,7 @@
     H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + 'static,
     F: Future<Output = Response<HttpBody>> + Send + 'static,
 {
-    let (stream, presence) = CallerStream::new(stream);
+    let (stream, presence) = CallerStream::new(stream, caller, limits.reader.clone());
     let service = service_fn(move |req| {
         let response = handle(req, caller);
         respond_unless_left(response, presence.clone())
--- a/src/http/server_limits.rs
+++ b/src/http/server_limits.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use super::ReaderLimits;
+
 /// Limits on the resources that callers of one listener can use.
 #[derive(Debug, Clone)]
 pub struct ServerLimits {
@@ -16,6 +18,8 @@
     pub dead_peer_timeout: Duration,
     /// Time for which a drain waits for running requests.
     pub drain_timeout: Duration,
+    /// Limits on callers that read slowly; `None` serves them without limit.
+    pub reader: Option<ReaderLimits>,
 }
 
 /// Enough for the load balancer and a few operators.
@@ -39,5 +43,6 @@
         head_timeout: STATUS_PAGE_HEAD_TIMEOUT,
         dead_peer_timeout: STATUS_PAGE_DEAD_PEER_TIMEOUT,
         drain_timeout: Duration::ZERO,
+        reader: None,
     }
 }
--- a/src/metrics/gateway_metrics.rs
+++ b/src/metrics/gateway_metrics.rs
@@ -51,6 +51,21 @@
     pub quarantined_calls: u64,
 }
 
+/// What a gateway holds for its callers, and what followed from it.
+#[derive(Debug, Clone, Copy)]
+pub struct MemoryGauges {
+    /// Bytes of bodies, responses and streams that are held now.
+    pub held_bytes: u64,
+    /// Bytes that may be held.
+    pub limit_bytes: u64,
+    /// Bodies and responses for which there was no room.
+    pub refused: u64,
+    /// Responses and chunks that had to wait for room.
+    pub waits: u64,
+    /// Readers that were disconnected since they stopped reading.
+    pub stopped_readers: u64,
+}
+
 /// Metrics of a gateway.
 pub struct GatewayMetrics {
     registry: Registry,
@@ -59,6 +74,7 @@
     retries: Counter,
     dropped_log_lines: Gauge,
     fleet_counts: Family<GaugeLabels, Gauge>,
+    memory: Family<GaugeLabels, Gauge>,
     first_event_time: Histogram,
     call_time: Histogram,
     config_version: Gauge,
@@ -93,6 +109,12 @@
             "Backend servers (listed, usable), agents that reported recently and gateways, as known to this gateway",
             fleet_counts.clone(),
         );
+        let memory = Family::<GaugeLabels, Gauge>::default();
+        registry.register(
+            "memory",
+            "Bytes held for callers (held_bytes, limit_bytes), and since the start: bodies refused for lack of room, waits for room, readers disconnected because they stopped reading",
+            memory.clone(),
+        );
         let first_event_time = Histogram::new(TIME_BUCKETS_S);
         let call_time = Histogram::new(TIME_BUCKETS_S);
         let config_version = Gauge::default();
@@ -119,6 +141,7 @@
             retries,
             dropped_log_lines,
             fleet_counts,
+            memory,
             first_event_time,
             call_time,
             config_version,
@@ -150,9 +173,23 @@
         self.first_event_time.observe(elapsed.as_secs_f64());
     }
 
+    /// Sets the gauges of the memory.
+    pub fn set_memory(&self, gauges: &MemoryGauges) {
+        for (of, count) in [
+            ("held_bytes", gauges.held_bytes),
+            ("limit_bytes", gauges.limit_bytes),
+            ("refused", gauges.refused),
+            ("waits", gauges.waits),
+            ("stopped_readers", gauges.stopped_readers),
+        ] {
+            self.memory
+                .get_or_create(&GaugeLabels { of })
+                .set(to_gauge(count));
+        }
+    }
+
     /// Sets the gauges and encodes all metrics in the OpenMetrics text format.
     pub fn encode(&self, gauges: &GatewayGauges) -> String {
-        let to_gauge = |count: u64| i64::try_from(count).unwrap_or(i64::MAX);
         self.config_version.set(to_gauge(gauges.config_version));
         self.dropped_log_lines.set(to_gauge(dropped_line_count()));
         for (of, count) in [
@@ -172,6 +209,10 @@
     }
 }
 
+fn to_gauge(count: u64) -> i64 {
+    i64::try_from(count).unwrap_or(i64::MAX)
+}
+
 impl Default for GatewayMetrics {
     fn default() -> Self {
         Self::new()
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -10,6 +10,7 @@
 pub use entry_metrics::EntryMetrics;
 pub use gateway_metrics::GatewayGauges;
 pub use gateway_metrics::GatewayMetrics;
+pub use gateway_metrics::MemoryGauges;
 pub use request_labels::RequestLabels;
 pub use sidecar_metrics::SidecarMetrics;
 
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -3,6 +3,7 @@
 
 use std::net::SocketAddr;
 use std::path::Path;
+use std::sync::Arc;
 use std::time::Duration;
 
 use serde_json::Value;
@@ -10,10 +11,13 @@
 use super::BoundSettings;
 use super::ListenSettings;
 use super::LogSettings;
+use super::MemorySettings;
 use super::Section;
 use super::SettingsError;
 use super::section::read_json;
+use crate::http::ByteBudget;
 use crate::http::ClientTimeouts;
+use crate::http::ReaderLimits;
 
 /// Time to connect to a server. Round trips between zones take milliseconds. A
 /// lost SYN packet, which Linux retransmits after 1 s, exceeds this time; the
@@ -29,9 +33,21 @@
 /// sets shorter timeouts of its own.
 const MAX_RESPONSE_WAIT: Duration = Duration::from_secs(600);
 
-/// Fraction of the memory limit that request bodies may take.
+/// Fraction of the memory limit that bodies may take without shares.
 const BODY_MEMORY_FRACTION: f64 = 0.25;
 
+/// Fraction of the memory limit that everything held for callers may take with shares.
+/// A gateway takes 17 to 34 MB besides, and a body that states no length up to twice
+/// its size.
+const HELD_MEMORY_FRACTION: f64 = 0.5;
+
+/// Buffers of a connection of a caller and of the connection to its server, in bytes.
+const CONNECTION_BYTES: usize = 64 * 1024;
+
+/// Receive buffer of a connection to a server, in bytes; the kernel doubles it. Holds
+/// what a server sends while its call's caller reads slowly.
+const RECEIVE_BUFFER_BYTES: u32 = 64 * 1024;
+
 /// Descriptors reserved for files and for connections that serve no client's
 /// request. The others are split evenly between connections from clients and
 /// to servers.
@@ -65,6 +81,8 @@
     pub bounds: BoundSettings,
     /// Names of the optional features of the deployment; unknown names are ignored.
     pub options: Vec<String>,
+    /// What the gateway may hold for its callers.
+    pub memory: MemorySettings,
     /// Level and format of the log.
     pub log: LogSettings,
 }
@@ -111,17 +129,50 @@
         }
     }
 
-    /// Returns the memory limit on the bodies of all requests together, in
-    /// bytes.
+    /// Returns whether accounts and connections have shares of the memory, and callers
+    /// that stop reading are disconnected.
+    pub fn has_memory_shares(&self) -> bool {
+        self.memory.is_enabled || self.has_option("pressure")
+    }
+
+    /// Returns the memory limit on everything that is held for callers, in bytes,
+    /// without the buffers of connections.
     pub fn max_buffered_bytes(&self) -> usize {
+        if self.has_memory_shares() {
+            return self.max_held_bytes() - self.max_connections() * CONNECTION_BYTES;
+        }
         let bytes = self.memory_mb as f64 * 1e6 * BODY_MEMORY_FRACTION;
         bytes as usize
     }
 
-    /// Returns the limit on simultaneous connections from clients; at least 16.
+    /// Returns the memory limit on everything that is held for callers with shares.
+    fn max_held_bytes(&self) -> usize {
+        (self.memory_mb as f64 * 1e6 * HELD_MEMORY_FRACTION) as usize
+    }
+
+    /// Returns the limit on simultaneous connections from clients; at least 16. With
+    /// shares, their buffers take at most half of what may be held.
     pub fn max_connections(&self) -> usize {
         let descriptors = usize::try_from(self.descriptors).unwrap_or(usize::MAX);
-        (descriptors.saturating_sub(RESERVED_DESCRIPTORS) / 2).max(16)
+        let connections = descriptors.saturating_sub(RESERVED_DESCRIPTORS) / 2;
+        let by_memory = if self.has_memory_shares() {
+            self.max_held_bytes() / 2 / CONNECTION_BYTES
+        } else {
+            usize::MAX
+        };
+        connections.min(by_memory).max(16)
+    }
+
+    /// Returns the receive buffer of connections to servers; `None` leaves it to the
+    /// kernel.
+    pub fn receive_buffer_bytes(&self) -> Option<u32> {
+        self.has_memory_shares().then_some(RECEIVE_BUFFER_BYTES)
+    }
+
+    /// Returns the limits on callers that read slowly, if there are any.
+    pub fn reader_limits(&self, budget: &Arc<ByteBudget>) -> Option<ReaderLimits> {
+        self.has_memory_shares()
+            .then(|| self.memory.reader_limits(budget))
     }
 
     /// Returns whether the deployment has the optional feature `name`.
@@ -143,6 +194,7 @@
             stop_timeout: Duration::from_secs_f64(stop_s.clamp(0.1, 3_600.0)),
             bounds: section.take_section("bounds", BoundSettings::read),
             options: section.take("options", Vec::new()),
+            memory: section.take_section("memory", MemorySettings::read),
             log: section.take_section("log", LogSettings::read),
         }
     }
--- a/src/settings/sidecar.rs
+++ b/src/settings/sidecar.rs
@@ -2,14 +2,18 @@
 
 use std::net::SocketAddr;
 use std::path::Path;
+use std::sync::Arc;
 
 use serde_json::Value;
 
 use super::ListenSettings;
 use super::LogSettings;
+use super::MemorySettings;
 use super::Section;
 use super::SettingsError;
 use super::section::read_json;
+use crate::http::ByteBudget;
+use crate::http::ReaderLimits;
 
 /// Settings of a sidecar, which manages the engine on its host.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -25,6 +29,10 @@
     pub metrics: Option<SocketAddr>,
     /// Address on which the engine accepts calls.
     pub engine: SocketAddr,
+    /// Names of the optional features of the deployment; unknown names are ignored.
+    pub options: Vec<String>,
+    /// Whether readers that stop reading are disconnected, and when.
+    pub memory: MemorySettings,
     /// Level and format of the log.
     pub log: LogSettings,
 }
@@ -48,6 +56,13 @@
         Section::read_root(value.clone(), Self::read)
     }
 
+    /// Returns the limits on readers of the metrics that read slowly, if there are any.
+    pub fn reader_limits(&self, budget: &Arc<ByteBudget>) -> Option<ReaderLimits> {
+        let is_enabled =
+            self.memory.is_enabled || self.options.iter().any(|option| option == "pressure");
+        is_enabled.then(|| self.memory.reader_limits(budget))
+    }
+
     fn read(section: &mut Section) -> Self {
         Self {
             name: section.take_required("name", String::new()),
@@ -55,6 +70,8 @@
             listen: section.take_required("listen", ListenSettings::placeholder_address()),
             metrics: section.take_optional("metrics"),
             engine: section.take_required("engine", ListenSettings::placeholder_address()),
+            options: section.take("options", Vec::new()),
+            memory: section.take_section("memory", MemorySettings::read),
             log: section.take_section("log", LogSettings::read),
         }
     }
--- a/src/settings/traffic.rs
+++ b/src/settings/traffic.rs
@@ -112,6 +112,7 @@
             head_timeout: self.head_timeout,
             dead_peer_timeout: self.body_timeout,
             drain_timeout: self.drain_timeout,
+            reader: None,
         }
     }
 
--- a/src/sidecar/run.rs
+++ b/src/sidecar/run.rs
@@ -12,6 +12,8 @@
 use super::reconcile_engine::reconcile_engine;
 use super::sidecar_service::SidecarService;
 use super::status_pages::serve_status_page;
+use crate::http::ByteBudget;
+use crate::http::ServerLimits;
 use crate::http::serve;
 use crate::http::status_page_limits;
 use crate::mesh::serve_mesh;
@@ -91,8 +93,14 @@
     stop: &watch::Receiver<bool>,
 ) -> Result<(), StartError> {
     let listener = open_tokio_listener(address)?;
+    // Readers of metrics are all that a sidecar holds bytes for.
+    let budget = Arc::new(ByteBudget::new(0));
+    let limits = ServerLimits {
+        reader: cx.settings.reader_limits(&budget),
+        ..status_page_limits()
+    };
     let (cx, stop) = (Arc::clone(cx), stop.clone());
     let handle = move |req, _caller| serve_status_page(Arc::clone(&cx), req);
-    tokio::spawn(serve(listener, status_page_limits(), handle, stop));
+    tokio::spawn(serve(listener, limits, handle, stop));
     Ok(())
 }
--- /dev/null
+++ b/tests/fleet_held_bytes.rs
@@ -0,0 +1,199 @@
+//! Tests what a process may hold for its callers, without network.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use proptest::prelude::*;
+use rstest::rstest;
+use slotmap::SlotMap;
+use teaseldrum::core::AccountName;
+use teaseldrum::core::MonotonicTime;
+use teaseldrum::core::fleet::BackendKey;
+use teaseldrum::core::fleet::HeldBytes;
+use teaseldrum::core::fleet::HoldDecision;
+use teaseldrum::core::fleet::HoldPurpose;
+use teaseldrum::core::fleet::Holder;
+use teaseldrum::core::fleet::ReaderProgress;
+use teaseldrum::core::fleet::ServerBytes;
+
+const MB: usize = 1_000_000;
+
+/// Returns a connection of an account. Accounts share no connections.
+fn holder(account: &str, port: u16) -> Holder {
+    let host = account
+        .bytes()
+        .fold(0_u32, |host, byte| host.wrapping_mul(31) + u32::from(byte));
+    Holder {
+        account: (!account.is_empty()).then(|| AccountName::from(account)),
+        connection: Some(SocketAddr::from((host.to_be_bytes(), port))),
+    }
+}
+
+/// Reserves in steps of `bytes` on ever new connections until it is refused or has to
+/// wait. Returns what is held then.
+fn fill(held: &mut HeldBytes, account: &str, bytes: usize, purpose: HoldPurpose) -> usize {
+    let mut own = 0;
+    for port in 1..=u16::MAX {
+        if held.reserve(&holder(account, port), bytes, purpose) != HoldDecision::Held {
+            break;
+        }
+        own += bytes;
+    }
+    own
+}
+
+/// Guards against one account that takes the memory of the others: bodies of one account
+/// on any number of connections leave room for a body and a response of another.
+#[rstest]
+#[case::one_account(1)]
+#[case::several_accounts(6)]
+fn reserve_leaves_room_for_other_accounts(#[case] hogs: usize) {
+    let mut held = HeldBytes::with_shares(80 * MB);
+    for hog in 0..hogs {
+        fill(
+            &mut held,
+            &format!("hog-{hog}"),
+            MB / 4,
+            HoldPurpose::NewBody,
+        );
+    }
+    let other = holder("other", 1);
+    let body = held.reserve(&other, MB, HoldPurpose::NewBody);
+    assert_eq!(body, HoldDecision::Held);
+    let response = held.reserve(&other, MB, HoldPurpose::RunningCall);
+    assert_eq!(response, HoldDecision::Held);
+}
+
+/// Guards against running calls that fail because new bodies took the whole budget.
+#[test]
+fn reserve_new_bodies_leave_room_for_running_calls() {
+    let mut held = HeldBytes::with_shares(80 * MB);
+    for account in 0..200 {
+        fill(
+            &mut held,
+            &account.to_string(),
+            MB / 4,
+            HoldPurpose::NewBody,
+        );
+    }
+    assert!(held.total() <= 60 * MB);
+    let running = held.reserve(&holder("0", 1), MB / 100, HoldPurpose::RunningCall);
+    assert_eq!(running, HoldDecision::Held);
+}
+
+/// Guards against running calls of an account over its share that never end: a small
+/// chunk for a connection that holds none is always held within the budget.
+#[test]
+fn reserve_small_chunk_over_share() {
+    let mut held = HeldBytes::with_shares(80 * MB);
+    fill(&mut held, "hog", MB, HoldPurpose::RunningCall);
+    let waiting = held.reserve(&holder("hog", 9_000), MB, HoldPurpose::RunningCall);
+    assert_eq!(waiting, HoldDecision::Wait);
+    let chunk = held.reserve(&holder("hog", 9_000), 16 * 1_024, HoldPurpose::RunningCall);
+    assert_eq!(chunk, HoldDecision::Held);
+}
+
+/// Guards against one connection that takes the share of its whole account, and against
+/// waiting for room that there never is.
+#[test]
+fn reserve_bounds_connection() {
+    let mut held = HeldBytes::with_shares(80 * MB);
+    let own = holder("a", 1);
+    let body = held.reserve(&own, 8 * MB, HoldPurpose::NewBody);
+    assert_eq!(body, HoldDecision::Held);
+    let response = held.reserve(&own, 8 * MB, HoldPurpose::RunningCall);
+    assert_eq!(response, HoldDecision::Held);
+    let more = held.reserve(&own, 16 * MB, HoldPurpose::RunningCall);
+    assert_eq!(more, HoldDecision::Refuse);
+}
+
+/// Guards against shares where the feature is off: then one account may take everything,
+/// and what does not fit is refused at once.
+#[test]
+fn reserve_without_shares() {
+    let mut held = HeldBytes::without_shares(10);
+    let own = holder("a", 1);
+    assert_eq!(
+        held.reserve(&own, 10, HoldPurpose::NewBody),
+        HoldDecision::Held
+    );
+    let refused = held.reserve(&own, 1, HoldPurpose::RunningCall);
+    assert_eq!(refused, HoldDecision::Refuse);
+    held.release(&own, 10, HoldPurpose::NewBody);
+    assert_eq!(held.total(), 0);
+}
+
+proptest! {
+    /// Guards against bytes beyond the budget, and against counts that remain or are lost
+    /// in any order of reservations and releases.
+    #[test]
+    fn reserve_and_release_any_order(
+        steps in prop::collection::vec((0_u16..5, 1_u16..9, 1_usize..200_000, any::<bool>(), any::<bool>()), 1..300),
+    ) {
+        let mut held = HeldBytes::with_shares(MB);
+        let mut open: Vec<(Holder, usize, HoldPurpose)> = Vec::new();
+        for (account, port, bytes, is_new, releases) in steps {
+            if releases && !open.is_empty() {
+                let (holder, bytes, purpose) = open.swap_remove(bytes % open.len());
+                held.release(&holder, bytes, purpose);
+            }
+            let own = holder(&account.to_string(), port);
+            let purpose = if is_new { HoldPurpose::NewBody } else { HoldPurpose::RunningCall };
+            if held.reserve(&own, bytes, purpose) == HoldDecision::Held {
+                open.push((own, bytes, purpose));
+            }
+            let sum: usize = open.iter().map(|(_, bytes, _)| bytes).sum();
+            prop_assert_eq!(held.total(), sum);
+            prop_assert!(held.total() <= MB);
+        }
+        for (holder, bytes, purpose) in open.drain(..) {
+            held.release(&holder, bytes, purpose);
+        }
+        prop_assert_eq!(held.total(), 0);
+        prop_assert_eq!(held.count_holders(), (0, 0));
+    }
+}
+
+/// Guards against slow but steady readers that are disconnected, and against readers
+/// that stopped and are not.
+#[test]
+fn reader_progress_slow_and_stopped() {
+    let timeout = Duration::from_secs(10);
+    let at = |s| MonotonicTime::ZERO + Duration::from_secs(s);
+    let mut reader = ReaderProgress::new(timeout);
+    assert_eq!(reader.time_left(at(100)), None);
+    for s in (100..200).step_by(9) {
+        reader.record_blocked(at(s));
+        reader.record_blocked(at(s + 8));
+        assert!(!reader.has_stopped(at(s + 9)));
+        reader.record_progress();
+    }
+    reader.record_blocked(at(300));
+    reader.record_blocked(at(309));
+    assert_eq!(reader.time_left(at(309)), Some(Duration::from_secs(1)));
+    assert!(reader.has_stopped(at(310)));
+}
+
+/// Guards against servers that are sent more than they hold, and against a server that
+/// is never sent anything because many processes share it.
+#[rstest]
+#[case::plain_server(None, 1_000)]
+#[case::engine(Some(500), 2_000)]
+fn server_bytes_bounded_by_capacity(#[case] tokens: Option<u64>, #[case] capacity: u64) {
+    let mut keys = SlotMap::<BackendKey, ()>::with_key();
+    let (server, other) = (keys.insert(()), keys.insert(()));
+    let mut outstanding = ServerBytes::new(1_000);
+    assert!(!outstanding.has_room(server, capacity + 1, tokens, 1));
+    assert!(outstanding.has_room(server, capacity, tokens, 50));
+    let mut sent = 0;
+    while outstanding.has_room(server, 100, tokens, 4) {
+        outstanding.begin(server, 100);
+        sent += 100;
+    }
+    assert!(sent * 4 <= capacity && (sent + 100) * 4 > capacity);
+    assert!(outstanding.has_room(other, 100, tokens, 4));
+    for _ in 0..sent / 100 {
+        outstanding.end(server, 100);
+    }
+    assert_eq!(outstanding.outstanding(server), 0);
+}
--- a/tests/http_server.rs
+++ b/tests/http_server.rs
@@ -34,6 +34,7 @@
         head_timeout: Duration::from_secs(5),
         dead_peer_timeout: Duration::from_secs(5),
         drain_timeout: Duration::from_secs(5),
+        reader: None,
     }
 }
 
