Let the soak's gateways meet callers that do not read

The soak had only callers that read each response at once, so stopped readers and shares of the memory never met its faults. 40 callers now send requests that no route matches and read nothing; gateways run with memory.enabled.

--- a/lab/src/soak/mod.rs
+++ b/lab/src/soak/mod.rs
@@ -7,6 +7,7 @@
 mod fault_link;
 mod process;
 mod run;
+mod slow_reader;
 mod traffic;
 
 pub use check::CallKind;
--- a/lab/src/soak/process.rs
+++ b/lab/src/soak/process.rs
@@ -63,6 +63,16 @@
         Ok(())
     }
 
+    /// Returns the most memory that the running process has had, in kilobytes.
+    pub fn peak_memory_kb(&self) -> Option<u64> {
+        let id = self.child.as_ref()?.id();
+        let status = fs::read_to_string(format!("/proc/{id}/status")).ok()?;
+        let line = status
+            .lines()
+            .find_map(|line| line.strip_prefix("VmHWM:"))?;
+        line.trim().strip_suffix(" kB")?.parse().ok()
+    }
+
     /// Tells whether the process runs.
     pub fn is_running(&mut self) -> bool {
         let is_running = match &mut self.child {
--- a/lab/src/soak/run.rs
+++ b/lab/src/soak/run.rs
@@ -61,6 +61,9 @@
 /// Time for each caller to end its last call.
 const LAST_CALL_TIMEOUT: Duration = Duration::from_secs(9);
 
+/// Callers that do not read.
+const SLOW_READERS: usize = 40;
+
 /// Time between two checks of whether gateways have ended or serve.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -96,6 +99,10 @@
     pub runs: usize,
     /// Number of faults injected.
     pub faults: usize,
+    /// Connections of callers that do not read which gateways ended.
+    pub cut_off_readers: u64,
+    /// Most memory of a gateway that ran at the end, in kilobytes.
+    pub peak_memory_kb: u64,
     /// Violations of guarantees.
     pub broken: Vec<Violation>,
 }
@@ -184,6 +191,7 @@
                 "name": name, "zone": "a", "agent_port": 1, "store": link.address(),
                 "seeds": seeds, "stop_timeout_s": 8.0,
                 "listen": {"traffic": traffic, "health": health, "peers": peers},
+                "memory": {"enabled": true, "reader_timeout_ms": 1_500},
                 "bounds": {"retry_ratio": 1.0, "retry_extra": 10_000.0, "retry_window_s": 10.0},
             });
             let process = GatewayProcess::prepare(&plan.program, &plan.folder, &name, &settings)?;
@@ -228,6 +236,11 @@
                 tokio::spawn(traffic.run_caller(number, rng.random()))
             })
             .collect();
+        let cut_off = Arc::new(AtomicU64::new(0));
+        for _ in 0..SLOW_READERS {
+            let (traffic, cut_off) = (Arc::clone(&self.traffic), Arc::clone(&cut_off));
+            tokio::spawn(traffic.run_slow_reader(cut_off, rng.random()));
+        }
         let started_at = Instant::now();
         let mut running_faults = Vec::new();
         for planned_fault in &faults {
@@ -243,6 +256,9 @@
             fault.await.map_err(io::Error::other)??;
         }
         let not_recovered = self.await_recovery().await;
+        let peaks =
+            (0..self.processes.len()).filter_map(|gateway| self.process(gateway).peak_memory_kb());
+        let peak_memory_kb = peaks.max().unwrap_or(0);
         let undisturbed_drains = self.drain_each_undisturbed().await?;
         self.traffic.is_stopped.store(true, Ordering::Relaxed);
         for caller in callers {
@@ -271,6 +287,8 @@
             served: observed.calls.iter().filter(is_success).count(),
             runs: observed.runs.len(),
             faults: faults.len(),
+            cut_off_readers: cut_off.load(Ordering::Relaxed),
+            peak_memory_kb,
             broken: check_guarantees(&observed),
         })
     }
