Use no connection again after a response that names no request

A second copy of a refusal or error without a request id, sent late, was taken for the response to the next call on the connection: a call that ran was reported as not run, which may run it twice. Such connections are now closed after the response. Copies that name a request are found by their id.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -249,6 +249,9 @@
         .ports
         .dialect
         .read_response(exchange.status(), exchange.headers());
+    if metadata.call_id.is_none() {
+        exchange.forbid_reuse();
+    }
     if let Some(pause) = metadata.pause {
         record_pause(cx, &choice, pause);
     }
--- a/src/http/exchange.rs
+++ b/src/http/exchange.rs
@@ -29,6 +29,7 @@
     address: SocketAddr,
     client: Client,
     read_timeout: Duration,
+    is_reusable: bool,
 }
 
 impl Exchange {
@@ -47,6 +48,7 @@
             address,
             read_timeout: client.read_timeout(),
             client,
+            is_reusable: true,
         }
     }
 
@@ -60,6 +62,13 @@
         &self.headers
     }
 
+    /// Closes the connection after this response instead of using it again. If a second
+    /// copy of a response that names no request arrived late, it would be taken for the
+    /// response to the next request.
+    pub fn forbid_reuse(&mut self) {
+        self.is_reusable = false;
+    }
+
     /// Sets the timeout between two chunks of the body.
     pub fn set_read_timeout(&mut self, read_timeout: Duration) {
         self.read_timeout = read_timeout;
@@ -151,6 +160,9 @@
     fn return_connection(&mut self) {
         if let Some(connection) = self.connection.take() {
             connection.end_request();
+            if !self.is_reusable {
+                return;
+            }
             let server_idle_time = parse_keep_alive_timeout(&self.headers);
             self.client
                 .return_connection(self.address, connection, server_idle_time);
