--- a/lab/src/soak/mod.rs
+++ b/lab/src/soak/mod.rs
@@ -8,6 +8,7 @@
 mod process;
 mod rollout;
 mod run;
+mod slow_reader;
 mod traffic;
 
 pub use check::CallKind;
--- a/lab/src/soak/run.rs
+++ b/lab/src/soak/run.rs
@@ -67,6 +67,9 @@
 /// Time for each caller to end its last call.
 const LAST_CALL_TIMEOUT: Duration = Duration::from_secs(9);
 
+/// Callers that do not read.
+const SLOW_READERS: usize = 40;
+
 /// Time between two checks of whether gateways have ended or serve.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -106,6 +109,10 @@
     pub runs: usize,
     /// Number of faults injected.
     pub faults: usize,
+    /// Connections of callers that do not read which gateways ended.
+    pub cut_off_readers: u64,
+    /// Most memory of a gateway that ran at the end, in kilobytes.
+    pub peak_memory_kb: u64,
     /// Violations of guarantees.
     pub broken: Vec<Violation>,
 }
@@ -205,6 +212,7 @@
                 },
                 // Both ways of serving calls have to keep the guarantees.
                 "admission": {"enabled": plan.seed.is_multiple_of(2)},
+                "memory": {"enabled": true, "reader_timeout_ms": 1_500},
             });
             let process = GatewayProcess::prepare(&plan.program, &plan.folder, &name, &settings)?;
             processes.push(Mutex::new(process));
@@ -250,6 +258,11 @@
                 tokio::spawn(traffic.run_caller(number, rng.random()))
             })
             .collect();
+        let cut_off = Arc::new(AtomicU64::new(0));
+        for _ in 0..SLOW_READERS {
+            let (traffic, cut_off) = (Arc::clone(&self.traffic), Arc::clone(&cut_off));
+            tokio::spawn(traffic.run_slow_reader(cut_off, rng.random()));
+        }
         let started_at = Instant::now();
         let soak = Arc::clone(&self);
         let planned = PlannedRollout::draw(plan.seed, plan.duration);
@@ -269,6 +282,9 @@
         }
         let not_recovered = self.await_recovery().await;
         let rollout = rollout.await.map_err(io::Error::other)?;
+        let peaks =
+            (0..self.processes.len()).filter_map(|gateway| self.process(gateway).peak_memory_kb());
+        let peak_memory_kb = peaks.max().unwrap_or(0);
         let undisturbed_drains = self.drain_each_undisturbed().await?;
         self.traffic.is_stopped.store(true, Ordering::Relaxed);
         for caller in callers {
@@ -298,6 +314,8 @@
             served: observed.calls.iter().filter(is_success).count(),
             runs: observed.runs.len(),
             faults: faults.len(),
+            cut_off_readers: cut_off.load(Ordering::Relaxed),
+            peak_memory_kb,
             broken: check_guarantees(&observed),
         })
     }
--- a/src/gateway/serve_call.rs
+++ b/src/gateway/serve_call.rs
@@ -25,11 +25,11 @@
 use super::attempt::UNREACHABLE;
 use super::call_log::CallLog;
 use super::call_progress::CallProgress;
+use super::choose_with_room::choose_with_room;
 use super::context::GatewayContext;
 use super::hedged_attempt::attempt_hedged;
 use super::read_call::Call;
 use super::read_call::read_call;
-use super::share_quarantine::digest_if_needed;
 use super::share_quarantine::record_completion;
 use super::stream_keepers::find_stream_build;
 use super::stream_relay::StreamRelay;
@@ -38,7 +38,6 @@
 use crate::core::fleet::Build;
 use crate::core::fleet::CallRefusal;
 use crate::core::fleet::DispatchError;
-use crate::core::fleet::DispatchRequest;
 use crate::core::fleet::StreamKey;
 use crate::http::BodyAborted;
 use crate::http::HttpBody;
@@ -291,18 +290,7 @@
     progress: &CallProgress,
     avoid: &[BackendKey],
 ) -> Result<BackendChoice, CallRefusal> {
-    let now = cx.now();
-    let tried = [&progress.tried, avoid].concat();
-    let req = DispatchRequest {
-        tried: &tried,
-        ..call.dispatch_request(progress)
-    };
-    let digest = digest_if_needed(cx, call);
-    let (route, is_first) = (&call.route.name, progress.tried.is_empty());
-    let chosen = cx
-        .lock()
-        .choose_permitted(&req, route, is_first, digest, now);
-    chosen.map_err(refusal_for_error)
+    choose_with_room(cx, call, progress, avoid).map_err(refusal_for_error)
 }
 
 /// Returns the refusal of a call for which no server was chosen.
--- a/src/gateway/status_pages.rs
+++ b/src/gateway/status_pages.rs
@@ -28,6 +28,7 @@
             if let Some(admission) = &cx.lock().admission {
                 cx.metrics.admission.set_gauges(&admission.read_gauges(now));
             }
+            cx.metrics.set_memory(&cx.byte_budget.read_gauges());
             (StatusCode::OK, cx.metrics.encode(&gauges))
         }
         _ => (StatusCode::NOT_FOUND, "no such page\n".into()),
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -13,6 +13,7 @@
 pub use entry_metrics::EntryMetrics;
 pub use gateway_metrics::GatewayGauges;
 pub use gateway_metrics::GatewayMetrics;
+pub use gateway_metrics::MemoryGauges;
 pub use mesh_metrics::MeshLabels;
 pub use mesh_metrics::MeshMetrics;
 pub use request_labels::RequestLabels;
