Keep the status when a newer order extends a rollout

A second order with the same target wrote the status 'running' again, which is to be written once for each state. The leader now knows which status the store holds.

--- a/src/core/fleet/version_rollout/rollout_leader.rs
+++ b/src/core/fleet/version_rollout/rollout_leader.rs
@@ -114,6 +114,9 @@
     known_age_at: MonotonicTime,
     record: RolloutRecord,
     stored: Option<RolloutRecord>,
+    /// End of the rollout in the status in the store, or that it runs; `None` if the
+    /// status is not that of this rollout.
+    written_status: Option<Option<RolloutPhase>>,
     /// Calls granted by earlier leaders to entries that have not reported to this one.
     inherited: u64,
     entries: HashMap<(String, u64), EntryState>,
@@ -166,6 +169,7 @@
             known_age: age,
             known_age_at: now,
             inherited: record.granted_bound,
+            written_status: is_stored.then(|| end_of(&record)),
             stored: is_stored.then(|| record.clone()),
             record,
             entries: HashMap::new(),
@@ -185,6 +189,12 @@
         leader
     }
 
+    /// Records that the store holds the status of this target, since the order extends
+    /// one that runs.
+    pub fn keep_status(&mut self) {
+        self.written_status = Some(None);
+    }
+
     /// Returns the fencing token.
     pub fn fence(&self) -> u64 {
         self.fence
@@ -232,8 +242,7 @@
         if stored == Some(&self.record) {
             return None;
         }
-        let state_of = |record: &RolloutRecord| record.phase.is_final().then_some(record.phase);
-        let has_new_status = stored.map(state_of) != Some(state_of(&self.record));
+        let has_new_status = self.written_status != Some(end_of(&self.record));
         Some((self.record.clone(), has_new_status))
     }
 
@@ -244,6 +253,7 @@
             self.whole_since = Some(now);
             self.evidence.start_whole(now);
         }
+        self.written_status = Some(end_of(&record));
         self.stored = Some(record);
     }
 
@@ -259,7 +269,10 @@
         }
         match stored {
             Some(record) => self.confirm_write(record, now),
-            None => self.stored = None,
+            None => {
+                self.stored = None;
+                self.written_status = None;
+            }
         }
     }
 
@@ -697,3 +710,8 @@
         &self.record.given_up
     }
 }
+
+/// Returns the phase of a rollout that has ended.
+fn end_of(record: &RolloutRecord) -> Option<RolloutPhase> {
+    record.phase.is_final().then_some(record.phase)
+}
--- a/src/gateway/lead_rollouts.rs
+++ b/src/gateway/lead_rollouts.rs
@@ -612,6 +612,9 @@
             let rollout = state.rollouts.find(&self.service);
             rollout.map_or(Vec::new(), |rollout| rollout.given_up().to_vec())
         };
+        let extends = stored
+            .as_ref()
+            .is_some_and(|record| record.target == order.target && !record.phase.is_final());
         let is_stored = stored.as_ref().is_some_and(|record| record.is_of(order));
         let record = match stored {
             Some(record) if is_stored => record,
@@ -636,7 +639,11 @@
             share: bounds.rollout_exposure_share,
             slack: bounds.rollout_exposure_slack,
         };
-        let leader = RolloutLeader::new(order.clone(), record, is_stored, fence, age, bounds, now);
+        let mut leader =
+            RolloutLeader::new(order.clone(), record, is_stored, fence, age, bounds, now);
+        if extends {
+            leader.keep_status();
+        }
         let led = LedRollout {
             leader,
             claim: self.claim,
