--- a/tests/fleet_zone_relays.rs
+++ b/tests/fleet_zone_relays.rs
@@ -15,18 +15,22 @@
 use teaseldrum::core::AccountName;
 use teaseldrum::core::MonotonicTime;
 use teaseldrum::core::fleet::AccountRule;
+use teaseldrum::core::fleet::AliveRun;
 use teaseldrum::core::fleet::Exchange;
 use teaseldrum::core::fleet::ExchangePlan;
 use teaseldrum::core::fleet::FleetQuota;
 use teaseldrum::core::fleet::HeardEntry;
 use teaseldrum::core::fleet::MAX_DIRECT_ENTRIES;
 use teaseldrum::core::fleet::PeerUsage;
+use teaseldrum::core::fleet::QuarantineNews;
 use teaseldrum::core::fleet::RelayLink;
 use teaseldrum::core::fleet::RelayedOutcome;
 use teaseldrum::core::fleet::RelayedUsage;
+use teaseldrum::core::fleet::RunKey;
 use teaseldrum::core::fleet::UsageCursor;
 use teaseldrum::core::fleet::UsageQuery;
 use teaseldrum::core::fleet::ZoneRelays;
+use teaseldrum::mesh::FleetNews;
 
 const STEP_MS: u64 = 5;
 const PLAN_MS: u64 = 40;
@@ -612,6 +616,7 @@
     let config = Config {
         cases,
         failure_persistence: None,
+        max_shrink_iters: 20,
         ..Config::default()
     };
     let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[18; 32]);
@@ -729,3 +734,23 @@
         .expect("heard directly");
     assert_eq!((relayed.base, relayed.admitted), (1, Vec::new()));
 }
+
+/// Guards against news that a relay makes look newer than it is, and against each relay
+/// repeating what it tells itself.
+#[test]
+fn news_passed_on_is_older_and_without_repetitions() {
+    let run = RunKey(7);
+    let age = Duration::from_millis(30);
+    let news = FleetNews {
+        quarantine: QuarantineNews {
+            alive: vec![AliveRun { run, age }],
+            ..QuarantineNews::default()
+        },
+        leaving: vec![run],
+        limits: None,
+    };
+    let passed_on = news.to_passed_on(Duration::from_millis(20));
+    assert_eq!(passed_on.leaving, []);
+    let age = Duration::from_millis(50);
+    assert_eq!(passed_on.quarantine.alive, [AliveRun { run, age }]);
+}
