End streams that send bytes but no events

Any byte of a server counted as life, so a stream whose work stood still and that sent comments kept its caller until the timeout, although it could have gone on elsewhere. Comments also counted as the first event.

--- a/src/core/fleet/mod.rs
+++ b/src/core/fleet/mod.rs
@@ -106,6 +106,7 @@
 pub use server_limits::MAX_PAUSE;
 pub use server_limits::ServerLimits;
 pub use streams::BuildHistory;
+pub use streams::EventProgress;
 pub use streams::KnownOrigin;
 pub use streams::StreamKey;
 pub use streams::StreamOrigin;
--- a/src/core/fleet/streams/mod.rs
+++ b/src/core/fleet/streams/mod.rs
@@ -1,6 +1,7 @@
 //! Remembers at which build a stream began, since it may go on only there.
 
 mod build_history;
+mod event_progress;
 mod known_origin;
 mod stream_keepers;
 mod stream_key;
@@ -9,6 +10,7 @@
 mod stream_resumption;
 
 pub use build_history::BuildHistory;
+pub use event_progress::EventProgress;
 pub use known_origin::KnownOrigin;
 pub use stream_keepers::choose_keepers;
 pub use stream_key::StreamKey;
--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -24,6 +24,7 @@
 use super::serve_call::MAX_SENDS_PER_CALL;
 use super::share_quarantine::record_completion;
 use super::stream_keepers::record_stream_start;
+use crate::core::fleet::EventProgress;
 use crate::core::fleet::HoldPurpose;
 use crate::core::fleet::StreamKey;
 use crate::core::fleet::StreamOrigin;
@@ -34,6 +35,10 @@
 /// Problem of a stream whose server is suspected dead.
 const STREAM_SILENT: &str = "stream-silent";
 
+/// Problem of a stream whose server sends bytes and no events, and that can go on at
+/// another server.
+const STREAM_STALLED: &str = "stream-stalled";
+
 /// Problem of a stream whose server sends an event without end.
 const EVENT_TOO_LARGE: &str = "event-too-large";
 
@@ -72,6 +77,7 @@
     /// When the caller last wanted events, and since when it has had none to take.
     wanted_at: Instant,
     delivered_at: Instant,
+    event_progress: EventProgress,
     first_event_at: Option<Instant>,
     last_event_id: Option<String>,
     progress: CallProgress,
@@ -98,6 +104,7 @@
             call,
             upstream: Some(upstream),
             buffer: BytesMut::new(),
+            event_progress: EventProgress::default(),
             first_event_at: None,
             last_event_id: None,
             progress,
@@ -115,7 +122,11 @@
         self.wanted_at = Instant::now();
         loop {
             if let Some(events) = self.take_events() {
-                self.record_events();
+                if has_data(&events) {
+                    let now = self.cx.now();
+                    self.event_progress.record_event(now, self.call.time_left());
+                    self.record_events();
+                }
                 self.delivered_at = Instant::now();
                 return Ok(Some(events));
             }
@@ -144,10 +155,16 @@
                         if let Some(reservation) = &mut self.reservation {
                             reservation.set_held(self.buffer.len());
                         }
-                        if self.buffer.len() <= MAX_EVENT_BYTES || self.has_event() {
+                        if self.buffer.len() > MAX_EVENT_BYTES && !self.has_event() {
+                            EVENT_TOO_LARGE
+                        } else if may_run_again
+                            && self.event_progress.is_stalled(now)
+                            && !has_data(&self.buffer)
+                        {
+                            STREAM_STALLED
+                        } else {
                             continue;
                         }
-                        EVENT_TOO_LARGE
                     }
                     Some(Ok(None)) if is_unframed_start => "ended-before-event",
                     Some(Ok(None)) if self.buffer.is_empty() => {
@@ -217,9 +234,10 @@
             && self.wanted_at.duration_since(self.delivered_at) >= MIN_READER_LAG
     }
 
-    /// Reports the connection as broken, unless the server only fell silent.
+    /// Reports the connection as broken, unless the server only fell silent or stalled.
     fn report_break(&self, problem: &str) {
         if problem != STREAM_SILENT
+            && problem != STREAM_STALLED
             && let Some((_, in_flight)) = &self.upstream
         {
             report_break(
@@ -298,6 +316,7 @@
             {
                 AttemptOutcome::Streaming(head) => {
                     self.progress.runs += 1;
+                    self.event_progress.restart();
                     self.upstream = Some((head.exchange, head.in_flight));
                     return true;
                 }
@@ -322,6 +341,13 @@
     !headers.contains_key(CONTENT_LENGTH) && !headers.contains_key(TRANSFER_ENCODING)
 }
 
+/// Returns whether there is a whole event with a field, rather than only comments.
+fn has_data(events: &[u8]) -> bool {
+    let end = find_last_match(events, EVENT_TERMINATOR).unwrap_or(0);
+    let mut lines = events[..end].split(|&byte| byte == b'\n');
+    lines.any(|line| !line.is_empty() && !line.starts_with(b":"))
+}
+
 fn find_last_match(buffer: &[u8], pattern: &[u8]) -> Option<usize> {
     buffer
         .windows(pattern.len())
