--- a/tests/fleet_zone_relays.rs
+++ b/tests/fleet_zone_relays.rs
@@ -748,6 +748,7 @@
         },
         leaving: vec![run],
         limits: None,
+        ..FleetNews::default()
     };
     let passed_on = news.to_passed_on(Duration::from_millis(20));
     assert_eq!(passed_on.leaving, []);
