--- a/src/gateway/lead_rollouts.rs
+++ b/src/gateway/lead_rollouts.rs
@@ -4,6 +4,7 @@
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::io;
+use std::mem::replace;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -178,6 +179,7 @@
         heard_entry_at: now,
         next_report_at: now,
         client: None,
+        is_report_failing: false,
         is_rewrite_due: false,
         ended_at: None,
         is_end_stored: false,
@@ -216,6 +218,8 @@
     heard_entry_at: MonotonicTime,
     next_report_at: MonotonicTime,
     client: Option<(SocketAddr, MeshClient)>,
+    /// Whether the last report failed; only the first failure is logged.
+    is_report_failing: bool,
     /// The store lacks the end of the rollout that this entry remembers.
     is_rewrite_due: bool,
     /// When this entry first saw that the rollout has ended.
@@ -784,12 +788,17 @@
         let entry_count = u32::try_from(self.cx.lock().quota.count_entries()).unwrap_or(u32::MAX);
         let interval = Duration::from_secs(1) * entry_count / MAX_REPORTS_PER_S;
         self.next_report_at = now + (interval.max(REPORT_INTERVAL) - TICK / 2);
-        if let Err(reason) = self.report_to(address).await {
+        let result = self.report_to(address).await;
+        let was_failing = replace(&mut self.is_report_failing, result.is_err());
+        if let Err(reason) = result {
+            self.client = None;
+            if was_failing {
+                return;
+            }
             log::info!(
                 "rollouts: not reported service={} leader={address} reason=\"{reason}\"",
                 self.service
             );
-            self.client = None;
         }
     }
 
