--- a/tests/fleet_admission/main.rs
+++ b/tests/fleet_admission/main.rs
@@ -135,9 +135,9 @@
     }
 }
 
-/// One account sends 4.4 times its usual load.
-fn storm() -> Vec<Burst> {
-    vec![burst(DRAFT, Some(0), 4.4), burst(LABEL, Some(0), 4.4)]
+/// One account sends many times its usual load.
+fn storm(factor: f64) -> Vec<Burst> {
+    vec![burst(DRAFT, Some(0), factor), burst(LABEL, Some(0), factor)]
 }
 
 /// Guards against entries that see the same old reports and all choose the same engine:
@@ -189,10 +189,13 @@
 }
 
 /// Guards against an account whose storm costs the others what they earn without it.
+/// Labels of others still yield to drafts of the storm: priority goes before shares.
 #[rstest]
-#[case(8)]
-#[case(9)]
-fn storm_of_one_account_costs_others_little(#[case] seed: u64) {
+#[case::usual(8, storm(4.4))]
+#[case::usual(9, storm(4.4))]
+#[case::labels(8, vec![burst(LABEL, Some(0), 20.0)])]
+#[case::labels(9, vec![burst(LABEL, Some(0), 20.0)])]
+fn storm_of_one_account_costs_others_little(#[case] seed: u64, #[case] bursts: Vec<Burst>) {
     let others = |outcomes: Vec<Outcome>| {
         let span = arrived_in(&outcomes, 3_000..8_000);
         let others: Vec<_> = span.filter(|o| o.account != 0).collect();
@@ -200,7 +203,7 @@
     };
     let without = others(Model::play(scenario(seed)));
     let with = others(Model::play(Scenario {
-        bursts: storm(),
+        bursts,
         ..scenario(seed)
     }));
     assert!(with >= without * 0.95, "{with} with, {without} without");
@@ -212,7 +215,7 @@
 #[case(10)]
 #[case(11)]
 fn all_loads_together_leave_drafts_on_time(#[case] seed: u64) {
-    let mut bursts = storm();
+    let mut bursts = storm(4.4);
     bursts.push(burst(LABEL, None, 2.2));
     let scenario = Scenario {
         silent: (6, 2_500..8_500),
@@ -498,6 +501,25 @@
     assert_eq!(engine.front(2_400)[..2], [returning, newer]);
 }
 
+/// Guards against a share that stays reserved for an entry that is not heard any more, and
+/// against one that lapses between two messages in a large fleet.
+#[test]
+fn expire_silent_peer_loses_share() {
+    let peers = |queue: &AdmissionQueue, now: u64| queue.read_gauges(at(now))[0].peers;
+    for (interval, kept_until) in [(75, 1_000), (1_700, 3_400)] {
+        let mut queue = AdmissionQueue::new("entry");
+        let demand = ServiceDemand {
+            service: "s".into(),
+            work_ms: vec![(0, 500)],
+        };
+        queue.record_demand("peer", vec![demand], at(0));
+        queue.expire(2, ms(interval), at(kept_until - 1));
+        assert_eq!(peers(&queue, kept_until), 1);
+        queue.expire(2, ms(interval), at(kept_until));
+        assert_eq!(peers(&queue, kept_until), 0);
+    }
+}
+
 /// Guards against calls that are sent to a busy engine, or held back from one that has
 /// room again.
 #[test]
