Serve requests that begin while a stop closes the listener

A stop closed connections 50 ms after the listener if no whole head had arrived: those that were just accepted, and kept ones with half a head. Their callers saw a closed connection, which guarantees nothing.

--- a/src/http/caller_stream.rs
+++ b/src/http/caller_stream.rs
@@ -23,6 +23,7 @@
 use tokio::time::sleep;
 
 use super::ReaderLimits;
+use super::caller_activity::CallerActivity;
 use super::caller_presence::CallerPresence;
 use crate::clock::Clock;
 use crate::core::fleet::ReaderProgress;
@@ -40,6 +41,7 @@
 pub(super) struct CallerStream {
     stream: TokioIo<TcpStream>,
     presence: CallerPresence,
+    activity: CallerActivity,
     reader: Option<WatchedReader>,
 }
 
@@ -53,19 +55,21 @@
 }
 
 impl CallerStream {
-    /// Wraps an accepted connection; the second value follows its caller.
+    /// Wraps an accepted connection; the other values follow its caller.
     pub fn new(
         stream: TcpStream,
         caller: SocketAddr,
         reader: Option<ReaderLimits>,
-    ) -> (Self, CallerPresence) {
+    ) -> (Self, CallerPresence, CallerActivity) {
         let presence = CallerPresence::default();
+        let activity = CallerActivity::start();
         let stream = Self {
             stream: TokioIo::new(stream),
             presence: presence.clone(),
+            activity: activity.clone(),
             reader: reader.map(|limits| WatchedReader::new(limits, caller)),
         };
-        (stream, presence)
+        (stream, presence, activity)
     }
 
     /// Returns whether the end of the caller's side has arrived, even if there is data
@@ -155,6 +159,9 @@
         buf: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
         let result = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if matches!(result, Poll::Ready(Ok(()))) {
+            self.activity.record_bytes();
+        }
         if result.is_ready() && self.is_end_announced() {
             self.presence.record_end();
         }
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -5,6 +5,7 @@
 mod body;
 mod byte_budget;
 mod byte_reservation;
+mod caller_activity;
 mod caller_left;
 mod caller_presence;
 mod caller_stream;
--- a/src/http/serve.rs
+++ b/src/http/serve.rs
@@ -16,7 +16,6 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioTimer;
-use hyper_util::server::graceful::GracefulShutdown;
 use socket2::SockRef;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
@@ -26,9 +25,11 @@
 use tokio::task::yield_now;
 use tokio::time::sleep;
 use tokio::time::timeout;
+use tokio_util::task::TaskTracker;
 
 use super::HttpBody;
 use super::ServerLimits;
+use super::caller_activity::CallerActivity;
 use super::caller_left::CallerLeft;
 use super::caller_presence::CallerPresence;
 use super::caller_stream::CallerStream;
@@ -39,6 +40,17 @@
 /// Maximum number of connections that are accepted before they are served.
 const MAX_ACCEPT_BATCH: usize = 64;
 
+/// Interval between checks whether a request is still expected on a connection that is to
+/// be closed.
+const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+
+/// Open connections of a listener, and whether they are to be closed.
+#[derive(Default)]
+struct Connections {
+    tasks: TaskTracker,
+    is_closing: watch::Sender<bool>,
+}
+
 /// Time for the connections accepted last to send their first request, before
 /// the drain closes connections without one.
 const FIRST_REQUEST_GRACE: Duration = Duration::from_millis(50);
@@ -61,7 +73,7 @@
     F: Future<Output = Response<HttpBody>> + Send + 'static,
 {
     let connection_permits = Arc::new(Semaphore::new(limits.max_connections));
-    let graceful = GracefulShutdown::new();
+    let connections = Connections::default();
     loop {
         let first = tokio::select! {
             biased;
@@ -77,7 +89,7 @@
         {
             accepted.push(next);
         }
-        spawn_connections(accepted, &limits, &handle, &graceful).await;
+        spawn_connections(accepted, &limits, &handle, &connections).await;
     }
     let mut accepted = Vec::new();
     while let Some(Ok((stream, caller))) = listener.accept().now_or_never() {
@@ -86,10 +98,12 @@
         };
         accepted.push((stream, caller, permit));
     }
-    spawn_connections(accepted, &limits, &handle, &graceful).await;
+    spawn_connections(accepted, &limits, &handle, &connections).await;
     drop(listener);
     sleep(FIRST_REQUEST_GRACE).await;
-    timeout(limits.drain_timeout, graceful.shutdown())
+    connections.is_closing.send_replace(true);
+    connections.tasks.close();
+    timeout(limits.drain_timeout, connections.tasks.wait())
         .await
         .is_ok()
 }
@@ -136,7 +150,7 @@
     accepted: Vec<(TcpStream, SocketAddr, OwnedSemaphorePermit)>,
     limits: &ServerLimits,
     handle: &H,
-    graceful: &GracefulShutdown,
+    connections: &Connections,
 ) where
     H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + 'static,
     F: Future<Output = Response<HttpBody>> + Send + 'static,
@@ -144,7 +158,7 @@
     yield_now().await;
     for (stream, caller, permit) in accepted {
         apply_socket_options(&stream, limits);
-        spawn_connection(stream, caller, permit, limits, handle.clone(), graceful);
+        spawn_connection(stream, caller, permit, limits, handle.clone(), connections);
     }
 }
 
@@ -154,30 +168,54 @@
     permit: OwnedSemaphorePermit,
     limits: &ServerLimits,
     handle: H,
-    graceful: &GracefulShutdown,
+    connections: &Connections,
 ) where
     H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + 'static,
     F: Future<Output = Response<HttpBody>> + Send + 'static,
 {
-    let (stream, presence) = CallerStream::new(stream, caller, limits.reader.clone());
+    let (stream, presence, activity) = CallerStream::new(stream, caller, limits.reader.clone());
+    let (closing, drain_activity) = (connections.is_closing.subscribe(), activity.clone());
     let service = service_fn(move |req| {
         let response = handle(req, caller);
-        respond_unless_left(response, presence.clone())
+        activity.begin_request();
+        let activity = activity.clone();
+        let response = respond_unless_left(response, presence.clone());
+        response.inspect(move |_| activity.end_request())
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.head_timeout)
         .max_buf_size(limits.max_head_bytes)
         .serve_connection(stream, service);
-    let watched = graceful.watch(connection);
-    tokio::spawn(async move {
-        if let Err(e) = watched.await {
+    connections.tasks.spawn(async move {
+        let mut connection = pin!(connection);
+        let ended = tokio::select! {
+            ended = connection.as_mut() => Some(ended),
+            () = wait_until_idle(closing, drain_activity) => None,
+        };
+        let ended = match ended {
+            Some(ended) => ended,
+            None => {
+                connection.as_mut().graceful_shutdown();
+                connection.await
+            }
+        };
+        if let Err(e) = ended {
             log::debug!("http: Connection ended: {e}.");
         }
         drop(permit);
     });
 }
 
+/// Waits until connections are to be closed and no request is expected on this one.
+async fn wait_until_idle(mut closing: watch::Receiver<bool>, activity: CallerActivity) {
+    // An error means that the server has ended, which closes connections as well.
+    let _ = closing.wait_for(|is_closing| *is_closing).await;
+    while activity.expects_request() {
+        sleep(IDLE_CHECK_INTERVAL).await;
+    }
+}
+
 /// Polls `response` as long as the caller is present.
 async fn respond_unless_left(
     response: impl Future<Output = Response<HttpBody>>,
