--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -68,7 +68,8 @@
 /// - `crossed-answer`: the response is for another call.
 /// - `not-the-servers-answer`: the response does not come from the server, or an
 ///   intermediary has changed it.
-/// - `answer-without-identity`: a successful response names no call.
+/// - `answer-without-identity`: a successful response names no call, or one on a
+///   connection that was used before.
 #[derive(Debug)]
 pub enum AttemptOutcome {
     /// Complete response, successful or not.
@@ -324,7 +325,7 @@
     if metadata.calls_per_s.is_some() && !metadata.is_misdirected {
         record_limit(cx, &choice, metadata.calls_per_s, sent_at);
     }
-    if let Some(problem) = find_response_mismatch(call, &metadata, exchange.status()) {
+    if let Some(problem) = find_response_mismatch(call, &metadata, &exchange) {
         return AttemptOutcome::Unknown(problem);
     }
     // A rejection may come from a part of the server that does not know of the limit.
@@ -442,7 +443,7 @@
 fn find_response_mismatch(
     call: &Call,
     metadata: &ResponseMetadata,
-    status: StatusCode,
+    exchange: &Exchange,
 ) -> Option<&'static str> {
     let is_other_call = metadata
         .call_id
@@ -451,6 +452,11 @@
     if is_other_call {
         return Some("crossed-answer");
     }
+    // Servers name the call in all their responses. One that names none may belong to an
+    // earlier request, even if it says that this call was not run.
+    if metadata.call_id.is_none() && exchange.has_reused_connection() {
+        return Some("answer-without-identity");
+    }
     if metadata.is_not_run {
         return None;
     }
@@ -459,7 +465,8 @@
     if !metadata.has_seal || metadata.is_encoded {
         return Some("not-the-servers-answer");
     }
-    (status.is_success() && metadata.call_id.is_none()).then_some("answer-without-identity")
+    (exchange.status().is_success() && metadata.call_id.is_none())
+        .then_some("answer-without-identity")
 }
 
 /// Records that the server responded, and its load and weights version if it
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -127,7 +127,7 @@
         while let Some(connection) = self.take_idle_connection(address) {
             let outcome = self.send_on_connection(connection, address, build());
             if let SendOutcome::Responded(exchange) = outcome.await? {
-                return Ok(exchange);
+                return Ok(exchange.on_reused_connection());
             }
         }
         let connection = self.connect(address).await?;
--- a/src/http/exchange.rs
+++ b/src/http/exchange.rs
@@ -30,6 +30,7 @@
     client: Client,
     read_timeout: Duration,
     is_reusable: bool,
+    has_reused_connection: bool,
 }
 
 impl Exchange {
@@ -49,9 +50,22 @@
             read_timeout: client.read_timeout(),
             client,
             is_reusable: true,
+            has_reused_connection: false,
         }
     }
 
+    /// Marks the connection as one that has carried other requests before.
+    pub(super) fn on_reused_connection(mut self) -> Self {
+        self.has_reused_connection = true;
+        self
+    }
+
+    /// Returns whether the connection has carried other requests before, so that the
+    /// response may be a late one to them.
+    pub fn has_reused_connection(&self) -> bool {
+        self.has_reused_connection
+    }
+
     /// Returns the status of the response.
     pub fn status(&self) -> StatusCode {
         self.status
