Weigh zones in the choice of a server

A server of another zone cost a constant, whatever a call moves and whatever the zone as a whole has room for. The dispatcher now keeps a balance for each service, fed from slots and estimated calls by zone. A call to another zone also costs its bytes times zones.cost_ms_per_mb (default 0); while the own zone is full, the share of calls that the balance sends out is spared the constant. Calls that leave and the share are metrics, and changes of the share are logged.

--- a/src/core/fleet/mod.rs
+++ b/src/core/fleet/mod.rs
@@ -119,6 +119,7 @@
 pub use routing::ReportedLoad;
 pub use routing::SpeedChange;
 pub use routing::VersionedSalt;
+pub use routing::ZoneShare;
 pub use run_key::RunKey;
 pub use server_limits::LimitNotice;
 pub use server_limits::LimitUpdate;
--- a/src/core/fleet/routing/dispatcher.rs
+++ b/src/core/fleet/routing/dispatcher.rs
@@ -38,6 +38,7 @@
 use crate::core::fleet::server_speed::WorkKind;
 use crate::core::fleet::weights::TargetHistory;
 use crate::core::fleet::weights::VersionStatus;
+use crate::core::fleet::zone_balance::ServiceZones;
 
 /// Time after this process learns of a newer version during which engines on
 /// the older one cost nothing extra, since their responses are still worth as
@@ -74,6 +75,8 @@
     pub build: Option<&'a Build>,
     /// Builds at which the call may run.
     pub builds: BuildFilter,
+    /// Length of the body, if it is known.
+    pub body_bytes: Option<u64>,
     /// Time until the caller's deadline.
     pub time_left: Duration,
 }
@@ -127,6 +130,8 @@
     pub report_age: Option<Duration>,
     /// Part of `predicted_ttft` until the server begins the call's own work.
     pub predicted_wait: Duration,
+    /// Estimated bytes that the call moves.
+    pub moved_bytes: u64,
 }
 
 /// Reason why no server was chosen.
@@ -154,7 +159,7 @@
 /// computed.
 #[derive(Debug)]
 pub struct Dispatcher {
-    zone: String,
+    pub(super) zone: String,
     pub(super) backends: SlotMap<BackendKey, BackendView>,
     keys_by_name: HashMap<ServerName, BackendKey>,
     pub(super) keys_by_service: HashMap<String, Vec<BackendKey>>,
@@ -167,6 +172,9 @@
     pub(super) service_speeds: HashMap<String, ServiceSpeed>,
     pub(super) speed_evidence: SpeedEvidence,
     hot_parts: HotParts,
+    pub(super) service_zones: HashMap<String, ServiceZones>,
+    /// Cost of a megabyte that passes between zones.
+    pub(super) zone_cost_ms_per_mb: f64,
     /// Limits that servers name on the calls of all entries together.
     pub server_limits: ServerLimits,
 }
@@ -194,6 +202,8 @@
             service_speeds: HashMap::new(),
             speed_evidence: SpeedEvidence::default(),
             hot_parts: HotParts::default(),
+            service_zones: HashMap::new(),
+            zone_cost_ms_per_mb: 0.0,
             server_limits: ServerLimits::new(name, MonotonicTime::ZERO),
         }
     }
@@ -451,6 +461,7 @@
         let keys = self.keys_by_service.get(req.service);
         let keys = keys.map_or(&[][..], Vec::as_slice);
         let speed = self.service_speeds.get(req.service);
+        let zone_cost = self.zone_cost(req);
         let mut sources: HashMap<u64, PartSources<'_>> = HashMap::new();
         let mut best: Option<(f64, BackendChoice)> = None;
         for &key in keys.iter().filter(|key| !req.tried.contains(key)) {
@@ -472,7 +483,7 @@
             let Some((cost_ms, choice)) = evaluated else {
                 continue;
             };
-            let cost_ms = cost_ms + self.silence_cost_ms(view, speed, now);
+            let cost_ms = cost_ms + self.silence_cost_ms(view, speed, now) + zone_cost.of(view);
             if best
                 .as_ref()
                 .is_none_or(|(lowest_ms, _)| cost_ms < *lowest_ms)
@@ -480,7 +491,8 @@
                 best = Some((cost_ms, choice));
             }
         }
-        let (_, choice) = best.ok_or_else(|| self.explain_no_server(keys, req, now))?;
+        let (_, mut choice) = best.ok_or_else(|| self.explain_no_server(keys, req, now))?;
+        choice.moved_bytes = req.moved_bytes();
         if choice.predicted_ttft > req.time_left.mul_f64(MAX_TTFT_SHARE) {
             return Err(DispatchError::Overloaded(choice.predicted_ttft));
         }
@@ -546,6 +558,9 @@
                 view.expect_part(namespace, part.id, now);
             }
         }
+        let has_left = view.member.zone != self.zone;
+        let service = view.member.service.clone();
+        self.record_zone(&service, choice.moved_bytes, has_left, now);
     }
 
     /// Adjusts the model's prefill time factor by the measured time to first
@@ -900,5 +915,6 @@
         load,
         report_age: view.load.report_age(now),
         predicted_wait: Duration::from_secs_f64(ttft_ms.max(0.0) / 1_000.0),
+        moved_bytes: 0,
     }
 }
--- a/src/core/fleet/routing/mod.rs
+++ b/src/core/fleet/routing/mod.rs
@@ -3,6 +3,7 @@
 mod backend_key;
 mod backend_load;
 mod backend_view;
+mod balance_zones;
 mod cached_parts;
 mod call_costs;
 mod dispatcher;
@@ -19,6 +20,7 @@
 pub use backend_load::ReportedLoad;
 pub use backend_view::AgentReport;
 pub use backend_view::BackendView;
+pub use balance_zones::ZoneShare;
 pub use cached_parts::CachedPartChange;
 pub use cached_parts::CachedParts;
 pub use dispatcher::BackendChoice;
--- a/src/core/fleet/zone_balance/service_balance.rs
+++ b/src/core/fleet/zone_balance/service_balance.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::BalanceInput;
+use super::ZoneLoad;
 use crate::core::MonotonicTime;
 
 /// Part of the own zone's capacity beyond which calls leave. The rest covers deviations.
@@ -113,9 +114,30 @@
         (weights, room)
     }
 
+    /// Returns whether the own zone has servers and its demand is beyond what they take
+    /// before calls leave.
+    pub fn is_own_zone_full(&self, input: &BalanceInput) -> bool {
+        let own = input.zones.get(&self.zone);
+        own.and_then(ZoneLoad::utilization)
+            .is_some_and(|utilization| utilization > OWN_LIMIT)
+    }
+
+    /// Returns the zone that the next call leaves for, without counting the call.
+    pub fn next_zone(&self) -> Option<&str> {
+        if self.credit + self.share() < 1.0 {
+            return None;
+        }
+        let credit_of = |zone| self.target_credits.get(zone).copied().unwrap_or_default();
+        let credits = self.targets.iter();
+        let credits = credits.map(|(zone, weight)| (zone, credit_of(zone) + weight));
+        let most = credits.max_by(|a, b| a.1.total_cmp(&b.1))?;
+        Some(most.0)
+    }
+
     /// Decides whether the next call leaves, and to which zone. Of many calls the share
     /// leaves, without a random deviation.
     pub fn choose_zone(&mut self) -> Option<String> {
+        let chosen = self.next_zone().map(str::to_owned);
         self.credit += self.share();
         if self.credit < 1.0 {
             return None;
@@ -127,11 +149,7 @@
         let targets = &self.targets;
         self.target_credits
             .retain(|zone, _| targets.contains_key(zone));
-        let most = self
-            .target_credits
-            .iter_mut()
-            .max_by(|a, b| a.1.total_cmp(b.1))?;
-        *most.1 -= 1.0;
-        Some(most.0.clone())
+        *self.target_credits.get_mut(chosen.as_ref()?)? -= 1.0;
+        chosen
     }
 }
--- a/src/gateway/read_call.rs
+++ b/src/gateway/read_call.rs
@@ -128,6 +128,7 @@
             tried: &progress.tried,
             build: progress.build.as_ref(),
             builds: BuildFilter::Any,
+            body_bytes: Some(self.body.len() as u64),
             time_left: self.time_left(),
         }
     }
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -32,6 +32,7 @@
 use super::zone_relaying::plan_zone_exchanges;
 use crate::core::fleet::CallerLimits;
 use crate::core::fleet::SpeedChange;
+use crate::core::fleet::ZoneShare;
 use crate::http::ServerLimits;
 use crate::http::serve;
 use crate::http::status_page_limits;
@@ -281,6 +282,23 @@
         state.apply_member_changes(changes, now);
         state.streams.expire(now);
         log_speed_changes(state.dispatcher.refresh_speeds(now));
+        report_zone_shares(&cx, state.dispatcher.refresh_zones(now));
+    }
+}
+
+/// Counts the calls that have left the zone, and logs shares that have changed.
+fn report_zone_shares(cx: &GatewayContext, shares: Vec<ZoneShare>) {
+    for share in shares {
+        cx.metrics
+            .record_zone_share(&share.service, share.share, share.left);
+        if let Some(before) = share.logged {
+            log::info!(
+                "zones: share that leaves service={} share={:.2} before={before:.2} left={}",
+                share.service,
+                share.share,
+                share.left
+            );
+        }
     }
 }
 
--- a/src/metrics/gateway_metrics.rs
+++ b/src/metrics/gateway_metrics.rs
@@ -1,6 +1,7 @@
 //! Metrics of a gateway.
 
 use std::fmt;
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
 use prometheus_client::encoding::EncodeLabelSet;
@@ -109,6 +110,8 @@
     rejected_rollouts: Family<ReasonLabels, Counter>,
     rollout_phases: Family<ServiceLabels, Gauge>,
     rollout_leaders: Family<ServiceLabels, Gauge>,
+    zone_left_calls: Family<ServiceLabels, Counter>,
+    zone_left_shares: Family<ServiceLabels, Gauge<f64, AtomicU64>>,
 }
 
 impl GatewayMetrics {
@@ -184,6 +187,18 @@
             "Whether this gateway leads the rollout of a service",
             rollout_leaders.clone(),
         );
+        let zone_left_calls = Family::<ServiceLabels, Counter>::default();
+        registry.register(
+            "zone_left_calls",
+            "Calls sent to servers of other availability zones",
+            zone_left_calls.clone(),
+        );
+        let zone_left_shares = Family::<ServiceLabels, Gauge<f64, AtomicU64>>::default();
+        registry.register(
+            "zone_left_share",
+            "Share of calls that is to leave the availability zone",
+            zone_left_shares.clone(),
+        );
         let prediction_errors = Family::<PredictionLabels, Histogram>::new_with_constructor(|| {
             Histogram::new(TIME_BUCKETS_S)
         });
@@ -217,6 +232,8 @@
             rejected_rollouts,
             rollout_phases,
             rollout_leaders,
+            zone_left_calls,
+            zone_left_shares,
         }
     }
 
@@ -237,6 +254,16 @@
             .set(i64::from(is_leader));
     }
 
+    /// Shows the share of a service's calls that is to leave the zone, and counts the
+    /// calls that have left.
+    pub fn record_zone_share(&self, service: &str, share: f64, left: u64) {
+        let labels = ServiceLabels {
+            service: service.to_owned(),
+        };
+        self.zone_left_shares.get_or_create(&labels).set(share);
+        self.zone_left_calls.get_or_create(&labels).inc_by(left);
+    }
+
     /// Counts a call that has ended, and records the time since the arrival of its
     /// head.
     pub fn count_call(&self, outcome: &'static str, elapsed: Duration) {
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -15,6 +15,7 @@
 use super::MemorySettings;
 use super::Section;
 use super::SettingsError;
+use super::ZoneSettings;
 use super::section::read_json;
 use crate::http::ByteBudget;
 use crate::http::ClientTimeouts;
@@ -86,6 +87,8 @@
     pub admission: AdmissionSettings,
     /// What the gateway may hold for its callers.
     pub memory: MemorySettings,
+    /// Traffic between availability zones.
+    pub zones: ZoneSettings,
     /// Level and format of the log.
     pub log: LogSettings,
 }
@@ -204,6 +207,7 @@
             options: section.take("options", Vec::new()),
             admission: section.take_section("admission", AdmissionSettings::read),
             memory: section.take_section("memory", MemorySettings::read),
+            zones: section.take_section("zones", ZoneSettings::read),
             log: section.take_section("log", LogSettings::read),
         }
     }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -19,6 +19,7 @@
 mod share;
 mod sidecar;
 mod traffic;
+mod zones;
 
 pub use admission::AdmissionSettings;
 pub use agent::AgentSettings;
@@ -40,3 +41,4 @@
 pub use share::ShareSettings;
 pub use sidecar::SidecarSettings;
 pub use traffic::TrafficSettings;
+pub use zones::ZoneSettings;
--- a/tests/fleet_admission/main.rs
+++ b/tests/fleet_admission/main.rs
@@ -605,6 +605,7 @@
         tried: &[],
         build: None,
         builds: BuildFilter::Any,
+        body_bytes: None,
         time_left: Duration::from_secs(60),
     };
     let choice = dispatcher.choose(&req, at(0)).expect("an engine is chosen");
--- a/tests/fleet_dispatch.rs
+++ b/tests/fleet_dispatch.rs
@@ -88,6 +88,7 @@
         tried: &[],
         build: None,
         builds: BuildFilter::Any,
+        body_bytes: None,
         time_left: Duration::from_secs(12),
     }
 }
--- a/tests/fleet_server_speed.rs
+++ b/tests/fleet_server_speed.rs
@@ -105,6 +105,7 @@
         tried: &[],
         build: None,
         builds: BuildFilter::Any,
+        body_bytes: None,
         time_left: Duration::from_secs(60),
     };
     dispatcher.choose(&req, now)
--- a/tests/fleet_zone_balance.rs
+++ b/tests/fleet_zone_balance.rs
@@ -2,12 +2,33 @@
 
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::time::Duration;
 
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
 use rstest::rstest;
+use serde_json::Value;
+use serde_json::json;
 use teaseldrum::core::MonotonicTime;
+use teaseldrum::core::ServerName;
+use teaseldrum::core::WeightsVersion;
+use teaseldrum::core::fleet::BackendKey;
 use teaseldrum::core::fleet::BalanceInput;
+use teaseldrum::core::fleet::Build;
+use teaseldrum::core::fleet::BuildFilter;
+use teaseldrum::core::fleet::DispatchRequest;
+use teaseldrum::core::fleet::Dispatcher;
+use teaseldrum::core::fleet::Member;
+use teaseldrum::core::fleet::MemberState;
+use teaseldrum::core::fleet::ModelName;
+use teaseldrum::core::fleet::Prompt;
+use teaseldrum::core::fleet::ReportedLoad;
 use teaseldrum::core::fleet::ServiceBalance;
 use teaseldrum::core::fleet::ZoneLoad;
+use teaseldrum::core::fleet::ZoneShare;
+use teaseldrum::settings::GatewaySettings;
 
 /// Name, slots and demand on each entry of a zone.
 type ZoneSpec = (&'static str, f64, &'static [f64]);
@@ -318,3 +339,266 @@
     balance.update(&input, MonotonicTime::from_micros(2));
     assert_eq!(balance.choose_zone().as_deref(), Some("b"));
 }
+
+/// Milliseconds between two maintenance runs.
+const TICK_MS: u64 = 500;
+
+fn at(ms: u64) -> MonotonicTime {
+    MonotonicTime::ZERO + Duration::from_millis(ms)
+}
+
+fn server(number: u8, zone: &str, slots: u32, is_engine: bool) -> Member {
+    Member {
+        name: ServerName::from(format!("s-{number}").as_str()),
+        service: "s".into(),
+        address: SocketAddr::from(([10, 0, 0, number], 8_000)),
+        zone: zone.into(),
+        slots,
+        state: MemberState::Ready,
+        models: if is_engine {
+            vec![(ModelName::from("m"), WeightsVersion(1))]
+        } else {
+            Vec::new()
+        },
+        started_at_ms: Some(1),
+        build: Build::from("v1"),
+    }
+}
+
+fn request<'a>(prompt: Option<&'a Prompt>, body_bytes: Option<u64>) -> DispatchRequest<'a> {
+    DispatchRequest {
+        service: "s",
+        prompt,
+        isolated_account: None,
+        tried: &[],
+        build: None,
+        builds: BuildFilter::Any,
+        body_bytes,
+        time_left: Duration::from_secs(60),
+    }
+}
+
+fn prompt() -> Prompt {
+    Prompt {
+        model: ModelName::from("m"),
+        parts: Vec::new(),
+        prompt_tokens: 12_000,
+        max_output_tokens: 400,
+        expected_output_tokens: 300,
+    }
+}
+
+fn report(dispatcher: &mut Dispatcher, key: BackendKey, calls: u32, now: MonotonicTime) {
+    let load = ReportedLoad {
+        running: calls,
+        ..ReportedLoad::default()
+    };
+    dispatcher.observe_load(key, load, now);
+}
+
+/// Dispatcher in zone `a` with one plain server in each zone, given by zone, slots and calls,
+/// after `ticks` maintenance runs. Returns the last shares as well.
+fn dispatcher_after(
+    servers: &[(&str, u32, u32)],
+    cost_ms_per_mb: f64,
+    ticks: u64,
+) -> (Dispatcher, Vec<ZoneShare>) {
+    let mut dispatcher = Dispatcher::new("a");
+    dispatcher.set_zone_cost(cost_ms_per_mb);
+    let mut shares = Vec::new();
+    for tick in 0..=ticks {
+        for (number, (zone, slots, calls)) in (0..).zip(servers) {
+            let key = dispatcher.upsert_member(server(number, zone, *slots, false));
+            report(&mut dispatcher, key, *calls, at(tick * TICK_MS));
+        }
+        shares = dispatcher.refresh_zones(at(tick * TICK_MS));
+    }
+    (dispatcher, shares)
+}
+
+/// Guards against calls that go elsewhere than without the balance, although traffic costs
+/// nothing and the own servers have room or there are none. In half of the cases, the
+/// own zone was full before.
+#[test]
+fn choose_own_zone_with_room_is_unchanged() {
+    for seed in 0..2_000 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let is_engine = rng.random_bool(0.5);
+        let mut with_balance = Dispatcher::new("a");
+        let mut without = Dispatcher::new("a");
+        let own_count = rng.random_range(0..4_u8);
+        let mut slots = Vec::new();
+        let mut keys = Vec::new();
+        for number in 0..own_count + rng.random_range(1..6) {
+            let zone = if number < own_count {
+                "a"
+            } else {
+                ["b", "c", ""][rng.random_range(0..3)]
+            };
+            slots.push(rng.random_range(1..64));
+            let member = server(number, zone, slots[usize::from(number)], is_engine);
+            let key = with_balance.upsert_member(member.clone());
+            keys.push((key, without.upsert_member(member)));
+        }
+        let was_full = rng.random_bool(0.5);
+        let steps = rng.random_range(2..8);
+        for step in 0..steps {
+            let now = at(step * TICK_MS);
+            for (number, (key, other_key)) in keys.iter().enumerate() {
+                let most = if number >= usize::from(own_count) {
+                    slots[number] * 2
+                } else if was_full && step + 1 < steps {
+                    slots[number] * 5
+                } else {
+                    slots[number] * 8 / 10
+                };
+                let calls = rng.random_range(0..=most);
+                report(&mut with_balance, *key, calls, now);
+                report(&mut without, *other_key, calls, now);
+            }
+            with_balance.refresh_zones(now);
+        }
+        let now = at((steps - 1) * TICK_MS);
+        let prompt = is_engine.then(prompt);
+        for _ in 0..4 {
+            let req = request(prompt.as_ref(), Some(50_000));
+            let (chosen, expected) = (with_balance.choose(&req, now), without.choose(&req, now));
+            assert_eq!(chosen, expected, "seed {seed}");
+            let chosen = chosen.expect("a server accepts calls");
+            // Counts the call, which the other dispatcher sees no more of than its load.
+            with_balance.begin_call(&chosen, prompt.as_ref(), now);
+            with_balance.end_prefill(&chosen);
+            with_balance.end_call(&chosen);
+        }
+    }
+}
+
+/// Guards against calls that leave for less than they cost, also if the balance wants them
+/// to leave, and against calls that stay at any price.
+#[rstest]
+#[case::free(0.0)]
+#[case::cheap(50.0)]
+#[case::expensive(400.0)]
+#[case::most_expensive(10_000.0)]
+fn choose_own_zone_slower_than_cost_leaves(#[case] cost_ms: f64) {
+    const SLOTS: u32 = 4;
+    let mut left_at = None;
+    for calls in 0..800 {
+        let servers = [("a", SLOTS, calls), ("b", SLOTS, 0)];
+        let (dispatcher, _) = dispatcher_after(&servers, cost_ms, 5);
+        let choice = dispatcher
+            .choose(&request(None, Some(1_000_000)), at(5 * TICK_MS))
+            .expect("a server accepts calls");
+        let slots = f64::from(SLOTS);
+        let calls = f64::from(calls);
+        // Slots are held for 70 ms, and a quarter of that spreads calls.
+        let slower_ms = (calls + 1.0 - slots).max(0.0) / slots * 70.0 + calls / slots * 17.5;
+        let has_left = choice.name == ServerName::from("s-1");
+        if has_left {
+            assert!(slower_ms >= cost_ms, "left for {slower_ms} ms");
+            left_at.get_or_insert(calls);
+        } else {
+            assert!(slower_ms <= cost_ms + 2.0, "stays for {slower_ms} ms");
+        }
+    }
+    assert!(left_at.is_some());
+}
+
+/// Guards against a share that is not applied to calls of which own and other servers
+/// cost nearly the same, or that choices which are not sent count for.
+#[test]
+fn choose_own_zone_full_share_leaves() {
+    // Of 90 calls, 5 are beyond 0.85 of the slots.
+    let servers = [("a", 100, 90), ("b", 1_000, 790)];
+    let (mut dispatcher, shares) = dispatcher_after(&servers, 0.0, 4);
+    let share = shares[0].share;
+    assert!((share - 5.0 / 90.0).abs() < 1e-9, "share {share}");
+    let now = at(4 * TICK_MS);
+    let mut left = 0;
+    for _ in 0..180 {
+        let req = request(None, None);
+        let choice = dispatcher.choose(&req, now).expect("a server");
+        assert_eq!(dispatcher.choose(&req, now).as_ref(), Ok(&choice));
+        left += u64::from(choice.name == ServerName::from("s-1"));
+        dispatcher.begin_call(&choice, None, now);
+        dispatcher.end_call(&choice);
+    }
+    assert!((9..=10).contains(&left), "{left} left");
+    assert_eq!(dispatcher.refresh_zones(now)[0].left, left);
+}
+
+/// Guards against log lines for a share that stays, and a share that begins or ends unseen.
+#[test]
+fn refresh_zones_logs_changes_once() {
+    let mut dispatcher = Dispatcher::new("a");
+    let mut logged = Vec::new();
+    for tick in 0..40 {
+        let now = at(tick * TICK_MS);
+        let calls = if (10..20).contains(&tick) { 20 } else { 1 };
+        for (number, zone, slots, calls) in [(0, "a", 10, calls), (1, "b", 100, 0)] {
+            let key = dispatcher.upsert_member(server(number, zone, slots, false));
+            report(&mut dispatcher, key, calls, now);
+        }
+        let shares = dispatcher.refresh_zones(now);
+        if let Some(before) = shares[0].logged {
+            logged.push((tick, before, shares[0].share));
+        }
+    }
+    let (first, last) = (logged[0], logged[logged.len() - 1]);
+    assert_eq!((first.0, first.1), (10, 0.0));
+    assert!(last.0 > 20 && last.2 == 0.0, "{logged:?}");
+    assert!((2..=6).contains(&logged.len()), "{logged:?}");
+}
+
+/// Guards against servers that count for the zone they were in before.
+#[test]
+fn refresh_zones_server_changes_zone() {
+    let (mut dispatcher, shares) = dispatcher_after(&[("a", 10, 1)], 100.0, 1);
+    assert_eq!(shares[0].share, 0.0);
+    dispatcher.upsert_member(server(0, "b", 10, false));
+    let now = at(2 * TICK_MS);
+    assert_eq!(dispatcher.refresh_zones(now)[0].share, 1.0);
+    let choice = dispatcher.choose(&request(None, Some(1_000_000)), now);
+    let choice = choice.expect("the server accepts calls");
+    dispatcher.begin_call(&choice, None, now);
+    assert_eq!(dispatcher.refresh_zones(now)[0].left, 1);
+}
+
+/// Nothing is sent on purpose to servers whose zone is unknown.
+#[test]
+fn refresh_zones_unnamed_zone_gets_no_share() {
+    let (_, shares) = dispatcher_after(&[("a", 10, 40), ("", 100, 0)], 0.0, 5);
+    assert_eq!(shares[0].share, 0.0);
+}
+
+/// The bytes of the answer count besides the body, and those of the prompt's tokens if the
+/// body is unknown.
+#[rstest]
+#[case::body(Some(70_000), 70_000 + 300 * 4)]
+#[case::tokens(None, 12_000 * 4 + 300 * 4)]
+fn choose_call_moves_bytes(#[case] body_bytes: Option<u64>, #[case] expected: u64) {
+    let mut dispatcher = Dispatcher::new("a");
+    dispatcher.upsert_member(server(0, "a", 10, true));
+    let prompt = prompt();
+    let choice = dispatcher.choose(&request(Some(&prompt), body_bytes), at(0));
+    assert_eq!(choice.map(|choice| choice.moved_bytes), Ok(expected));
+}
+
+/// Guards against a cost that makes the choice meaningless.
+#[rstest]
+#[case::left_out(json!({}), Some(0.0))]
+#[case::least(json!({"cost_ms_per_mb": 0}), Some(0.0))]
+#[case::most(json!({"cost_ms_per_mb": 10_000}), Some(10_000.0))]
+#[case::negative(json!({"cost_ms_per_mb": -0.1}), None)]
+#[case::absurd(json!({"cost_ms_per_mb": 10_000.1}), None)]
+#[case::no_number(json!({"cost_ms_per_mb": null}), None)]
+#[case::text(json!({"cost_ms_per_mb": "2"}), None)]
+fn parse_zone_cost(#[case] zones: Value, #[case] expected: Option<f64>) {
+    let settings = GatewaySettings::parse(&json!({
+        "name": "g", "zone": "a", "agent_port": 1, "store": "127.0.0.1:1",
+        "listen": {"traffic": "127.0.0.1:0", "health": "127.0.0.1:0", "peers": "127.0.0.1:0"},
+        "zones": zones,
+    }));
+    let cost = settings.ok().map(|settings| settings.zones.cost_ms_per_mb);
+    assert_eq!(cost, expected);
+}
