Test the cost of bytes with calls that the balance sends out

The test sent one call to each state, and the first one never leaves by the balance: a preference that also dropped the cost of the bytes passed.

--- a/tests/fleet_zone_balance.rs
+++ b/tests/fleet_zone_balance.rs
@@ -485,20 +485,25 @@
     let mut left_at = None;
     for calls in 0..800 {
         let servers = [("a", SLOTS, calls), ("b", SLOTS, 0)];
-        let (dispatcher, _) = dispatcher_after(&servers, cost_ms, 5);
-        let choice = dispatcher
-            .choose(&request(None, Some(1_000_000)), at(5 * TICK_MS))
-            .expect("a server accepts calls");
+        let (mut dispatcher, _) = dispatcher_after(&servers, cost_ms, 5);
+        let now = at(5 * TICK_MS);
         let slots = f64::from(SLOTS);
-        let calls = f64::from(calls);
+        let load = f64::from(calls);
         // Slots are held for 70 ms, and a quarter of that spreads calls.
-        let slower_ms = (calls + 1.0 - slots).max(0.0) / slots * 70.0 + calls / slots * 17.5;
-        let has_left = choice.name == ServerName::from("s-1");
-        if has_left {
-            assert!(slower_ms >= cost_ms, "left for {slower_ms} ms");
-            left_at.get_or_insert(calls);
-        } else {
-            assert!(slower_ms <= cost_ms + 2.0, "stays for {slower_ms} ms");
+        let slower_ms = (load + 1.0 - slots).max(0.0) / slots * 70.0 + load / slots * 17.5;
+        // Enough calls for one that is to leave.
+        for _ in 0..8 {
+            let choice = dispatcher
+                .choose(&request(None, Some(1_000_000)), now)
+                .expect("a server accepts calls");
+            dispatcher.begin_call(&choice, None, now);
+            dispatcher.end_call(&choice);
+            if choice.name == ServerName::from("s-1") {
+                assert!(slower_ms >= cost_ms, "left for {slower_ms} ms");
+                left_at.get_or_insert(calls);
+            } else {
+                assert!(slower_ms <= cost_ms + 2.0, "stays for {slower_ms} ms");
+            }
         }
     }
     assert!(left_at.is_some());
