Ask the seeds at the start of a gateway

After a restart, a gateway that read a store restored from an older copy accepted a withdrawn API key and used a server that had left, from its first call on, though a peer knew better (3 of 3 cases).

An entry that has not read the members gets the departures that its peer remembers, in a new last field of FleetNews. A readable store still wins over a peer that is behind.

Not measured: the start of many gateways together.

--- a/src/core/fleet/membership/directory.rs
+++ b/src/core/fleet/membership/directory.rs
@@ -9,6 +9,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::Departure;
 use super::Member;
 use super::MemberState;
 use crate::core::MonotonicTime;
@@ -79,6 +80,35 @@
         !is_old || member.state != MemberState::Ready
     }
 
+    /// Returns the servers that have left or are leaving, with the write of their records
+    /// that [`Self::accept_record`] refuses.
+    pub fn list_departures(&self) -> Vec<Departure> {
+        let departed = self.departed.keys();
+        let departed = departed.filter_map(|name| {
+            let ready_write = *self.ready_writes.get(name)?;
+            let server = name.clone();
+            Some(Departure {
+                server,
+                ready_write,
+            })
+        });
+        departed.collect()
+    }
+
+    /// Learns of departures that a peer has seen. What this entry has read itself stays.
+    pub fn learn_departures(&mut self, departures: Vec<Departure>, now: MonotonicTime) {
+        for departure in departures {
+            let Departure {
+                server,
+                ready_write,
+            } = departure;
+            if !self.ready_writes.contains_key(&server) {
+                self.ready_writes.insert(server.clone(), ready_write);
+                self.departed.insert(server, now);
+            }
+        }
+    }
+
     fn record_departure(&mut self, name: &ServerName, now: MonotonicTime) {
         self.departed.insert(name.clone(), now);
     }
--- a/src/core/fleet/membership/mod.rs
+++ b/src/core/fleet/membership/mod.rs
@@ -1,10 +1,12 @@
 //! Keeps the list of backend servers, and decides from whom an entry reads it.
 
+mod departure;
 mod directory;
 mod member;
 mod member_log;
 mod member_readers;
 
+pub use departure::Departure;
 pub use directory::Directory;
 pub use directory::MemberChange;
 pub use member::Member;
--- a/src/core/fleet/mod.rs
+++ b/src/core/fleet/mod.rs
@@ -71,6 +71,7 @@
 pub use held_bytes::Holder;
 pub use held_bytes::ReaderProgress;
 pub use held_bytes::ServerBytes;
+pub use membership::Departure;
 pub use membership::Directory;
 pub use membership::MAX_READING_ENTRIES;
 pub use membership::Member;
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -19,6 +19,7 @@
 use super::known_entries::KnownEntries;
 use super::led_rollouts::LedRollouts;
 use super::report_mesh_traffic::ReportedTraffic;
+use super::start_inquiry::StartInquiry;
 use super::state::GatewayState;
 use super::stream_keepers::StreamKeepers;
 use super::zone_relaying::ZoneRelaying;
@@ -84,6 +85,8 @@
     pub agent_connections: AgentConnections,
     /// KV cache stores that collectors follow.
     pub collected_stores: watch::Sender<HashSet<SocketAddr>>,
+    /// Seeds that are asked before the state of the store is used.
+    pub start_inquiry: StartInquiry,
     /// Entries from which this one has heard.
     pub known_entries: KnownEntries,
     /// Processes that keep the origins of streams.
@@ -129,6 +132,7 @@
             peer_fetch: tokio::sync::Mutex::default(),
             agent_connections: AgentConnections::default(),
             collected_stores: watch::channel(HashSet::new()).0,
+            start_inquiry: StartInquiry::new(&settings.seeds, settings.listen.peers),
             known_entries: KnownEntries::default(),
             stream_keepers: StreamKeepers::default(),
             rollouts: LedRollouts::default(),
@@ -207,10 +211,11 @@
     }
 
     /// Returns whether the gateway can serve calls: it has a configuration and
-    /// members, and it is not draining.
+    /// members, it has asked its seeds, and it is not draining.
     pub fn is_ready(&self) -> bool {
+        let is_held = self.is_draining() || self.start_inquiry.is_pending();
         let state = self.lock();
-        state.route_table.is_some() && state.has_members && !self.is_draining()
+        state.route_table.is_some() && state.has_members && !is_held
     }
 }
 
--- a/src/gateway/exchange_peer_state.rs
+++ b/src/gateway/exchange_peer_state.rs
@@ -172,6 +172,7 @@
         let peer = peer_state.usage.name.clone();
         let peer_sent_entries = !peer_state.known_entries.is_empty();
         let version = peer_state.configuration_version;
+        let peer_lacks_members = peer_state.newest_revisions[Area::Members.index()] == 0;
         let peer_read_store = peer_state.newest_revisions.iter().any(|newest| *newest > 0);
         self.connection.record_contact(address);
         let exchange = &self.exchange;
@@ -187,6 +188,9 @@
         if peer_sent_entries {
             own_state.known_entries = exchange.cx.known_entries.list(exchange.cx.now());
         }
+        if peer_lacks_members {
+            own_state.news.departures = exchange.cx.lock().directory.list_departures();
+        }
         own_state
     }
 }
@@ -289,6 +293,9 @@
         serve_mesh(stream, service)
     }));
     tokio::spawn(discover_seeds(Arc::clone(&cx), discovered_tx));
+    // Also ends the inquiry where the store cannot be read.
+    let inquiring = Arc::clone(&cx);
+    tokio::spawn(async move { inquiring.start_inquiry.wait().await });
     let mut exchange_tasks: HashMap<SocketAddr, JoinHandle<()>> = HashMap::new();
     while let Some(address) = discovered_rx.recv().await {
         exchange_tasks.retain(|_, task| !task.is_finished());
@@ -331,7 +338,9 @@
             last_heard_at = cx.now();
             continue;
         }
+        // A peer that starts the exchanges tells no departures.
         if !starts_exchanges
+            && !cx.start_inquiry.awaits(address)
             && exchange
                 .contacts
                 .is_recent(cx, address, max_contact_age(cx))
@@ -382,6 +391,7 @@
             // marked as stopped.
             Err(e) => log::debug!("peers: connection failed address={address} reason=\"{e}\""),
         }
+        cx.start_inquiry.record_heard(address);
         sleep(RECONNECT_DELAY).await;
     }
 }
@@ -510,6 +520,7 @@
                         fetch_missing_state(cx, client, version).await;
                     }
                 }
+                cx.start_inquiry.record_heard(contact.address);
             }
             Ok(None) => return ExchangeEnd::Lost("the process is not an entry".into()),
             Err(RpcError::Shutdown) if exchange_count == 0 && !contact.is_earlier_release => {
@@ -692,6 +703,7 @@
             .admission
             .as_ref()
             .map_or_else(Vec::new, |admission| admission.build_demand(now)),
+        departures: Vec::new(),
     };
     PeerState {
         clock_ms: read_wall_clock_ms(),
@@ -742,6 +754,8 @@
     let quarantine = take(&mut peer_state.news.quarantine);
     apply_quarantine_news(cx, quarantine, &peer_state.usage.name);
     let mut state = cx.lock();
+    let departures = take(&mut peer_state.news.departures);
+    state.directory.learn_departures(departures, now);
     for run in take(&mut peer_state.news.leaving) {
         if let Some(server) = state.dispatcher.record_leaving(run, now) {
             log::info!(
--- a/src/gateway/follow_store.rs
+++ b/src/gateway/follow_store.rs
@@ -81,6 +81,9 @@
                 }
                 retry_delay = MIN_RETRY_DELAY;
                 let is_full_read = revision.is_none();
+                if is_full_read {
+                    cx.start_inquiry.wait().await;
+                }
                 cx.lock().record_store_answer(cx.now());
                 revision = Some(update.revision);
                 let has_changes = !update.changes.is_empty();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -35,6 +35,7 @@
 mod run;
 mod serve_call;
 mod share_quarantine;
+mod start_inquiry;
 mod state;
 mod status_pages;
 mod stream_keepers;
--- a/src/gateway/read_call.rs
+++ b/src/gateway/read_call.rs
@@ -151,7 +151,9 @@
     body: Incoming,
     received_at: Instant,
 ) -> Result<Call, CallRefusal> {
+    // A peer's state may be older than the store's until both have been read.
     let table = cx.lock().route_table.clone();
+    let table = table.filter(|_| !cx.start_inquiry.is_pending());
     let table = table.ok_or(CallRefusal::NoConfiguration)?;
     let route = find_route(&table, &parts)?;
     let account = table.authenticate(&route, head.key.as_ref())?;
--- a/src/mesh/fleet_news.rs
+++ b/src/mesh/fleet_news.rs
@@ -7,6 +7,7 @@
 use serde::Serializer;
 use serde::ser::SerializeStruct;
 
+use crate::core::fleet::Departure;
 use crate::core::fleet::LimitUpdate;
 use crate::core::fleet::QuarantineNews;
 use crate::core::fleet::RolloutNews;
@@ -36,6 +37,9 @@
     /// Work that calls ask for at the sender, for services where calls wait.
     #[serde(default)]
     pub demand: Vec<ServiceDemand>,
+    /// Servers that have left, for an entry that has not read the members yet.
+    #[serde(default)]
+    pub departures: Vec<Departure>,
 }
 
 impl FleetNews {
@@ -46,6 +50,7 @@
         let mut news = self.clone();
         news.quarantine.quarantined.clear();
         news.leaving.clear();
+        news.departures.clear();
         if let Some(limits) = &mut news.limits {
             limits.notices.clear();
         }
@@ -76,6 +81,7 @@
             !self.rollouts.is_empty(),
             self.speeds.is_some(),
             !self.demand.is_empty(),
+            !self.departures.is_empty(),
         ];
         let last = filled.iter().rposition(|is_filled| *is_filled);
         last.map_or(0, |index| index + 1)
@@ -102,6 +108,9 @@
         if count > 5 {
             fields.serialize_field("demand", &self.demand)?;
         }
+        if count > 6 {
+            fields.serialize_field("departures", &self.departures)?;
+        }
         fields.end()
     }
 }
@@ -136,6 +145,13 @@
         }]
     }
 
+    fn departures() -> Vec<Departure> {
+        vec![Departure {
+            server: "i-1".into(),
+            ready_write: 7,
+        }]
+    }
+
     /// Guards against a field that takes the position of one before it that is empty.
     #[rstest]
     #[case::empty(None, None, Vec::new())]
@@ -147,12 +163,14 @@
         #[case] limits: Option<LimitUpdate>,
         #[case] speeds: Option<SpeedUpdate>,
         #[case] demand: Vec<ServiceDemand>,
+        #[values(Vec::new(), departures())] departures: Vec<Departure>,
     ) {
         let news = FleetNews {
             leaving: vec![RunKey(1)],
             limits,
             speeds,
             demand,
+            departures,
             ..FleetNews::default()
         };
         let encoded = rmp_serde::to_vec(&news).expect("the value is serializable");
