Bound the cost of balances of large services

An update of the balance for 2,000 servers took 1.2 to 1.4 ms (dev profile, load 11 on 7 cores), 1.4% of a core at one every 100 ms. The interval is now at least 0.25 ms for each server, up to 0.5 s: 0.28%.

--- a/src/core/fleet/routing/balance_zones.rs
+++ b/src/core/fleet/routing/balance_zones.rs
@@ -5,6 +5,7 @@
 use super::DispatchRequest;
 use super::Dispatcher;
 use super::call_costs;
+use super::server_pace::ServerPace;
 use crate::core::MonotonicTime;
 use crate::core::fleet::BalanceInput;
 use crate::core::fleet::server_speed::WorkKind;
@@ -121,7 +122,8 @@
     /// Updates the balance of a service unless that was done a moment ago.
     fn update_zones(&mut self, service: &str, now: MonotonicTime) {
         let zones = self.service_zones.get(service);
-        if zones.is_some_and(|zones| !zones.is_update_due(now)) {
+        let server_count = self.keys_by_service.get(service).map_or(0, Vec::len);
+        if zones.is_some_and(|zones| !zones.is_update_due(server_count, now)) {
             return;
         }
         let input = self.balance_input(service, now);
@@ -150,7 +152,7 @@
             if !view.accepts_calls(now) || self.silence_cost_ms(view, speed, now) > 0.0 {
                 continue;
             }
-            let pace = self.pace_of(view, now);
+            let pace = ServerPace::new(view, speed, now);
             let hold_ms = if view.member.models.is_empty() {
                 pace.slot_hold_ms(WorkKind::Plain, call_costs::PLAIN_SLOT_HOLD_MS)
             } else {
--- a/src/core/fleet/zone_balance/service_zones.rs
+++ b/src/core/fleet/zone_balance/service_zones.rs
@@ -9,6 +9,10 @@
 /// Shortest time between two updates, so that a call rarely pays for one.
 const UPDATE_INTERVAL: Duration = Duration::from_millis(100);
 
+/// The same for each server, since an update looks at all of them, and its maximum.
+const UPDATE_INTERVAL_PER_SERVER: Duration = Duration::from_micros(250);
+const MAX_UPDATE_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Weight of the latest call in the mean of the bytes of calls.
 const BYTES_WEIGHT: f64 = 1.0 / 32.0;
 
@@ -45,10 +49,13 @@
         }
     }
 
-    /// Returns whether the share may be computed anew.
-    pub fn is_update_due(&self, now: MonotonicTime) -> bool {
-        self.updated_at
-            .is_none_or(|at| now.since(at) >= UPDATE_INTERVAL)
+    /// Returns whether the share of a service with so many servers may be computed anew.
+    pub fn is_update_due(&self, server_count: usize, now: MonotonicTime) -> bool {
+        let count = u32::try_from(server_count).unwrap_or(u32::MAX);
+        let interval = UPDATE_INTERVAL_PER_SERVER
+            .saturating_mul(count)
+            .clamp(UPDATE_INTERVAL, MAX_UPDATE_INTERVAL);
+        self.updated_at.is_none_or(|at| now.since(at) >= interval)
     }
 
     /// Computes the share anew.
--- a/tests/fleet_zone_balance.rs
+++ b/tests/fleet_zone_balance.rs
@@ -607,3 +607,26 @@
     let cost = settings.ok().map(|settings| settings.zones.cost_ms_per_mb);
     assert_eq!(cost, expected);
 }
+
+/// Prints what an update costs at the target size, for docs/CAPACITY.md.
+#[test]
+fn print_cost_at_target_size() {
+    let mut dispatcher = Dispatcher::new("a");
+    for number in 0..2_000_u32 {
+        let zone = char::from(b'a' + (number % 16) as u8).to_string();
+        let mut listed = server(0, &zone, 64, false);
+        listed.name = ServerName::from(format!("s-{number}").as_str());
+        listed.address = SocketAddr::from((number.to_be_bytes(), 8_000));
+        let key = dispatcher.upsert_member(listed);
+        report(&mut dispatcher, key, 60, at(0));
+    }
+    let mut times: Vec<Duration> = (0..41)
+        .map(|tick| {
+            let started = std::time::Instant::now();
+            std::hint::black_box(dispatcher.refresh_zones(at(tick * TICK_MS)));
+            started.elapsed()
+        })
+        .collect();
+    times.sort();
+    println!("update {:?}", times[20]);
+}
