Count a crash told once as one moment with others within a message's delay

A crash that was known only from a late message seemed up to 0.5 s later than it was, so that one crash of all servers passed for several moments and a sound call that was at them was quarantined. The time of a crash counts in full only if it was seen here or told twice. Crashes of the same time are sorted by run. The test's exchange between entries drew in the order of a hash map; it now draws in the order of entries.

--- a/src/core/fleet/quarantine/crash.rs
+++ b/src/core/fleet/quarantine/crash.rs
@@ -17,6 +17,13 @@
 /// buffers.
 const BUFFERED_ANSWERS: Duration = Duration::from_millis(50);
 
+/// Longest delay of a message with a crash, by which the crash seems to be later than it
+/// was: its age is counted from when the message was built.
+const MAX_NEWS_DELAY: Duration = Duration::from_millis(500);
+
+/// Maximum difference of two times of a crash that confirm each other.
+const SAME_TIME: Duration = Duration::from_millis(50);
+
 /// Run of a server whose connections broke, with the suspects that were at it.
 #[derive(Debug)]
 pub(super) struct Crash {
@@ -26,6 +33,11 @@
     pub suspects: HashMap<Suspect, SuspectRun>,
     /// Whether a connection of this process broke.
     pub is_own: bool,
+    /// Whether a time was recorded.
+    is_told: bool,
+    /// Whether the time was seen here or told twice: a message that arrives late gives
+    /// another time than the next one.
+    pub is_timed: bool,
     /// When the run was found to be alive.
     pub alive_at: Option<MonotonicTime>,
 }
@@ -36,10 +48,32 @@
             at,
             suspects: HashMap::new(),
             is_own: false,
+            is_told: false,
+            is_timed: false,
             alive_at: None,
         }
     }
 
+    /// Records a break at `at`, which this process saw or was told.
+    pub fn record_time(&mut self, at: MonotonicTime, is_own: bool) {
+        let is_same = at.since(self.at) <= SAME_TIME && self.at.since(at) <= SAME_TIME;
+        self.is_timed |= is_own || (self.is_told && is_same);
+        self.is_told = true;
+        self.is_own |= is_own;
+        self.at = self.at.min(at);
+    }
+
+    /// Returns the earliest time that `at`, of a call at the run or of the crash, may stand
+    /// for.
+    pub fn earliest(&self, at: MonotonicTime) -> MonotonicTime {
+        let at = at.min(self.at);
+        if self.is_timed {
+            at
+        } else {
+            at.saturating_sub(MAX_NEWS_DELAY)
+        }
+    }
+
     /// Adds a suspect of a break at `broke_at`. Returns whether it is new.
     pub fn add(&mut self, suspect: &CrashSuspect, broke_at: MonotonicTime) -> bool {
         let sent_at = broke_at.saturating_sub(suspect.ran);
--- a/src/core/fleet/quarantine/suspect_quarantine.rs
+++ b/src/core/fleet/quarantine/suspect_quarantine.rs
@@ -247,16 +247,12 @@
         }
         let suspect = Suspect::Call(call);
         let cleared_at = self.completed.get(&suspect).map(|completion| completion.at);
-        let mut crashes: Vec<&Crash> = self
-            .crashes
-            .values()
-            .filter(|crash| crash.alive_at.is_none() && Some(crash.at) > cleared_at)
-            .filter(|crash| {
-                let at_run = crash.suspects.get(&suspect);
-                at_run.is_some_and(|at_run| !at_run.was_answered)
-            })
-            .collect();
-        crashes.sort_by_key(|crash| crash.at);
+        let crashes = self.sort_crashes(|crash| {
+            let at_run = crash.suspects.get(&suspect);
+            crash.alive_at.is_none()
+                && Some(crash.at) > cleared_at
+                && at_run.is_some_and(|at_run| !at_run.was_answered)
+        });
         let (first_at, last_at) = (crashes.first()?.at, crashes.last()?.at);
         Some(Suspicion {
             runs: crashes.len(),
@@ -266,6 +262,14 @@
         })
     }
 
+    /// Returns crashes by time, those of the same time in the same order in every process.
+    fn sort_crashes(&self, is_listed: impl Fn(&Crash) -> bool) -> Vec<&Crash> {
+        let crashes = self.crashes.iter();
+        let mut crashes: Vec<_> = crashes.filter(|(_, crash)| is_listed(crash)).collect();
+        crashes.sort_by_key(|(run, crash)| (crash.at, run.0));
+        crashes.into_iter().map(|(_, crash)| crash).collect()
+    }
+
     /// Records that the connection to a run broke under a call that it was beginning to
     /// answer. Calls that were sent to the run after it had crashed are no suspects.
     /// Returns whether others have to know.
@@ -299,8 +303,7 @@
             .crashes
             .entry(run)
             .or_insert_with(|| Crash::new(broke_at));
-        crash.at = crash.at.min(broke_at);
-        crash.is_own |= is_own;
+        crash.record_time(broke_at, is_own);
         let room = MAX_SUSPECTS.saturating_sub(crash.suspects.len());
         let new: Vec<Suspect> = suspects
             .iter()
@@ -443,9 +446,7 @@
         }
         self.evaluated_at = now;
         self.drop_outdated(now);
-        let crashes = self.crashes.values();
-        let mut crashes: Vec<&Crash> = crashes.filter(|c| c.is_confirmed(now)).collect();
-        crashes.sort_by_key(|crash| crash.at);
+        let crashes = self.sort_crashes(|crash| crash.is_confirmed(now));
         let mut culprits: HashSet<Suspect> = self
             .periods
             .iter()
@@ -647,7 +648,7 @@
         let mut crashes: Vec<(&RunKey, &Crash)> = crashes
             .filter(|(_, crash)| is_told(crash.is_own) && is_recent(crash.at))
             .collect();
-        crashes.sort_by_key(|(_, crash)| std::cmp::Reverse(crash.at));
+        crashes.sort_by_key(|(run, crash)| (std::cmp::Reverse(crash.at), run.0));
         let mut room = MAX_TOLD_SUSPECTS;
         crashes
             .into_iter()
@@ -725,9 +726,11 @@
     let is_call = matches!(suspect, Suspect::Call(_));
     let mut moments: Vec<&Crash> = Vec::new();
     for crash in crashes {
-        let sent_at = crash.suspects.get(&suspect).map(|at_run| at_run.sent_at);
+        let at_run = crash.suspects.get(&suspect);
+        let sent_at = at_run.map(|at_run| crash.earliest(at_run.sent_at));
         let is_later = moments.last().is_none_or(|last| {
-            crash.at.since(last.at) >= SAME_MOMENT || (is_call && sent_at > Some(last.at))
+            crash.earliest(crash.at).since(last.at) >= SAME_MOMENT
+                || (is_call && sent_at > Some(last.at))
         });
         if is_later {
             moments.push(crash);
--- a/tests/fleet_quarantine.rs
+++ b/tests/fleet_quarantine.rs
@@ -498,7 +498,7 @@
     fn exchange(&mut self, faults: Faults) {
         let (step, now) = (self.step, self.now());
         let period = STEP * (EXCHANGE_STEPS as u32) * 4;
-        let news: HashMap<usize, QuarantineNews> = (0..ENTRIES)
+        let news: Vec<(usize, QuarantineNews)> = (0..ENTRIES)
             .filter(|index| self.entries[*index].cut_until <= step)
             .map(|index| {
                 (
@@ -684,6 +684,31 @@
     }
 }
 
+/// Sound calls that come often are not quarantined after crashes of all engines at one moment
+/// whose news come late, as if they were crashes at several moments.
+#[rstest]
+#[case(0)]
+#[case(20)]
+#[case(58)]
+fn evaluate_late_news_of_mass_crash(#[case] number: u64) {
+    let faults = Faults {
+        engine_crashes: 0.201_436_545_168_113_2,
+        mass_crashes: 0.093_960_028_827_049_18,
+        resets: 0.903_194_896_169_727_5,
+        entry_kills: 0.092_018_777_864_776_29,
+        entry_cuts: 0.093_880_480_653_277_56,
+        herd_kills: 0.006_556_089_581_050_038,
+        lost_messages: 0.136_094_967_726_877_43,
+        late_messages: 0.105_921_184_692_913_63,
+    };
+    let seed = 14_869_503_516_505_277_885 + number;
+    let deadly = (1, 0.752_854_691_087_466_6);
+    for _ in 0..3 {
+        let fleet = play_deadly_calls(seed, deadly, 14.717_568_521_250_493, 2, faults);
+        assert_eq!(fleet.wrongly_quarantined, []);
+    }
+}
+
 /// The check above fails for entries that send everything.
 #[test]
 fn evaluate_send_everything_is_rejected() {
