Wait at most 400 ms for seeds at the start of a gateway

A seed whose host is dark or was replaced does not answer, and held each restarted gateway back for 1 s.

--- a/src/gateway/start_inquiry.rs
+++ b/src/gateway/start_inquiry.rs
@@ -7,9 +7,10 @@
 use tokio::sync::watch;
 use tokio::time::timeout;
 
-/// Maximum wait for the seeds: the timeout of a request to a peer, and a margin for the
-/// connection. Seeds that do not run refuse the connection earlier.
-const MAX_WAIT: Duration = Duration::from_secs(1);
+/// Maximum wait for the seeds. Seeds that run answer within it also on busy hosts, and
+/// those that do not run refuse the connection. A seed whose host is dark or was replaced
+/// does neither, and must not delay a restarted gateway for longer.
+const MAX_WAIT: Duration = Duration::from_millis(400);
 
 /// Seeds that have neither answered nor refused a connection since the start.
 ///
