--- a/lab/src/soak/mod.rs
+++ b/lab/src/soak/mod.rs
@@ -6,7 +6,9 @@
 mod fault;
 mod fault_link;
 mod process;
+mod rollout;
 mod run;
+mod slow_reader;
 mod traffic;
 
 pub use check::CallKind;
@@ -15,6 +17,7 @@
 pub use check::Violation;
 pub use check::check_guarantees;
 pub use process::GatewayProcess;
+pub use rollout::ObservedRollout;
 pub use run::SoakError;
 pub use run::SoakPlan;
 pub use run::SoakSummary;
--- a/lab/src/soak/run.rs
+++ b/lab/src/soak/run.rs
@@ -17,10 +17,12 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use futures::future::join_all;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use serde::Serialize;
+use serde_json::Value;
 use serde_json::json;
 use teaseldrum::threads::StartError;
 use teaseldrum::threads::build_runtime;
@@ -30,6 +32,7 @@
 use super::CallKind;
 use super::CallRecord;
 use super::Observations;
+use super::ObservedRollout;
 use super::Violation;
 use super::check_guarantees;
 use super::fault::Fault;
@@ -37,6 +40,9 @@
 use super::fault_link::FaultLink;
 use super::fault_link::LinkMode;
 use super::process::GatewayProcess;
+use super::rollout::EXPOSURE_SHARE;
+use super::rollout::EXPOSURE_SLACK;
+use super::rollout::PlannedRollout;
 use super::traffic::Traffic;
 use crate::loopback::allocate_address;
 use crate::platform_stand_in::Backend;
@@ -61,9 +67,16 @@
 /// Time for each caller to end its last call.
 const LAST_CALL_TIMEOUT: Duration = Duration::from_secs(9);
 
+/// Callers that do not read.
+const SLOW_READERS: usize = 40;
+
 /// Time between two checks of whether gateways have ended or serve.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Callers of a storm of one account. They pause for an eighth of the time that others
+/// do, so that they send four times as much as 24 others.
+const STORM_CALLERS: u32 = 12;
+
 /// Parameters of a soak.
 #[derive(Debug, Clone)]
 pub struct SoakPlan {
@@ -96,6 +109,10 @@
     pub runs: usize,
     /// Number of faults injected.
     pub faults: usize,
+    /// Connections of callers that do not read which gateways ended.
+    pub cut_off_readers: u64,
+    /// Most memory of a gateway that ran at the end, in kilobytes.
+    pub peak_memory_kb: u64,
     /// Violations of guarantees.
     pub broken: Vec<Violation>,
 }
@@ -155,8 +172,12 @@
     processes: Vec<Mutex<GatewayProcess>>,
     traffic: Arc<Traffic>,
     fault_injector: FaultInjector,
+    /// Callers of all storms so far.
+    storm_caller_count: AtomicU32,
     /// Start time in the record of each server.
     births: Vec<AtomicU64>,
+    /// Records of the rollout in the store.
+    rollout_records: Mutex<Vec<(String, Value)>>,
 }
 
 impl Soak {
@@ -184,7 +205,14 @@
                 "name": name, "zone": "a", "agent_port": 1, "store": link.address(),
                 "seeds": seeds, "stop_timeout_s": 8.0,
                 "listen": {"traffic": traffic, "health": health, "peers": peers},
-                "bounds": {"retry_ratio": 1.0, "retry_extra": 10_000.0, "retry_window_s": 10.0},
+                "bounds": {
+                    "retry_ratio": 1.0, "retry_extra": 10_000.0, "retry_window_s": 10.0,
+                    "rollout_exposure_share": EXPOSURE_SHARE,
+                    "rollout_exposure_slack": EXPOSURE_SLACK,
+                },
+                // Both ways of serving calls have to keep the guarantees.
+                "admission": {"enabled": plan.seed.is_multiple_of(2)},
+                "memory": {"enabled": true, "reader_timeout_ms": 1_500},
             });
             let process = GatewayProcess::prepare(&plan.program, &plan.folder, &name, &settings)?;
             processes.push(Mutex::new(process));
@@ -208,7 +236,9 @@
             processes,
             traffic: Arc::new(traffic),
             fault_injector,
+            storm_caller_count: AtomicU32::new(0),
             births: (0..plan.servers).map(|_| AtomicU64::new(1_000)).collect(),
+            rollout_records: Mutex::default(),
         };
         soak.send_configuration();
         (0..plan.servers).for_each(|server| soak.register(server, "ready"));
@@ -228,7 +258,15 @@
                 tokio::spawn(traffic.run_caller(number, rng.random()))
             })
             .collect();
+        let cut_off = Arc::new(AtomicU64::new(0));
+        for _ in 0..SLOW_READERS {
+            let (traffic, cut_off) = (Arc::clone(&self.traffic), Arc::clone(&cut_off));
+            tokio::spawn(traffic.run_slow_reader(cut_off, rng.random()));
+        }
         let started_at = Instant::now();
+        let soak = Arc::clone(&self);
+        let planned = PlannedRollout::draw(plan.seed, plan.duration);
+        let rollout = tokio::spawn(async move { soak.roll_out(planned).await });
         let mut running_faults = Vec::new();
         for planned_fault in &faults {
             sleep(planned_fault.at.saturating_sub(started_at.elapsed())).await;
@@ -243,6 +281,10 @@
             fault.await.map_err(io::Error::other)??;
         }
         let not_recovered = self.await_recovery().await;
+        let rollout = rollout.await.map_err(io::Error::other)?;
+        let peaks =
+            (0..self.processes.len()).filter_map(|gateway| self.process(gateway).peak_memory_kb());
+        let peak_memory_kb = peaks.max().unwrap_or(0);
         let undisturbed_drains = self.drain_each_undisturbed().await?;
         self.traffic.is_stopped.store(true, Ordering::Relaxed);
         for caller in callers {
@@ -263,6 +305,7 @@
             forwarded_keys: u32::try_from(forwarded_keys.count()).unwrap_or(u32::MAX),
             not_recovered,
             undisturbed_drains,
+            rollout: Some(rollout),
         };
         let is_success = |call: &&CallRecord| call.status == 200 && call.is_complete;
         Ok(SoakSummary {
@@ -271,6 +314,8 @@
             served: observed.calls.iter().filter(is_success).count(),
             runs: observed.runs.len(),
             faults: faults.len(),
+            cut_off_readers: cut_off.load(Ordering::Relaxed),
+            peak_memory_kb,
             broken: check_guarantees(&observed),
         })
     }
@@ -336,6 +381,9 @@
                 self.store.set_unavailable(false);
                 self.write_configuration();
                 (0..self.backends.len()).for_each(|server| self.register(server, "ready"));
+                for (key, value) in self.rollout_records().iter() {
+                    self.store.put(key, value);
+                }
             }
             Fault::LeaveServer(server) => {
                 let trouble = ServerTrouble::Leaving;
@@ -355,6 +403,13 @@
                 let trouble = ServerTrouble::Frozen;
                 self.trouble_server(server, trouble, duration).await;
             }
+            Fault::Storm => {
+                let callers = (0..STORM_CALLERS).map(|_| {
+                    let number = self.storm_caller_count.fetch_add(1, Ordering::Relaxed);
+                    Arc::clone(&self.traffic).run_storm_caller(number, duration)
+                });
+                join_all(callers).await;
+            }
             Fault::DrainServer(server) => {
                 self.register(server, "draining");
                 sleep(duration).await;
@@ -364,6 +419,67 @@
         Ok(())
     }
 
+    /// Orders a rollout, starts two servers of the new build and waits until the rollout
+    /// has ended. The old servers stay, so that other faults can go on with them.
+    async fn roll_out(&self, planned: PlannedRollout) -> ObservedRollout {
+        sleep(planned.at).await;
+        let ordered_at_ms = self.traffic.now_ms();
+        let seconds = planned.duration.as_secs_f64();
+        let order = json!({"Service": "s", "Target": "v2", "DurationS": seconds});
+        self.put_rollout_record("op/rollout/s", order);
+        let mut new_servers = Vec::new();
+        for number in 0..2 {
+            let injector = self.fault_injector.clone();
+            let serve = move |stream, backend| serve_with_faults(stream, backend, injector.clone());
+            let backend = Backend::start(&format!("n-{number}"), serve).await;
+            if planned.is_bad {
+                let trouble = Some(ServerTrouble::Failing);
+                self.fault_injector.set_trouble(&backend, trouble);
+            }
+            let mut record = backend.member_record("s", "ready");
+            record["Version"] = "v2".into();
+            self.put_rollout_record(&backend.member_key(), record);
+            new_servers.push(backend);
+        }
+        sleep(planned.duration).await;
+        let deadline_ms = self.traffic.now_ms();
+        let sent = new_servers
+            .iter()
+            .map(|server| server.received_requests().len() as u64);
+        let sent_to_new = sent.sum();
+        let read_states = || -> Vec<String> {
+            let statuses = self.store.written_values("status/rollout/s").into_iter();
+            let states = statuses.map(|status| status["State"].as_str().unwrap_or("").to_owned());
+            states.collect()
+        };
+        let started_at = Instant::now();
+        while !read_states().iter().any(|state| state != "running")
+            && started_at.elapsed() < RECOVERY_TIMEOUT
+        {
+            sleep(POLL_INTERVAL).await;
+        }
+        let calls = self.traffic.calls.lock().expect("no caller panicked");
+        let is_within = |call: &&CallRecord| (ordered_at_ms..deadline_ms).contains(&call.span_ms.0);
+        ObservedRollout {
+            is_bad: planned.is_bad,
+            states: read_states(),
+            sent_to_new,
+            calls: calls.iter().filter(is_within).count() as u64,
+        }
+    }
+
+    /// Writes a record that is written again after the store was restored.
+    fn put_rollout_record(&self, key: &str, value: Value) {
+        self.store.put(key, &value);
+        self.rollout_records().push((key.to_owned(), value));
+    }
+
+    fn rollout_records(&self) -> MutexGuard<'_, Vec<(String, Value)>> {
+        self.rollout_records
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Tells a gateway to stop, waits for its end and starts it again. A gateway
     /// that another fault has restarted meanwhile is left alone.
     async fn drain(&self, gateway: usize) -> io::Result<()> {
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -10,16 +10,20 @@
 use http::header::HOST;
 use hyper::Request;
 use tokio::time::timeout;
+use tokio::time::timeout_at;
 
+use super::admission::observe_start;
+use super::admission::predict_output_time;
 use super::context::GatewayContext;
 use super::liveness_check::wait_while_alive;
+use super::outstanding_bytes::OutstandingBytes;
 use super::permit_builds::record_outcome;
 use super::read_call::Call;
 use super::report_break::report_break;
 use crate::core::MonotonicTime;
 use crate::core::ServerName;
 use crate::core::fleet::BackendChoice;
-use crate::http::BodyReservation;
+use crate::core::fleet::HoldPurpose;
 use crate::http::Exchange;
 use crate::http::HttpBody;
 use crate::http::empty_body;
@@ -95,10 +99,9 @@
     pub status: StatusCode,
     /// Headers for the caller, without those of the server's connection.
     pub headers: HeaderMap,
-    /// Complete body.
+    /// Complete body. With shares, its bytes are reserved until the caller has taken
+    /// them.
     pub body: Bytes,
-    /// Share of the memory budget that the body takes.
-    _reservation: BodyReservation,
 }
 
 /// Streaming response whose head has arrived.
@@ -121,22 +124,30 @@
     choice: BackendChoice,
     sent_at: MonotonicTime,
     is_prefilling: bool,
+    /// When the first event arrived, and how many have arrived since.
+    first_event_at: MonotonicTime,
+    later_events: u32,
+    _bytes: OutstandingBytes,
 }
 
 impl InFlightGuard {
     /// Counts a call that is about to be sent, and passes it to
     /// [`AgentConnections::announce_call`](super::agent_connections::AgentConnections::announce_call),
     /// which announces calls with a long prompt to the agent of their engine.
-    pub fn start(cx: &Arc<GatewayContext>, call: &Call, choice: BackendChoice) -> Self {
+    pub fn start(cx: &Arc<GatewayContext>, call: &Call, mut choice: BackendChoice) -> Self {
+        choice.shows_start = call.route.kind.is_stream();
         let now = cx.now();
         let prompt = call.head.prompt.as_ref();
         cx.lock().dispatcher.begin_call(&choice, prompt, now);
         cx.agent_connections.announce_call(&choice);
         Self {
+            _bytes: OutstandingBytes::start(cx, choice.key, call.body.len()),
             cx: Arc::clone(cx),
             choice,
             sent_at: now,
             is_prefilling: true,
+            first_event_at: now,
+            later_events: 0,
         }
     }
 
@@ -150,14 +161,58 @@
         self.sent_at
     }
 
-    /// Records that the first token arrived, which ends the prefill.
-    pub fn record_first_token(&mut self, call: &Call) {
+    /// Records that `events` arrived. The first one ends the prefill.
+    pub fn record_events(&mut self, call: &Call, events: u32) {
+        if self.is_prefilling {
+            self.record_first_token(call);
+        } else {
+            self.later_events += events;
+        }
+    }
+
+    /// Records that the response is complete, for the speed of the server.
+    pub fn record_complete(&mut self) {
+        let now = self.cx.now();
+        let elapsed = now.since(self.sent_at);
+        let decoding = now.since(self.first_event_at);
+        let predicted = self.choice.predicted_end;
+        self.cx
+            .metrics
+            .observe_prediction("end", predicted, elapsed);
+        let mut state = self.cx.lock();
+        let dispatcher = &mut state.dispatcher;
+        dispatcher.observe_decoding(&self.choice, self.later_events, decoding, now);
+        if self.later_events > 0 {
+            // The time in the queue before the first event is not known.
+            let held = decoding + self.choice.prefill_time;
+            dispatcher.observe_hold(&self.choice, held, now);
+        } else if self.choice.waits_little() {
+            dispatcher.observe_hold(&self.choice, elapsed, now);
+        }
+        if self.choice.salt.is_none() {
+            dispatcher.observe_prediction(&self.choice, predicted, elapsed);
+        }
+    }
+
+    fn record_first_token(&mut self, call: &Call) {
+        if self.is_prefilling {
+            observe_start(&self.cx, call, &self.choice, self.sent_at, Duration::ZERO);
+        }
         if self.is_prefilling
             && let Some(prompt) = &call.head.prompt
         {
             let now = self.cx.now();
             let elapsed = now.since(self.sent_at);
+            self.first_event_at = now;
+            let predicted = self.choice.predicted_ttft;
+            self.cx
+                .metrics
+                .observe_prediction("first", predicted, elapsed);
             let mut state = self.cx.lock();
+            state
+                .dispatcher
+                .observe_prediction(&self.choice, predicted, elapsed);
+            state.dispatcher.observe_ttft(&self.choice, elapsed, now);
             state.dispatcher.record_saved_parts(&self.choice, prompt);
             state
                 .dispatcher
@@ -170,6 +225,7 @@
         if self.is_prefilling {
             self.is_prefilling = false;
             self.cx.lock().dispatcher.end_prefill(&self.choice);
+            self.cx.waiting_calls.wake();
         }
     }
 }
@@ -178,6 +234,7 @@
     fn drop(&mut self) {
         self.finish_prefill();
         self.cx.lock().dispatcher.end_call(&self.choice);
+        self.cx.waiting_calls.wake();
     }
 }
 
@@ -201,6 +258,13 @@
         report_break(cx, call, &sent_to, sent_at, None);
     }
     record_outcome(cx, call, &sent_to, sent_at, &outcome);
+    if let AttemptOutcome::Answered(response) = &outcome
+        && response.status.is_success()
+    {
+        let output_time = call.head.prompt.as_ref().map(predict_output_time);
+        let output_time = output_time.unwrap_or_default();
+        observe_start(cx, call, &sent_to, sent_at, output_time);
+    }
     let now = cx.now();
     let mut state = cx.lock();
     match &outcome {
@@ -223,7 +287,7 @@
 async fn send_and_read(
     cx: &Arc<GatewayContext>,
     call: &Call,
-    in_flight: InFlightGuard,
+    mut in_flight: InFlightGuard,
     last_event_id: Option<&str>,
     may_run_again: bool,
 ) -> AttemptOutcome {
@@ -248,6 +312,9 @@
         .ports
         .dialect
         .read_response(exchange.status(), exchange.headers());
+    if metadata.call_id.is_none() {
+        exchange.forbid_reuse();
+    }
     if let Some(pause) = metadata.pause {
         record_pause(cx, &choice, pause);
     }
@@ -265,6 +332,11 @@
         record_limit(cx, &choice, None, sent_at);
     }
     record_response_metadata(cx, call, &choice, &metadata);
+    if !metadata.is_not_run {
+        let elapsed = cx.now().since(sent_at);
+        let mut state = cx.lock();
+        state.dispatcher.observe_first_answer(choice.key, elapsed);
+    }
     if metadata.is_not_run {
         forget_expected_parts(cx, call, &choice);
         // The body is read only so that the connection can be reused.
@@ -282,20 +354,62 @@
             in_flight,
         }));
     }
-    let mut reservation = cx.body_budget.start_reservation();
+    let mut reservation = cx
+        .byte_budget
+        .reserve_for(call.holder.clone(), HoldPurpose::RunningCall);
+    // The whole length is reserved first: calls that each hold a part of a response could
+    // wait for each other. The server is not at fault meanwhile.
+    let declared_len = exchange.declared_len().min(MAX_RESPONSE_BYTES);
+    match timeout_at(call.deadline, reservation.grow_to(declared_len)).await {
+        Ok(true) => {}
+        Ok(false) => return AttemptOutcome::Unknown(ANSWER_BROKEN),
+        Err(_) => return AttemptOutcome::Unknown("answer-silent"),
+    }
     let body_read = exchange.read_rest_in_budget(MAX_RESPONSE_BYTES, &mut reservation);
     match wait_while_alive(cx, choice.key, may_run_again, call.deadline, body_read).await {
-        Some(Ok(body)) => AttemptOutcome::Answered(FullResponse {
-            status,
-            headers,
-            body,
-            _reservation: reservation,
-        }),
+        Some(Ok(body)) => {
+            record_full_response(cx, call, &mut in_flight, status);
+            AttemptOutcome::Answered(FullResponse {
+                status,
+                headers,
+                body: if cx.byte_budget.has_shares() {
+                    reservation.attach(body)
+                } else {
+                    body
+                },
+            })
+        }
         Some(Err(_)) => AttemptOutcome::Unknown(ANSWER_BROKEN),
         None => AttemptOutcome::Unknown("answer-silent"),
     }
 }
 
+/// Records the time of a successful response. Failures are often faster or slower than
+/// the work would have been.
+fn record_full_response(
+    cx: &GatewayContext,
+    call: &Call,
+    in_flight: &mut InFlightGuard,
+    status: StatusCode,
+) {
+    if !status.is_success() {
+        return;
+    }
+    let now = cx.now();
+    let elapsed = now.since(in_flight.sent_at);
+    let (choice, route) = (&in_flight.choice, &call.route.name);
+    {
+        let mut state = cx.lock();
+        let dispatcher = &mut state.dispatcher;
+        if call.head.prompt.is_none() {
+            dispatcher.observe_plain_response(choice, route, elapsed, now);
+        } else {
+            dispatcher.observe_whole_response(choice, route, elapsed, now);
+        }
+    }
+    in_flight.record_complete();
+}
+
 /// Returns why a server did not run a call. If another server answered at its
 /// address, it is also marked as replaced, so that it gets no more calls.
 fn classify_not_run(
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -13,6 +13,7 @@
 
 use tokio::sync::watch;
 
+use super::admission::WaitingCalls;
 use super::agent_connections::AgentConnections;
 use super::clock_offsets::ClockOffsets;
 use super::known_entries::KnownEntries;
@@ -23,7 +24,9 @@
 use super::zone_relaying::ZoneRelaying;
 use crate::clock::Clock;
 use crate::core::MonotonicTime;
-use crate::http::BodyBudget;
+use crate::core::fleet::AdmissionQueue;
+use crate::core::fleet::ServerBytes;
+use crate::http::ByteBudget;
 use crate::http::Client;
 use crate::metrics::GatewayMetrics;
 use crate::metrics::MeshLabels;
@@ -61,8 +64,10 @@
     pub ports: GatewayPorts,
     /// HTTP client with its connections to backend servers.
     pub client: Client,
-    /// Memory budget of request bodies.
-    pub body_budget: Arc<BodyBudget>,
+    /// Memory budget of everything that is held for callers.
+    pub byte_budget: Arc<ByteBudget>,
+    /// Bytes outstanding at each server; counted only with shares of the memory.
+    server_bytes: Mutex<ServerBytes>,
     /// Metrics of this process.
     pub metrics: GatewayMetrics,
     /// Random number that identifies this run.
@@ -91,6 +96,8 @@
     pub logged_traffic: Mutex<BTreeMap<MeshLabels, u64>>,
     /// Zones of the other entries, and which ones pass on the state of others.
     pub zone_relaying: ZoneRelaying,
+    /// Tasks of calls that wait for servers with room.
+    pub waiting_calls: WaitingCalls,
     /// Clock offsets of other processes.
     pub clock_offsets: ClockOffsets,
     clock: Clock,
@@ -101,10 +108,19 @@
 impl GatewayContext {
     /// Creates the context of a gateway without configuration and members.
     pub fn new(settings: GatewaySettings, ports: GatewayPorts) -> Self {
-        let state = GatewayState::new(&settings.name, &settings.zone, &settings.bounds);
+        let mut state = GatewayState::new(&settings.name, &settings.zone, &settings.bounds);
+        if settings.has_admission() {
+            state.admission = Some(AdmissionQueue::new(&settings.name));
+        }
         Self {
-            client: Client::new(settings.client_timeouts()),
-            body_budget: Arc::new(BodyBudget::new(settings.max_buffered_bytes())),
+            client: Client::new(settings.client_timeouts())
+                .with_receive_buffer(settings.receive_buffer_bytes()),
+            byte_budget: Arc::new(if settings.has_memory_shares() {
+                ByteBudget::with_shares(settings.max_buffered_bytes())
+            } else {
+                ByteBudget::new(settings.max_buffered_bytes())
+            }),
+            server_bytes: Mutex::new(ServerBytes::new(settings.memory.server_mb * 1_000_000)),
             metrics: GatewayMetrics::new(),
             incarnation: rand::random(),
             seeds: watch::channel(settings.seeds.clone()).0,
@@ -119,6 +135,7 @@
             reported_traffic: ReportedTraffic::default(),
             logged_traffic: Mutex::default(),
             zone_relaying: ZoneRelaying::new(&settings.name, &settings.zone),
+            waiting_calls: WaitingCalls::default(),
             clock_offsets: ClockOffsets::default(),
             clock: Clock::start(),
             state: Mutex::new(state),
@@ -143,6 +160,14 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks the bytes that are outstanding at servers. The guard must not be held across
+    /// an await point.
+    pub fn lock_server_bytes(&self) -> MutexGuard<'_, ServerBytes> {
+        self.server_bytes
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Takes one retry for a service from the operator's budget and counts it.
     /// Returns false if none is left.
     pub fn take_retry(&self, service: &str) -> bool {
@@ -171,9 +196,14 @@
     }
 
     /// Starts to drain: the gateway is no longer ready and closes connections
-    /// after the next response.
+    /// after the next response. Calls that wait are refused.
     pub fn start_drain(&self) {
         self.draining.store(true, Ordering::Release);
+        let now = self.now();
+        if let Some(admission) = &mut self.lock().admission {
+            admission.stop(now);
+        }
+        self.waiting_calls.wake();
     }
 
     /// Returns whether the gateway can serve calls: it has a configuration and
--- a/src/gateway/exchange_peer_state.rs
+++ b/src/gateway/exchange_peer_state.rs
@@ -4,6 +4,7 @@
 
 use std::collections::HashMap;
 use std::io;
+use std::mem::take;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -88,6 +89,18 @@
 
 /// Like [`MIN_EXCHANGES_PER_ENTRY_LIST`], over a connection with a shorter interval.
 const MIN_RELAY_EXCHANGES_PER_ENTRY_LIST: u64 = 64;
+/// Minimum time between two windows of measured speeds, and the number of exchanges with
+/// each peer in which one is sent, since an exchange may be lost.
+const MIN_SPEED_WINDOW: Duration = Duration::from_secs(1);
+const SPEED_SENDS: u32 = 2;
+
+/// Bytes a second that an entry sends of measured speeds, a third of the 12 KB a second
+/// for control messages, and the size of one.
+const SPEED_BYTES_PER_S: f64 = 4_000.0;
+const SPEED_NOTICE_BYTES: f64 = 20.0;
+
+/// Maximum number of measured speeds in a message of a small fleet.
+const MAX_SPEED_NOTICES: usize = 64;
 
 /// Timeout of a request to a peer.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(800);
@@ -374,7 +387,7 @@
 }
 
 /// Returns the interval between exchanges with one peer.
-fn exchange_interval(cx: &GatewayContext) -> Duration {
+pub fn exchange_interval(cx: &GatewayContext) -> Duration {
     let peer_count = cx.lock().quota.count_entries() as u64 - 1;
     EXCHANGE_INTERVAL.max(Duration::from_millis(
         1_000 * peer_count / MAX_EXCHANGES_PER_S,
@@ -656,8 +669,10 @@
     is_full: bool,
 ) -> PeerState {
     let now = cx.now();
-    let news_period = exchange_interval(cx) * 3 + CONTACT_MARGIN;
+    let interval = exchange_interval(cx);
+    let news_period = interval * 3 + CONTACT_MARGIN;
     let mut state = cx.lock();
+    let max_notices = max_speed_notices(interval, state.quota.count_entries());
     let news = FleetNews {
         quarantine: state.quarantine.build_news(news_period, now),
         leaving: state.dispatcher.list_leaving_runs(),
@@ -666,6 +681,17 @@
             .server_limits
             .build_update(news_period, is_full, now),
         rollouts: state.rollouts.list().filter_map(|r| r.news(now)).collect(),
+        speeds: state.dispatcher.build_speed_update(
+            MIN_SPEED_WINDOW.max(interval * SPEED_SENDS),
+            interval * SPEED_SENDS,
+            max_notices,
+            read_wall_clock_ms(),
+            now,
+        ),
+        demand: state
+            .admission
+            .as_ref()
+            .map_or_else(Vec::new, |admission| admission.build_demand(now)),
     };
     PeerState {
         clock_ms: read_wall_clock_ms(),
@@ -683,9 +709,19 @@
     }
 }
 
+/// Returns how many speeds of servers one message holds, so that those to all peers
+/// stay below [`SPEED_BYTES_PER_S`].
+fn max_speed_notices(interval: Duration, entry_count: usize) -> usize {
+    let window = MIN_SPEED_WINDOW.max(interval * SPEED_SENDS);
+    let bytes_per_window = SPEED_BYTES_PER_S * window.as_secs_f64();
+    let sends = entry_count.max(1) as f64 * f64::from(SPEED_SENDS);
+    let notices = bytes_per_window / (SPEED_NOTICE_BYTES * sends);
+    (notices as usize).clamp(1, MAX_SPEED_NOTICES)
+}
+
 /// Applies the state that a peer in `zone` sent, and reports the entries that it lists as
 /// discovered.
-fn apply_peer_state(exchange: &PeerExchange, peer_state: PeerState, zone: Option<&str>) {
+fn apply_peer_state(exchange: &PeerExchange, mut peer_state: PeerState, zone: Option<&str>) {
     let cx = &*exchange.cx;
     if peer_state.usage.name == cx.settings.name {
         return;
@@ -703,9 +739,10 @@
             let _ = exchange.discovered_tx.send(entry.address);
         }
     }
-    apply_quarantine_news(cx, peer_state.news.quarantine, &peer_state.usage.name);
+    let quarantine = take(&mut peer_state.news.quarantine);
+    apply_quarantine_news(cx, quarantine, &peer_state.usage.name);
     let mut state = cx.lock();
-    for run in peer_state.news.leaving {
+    for run in take(&mut peer_state.news.leaving) {
         if let Some(server) = state.dispatcher.record_leaving(run, now) {
             log::info!(
                 "members: leaving server={server} source={}",
@@ -713,14 +750,9 @@
             );
         }
     }
-    learn_rollouts(cx, &mut state, &peer_state.news.rollouts, now);
-    let limits = peer_state.news.limits;
-    let calls_per_s = limits.as_ref().map(|limits| limits.calls_per_s);
     let name = &peer_state.usage.name;
-    state
-        .dispatcher
-        .server_limits
-        .record_entry(name, calls_per_s, now);
+    apply_entry_news(cx, &mut state, name, &peer_state.news, now);
+    let limits = peer_state.news.limits;
     let notices = limits.map_or_else(Vec::new, |limits| limits.notices);
     for (server, calls_per_s) in state.dispatcher.apply_limit_notices(&notices, now) {
         log_limit(&server, calls_per_s, name);
@@ -735,6 +767,27 @@
     state.retries.set_entry_count(entry_count);
 }
 
+/// Applies what the entry `name` told, directly or through a relay, of rollouts, of
+/// servers' speeds and of its own load.
+pub fn apply_entry_news(
+    cx: &GatewayContext,
+    state: &mut GatewayState,
+    name: &str,
+    news: &FleetNews,
+    now: MonotonicTime,
+) {
+    learn_rollouts(cx, state, &news.rollouts, now);
+    if let Some(admission) = &mut state.admission {
+        admission.record_demand(name, news.demand.clone(), now);
+    }
+    if let Some(update) = &news.speeds {
+        state.dispatcher.apply_speed_update(name, update, now);
+    }
+    let calls_per_s = news.limits.as_ref().map(|limits| limits.calls_per_s);
+    let limits = &mut state.dispatcher.server_limits;
+    limits.record_entry(name, calls_per_s, now);
+}
+
 /// Requests a resync of an area if a peer has had a newer record for a while:
 /// the watch of this entry may be on a dead connection.
 fn resync_if_behind(
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -7,10 +7,12 @@
 //! peers in the settings. An *area* is a set of records in the store that is
 //! read and watched separately: the operator's records, or the members.
 
+mod admission;
 mod agent_connections;
 mod attempt;
 mod call_log;
 mod call_progress;
+mod choose_with_room;
 mod clock_offsets;
 mod context;
 mod exchange_peer_state;
@@ -19,10 +21,12 @@
 mod follow_kv_cache_stores;
 mod follow_members;
 mod follow_store;
+mod hedged_attempt;
 mod known_entries;
 mod lead_rollouts;
 mod led_rollouts;
 mod liveness_check;
+mod outstanding_bytes;
 mod peer_contacts;
 mod permit_builds;
 mod read_call;
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -6,11 +6,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hyper::Request;
+use hyper::body::Incoming;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::time::Instant;
 use tokio::time::sleep;
 
+use super::admission::look_at_waiting_calls;
 use super::context::GatewayContext;
 use super::context::GatewayPorts;
 use super::exchange_peer_state::exchange_peer_state;
@@ -19,6 +22,7 @@
 use super::follow_store::follow_area;
 use super::follow_store::ping_store;
 use super::lead_rollouts::lead_rollouts;
+use super::read_call::CallerAddress;
 use super::report_mesh_traffic::report_mesh_traffic;
 use super::serve_call::serve_call;
 use super::share_quarantine::quarantine_culprits;
@@ -27,6 +31,7 @@
 use super::substitute_agents::substitute_agents;
 use super::zone_relaying::plan_zone_exchanges;
 use crate::core::fleet::CallerLimits;
+use crate::core::fleet::SpeedChange;
 use crate::http::ServerLimits;
 use crate::http::serve;
 use crate::http::status_page_limits;
@@ -150,6 +155,9 @@
     tokio::spawn(plan_zone_exchanges(Arc::clone(&cx)));
     tokio::spawn(run_maintenance(Arc::clone(&cx)));
     tokio::spawn(report_mesh_traffic(Arc::clone(&cx)));
+    if cx.settings.has_admission() {
+        tokio::spawn(look_at_waiting_calls(Arc::clone(&cx)));
+    }
     let traffic = open_tokio_listener(listen.traffic)?;
     let traffic_server = tokio::spawn(serve_traffic(Arc::clone(&cx), traffic, stop.clone()));
     wait_for_stop(stop_request).await;
@@ -171,10 +179,15 @@
     stop: &watch::Receiver<bool>,
 ) -> Result<(), StartError> {
     let listener = open_tokio_listener(address)?;
+    let reader = cx.settings.reader_limits(&cx.byte_budget);
     let cx = Arc::clone(cx);
     let stop = stop.clone();
     let handle = move |req, _caller| serve_status_page(Arc::clone(&cx), req);
-    tokio::spawn(serve(listener, status_page_limits(), handle, stop));
+    let limits = ServerLimits {
+        reader,
+        ..status_page_limits()
+    };
+    tokio::spawn(serve(listener, limits, handle, stop));
     Ok(())
 }
 
@@ -197,8 +210,12 @@
             .settings
             .stop_timeout
             .saturating_sub(DRAIN_LINGER + SHUTDOWN_MARGIN),
+        reader: cx.settings.reader_limits(&cx.byte_budget),
+    };
+    let handle = move |mut req: Request<Incoming>, caller| {
+        req.extensions_mut().insert(CallerAddress(caller));
+        serve_call(Arc::clone(&cx), req)
     };
-    let handle = move |req, _caller| serve_call(Arc::clone(&cx), req);
     serve(listener, limits, handle, stop).await
 }
 
@@ -263,5 +280,22 @@
         let changes = state.directory.apply_deferred_removals(now);
         state.apply_member_changes(changes, now);
         state.streams.expire(now);
+        log_speed_changes(state.dispatcher.refresh_speeds(now));
+    }
+}
+
+/// Logs which servers are slower or faster than their service, or silent.
+fn log_speed_changes(changes: Vec<SpeedChange>) {
+    for change in changes {
+        match change {
+            SpeedChange::Uneven(server, Some(factor)) => {
+                log::info!("speed: uneven server={server} factor={factor:.2}");
+            }
+            SpeedChange::Uneven(server, None) => log::info!("speed: even server={server}"),
+            SpeedChange::Silent(server, true) => log::info!("speed: silent server={server}"),
+            SpeedChange::Silent(server, false) => {
+                log::info!("speed: answering server={server}");
+            }
+        }
     }
 }
--- a/src/gateway/substitute_agents.rs
+++ b/src/gateway/substitute_agents.rs
@@ -356,6 +356,8 @@
         metrics: None,
         engine: absent.address,
         version_time: cx.settings.bounds.version_time,
+        options: Vec::new(),
+        memory: cx.settings.memory.clone(),
         log: cx.settings.log,
     };
     let ports = SidecarPorts {
--- a/src/gateway/zone_relaying.rs
+++ b/src/gateway/zone_relaying.rs
@@ -11,6 +11,7 @@
 use tokio::time::sleep;
 
 use super::context::GatewayContext;
+use super::exchange_peer_state::apply_entry_news;
 use super::share_quarantine::apply_quarantine_news;
 use crate::core::MonotonicTime;
 use crate::core::fleet::Exchange;
@@ -144,7 +145,8 @@
                 plan.peers.values().filter(is_direct).count()
             };
             let (before, after) = (list_direct(current), list_direct(&plan));
-            if before != after {
+            // Only the first and the last one, since entries come and go one by one.
+            if (before == 0) != (after == 0) {
                 log::info!("relays: direct exchanges between zones count={after} before={before}");
             }
             *current = Arc::new(plan);
@@ -218,11 +220,7 @@
             cx.known_entries.refresh(name, heard_at);
         }
         cx.zone_relaying.record_news(name, &entry.news, heard_at);
-        let calls_per_s = entry.news.limits.as_ref().map(|limits| limits.calls_per_s);
-        cx.lock()
-            .dispatcher
-            .server_limits
-            .record_entry(name, calls_per_s, now);
+        apply_entry_news(cx, &mut cx.lock(), name, &entry.news, now);
         apply_quarantine_news(cx, entry.news.quarantine, name);
     }
     wants_all
--- a/src/http/exchange.rs
+++ b/src/http/exchange.rs
@@ -10,10 +10,11 @@
 use http::StatusCode;
 use http_body_util::BodyExt;
 use hyper::Response;
+use hyper::body::Body;
 use hyper::body::Incoming;
 use tokio::time::timeout;
 
-use super::BodyReservation;
+use super::ByteReservation;
 use super::Client;
 use super::ClientError;
 use super::client_connection::ClientConnection;
@@ -28,6 +29,7 @@
     address: SocketAddr,
     client: Client,
     read_timeout: Duration,
+    is_reusable: bool,
 }
 
 impl Exchange {
@@ -46,6 +48,7 @@
             address,
             read_timeout: client.read_timeout(),
             client,
+            is_reusable: true,
         }
     }
 
@@ -59,6 +62,13 @@
         &self.headers
     }
 
+    /// Closes the connection after this response instead of using it again. If a second
+    /// copy of a response that names no request arrived late, it would be taken for the
+    /// response to the next request.
+    pub fn forbid_reuse(&mut self) {
+        self.is_reusable = false;
+    }
+
     /// Sets the timeout between two chunks of the body.
     pub fn set_read_timeout(&mut self, read_timeout: Duration) {
         self.read_timeout = read_timeout;
@@ -69,6 +79,12 @@
         self.read_timeout = self.client.read_timeout();
     }
 
+    /// Returns the length that the response states for the rest of its body; zero if it
+    /// states none.
+    pub fn declared_len(&self) -> usize {
+        usize::try_from(self.body.size_hint().lower()).unwrap_or(usize::MAX)
+    }
+
     /// Waits for the next chunk of the body. Returns `None` at its end, and then
     /// the connection can be reused.
     ///
@@ -104,11 +120,11 @@
     /// The connection broke or timed out, or the rest is larger than
     /// `max_bytes`.
     pub async fn read_rest(&mut self, max_bytes: usize) -> Result<Bytes, ClientError> {
-        self.collect_rest(max_bytes, |_| true).await
+        self.collect_rest(max_bytes, None).await
     }
 
     /// Reads the rest of the body like [`Self::read_rest`], and reserves its bytes in a
-    /// shared memory budget as they arrive.
+    /// shared memory budget as they arrive. If the budget has shares, this waits for room.
     ///
     /// # Errors
     ///
@@ -116,20 +132,24 @@
     pub async fn read_rest_in_budget(
         &mut self,
         max_bytes: usize,
-        reservation: &mut BodyReservation,
+        reservation: &mut ByteReservation,
     ) -> Result<Bytes, ClientError> {
-        self.collect_rest(max_bytes, |bytes| reservation.try_grow(bytes))
-            .await
+        self.collect_rest(max_bytes, Some(reservation)).await
     }
 
     async fn collect_rest(
         &mut self,
         max_bytes: usize,
-        mut reserve: impl FnMut(usize) -> bool,
+        mut reservation: Option<&mut ByteReservation>,
     ) -> Result<Bytes, ClientError> {
         let mut buf = Vec::new();
         while let Some(chunk) = self.next_chunk().await? {
-            if buf.len() + chunk.len() > max_bytes || !reserve(chunk.len()) {
+            let len = buf.len() + chunk.len();
+            let has_room = match &mut reservation {
+                Some(reservation) if len <= max_bytes => reservation.grow_to(len).await,
+                _ => true,
+            };
+            if len > max_bytes || !has_room {
                 return Err(ClientError::Broken("answer too large".into()));
             }
             buf.extend_from_slice(&chunk);
@@ -140,6 +160,9 @@
     fn return_connection(&mut self) {
         if let Some(connection) = self.connection.take() {
             connection.end_request();
+            if !self.is_reusable {
+                return;
+            }
             let server_idle_time = parse_keep_alive_timeout(&self.headers);
             self.client
                 .return_connection(self.address, connection, server_idle_time);
--- a/src/metrics/gateway_metrics.rs
+++ b/src/metrics/gateway_metrics.rs
@@ -10,6 +10,7 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+use super::AdmissionMetrics;
 use super::MeshMetrics;
 use super::PREFIX;
 use super::encode_registry;
@@ -24,6 +25,14 @@
     outcome: &'static str,
 }
 
+/// Labels of the prediction errors: the time that was predicted, `first` token or
+/// `end`, and whether the response was `early` or `late`.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct PredictionLabels {
+    of: &'static str,
+    side: &'static str,
+}
+
 /// Label of the `beliefs` gauges: what each one counts.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct GaugeLabels {
@@ -64,18 +73,38 @@
     pub quarantined_calls: u64,
 }
 
+/// What a gateway holds for its callers, and what followed from it.
+#[derive(Debug, Clone, Copy)]
+pub struct MemoryGauges {
+    /// Bytes of bodies, responses and streams that are held now.
+    pub held_bytes: u64,
+    /// Bytes that may be held.
+    pub limit_bytes: u64,
+    /// Bodies and responses for which there was no room.
+    pub refused: u64,
+    /// Responses and chunks that had to wait for room.
+    pub waits: u64,
+    /// Readers that were disconnected since they stopped reading.
+    pub stopped_readers: u64,
+}
+
 /// Metrics of a gateway.
 pub struct GatewayMetrics {
     /// Control messages.
     pub mesh: MeshMetrics,
+    /// Metrics of calls that wait for servers with room.
+    pub admission: AdmissionMetrics,
     registry: Registry,
     calls: Family<OutcomeLabels, Counter>,
     attempts: Family<OutcomeLabels, Counter>,
     retries: Counter,
     dropped_log_lines: Gauge,
     fleet_counts: Family<GaugeLabels, Gauge>,
+    memory: Family<GaugeLabels, Gauge>,
     first_event_time: Histogram,
     call_time: Histogram,
+    prediction_errors: Family<PredictionLabels, Histogram>,
+    hedges: Family<OutcomeLabels, Counter>,
     config_version: Gauge,
     rejected_rollouts: Family<ReasonLabels, Counter>,
     rollout_phases: Family<ServiceLabels, Gauge>,
@@ -112,6 +141,12 @@
             "Backend servers (listed, usable), agents that reported recently and gateways, as known to this gateway",
             fleet_counts.clone(),
         );
+        let memory = Family::<GaugeLabels, Gauge>::default();
+        registry.register(
+            "memory",
+            "Bytes held for callers (held_bytes, limit_bytes), and since the start: bodies refused for lack of room, waits for room, readers disconnected because they stopped reading",
+            memory.clone(),
+        );
         let first_event_time = Histogram::new(TIME_BUCKETS_S);
         let call_time = Histogram::new(TIME_BUCKETS_S);
         let config_version = Gauge::default();
@@ -149,16 +184,35 @@
             "Whether this gateway leads the rollout of a service",
             rollout_leaders.clone(),
         );
+        let prediction_errors = Family::<PredictionLabels, Histogram>::new_with_constructor(|| {
+            Histogram::new(TIME_BUCKETS_S)
+        });
+        registry.register(
+            "prediction_error_seconds",
+            "Difference of the predicted and the observed time to the first event or the end of a response",
+            prediction_errors.clone(),
+        );
+        let hedges = Family::<OutcomeLabels, Counter>::default();
+        registry.register(
+            "hedges",
+            "Second sends of calls whose response was late, by outcome",
+            hedges.clone(),
+        );
+        let admission = AdmissionMetrics::register(&mut registry);
         Self {
             mesh,
+            admission,
             registry,
             calls,
             attempts,
             retries,
             dropped_log_lines,
             fleet_counts,
+            memory,
             first_event_time,
             call_time,
+            prediction_errors,
+            hedges,
             config_version,
             rejected_rollouts,
             rollout_phases,
@@ -202,15 +256,47 @@
         self.retries.inc();
     }
 
+    /// Records the error of a prediction of the time until `of`: `first` event or `end`.
+    pub fn observe_prediction(&self, of: &'static str, predicted: Duration, observed: Duration) {
+        let side = if observed > predicted {
+            "late"
+        } else {
+            "early"
+        };
+        self.prediction_errors
+            .get_or_create(&PredictionLabels { of, side })
+            .observe(predicted.abs_diff(observed).as_secs_f64());
+    }
+
+    /// Counts a second send of a call by its outcome: `won`, `lost`, or why none was
+    /// made.
+    pub fn count_hedge(&self, outcome: &'static str) {
+        self.hedges.get_or_create(&OutcomeLabels { outcome }).inc();
+    }
+
     /// Records the time from the arrival of a call's head to the first event of
     /// its stream.
     pub fn observe_first_event(&self, elapsed: Duration) {
         self.first_event_time.observe(elapsed.as_secs_f64());
     }
 
+    /// Sets the gauges of the memory.
+    pub fn set_memory(&self, gauges: &MemoryGauges) {
+        for (of, count) in [
+            ("held_bytes", gauges.held_bytes),
+            ("limit_bytes", gauges.limit_bytes),
+            ("refused", gauges.refused),
+            ("waits", gauges.waits),
+            ("stopped_readers", gauges.stopped_readers),
+        ] {
+            self.memory
+                .get_or_create(&GaugeLabels { of })
+                .set(to_gauge(count));
+        }
+    }
+
     /// Sets the gauges and encodes all metrics in the OpenMetrics text format.
     pub fn encode(&self, gauges: &GatewayGauges) -> String {
-        let to_gauge = |count: u64| i64::try_from(count).unwrap_or(i64::MAX);
         self.config_version.set(to_gauge(gauges.config_version));
         self.dropped_log_lines.set(to_gauge(dropped_line_count()));
         for (of, count) in [
@@ -230,6 +316,10 @@
     }
 }
 
+fn to_gauge(count: u64) -> i64 {
+    i64::try_from(count).unwrap_or(i64::MAX)
+}
+
 impl Default for GatewayMetrics {
     fn default() -> Self {
         Self::new()
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -3,6 +3,7 @@
 //! together with the paths of their fields. A *seed* is a peer address through
 //! which a process finds the rest of the fleet.
 
+mod admission;
 mod agent;
 mod bounds;
 mod entry;
@@ -10,6 +11,7 @@
 mod gateway;
 mod listen;
 mod log;
+mod memory;
 mod orders;
 mod platform;
 mod section;
@@ -18,6 +20,7 @@
 mod sidecar;
 mod traffic;
 
+pub use admission::AdmissionSettings;
 pub use agent::AgentSettings;
 pub use bounds::BoundSettings;
 pub use entry::EntrySettings;
@@ -29,6 +32,7 @@
 pub use log::LogFormat;
 pub use log::LogLevel;
 pub use log::LogSettings;
+pub use memory::MemorySettings;
 pub use orders::OrderSettings;
 pub use platform::PlatformSettings;
 pub use section::Section;
