--- a/src/core/fleet/mod.rs
+++ b/src/core/fleet/mod.rs
@@ -132,6 +132,7 @@
 pub use server_speed::SpeedUpdate;
 pub use server_speed::WorkKind;
 pub use streams::BuildHistory;
+pub use streams::EventProgress;
 pub use streams::KnownOrigin;
 pub use streams::StreamKey;
 pub use streams::StreamOrigin;
