Use what the project has, and name it plainly

One probe of refused ports and one order of claims serve the agents' substitutes and rollouts; one decaying sum serves admission and the limits of servers, with the reason for its 3 s kept. Second sends choose a server like first sends, so that they too obey what a server may hold. The error of predictions was kept twice, and one copy was read by nobody. The time of a response that arrives as a whole is the prediction that the choice holds already. Figurative names are gone. No check or bound is changed.

--- a/src/core/fleet/admission/call_kind_state.rs
+++ b/src/core/fleet/admission/call_kind_state.rs
@@ -3,10 +3,10 @@
 use std::time::Duration;
 
 use super::OfferedCall;
-use super::decaying_sum::DecayingSum;
 use crate::core::AccountName;
 use crate::core::MonotonicTime;
 use crate::core::fair_queue::FairQueue;
+use crate::core::fleet::decaying_sum::DecayingSum;
 
 /// Most calls of one priority that wait for one service; an entry with 1/24 of a fleet
 /// starts some tens of calls a second.
--- a/src/core/fleet/admission/mod.rs
+++ b/src/core/fleet/admission/mod.rs
@@ -6,7 +6,6 @@
 mod admission_queue;
 mod call_kind_state;
 mod candidates;
-mod decaying_sum;
 mod demand_shares;
 mod offered_call;
 mod prediction_error;
--- a/src/core/fleet/admission/prediction_error.rs
+++ b/src/core/fleet/admission/prediction_error.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use super::decaying_sum::DecayingSum;
 use crate::core::MonotonicTime;
+use crate::core::fleet::decaying_sum::DecayingSum;
 
 /// Time in which an observation loses most of its weight. A burst's errors must not
 /// hold calls back after it.
--- a/src/core/fleet/admission/service_queue.rs
+++ b/src/core/fleet/admission/service_queue.rs
@@ -17,13 +17,13 @@
 use super::StartEstimate;
 use super::call_kind_state::CallKindState;
 use super::call_kind_state::MAX_WAITING;
-use super::decaying_sum::DecayingSum;
 use super::demand_shares::DemandShares;
 use super::return_schedule::ReturnSchedule;
 use crate::core::MonotonicTime;
 use crate::core::fair_queue::QueuePosition;
 use crate::core::fair_queue::SchedulingParams;
 use crate::core::fleet::BackendKey;
+use crate::core::fleet::decaying_sum::DecayingSum;
 
 /// Largest wait at a server to which a call is sent, as a part of the smallest objective
 /// in the service, and its bounds. It must cover the age of reports, or servers idle.
@@ -46,7 +46,7 @@
 
 /// Factor on the part of the slots in which a call may use a server once it has waited
 /// for half of its time.
-const IMPATIENT_FACTOR: f64 = 2.0;
+const LONG_WAIT_FACTOR: f64 = 2.0;
 
 /// Number of servers among which a call that does not wait is spread, if there are many
 /// entries. All entries see the same old reports, so that the best server of each would
@@ -376,9 +376,13 @@
             self.no_room_at = Some(now);
         }
         let latest = call.latest_start(best.work);
-        let is_patient = now < call.received_at + latest.since(call.received_at) / 2;
+        let has_waited_long = now >= call.received_at + latest.since(call.received_at) / 2;
         let part = self.slot_part(call, &best, share, now)
-            * if is_patient { 1.0 } else { IMPATIENT_FACTOR };
+            * if has_waited_long {
+                LONG_WAIT_FACTOR
+            } else {
+                1.0
+            };
         let slot = slot_at(slot_length(&best), now);
         let servers = candidates.servers.iter().copied();
         let mut avoid: Vec<BackendKey> = servers
@@ -390,7 +394,7 @@
             } else {
                 (candidates.choose)(&avoid)?
             };
-            if is_patient && estimate.work > best.work.mul_f64(MAX_WORK_RATIO) {
+            if !has_waited_long && estimate.work > best.work.mul_f64(MAX_WORK_RATIO) {
                 return None;
             }
             let has_room = self.has_room(call, &estimate, share, now)
--- a/src/core/fleet/mod.rs
+++ b/src/core/fleet/mod.rs
@@ -15,6 +15,7 @@
 mod call_kind;
 mod collectors;
 mod configuration;
+mod decaying_sum;
 mod fleet_retry_budget;
 mod held_bytes;
 mod membership;
--- a/src/core/fleet/routing/observe_speed.rs
+++ b/src/core/fleet/routing/observe_speed.rs
@@ -38,8 +38,8 @@
 /// Time from which a silent agent says nothing of its engine any more.
 const AGENT_GONE: Duration = Duration::from_secs(6);
 
-/// Untold observations from which a server's speed is worth telling.
-const MIN_UNTOLD: f64 = 4.0;
+/// Unsent observations from which a server's speed is worth sending.
+const MIN_UNSENT: f64 = 4.0;
 
 impl BackendChoice {
     /// Returns whether the call was predicted to begin almost at once, so that its time
@@ -182,24 +182,6 @@
         }
     }
 
-    /// Records a predicted and the observed time until a response began or, without a
-    /// prompt, ended.
-    pub fn observe_prediction(
-        &mut self,
-        choice: &BackendChoice,
-        predicted: Duration,
-        observed: Duration,
-    ) {
-        if let Some(service) = self.find_service_speed(choice.key) {
-            service.observe_prediction(predicted, observed);
-        }
-    }
-
-    /// Returns the mean error of the latest predictions for a service.
-    pub fn prediction_error(&self, service: &str) -> Option<Duration> {
-        self.service_speeds.get(service)?.mean_error()
-    }
-
     /// Returns the time after which a response on a route is later than most; `None` if
     /// too few have been seen.
     pub fn high_response_time(&self, service: &str, route: &str) -> Option<Duration> {
@@ -233,8 +215,8 @@
                 .backends
                 .iter()
                 .filter(|(_, view)| self.pace_of(view, now).is_active)
-                .map(|(key, view)| (view.speed.count_untold(), key))
-                .filter(|(untold, _)| *untold >= MIN_UNTOLD)
+                .map(|(key, view)| (view.speed.count_unsent(), key))
+                .filter(|(unsent, _)| *unsent >= MIN_UNSENT)
                 .collect();
             worth.sort_by(|a, b| b.0.total_cmp(&a.0));
             let mut notices = Vec::new();
--- a/src/core/fleet/server_limits/limit_table.rs
+++ b/src/core/fleet/server_limits/limit_table.rs
@@ -13,10 +13,14 @@
 
 use super::LimitNotice;
 use super::LimitUpdate;
-use super::call_rate::CallRate;
 use super::server_limit::ServerLimit;
 use crate::core::MonotonicTime;
 use crate::core::fleet::RunKey;
+use crate::core::fleet::decaying_sum::DecayingSum;
+
+/// Time constant of the average of this entry's calls: several times the mean gap between
+/// calls of a lightly used entry, and short against the time for which servers name limits.
+const RATE_TIME: Duration = Duration::from_secs(3);
 
 /// Time for which the share of an entry stays reserved that is not heard, and whose
 /// host does not refuse connections: it may be cut off and go on sending.
@@ -48,7 +52,7 @@
 pub struct ServerLimits {
     own_hash: u64,
     started_at: MonotonicTime,
-    own_rate: CallRate,
+    own_rate: DecayingSum,
     entries: HashMap<u64, OtherEntry>,
     limits: HashMap<RunKey, ServerLimit>,
     /// Weight of this entry at the last change of the shares.
@@ -73,7 +77,7 @@
         Self {
             own_hash: xxh3_64(name.as_bytes()),
             started_at: now,
-            own_rate: CallRate::default(),
+            own_rate: DecayingSum::new(RATE_TIME),
             entries: HashMap::new(),
             limits: HashMap::new(),
             own_weight: 1.0,
@@ -86,7 +90,7 @@
 
     /// Counts a call that this entry got.
     pub fn record_call(&mut self, now: MonotonicTime) {
-        self.own_rate.record(now);
+        self.own_rate.add(1.0, now);
     }
 
     /// Records that another entry was heard, and how many calls it gets if it says so.
@@ -190,7 +194,7 @@
         });
         Some(LimitUpdate {
             notices: notices.collect(),
-            calls_per_s: self.own_rate.at(now).round() as u32,
+            calls_per_s: self.own_rate.rate(now).round() as u32,
         })
     }
 
@@ -224,7 +228,7 @@
         let limits = self.limits.values();
         let limited = limits.filter(|limit| limit.calls_per_s.is_some());
         let share: f64 = limited.map(|limit| limit.share).sum();
-        let calls_per_s = self.own_rate.at(now);
+        let calls_per_s = self.own_rate.rate(now);
         if calls_per_s < share * MAX_EXCESS {
             calls_per_s / share
         } else {
@@ -258,7 +262,7 @@
         let count = self.entries.len();
         self.entries
             .retain(|_, entry| now.since(entry.heard_at) < RESERVED_TIME);
-        let is_own_weight_new = quantize_weight(self.own_rate.at(now)) != self.own_weight;
+        let is_own_weight_new = quantize_weight(self.own_rate.rate(now)) != self.own_weight;
         let is_due = self.is_reshare_due || is_own_weight_new;
         if count != self.entries.len()
             || (is_due && now.since(self.reshared_at) >= RESHARE_INTERVAL)
@@ -282,7 +286,7 @@
 
     /// Makes all shares be computed again.
     fn reshare(&mut self, now: MonotonicTime) {
-        self.own_weight = quantize_weight(self.own_rate.at(now));
+        self.own_weight = quantize_weight(self.own_rate.rate(now));
         let others: f64 = self.entries.values().map(|entry| entry.weight).sum();
         self.total_weight = self.own_weight + others;
         self.generation += 1;
--- a/src/core/fleet/server_limits/mod.rs
+++ b/src/core/fleet/server_limits/mod.rs
@@ -1,6 +1,5 @@
 //! Keeps the limits and pauses that servers ask for.
 
-mod call_rate;
 mod limit_notice;
 mod limit_table;
 mod limit_update;
--- a/src/core/fleet/server_speed/answer_gap.rs
+++ b/src/core/fleet/server_speed/answer_gap.rs
@@ -10,11 +10,11 @@
 
 /// Range of the time after which a server counts as silent. The lower end allows for
 /// a pause of the entry's own threads, the upper one for long queues.
-const MIN_PATIENCE: Duration = Duration::from_millis(100);
-const MAX_PATIENCE: Duration = Duration::from_secs(3);
+const MIN_SILENCE_TIMEOUT: Duration = Duration::from_millis(100);
+const MAX_SILENCE_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Multiple of the usual time after which a server counts as silent.
-const PATIENCE_FACTOR: f64 = 2.0;
+const SILENCE_TIMEOUT_FACTOR: f64 = 2.0;
 
 /// Time in which the longest gap seen loses half of its effect.
 const GAP_HALF_LIFE: Duration = Duration::from_secs(5);
@@ -89,34 +89,34 @@
             return false;
         };
         let silence = now.since(since);
-        let patience = self.patience(usual, now);
-        if silence <= patience {
+        let silence_timeout = self.silence_timeout(usual, now);
+        if silence <= silence_timeout {
             return false;
         }
-        let is_proven = others_answered_at.is_some_and(|at| at > since + patience / 2);
-        is_proven || silence > patience.max(UNPROVEN_SILENCE)
+        let is_proven = others_answered_at.is_some_and(|at| at > since + silence_timeout / 2);
+        is_proven || silence > silence_timeout.max(UNPROVEN_SILENCE)
     }
 
     /// Returns whether a silent server may get one call, to see whether it answers
     /// again. The interval grows with the silence.
     pub fn is_probe_due(&self, usual: Option<Duration>, now: MonotonicTime) -> bool {
         let silence = self.owes_since.map_or(Duration::ZERO, |at| now.since(at));
-        let interval = (silence / 2).max(self.patience(usual, now));
+        let interval = (silence / 2).max(self.silence_timeout(usual, now));
         now.since(self.last_sent_at) >= interval.min(MAX_PROBE_INTERVAL)
     }
 
-    fn patience(&self, usual: Option<Duration>, now: MonotonicTime) -> Duration {
+    fn silence_timeout(&self, usual: Option<Duration>, now: MonotonicTime) -> Duration {
         let since = self.owes_since.unwrap_or(now);
 
         let predicted = self.due_at.since(since);
         let Some(usual) = usual else {
-            let expected = predicted.mul_f64(PATIENCE_FACTOR);
-            return expected.clamp(UNPROVEN_SILENCE, MAX_PATIENCE);
+            let expected = predicted.mul_f64(SILENCE_TIMEOUT_FACTOR);
+            return expected.clamp(UNPROVEN_SILENCE, MAX_SILENCE_TIMEOUT);
         };
         let expected = usual.max(self.usual_gap(now)) + predicted;
         expected
-            .mul_f64(PATIENCE_FACTOR)
-            .clamp(MIN_PATIENCE, MAX_PATIENCE)
+            .mul_f64(SILENCE_TIMEOUT_FACTOR)
+            .clamp(MIN_SILENCE_TIMEOUT, MAX_SILENCE_TIMEOUT)
     }
 
     fn usual_gap(&self, now: MonotonicTime) -> Duration {
--- a/src/core/fleet/server_speed/service_speed.rs
+++ b/src/core/fleet/server_speed/service_speed.rs
@@ -19,9 +19,6 @@
 /// Number of observations from which the learned time of a slot is used.
 const MIN_HOLD_OBSERVATIONS: f64 = 8.0;
 
-/// Weight of the latest prediction in their mean error.
-const ERROR_WEIGHT: f64 = 0.05;
-
 /// Number of responses of a route from which their mean is used.
 const MIN_ROUTE_RESPONSES: f64 = 32.0;
 
@@ -43,9 +40,6 @@
     first_answers: ResponseTimes,
     answered_at: Option<MonotonicTime>,
     agents_heard_at: Option<MonotonicTime>,
-    /// Mean distance of the predicted and the observed time until a response begins or,
-    /// without a prompt, ends; in seconds.
-    mean_error_s: Option<f64>,
 }
 
 impl ServiceSpeed {
@@ -72,13 +66,13 @@
     }
 
     /// Adds the observations that a mean holds.
-    pub(super) fn apply_mean(&mut self, kind: WorkKind, told: LogMean) {
+    pub(super) fn apply_mean(&mut self, kind: WorkKind, added: LogMean) {
         let (mean, weight) = &mut self.means[kind.index()];
-        if told.weight <= 0.0 {
+        if added.weight <= 0.0 {
             return;
         }
-        *weight = (*weight + told.weight).min(1.0 / MEAN_STEP);
-        *mean += (told.weight / *weight).min(1.0) * (told.mean - *mean);
+        *weight = (*weight + added.weight).min(1.0 / MEAN_STEP);
+        *mean += (added.weight / *weight).min(1.0) * (added.mean - *mean);
     }
 
     /// Returns the mean logarithm of the ratio of measured to expected time.
@@ -146,18 +140,6 @@
         self.first_answers.observe(time);
     }
 
-    /// Records a predicted and the observed time.
-    pub fn observe_prediction(&mut self, predicted: Duration, observed: Duration) {
-        let error_s = predicted.abs_diff(observed).as_secs_f64();
-        let mean_s = self.mean_error_s.get_or_insert(error_s);
-        *mean_s += ERROR_WEIGHT * (error_s - *mean_s);
-    }
-
-    /// Returns the mean error of the latest predictions.
-    pub fn mean_error(&self) -> Option<Duration> {
-        self.mean_error_s.map(Duration::from_secs_f64)
-    }
-
     /// Records that some server has answered.
     pub fn record_answer(&mut self, now: MonotonicTime) {
         self.answered_at = Some(now);
--- a/src/core/fleet/server_speed/speed.rs
+++ b/src/core/fleet/server_speed/speed.rs
@@ -66,8 +66,8 @@
     measured: [LogMean; 3],
     /// Logarithms of the clear factors, as of the last refresh.
     clear_logs: [Option<f64>; 3],
-    /// What this entry has measured since it last told other entries.
-    untold: [LogMean; 3],
+    /// Measurements since the last ones that were sent to other entries.
+    unsent: [LogMean; 3],
 }
 
 impl ServerSpeed {
@@ -118,28 +118,28 @@
         let ratio = measured.as_secs_f64() / expected.as_secs_f64();
         let log = (ratio / self.current_slowness(now)).ln();
         self.measured[kind.index()].observe(log);
-        self.untold[kind.index()].observe(log);
+        self.unsent[kind.index()].observe(log);
         service.observe_work(kind, log);
     }
 
     /// Adds what another entry has measured.
     pub fn apply_notice(&mut self, notice: &SpeedNotice, service: &mut ServiceSpeed) {
-        let told = notice.to_mean();
-        self.measured[notice.kind.index()].merge(told);
-        service.apply_mean(notice.kind, told);
+        let received = notice.to_mean();
+        self.measured[notice.kind.index()].merge(received);
+        service.apply_mean(notice.kind, received);
     }
 
-    /// Returns the number of observations that other entries were not told of.
-    pub fn count_untold(&self) -> f64 {
-        self.untold.iter().map(|mean| mean.weight).sum()
+    /// Returns the number of observations that were not sent to other entries.
+    pub fn count_unsent(&self) -> f64 {
+        self.unsent.iter().map(|mean| mean.weight).sum()
     }
 
-    /// Takes what other entries were not told of.
+    /// Takes what was not sent to other entries.
     pub fn take_notices(&mut self, run: RunKey) -> Vec<SpeedNotice> {
-        let untold = std::mem::take(&mut self.untold);
+        let unsent = std::mem::take(&mut self.unsent);
         WorkKind::ALL
             .into_iter()
-            .zip(untold)
+            .zip(unsent)
             .filter(|(_, mean)| mean.weight >= 1.0)
             .map(|(kind, mean)| SpeedNotice::new(run, kind, mean))
             .collect()
--- a/src/core/fleet/version_rollout/service_rollout.rs
+++ b/src/core/fleet/version_rollout/service_rollout.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::BuildCounters;
 use super::BuildFilter;
 use super::RolloutNews;
 use super::RolloutOrder;
@@ -50,7 +51,7 @@
     routes: BTreeMap<String, RouteState>,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct RouteState {
     report: RouteReport,
     sent_to_new: u64,
@@ -227,48 +228,41 @@
 
     /// Counts the time to a response or to the first event of a stream.
     pub fn record_time(&mut self, route: &str, build: &Build, elapsed: Duration) {
-        let is_new = *build == self.order.target;
-        if self.is_counted(build) {
-            let report = &mut self.route(route).report;
-            let counters = if is_new {
-                &mut report.new
-            } else {
-                &mut report.old
-            };
+        if let Some(counters) = self.counters(route, build) {
             counters.record_time(elapsed);
         }
     }
 
     /// Counts the end of a call that a server of `build` has run.
     pub fn record_end(&mut self, route: &str, build: &Build, is_failure: bool) {
-        let is_new = *build == self.order.target;
-        if self.is_counted(build) {
-            let report = &mut self.route(route).report;
-            let counters = if is_new {
-                &mut report.new
-            } else {
-                &mut report.old
-            };
+        if let Some(counters) = self.counters(route, build) {
             counters.record_end(is_failure);
         }
     }
 
-    fn is_counted(&self, build: &Build) -> bool {
-        !self.phase.is_final() && !self.given_up.contains(build)
+    /// Returns the counters of a build on a route; `None` if it is not compared.
+    fn counters(&mut self, route: &str, build: &Build) -> Option<&mut BuildCounters> {
+        if self.phase.is_final() || self.given_up.contains(build) {
+            return None;
+        }
+        let is_new = *build == self.order.target;
+        let report = &mut self.route(route).report;
+        Some(if is_new {
+            &mut report.new
+        } else {
+            &mut report.old
+        })
     }
 
     fn route(&mut self, route: &str) -> &mut RouteState {
-        if !self.routes.contains_key(route) {
-            let state = RouteState {
-                report: RouteReport {
-                    route: route.to_owned(),
-                    ..RouteReport::default()
-                },
-                sent_to_new: 0,
-            };
-            self.routes.insert(route.to_owned(), state);
-        }
-        self.routes.entry(route.to_owned()).or_default()
+        let entry = self.routes.entry(route.to_owned());
+        entry.or_insert_with(|| RouteState {
+            report: RouteReport {
+                route: route.to_owned(),
+                ..RouteReport::default()
+            },
+            sent_to_new: 0,
+        })
     }
 
     /// Builds the next report. `old_running` is the number of calls that this entry runs
--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -50,9 +50,6 @@
 /// Cost of a call without a prompt, in tokens: that of a short prompt.
 const PLAIN_CALL_TOKENS: u64 = 2_500;
 
-/// Time in which an engine generates a token of a response that arrives as a whole.
-const TIME_PER_OUTPUT_TOKEN: Duration = Duration::from_micros(4_500);
-
 /// Tasks of calls that wait.
 #[derive(Debug, Default)]
 pub struct WaitingCalls {
@@ -147,27 +144,20 @@
     }
 }
 
-/// Records the observed time to first token of a call, or to its whole response, of
-/// which `output_time` was predicted for the output.
+/// Records when a call was `predicted` to begin, or its whole response to arrive, and
+/// that this has happened now.
 pub fn observe_start(
     cx: &GatewayContext,
     call: &Call,
-    choice: &BackendChoice,
+    predicted: Duration,
     sent_at: MonotonicTime,
-    output_time: Duration,
 ) {
     let now = cx.now();
     if let Some(admission) = &mut cx.lock().admission {
-        let predicted = choice.predicted_ttft + output_time;
         admission.observe_start(&call.service, predicted, now.since(sent_at), now);
     }
 }
 
-/// Predicts the time to generate a response that arrives as a whole.
-pub fn predict_output_time(prompt: &Prompt) -> Duration {
-    TIME_PER_OUTPUT_TOKEN * prompt.expected_output_tokens
-}
-
 /// Lets the tasks of the first waiting calls ask again whether they may be sent: when a
 /// call ends, and at intervals. Refuses those that cannot start in time any more.
 pub async fn look_at_waiting_calls(cx: Arc<GatewayContext>) {
@@ -280,7 +270,8 @@
     }
 }
 
-/// Returns a hash that is equal for a call and its repeat, whose ids may differ.
+/// Returns a hash that is equal for a call and its repeat, whose ids may differ. Computing
+/// [`Call::digest`], which is cryptographic, for each call would take far longer.
 fn identify(call: &Call) -> u64 {
     let account = call.account.as_ref().map_or("", |account| account.as_str());
     let seed = xxh3_64_with_seed(account.as_bytes(), xxh3_64(call.uri.path().as_bytes()));
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -13,7 +13,6 @@
 use tokio::time::timeout_at;
 
 use super::admission::observe_start;
-use super::admission::predict_output_time;
 use super::context::GatewayContext;
 use super::liveness_check::wait_while_alive;
 use super::outstanding_bytes::OutstandingBytes;
@@ -190,29 +189,22 @@
         } else if self.choice.waits_little() {
             dispatcher.observe_hold(&self.choice, elapsed, now);
         }
-        if self.choice.salt.is_none() {
-            dispatcher.observe_prediction(&self.choice, predicted, elapsed);
-        }
     }
 
     fn record_first_token(&mut self, call: &Call) {
-        if self.is_prefilling {
-            observe_start(&self.cx, call, &self.choice, self.sent_at, Duration::ZERO);
+        if !self.is_prefilling {
+            return;
         }
-        if self.is_prefilling
-            && let Some(prompt) = &call.head.prompt
-        {
+        let predicted = self.choice.predicted_ttft;
+        observe_start(&self.cx, call, predicted, self.sent_at);
+        if let Some(prompt) = &call.head.prompt {
             let now = self.cx.now();
             let elapsed = now.since(self.sent_at);
             self.first_event_at = now;
-            let predicted = self.choice.predicted_ttft;
             self.cx
                 .metrics
                 .observe_prediction("first", predicted, elapsed);
             let mut state = self.cx.lock();
-            state
-                .dispatcher
-                .observe_prediction(&self.choice, predicted, elapsed);
             state.dispatcher.observe_ttft(&self.choice, elapsed, now);
             state.dispatcher.record_saved_parts(&self.choice, prompt);
             state
@@ -262,9 +254,13 @@
     if let AttemptOutcome::Answered(response) = &outcome
         && response.status.is_success()
     {
-        let output_time = call.head.prompt.as_ref().map(predict_output_time);
-        let output_time = output_time.unwrap_or_default();
-        observe_start(cx, call, &sent_to, sent_at, output_time);
+        // The time until a plain call begins is not seen; its own work counts as lateness.
+        let predicted = if call.head.prompt.is_some() {
+            sent_to.predicted_end
+        } else {
+            sent_to.predicted_ttft
+        };
+        observe_start(cx, call, predicted, sent_at);
     }
     let now = cx.now();
     let mut state = cx.lock();
--- a/src/gateway/exchange_peer_state.rs
+++ b/src/gateway/exchange_peer_state.rs
@@ -89,6 +89,7 @@
 
 /// Like [`MIN_EXCHANGES_PER_ENTRY_LIST`], over a connection with a shorter interval.
 const MIN_RELAY_EXCHANGES_PER_ENTRY_LIST: u64 = 64;
+
 /// Minimum time between two windows of measured speeds, and the number of exchanges with
 /// each peer in which one is sent, since an exchange may be lost.
 const MIN_SPEED_WINDOW: Duration = Duration::from_secs(1);
--- a/src/gateway/hedged_attempt.rs
+++ b/src/gateway/hedged_attempt.rs
@@ -12,10 +12,10 @@
 use super::attempt::attempt_call;
 use super::call_log::CallLog;
 use super::call_progress::CallProgress;
+use super::choose_with_room::choose_with_room;
 use super::context::GatewayContext;
 use super::read_call::Call;
 use super::serve_call::MAX_SENDS_PER_CALL;
-use super::share_quarantine::digest_if_needed;
 use crate::core::fleet::BackendChoice;
 use crate::core::fleet::CallKind;
 
@@ -109,27 +109,21 @@
     if progress.tried.len() >= MAX_SENDS_PER_CALL {
         return None;
     }
-    let digest = digest_if_needed(cx, call);
     let now = cx.now();
-    let mut state = cx.lock();
-    if !state
-        .dispatcher
-        .has_free_slot(&call.service, &progress.tried, now)
-    {
-        drop(state);
+    let is_free = {
+        let state = cx.lock();
+        let dispatcher = &state.dispatcher;
+        dispatcher.has_free_slot(&call.service, &progress.tried, now)
+    };
+    if !is_free {
         cx.metrics.count_hedge("no-free-slot");
         return None;
     }
-    if !state.retries.has_spare(&call.service, now) {
-        drop(state);
+    if !cx.lock().retries.has_spare(&call.service, now) {
         cx.metrics.count_hedge("no-budget");
         return None;
     }
-    let req = call.dispatch_request(progress);
-    let choice = state
-        .choose_permitted(&req, &call.route.name, false, digest, now)
-        .ok()?;
-    drop(state);
+    let choice = choose_with_room(cx, call, progress, &[]).ok()?;
     cx.take_retry(&call.service).then_some(choice)
 }
 
--- a/src/gateway/lead_rollouts/check_servers.rs
+++ b/src/gateway/lead_rollouts/check_servers.rs
@@ -1,12 +1,10 @@
 //! Finds out which entries still run and what the old servers still do.
 
 use std::collections::HashSet;
-use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use futures::future::join_all;
-use tokio::net::TcpStream;
 use tokio::time::timeout;
 
 use super::Follower;
@@ -14,6 +12,7 @@
 use crate::core::fleet::RolloutOrder;
 use crate::core::fleet::ServiceServers;
 use crate::gateway::context::GatewayContext;
+use crate::gateway::refused_port::is_refused;
 
 /// Time to connect to an entry that does not report, and for an old server's load.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(200);
@@ -40,7 +39,7 @@
         let checks = known
             .iter()
             .filter(|entry| silent.contains(&entry.name))
-            .map(|entry| is_refused(entry.address));
+            .map(|entry| is_refused(entry.address, CHECK_TIMEOUT));
         let mut are_refused = join_all(checks).await.into_iter();
         known.retain(|entry| !silent.contains(&entry.name) || !are_refused.next().unwrap_or(false));
         let names = known.into_iter().map(|entry| entry.name);
@@ -109,17 +108,10 @@
     }
 }
 
-async fn is_refused(address: SocketAddr) -> bool {
-    match timeout(CHECK_TIMEOUT, TcpStream::connect(address)).await {
-        Ok(Err(e)) => e.kind() == io::ErrorKind::ConnectionRefused,
-        Ok(Ok(_)) | Err(_) => false,
-    }
-}
-
 /// Returns the calls that a server states to run; none if its process has ended, or if
 /// it states no load: the entries' own counts decide then.
 async fn read_running(cx: &GatewayContext, address: SocketAddr, health_path: &str) -> Option<u32> {
-    if is_refused(address).await {
+    if is_refused(address, CHECK_TIMEOUT).await {
         return Some(0);
     }
     let read = cx.ports.engine.read_load(address, health_path);
--- a/src/gateway/lead_rollouts/claim_lead.rs
+++ b/src/gateway/lead_rollouts/claim_lead.rs
@@ -5,7 +5,6 @@
 
 use tokio::task::JoinHandle;
 use xxhash_rust::xxh3::xxh3_64;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::Follower;
 use super::REPORT_INTERVAL;
@@ -21,6 +20,7 @@
 use crate::core::fleet::RolloutLeader;
 use crate::core::fleet::RolloutPhase;
 use crate::core::fleet::RolloutRecord;
+use crate::gateway::claim_rank::rank_of;
 use crate::gateway::led_rollouts::LedRollout;
 use crate::ports::PortError;
 use crate::ports::RolloutWrite;
@@ -184,12 +184,9 @@
 
     /// Returns the number of known entries that claim the lead before this one.
     pub(super) fn rank(&self, now: MonotonicTime) -> u32 {
-        let seed = xxh3_64(self.service.as_bytes());
-        let score = |name: &str| xxh3_64_with_seed(name.as_bytes(), seed);
-        let own_score = score(&self.cx.settings.name);
         let names = self.cx.known_entries.list_names(now);
-        let before = names.iter().filter(|name| score(name) < own_score).count();
-        u32::try_from(before).unwrap_or(u32::MAX).min(1_000)
+        let task = xxh3_64(self.service.as_bytes());
+        rank_of(&self.cx.settings.name, &names, task).min(1_000)
     }
 
     pub(super) fn find_write(&self, now: MonotonicTime) -> Option<(ClaimGrant, RolloutWrite)> {
--- a/src/gateway/permit_builds.rs
+++ b/src/gateway/permit_builds.rs
@@ -14,8 +14,8 @@
 
 impl GatewayState {
     /// Chooses the server of a call on a route like [`Self::choose_server`], among the
-    /// builds that the rollout of its service permits, and counts the choice as a send. `is_first` tells that the call was sent to no
-    /// server yet.
+    /// builds that the rollout of its service permits, and counts the choice as a send.
+    /// `is_first` tells that the call was sent to no server yet.
     ///
     /// # Errors
     ///
--- a/src/gateway/substitute_agents.rs
+++ b/src/gateway/substitute_agents.rs
@@ -2,7 +2,6 @@
 //! the store, so that only one process orders an engine at a time.
 
 use std::collections::HashMap;
-use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -12,15 +11,14 @@
 use std::time::Instant;
 
 use futures::future::join_all;
-use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
-use tokio::time::timeout;
 use xxhash_rust::xxh3::xxh3_64;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use super::claim_rank::rank_of;
 use super::context::GatewayContext;
 use super::follow_agents::list_engines;
+use super::refused_port::is_refused;
 use crate::core::MonotonicTime;
 use crate::core::ServerName;
 use crate::core::fleet::CLAIM_TTL;
@@ -172,7 +170,9 @@
     };
     let mut silent = list_engines(cx);
     silent.retain(|(engine, _)| is_due(engine));
-    let checks = silent.iter().map(|(engine, _)| is_refused(engine.agent));
+    let checks = silent
+        .iter()
+        .map(|(engine, _)| is_refused(engine.agent, CONNECT_TIMEOUT));
     let are_refused = join_all(checks).await;
     let state = cx.lock();
     silent
@@ -209,25 +209,10 @@
     }
 }
 
-async fn is_refused(agent: SocketAddr) -> bool {
-    match timeout(CONNECT_TIMEOUT, TcpStream::connect(agent)).await {
-        Ok(Err(e)) => e.kind() == io::ErrorKind::ConnectionRefused,
-        Ok(Ok(_)) | Err(_) => false,
-    }
-}
-
 fn group_of(agent: SocketAddr) -> u64 {
     xxh3_64(agent.to_string().as_bytes()) % GROUP_COUNT
 }
 
-/// Returns the number of known entries that claim a group before this one.
-fn rank_of(own_name: &str, peers: &[String], group: u64) -> u32 {
-    let score = |name: &str| xxh3_64_with_seed(name.as_bytes(), group);
-    let own_score = score(own_name);
-    let before = peers.iter().filter(|peer| score(peer) < own_score).count();
-    u32::try_from(before).unwrap_or(u32::MAX)
-}
-
 fn lock_claim(claim: &Mutex<OrderClaim>) -> MutexGuard<'_, OrderClaim> {
     claim.lock().unwrap_or_else(PoisonError::into_inner)
 }
