--- a/src/core/fleet/version_rollout/rollout_table.rs
+++ b/src/core/fleet/version_rollout/rollout_table.rs
@@ -1,38 +1,52 @@
 //! Rollouts of all services that an entry knows.
 
 use std::collections::HashMap;
+use std::time::Duration;
 
 use super::RolloutNews;
 use super::RolloutOrder;
 use super::RolloutPhase;
 use super::ServiceRollout;
 use crate::core::MonotonicTime;
+use crate::core::fleet::Build;
+
+/// Time from the sending of a report for which the plan that answers it is valid.
+const PLAN_VALIDITY: Duration = Duration::from_secs(1);
 
 /// Rollouts by service. Empty while there are no orders.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct RolloutTable {
     rollouts: HashMap<String, ServiceRollout>,
+    plan_validity: Duration,
+}
+
+impl Default for RolloutTable {
+    fn default() -> Self {
+        Self {
+            rollouts: HashMap::new(),
+            plan_validity: PLAN_VALIDITY,
+        }
+    }
 }
 
 impl RolloutTable {
-    /// Returns whether no order is known.
-    pub fn is_empty(&self) -> bool {
-        self.rollouts.is_empty()
+    /// Creates a table without orders, of a fleet in which a bad build gets no calls
+    /// after `rollback_time`. An entry that hears no leader stops within half of it; the
+    /// rest is left for the decision.
+    pub fn within(rollback_time: Duration) -> Self {
+        Self {
+            plan_validity: PLAN_VALIDITY.min(rollback_time / 2),
+            ..Self::default()
+        }
     }
 
     /// Returns the rollout of a service.
     pub fn find(&self, service: &str) -> Option<&ServiceRollout> {
-        if self.rollouts.is_empty() {
-            return None;
-        }
         self.rollouts.get(service)
     }
 
     /// Returns the rollout of a service, to change it.
     pub fn find_mut(&mut self, service: &str) -> Option<&mut ServiceRollout> {
-        if self.rollouts.is_empty() {
-            return None;
-        }
         self.rollouts.get_mut(service)
     }
 
@@ -56,10 +70,8 @@
         if order.duration.is_none_or(|duration| duration.is_zero()) {
             return Err("no-duration");
         }
-        let service = order.service.clone();
-        let Some(rollout) = self.rollouts.get_mut(&service) else {
-            let rollout = ServiceRollout::new(order, is_new, Vec::new(), now);
-            self.rollouts.insert(service, rollout);
+        let Some(rollout) = self.rollouts.get_mut(&order.service) else {
+            self.insert(order, is_new, Vec::new(), now);
             return Ok(true);
         };
         let known = rollout.order();
@@ -77,13 +89,8 @@
             rollout.extend(order, is_new, now);
             return Ok(true);
         }
-        let mut given_up = rollout.given_up().to_vec();
-        if rollout.phase() != RolloutPhase::Completed {
-            given_up.push(known.target.clone());
-        }
-        given_up.retain(|build| *build != order.target);
-        let rollout = ServiceRollout::new(order, is_new, given_up, now);
-        self.rollouts.insert(service, rollout);
+        let given_up = list_given_up(rollout, &order.target);
+        self.insert(order, is_new, given_up, now);
         Ok(true)
     }
 
@@ -115,8 +122,7 @@
     }
 
     fn learn_order(&mut self, order: RolloutOrder, now: MonotonicTime) {
-        let service = order.service.clone();
-        let known = self.rollouts.get(&service);
+        let known = self.rollouts.get(&order.service);
         if let Some(known) = known
             && known.order().target == order.target
         {
@@ -124,14 +130,29 @@
             // from the store.
             return;
         }
-        let mut given_up = known.map_or(Vec::new(), |known| known.given_up().to_vec());
-        if let Some(known) = known
-            && known.phase() != RolloutPhase::Completed
-        {
-            given_up.push(known.order().target.clone());
-        }
-        given_up.retain(|build| *build != order.target);
-        let rollout = ServiceRollout::new(order, false, given_up, now);
+        let given_up = known.map_or_else(Vec::new, |known| list_given_up(known, &order.target));
+        self.insert(order, false, given_up, now);
+    }
+
+    fn insert(
+        &mut self,
+        order: RolloutOrder,
+        has_known_age: bool,
+        given_up: Vec<Build>,
+        now: MonotonicTime,
+    ) {
+        let service = order.service.clone();
+        let rollout = ServiceRollout::new(order, has_known_age, given_up, self.plan_validity, now);
         self.rollouts.insert(service, rollout);
     }
 }
+
+/// Returns the targets that get nothing once an order for `target` replaces `known`.
+fn list_given_up(known: &ServiceRollout, target: &Build) -> Vec<Build> {
+    let mut given_up = known.given_up().to_vec();
+    if known.phase() != RolloutPhase::Completed {
+        given_up.push(known.order().target.clone());
+    }
+    given_up.retain(|build| build != target);
+    given_up
+}
--- a/src/core/fleet/version_rollout/service_rollout.rs
+++ b/src/core/fleet/version_rollout/service_rollout.rs
@@ -16,9 +16,6 @@
 use crate::core::MonotonicTime;
 use crate::core::fleet::Build;
 
-/// Time from the sending of a report for which the plan that answers it is valid.
-pub const PLAN_VALIDITY: Duration = Duration::from_secs(1);
-
 /// Time after the end of a rollout in which the old servers get nothing although they
 /// may still be listed.
 const OLD_SERVER_LINGER: Duration = Duration::from_secs(10);
@@ -45,6 +42,7 @@
     leader: Option<SocketAddr>,
     allowance: u64,
     allowed_until: MonotonicTime,
+    plan_validity: Duration,
     wanted_routes: Vec<String>,
     sent: u64,
     report_count: u64,
@@ -58,11 +56,13 @@
 }
 
 impl ServiceRollout {
-    /// Creates the state of an order, written at `seen_at` or found in a full read.
+    /// Creates the state of an order, written at `seen_at` or found in a full read. A plan
+    /// of the leader counts for `plan_validity`.
     pub fn new(
         order: RolloutOrder,
         has_known_age: bool,
         given_up: Vec<Build>,
+        plan_validity: Duration,
         seen_at: MonotonicTime,
     ) -> Self {
         let mut rollout = Self {
@@ -78,6 +78,7 @@
             leader: None,
             allowance: 0,
             allowed_until: MonotonicTime::ZERO,
+            plan_validity,
             wanted_routes: Vec::new(),
             sent: 0,
             report_count: 0,
@@ -305,7 +306,7 @@
         }
         let is_changed = self.learn_phase(plan.fence, plan.phase, now);
         self.allowance = plan.allowance;
-        self.allowed_until = sent_at + PLAN_VALIDITY;
+        self.allowed_until = sent_at + self.plan_validity;
         self.wanted_routes.clone_from(&plan.wanted_routes);
         is_changed
     }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -97,7 +97,7 @@
             follows_peer_members: false,
             quarantine: Quarantine::for_process(name),
             streams: StreamOrigins::default(),
-            rollouts: RolloutTable::default(),
+            rollouts: RolloutTable::within(bounds.rollback_time),
             dispatcher,
             admission: None,
             quota: FleetQuota::new(bounds.quota_overage, bounds.quota_slack),
--- a/tests/fleet_version_rollout.rs
+++ b/tests/fleet_version_rollout.rs
@@ -15,6 +15,7 @@
 use teaseldrum::core::fleet::RolloutLeader;
 use teaseldrum::core::fleet::RolloutOrder;
 use teaseldrum::core::fleet::RolloutPhase;
+use teaseldrum::core::fleet::RolloutPlan;
 use teaseldrum::core::fleet::RolloutRecord;
 use teaseldrum::core::fleet::RolloutTable;
 use teaseldrum::core::fleet::ServiceServers;
@@ -557,6 +558,36 @@
     table
 }
 
+/// Guards against an entry without contact to the leader that goes on sending to the new
+/// build for longer than the operator's rollback time permits.
+#[rstest]
+#[case::default_time(5_000, 1_000)]
+#[case::short_time(600, 300)]
+fn apply_plan_ends_within_rollback_time(#[case] rollback_ms: u64, #[case] validity_ms: u64) {
+    let mut table = RolloutTable::within(Duration::from_millis(rollback_ms));
+    table
+        .observe_order(order(), true, at(0))
+        .expect("a valid order");
+    let rollout = table.find_mut("s").expect("a rollout");
+    let plan = RolloutPlan {
+        revision: order().revision,
+        fence: 1,
+        phase: RolloutPhase::Canary,
+        allowance: 5,
+        wanted_routes: Vec::new(),
+    };
+    rollout.apply_plan(&plan, at(0), at(0));
+    rollout.record_request("r");
+    rollout.record_request("r");
+    let permits_target = |ms| {
+        rollout
+            .permit("r", true, None, at(ms))
+            .allows(&order().target)
+    };
+    assert!(permits_target(validity_ms - 10));
+    assert!(!permits_target(validity_ms + 10));
+}
+
 fn plan(seed: u64) -> Plan {
     Plan {
         seed,
