--- a/review/harness/cases.rs
+++ b/review/harness/cases.rs
@@ -53,9 +53,60 @@
     at(begin, 9.0);
     fleet.name_version(3);
     at(begin, 22.0);
+    judge_orders(record, &mut fleet, &healed_at)
+}
+
+/// A worker's machine is cut off from the gateways for 11 s, while the worker is not. The
+/// gateway that gave the worker its last order is killed just before the cut heals, and
+/// new weights are named.
+pub fn dead_holder(record: &Arc<Record>, has_trouble: bool) -> Played {
+    let options = Options { gateways: 5, engines: 6, is_fenced: false };
+    let mut fleet = start(record, &options, &config(1, ONE_TENANT))?;
+    let begin = Instant::now();
+    record.say("begin");
+    let mut healed_at = Vec::new();
+    if has_trouble {
+        fleet.links[0].refuse();
+        record.say("side-1 is cut off: its machine refuses connections");
+    }
+    at(begin, 1.0);
+    fleet.name_version(2);
+    at(begin, 10.8);
+    if has_trouble {
+        let orders = fleet.engines[0].orders();
+        let giver = orders.last().map(|order| order.holder.clone()).unwrap_or_default();
+        let killed = fleet.gateways.iter_mut().find(|gateway| gateway.name == giver);
+        let Some(killed) = killed else {
+            return Err(format!("no gateway gave the last order but {giver:?}"));
+        };
+        killed.kill();
+        record.say(&format!("{giver}, which gave the last order, is killed"));
+    }
+    at(begin, 10.9);
+    fleet.name_version(3);
+    at(begin, 11.0);
+    if has_trouble {
+        fleet.links[0].heal().map_err(|e| format!("heal: {e}"))?;
+        healed_at.push(record.now());
+        record.say("the cut of side-1 has healed");
+    }
+    at(begin, 11.3);
+    if has_trouble {
+        for gateway in &mut fleet.gateways {
+            if gateway.has_ended() {
+                gateway.restart().map_err(|e| format!("restart: {e}"))?;
+                record.say(&format!("{} is started again", gateway.name));
+            }
+        }
+    }
+    at(begin, 22.0);
+    judge_orders(record, &mut fleet, &healed_at)
+}
+
+fn judge_orders(record: &Record, fleet: &mut Fleet, healed_at: &[Duration]) -> Played {
     let mut breaks = 0;
     for engine in &fleet.engines {
-        breaks += orders::judge(record, &engine.id, &engine.orders(), &healed_at);
+        breaks += orders::judge(record, &engine.id, &engine.orders(), healed_at);
         record.say(&format!("worker {} ends with version {}", engine.id, engine.version()));
     }
     match fleet.find_ended() {
