Add case 1: a stopping gateway takes requests to its end and cuts them

Cause: bytes of a refused request's body that are drained after the answer mark a kept connection as busy, so that a drain never closes it.

--- a/review/harness/engine.rs
+++ b/review/harness/engine.rs
@@ -58,6 +58,7 @@
     events: Vec<(u64, char, String, String, u64)>,
     uses: Vec<Use>,
     running: u32,
+    begun: Vec<String>,
 }
 
 pub struct Engine {
@@ -68,7 +69,7 @@
     state: Mutex<State>,
     changed: Condvar,
     record: Arc<Record>,
-    /// All workers by address, for transfers of parts.
+    /// All workers by listed address, for transfers of parts.
     others: Mutex<HashMap<SocketAddr, Arc<Engine>>>,
 }
 
@@ -97,10 +98,10 @@
         Ok(engine)
     }
 
-    pub fn know_others(&self, engines: &[Arc<Engine>]) {
+    pub fn know_others(&self, engines: &[(SocketAddr, Arc<Engine>)]) {
         let mut others = self.others.lock().unwrap();
-        for engine in engines {
-            others.insert(engine.addr, Arc::clone(engine));
+        for (listed, engine) in engines {
+            others.insert(*listed, Arc::clone(engine));
         }
     }
 
@@ -119,6 +120,11 @@
         self.state.lock().unwrap().orders.clone()
     }
 
+    /// Whether a request has begun to run here.
+    pub fn has_run(&self, request: &str) -> bool {
+        self.state.lock().unwrap().begun.iter().any(|id| id == request)
+    }
+
     pub fn uses(&self) -> Vec<Use> {
         self.state.lock().unwrap().uses.clone()
     }
@@ -256,6 +262,7 @@
                 return Ok(true);
             }
             state.running += 1;
+            state.begun.push(id.clone());
             state.version
         };
         let prompt = req.header("x-teaseldrum-prompt-prefix").unwrap_or("");
@@ -305,12 +312,15 @@
             "run at {}: {} {} id={id} tenant={tenant} salt={salt} version={version} read={to_read}",
             self.id, req.method, req.target
         ));
+        // One event a token of the output, 20 ms each.
+        let usage = req.header("x-teaseldrum-token-usage").unwrap_or("");
+        let events: u64 = usage.split(',').nth(1).and_then(|n| n.trim().parse().ok()).unwrap_or(5);
         let seal = format!("seal.{}.{id}", self.id);
         let head = format!(
             "HTTP/1.1 200 OK\r\nX-Teaseldrum-Request-Id: {id}\r\nX-Teaseldrum-Server-Seal: {seal}\r\nX-Teaseldrum-Weight-Versions: {version}\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
         );
         let result = out.write_all(head.as_bytes()).and_then(|()| {
-            for number in 1..=5 {
+            for number in 1..=events {
                 thread::sleep(Duration::from_millis(20));
                 let event = format!("id: {number}\ndata: {id} {number}\n\n");
                 out.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
@@ -318,6 +328,8 @@
             out.write_all(b"0\r\n\r\n")
         });
         self.state.lock().unwrap().running -= 1;
+        let end = if result.is_ok() { "whole" } else { "broken off, the caller has gone" };
+        self.record.line(&format!("run at {}: id={id} ends {end}", self.id));
         result.map(|()| true)
     }
 }
--- a/review/harness/fleet.rs
+++ b/review/harness/fleet.rs
@@ -70,11 +70,29 @@
         .spawn()
 }
 
+/// Links from the gateways to a worker's machine: to the agent and to the worker.
+pub struct Link {
+    agent: Arc<Proxy>,
+    worker: Arc<Proxy>,
+}
+
+impl Link {
+    /// Cuts the machine off: it refuses connections.
+    pub fn refuse(&self) {
+        self.agent.refuse();
+        self.worker.refuse();
+    }
+    pub fn heal(&self) -> io::Result<()> {
+        self.agent.heal()?;
+        self.worker.heal()
+    }
+}
+
 pub struct Fleet {
     pub record: Arc<Record>,
     pub store: Arc<Store>,
     pub engines: Vec<Arc<Engine>>,
-    pub links: Vec<Arc<Proxy>>,
+    pub links: Vec<Link>,
     pub gateways: Vec<Process>,
     pub sidecars: Vec<Process>,
     pub traffic: Vec<SocketAddr>,
@@ -122,17 +140,25 @@
         let agents: Vec<SocketAddr> =
             (1..=options.engines).map(|n| SocketAddr::new(ip(12, n), agent_port)).collect();
         for n in 1..=options.engines {
-            let addr = SocketAddr::new(ip(11, n), engine_port);
+            // The worker at its machine. The gateways reach the machine over links that can
+            // be cut; the agent beside the worker reaches it directly.
+            let addr = SocketAddr::new(ip(14, n), engine_port);
             let id = format!("i-{n:02}");
             let record = Arc::clone(&fleet.record);
             fleet.engines.push(Engine::start(&id, addr, MODEL, options.is_fenced, record)?);
-            // The address of the agent is that of the worker's machine; the link to it
-            // can be cut.
-            let link = SocketAddr::new(ip(11, n), agent_port);
-            fleet.links.push(Proxy::start(link, agents[usize::from(n - 1)])?);
+            let agent = SocketAddr::new(ip(11, n), agent_port);
+            let worker = SocketAddr::new(ip(11, n), engine_port);
+            fleet.links.push(Link {
+                agent: Proxy::start(agent, agents[usize::from(n - 1)])?,
+                worker: Proxy::start(worker, addr)?,
+            });
         }
+        let listed: Vec<(SocketAddr, Arc<Engine>)> = (1..)
+            .zip(&fleet.engines)
+            .map(|(n, engine)| (SocketAddr::new(ip(11, n), engine_port), Arc::clone(engine)))
+            .collect();
         for engine in &fleet.engines {
-            engine.know_others(&fleet.engines);
+            engine.know_others(&listed);
         }
         fleet.start_beats();
         let (traffic, health, peers) = (free_port(count)?, free_port(count)?, free_port(count)?);
@@ -185,9 +211,10 @@
         let mut write = move || {
             seq += 1;
             for (n, engine) in (1..).zip(&engines) {
+                let address = SocketAddr::new(ip(11, n), engine.addr.port());
                 let text = format!(
                     "{{\"Service\":\"{SERVICE}\",\"Address\":\"{}\",\"Zone\":\"{}\",\"Version\":\"v1\",\"Slots\":48,\"State\":\"ready\",\"ColdRemainingMs\":0,\"Stage\":\"both\",\"Models\":[{{\"Name\":\"{MODEL}\",\"Version\":{},\"Adapters\":[]}}],\"Seq\":{seq},\"born\":1700000000000}}",
-                    engine.addr,
+                    address,
                     zone(n),
                     engine.version(),
                 );
--- a/review/harness/http.rs
+++ b/review/harness/http.rs
@@ -191,6 +191,75 @@
     }
 }
 
+/// A client's connection that is kept for several requests.
+pub struct Kept {
+    stream: BufReader<TcpStream>,
+}
+
+impl Kept {
+    pub fn connect(to: SocketAddr) -> io::Result<Kept> {
+        let s = TcpStream::connect_timeout(&to, Duration::from_secs(1))?;
+        s.set_nodelay(true)?;
+        Ok(Kept { stream: BufReader::new(s) })
+    }
+    /// Returns whether the other side has closed the connection.
+    pub fn is_closed(&self) -> bool {
+        let s = self.stream.get_ref();
+        let _ = s.set_nonblocking(true);
+        let read = s.peek(&mut [0]);
+        let _ = s.set_nonblocking(false);
+        !matches!(read, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+    }
+    pub fn send_head(
+        &mut self,
+        target: &str,
+        headers: &[(&str, String)],
+        body_len: usize,
+    ) -> io::Result<()> {
+        let mut text = format!("POST {target} HTTP/1.1\r\n");
+        for (n, v) in headers {
+            text.push_str(&format!("{n}: {v}\r\n"));
+        }
+        text.push_str(&format!("Content-Length: {body_len}\r\n\r\n"));
+        self.stream.get_mut().write_all(text.as_bytes())
+    }
+    pub fn send_body(&mut self, body: &[u8]) -> io::Result<()> {
+        self.stream.get_mut().write_all(body)
+    }
+    pub fn read(&mut self, limit: Duration) -> io::Result<Resp> {
+        self.stream.get_ref().set_read_timeout(Some(limit))?;
+        read_resp(&mut self.stream)
+    }
+    /// Sends a request and reads its answer.
+    pub fn call(
+        &mut self,
+        target: &str,
+        headers: &[(&str, String)],
+        body: &[u8],
+        limit: Duration,
+    ) -> io::Result<Resp> {
+        self.send_head(target, headers, body.len())?;
+        self.send_body(body)?;
+        self.read(limit)
+    }
+}
+
+fn read_resp(r: &mut BufReader<TcpStream>) -> io::Result<Resp> {
+    let line = read_line(r)?;
+    let status = line.split(' ').nth(1).and_then(|w| w.parse().ok()).ok_or_else(|| bad("status"))?;
+    let headers = read_headers(r)?;
+    let mut body = Vec::new();
+    let ended = if find(&headers, "transfer-encoding").is_some() {
+        read_chunks(r, &mut body)
+    } else if let Some(len) = find(&headers, "content-length") {
+        body.resize(len.parse().map_err(|_| bad("length"))?, 0);
+        r.read_exact(&mut body)
+    } else {
+        r.read_to_end(&mut body).map(|_| ())
+    };
+    Ok(Resp { status, headers, body, is_whole: ended.is_ok() })
+}
+
 /// Sends one request on a connection of its own.
 pub fn call(
     to: SocketAddr,
@@ -214,18 +283,5 @@
     let mut bytes = text.into_bytes();
     bytes.extend_from_slice(body);
     s.write_all(&bytes)?;
-    let mut r = BufReader::new(s);
-    let line = read_line(&mut r)?;
-    let status = line.split(' ').nth(1).and_then(|w| w.parse().ok()).ok_or_else(|| bad("status"))?;
-    let headers = read_headers(&mut r)?;
-    let mut body = Vec::new();
-    let ended = if find(&headers, "transfer-encoding").is_some() {
-        read_chunks(&mut r, &mut body)
-    } else if let Some(len) = find(&headers, "content-length") {
-        body.resize(len.parse().map_err(|_| bad("length"))?, 0);
-        r.read_exact(&mut body)
-    } else {
-        r.read_to_end(&mut body).map(|_| ())
-    };
-    Ok(Resp { status, headers, body, is_whole: ended.is_ok() })
+    read_resp(&mut BufReader::new(s))
 }
--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -33,8 +33,9 @@
     };
     record.say(&format!("case {case}, trouble={has_trouble}"));
     let result = match case.as_str() {
-        "returned-agent" => cases::returned_agent(&record, has_trouble),
-        "dead-holder" => cases::dead_holder(&record, has_trouble),
+        "returned-agents" => cases::returned_agents(&record, has_trouble),
+        "forgotten-engines" => cases::forgotten_engines(&record, has_trouble),
+        "stopped-gateway" => cases::stopped_gateway(&record, has_trouble),
         "new-wall" => cases::new_wall(&record, has_trouble),
         other => Err(format!("no case {other}")),
     };
