Log what a rejected retry was judged by

Callers saw: nothing; operators saw only `no-repeats-left` at a call, which does not tell a limit that is forgotten by a restart from one that is split over too few gateways, or from sends that are not counted. Change: `retries: budget used up`, at most once a second for each service, with use, limit, requests, gateways and age of the process; metric `teaseldrum_repeats_rejected_total`.

--- a/src/core/fleet/fleet_retry_budget.rs
+++ b/src/core/fleet/fleet_retry_budget.rs
@@ -5,6 +5,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use super::RetryUsage;
 use crate::core::MonotonicTime;
 
 /// Share of the operator's limit that is enforced. The rest covers requests
@@ -23,6 +24,9 @@
 /// makes the limit stricter for retries.
 const WINDOW_STEPS: u32 = 20;
 
+/// Minimum time between two reports of one service's rejected retries.
+const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Limits the retries of each service per window to a ratio of its requests
 /// plus a fixed extra, which is split evenly over the entries. As each entry
 /// keeps its share, the fleet keeps the limit.
@@ -39,6 +43,8 @@
 #[derive(Debug, Default)]
 struct Window {
     steps: VecDeque<Step>,
+    /// When rejected retries were last reported.
+    reported_at: Option<MonotonicTime>,
 }
 
 #[derive(Debug)]
@@ -74,23 +80,36 @@
     /// Consumes one retry and returns true, or returns false if the budget is
     /// used up.
     pub fn take_retry(&mut self, service: &str, now: MonotonicTime) -> bool {
-        let (retries, max_retries) = self.usage(service, now);
-        if retries + 1.0 > max_retries {
+        let usage = self.usage(service, now);
+        if f64::from(usage.retries) + 1.0 > usage.max_retries {
             return false;
         }
         self.current_step(service, now).retries += 1;
         true
     }
 
+    /// Returns what a rejected retry was judged by, at most once a second for each
+    /// service.
+    pub fn report_rejection(&mut self, service: &str, now: MonotonicTime) -> Option<RetryUsage> {
+        let usage = self.usage(service, now);
+        let window = self.services.get_mut(service)?;
+        let is_due = |at: MonotonicTime| now.since(at) >= REPORT_INTERVAL;
+        if !window.reported_at.is_none_or(is_due) {
+            return None;
+        }
+        window.reported_at = Some(now);
+        Some(usage)
+    }
+
     /// Returns whether the budget has enough left for a retry that is not necessary, such
     /// as that of a call whose response is only late.
     pub fn has_spare(&mut self, service: &str, now: MonotonicTime) -> bool {
-        let (retries, max_retries) = self.usage(service, now);
-        retries + 1.0 <= max_retries * SPARE_SHARE
+        let usage = self.usage(service, now);
+        f64::from(usage.retries) + 1.0 <= usage.max_retries * SPARE_SHARE
     }
 
-    /// Returns the retries in the window and their limit.
-    fn usage(&mut self, service: &str, now: MonotonicTime) -> (f64, f64) {
+    /// Returns the requests and retries in the window and the limit that follows.
+    fn usage(&mut self, service: &str, now: MonotonicTime) -> RetryUsage {
         let step_time = self.step_time;
         self.current_step(service, now);
         let window = self.services.get(service);
@@ -104,7 +123,12 @@
         }
         let extra_share = self.extra / self.entry_count as f64;
         let max_retries = (self.ratio * f64::from(requests) + extra_share) * ENFORCED_SHARE;
-        (f64::from(retries), max_retries)
+        RetryUsage {
+            requests,
+            retries,
+            max_retries,
+            entry_count: self.entry_count,
+        }
     }
 
     /// Returns the current step and removes those that have left the window.
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -178,11 +178,23 @@
     /// Returns false if none is left.
     pub fn take_retry(&self, service: &str) -> bool {
         let now = self.now();
-        let is_allowed = self.lock().retries.take_retry(service, now);
-        if is_allowed {
+        let mut state = self.lock();
+        if state.retries.take_retry(service, now) {
             self.metrics.count_retry();
+            return true;
         }
-        is_allowed
+        self.metrics.count_rejected_retry();
+        if let Some(usage) = state.retries.report_rejection(service, now) {
+            log::info!(
+                "retries: budget used up service={service} retries={} limit={:.1} requests={} entries={} age_ms={}",
+                usage.retries,
+                usage.max_retries,
+                usage.requests,
+                usage.entry_count,
+                now.since(MonotonicTime::ZERO).as_millis(),
+            );
+        }
+        false
     }
 
     /// Cancels the running watch of an area, so that the whole area is read
--- a/src/metrics/gateway_metrics.rs
+++ b/src/metrics/gateway_metrics.rs
@@ -99,6 +99,7 @@
     calls: Family<OutcomeLabels, Counter>,
     attempts: Family<OutcomeLabels, Counter>,
     retries: Counter,
+    rejected_retries: Counter,
     dropped_log_lines: Gauge,
     fleet_counts: Family<GaugeLabels, Gauge>,
     memory: Family<GaugeLabels, Gauge>,
@@ -132,6 +133,12 @@
             "Retries taken from the operator's retry budget",
             retries.clone(),
         );
+        let rejected_retries = Counter::default();
+        registry.register(
+            "repeats_rejected",
+            "Retries for which the operator's retry budget had none left",
+            rejected_retries.clone(),
+        );
         let dropped_log_lines = Gauge::default();
         registry.register(
             "log_lines_dropped",
@@ -221,6 +228,7 @@
             calls,
             attempts,
             retries,
+            rejected_retries,
             dropped_log_lines,
             fleet_counts,
             memory,
@@ -283,6 +291,11 @@
         self.retries.inc();
     }
 
+    /// Counts a retry for which the operator's retry budget had none left.
+    pub fn count_rejected_retry(&self) {
+        self.rejected_retries.inc();
+    }
+
     /// Records the error of a prediction of the time until `of`: `first` event or `end`.
     pub fn observe_prediction(&self, of: &'static str, predicted: Duration, observed: Duration) {
         let side = if observed > predicted {
