--- a/tests/fleet_retries.rs
+++ b/tests/fleet_retries.rs
@@ -39,12 +39,7 @@
             }
         }
     }
-    let count = |times: &[u64], from: u64| {
-        let inside = times
-            .iter()
-            .filter(|ms| (from..from + WINDOW_MS).contains(*ms));
-        inside.count() as f64
-    };
+    let count = |times: &[u64], from: u64| count_in_window(times, from);
     for from in (0..50_000).step_by(100) {
         let bound = RATIO * count(&requests, from) + EXTRA;
         let sent = count(&retries, from);
@@ -55,6 +50,89 @@
     }
 }
 
+fn count_in_window(times: &[u64], from: u64) -> f64 {
+    let from_index = times.partition_point(|ms| *ms < from);
+    let to_index = times.partition_point(|ms| *ms < from + WINDOW_MS);
+    (to_index - from_index) as f64
+}
+
+/// Process of an entry. Its clock starts with it.
+struct Process {
+    budget: FleetRetryBudget,
+    started_ms: u64,
+    ready_ms: u64,
+}
+
+impl Process {
+    fn start(started_ms: u64, down_ms: u64) -> Self {
+        Self {
+            budget: FleetRetryBudget::new(RATIO, EXTRA, 10.0),
+            started_ms,
+            ready_ms: started_ms + down_ms,
+        }
+    }
+
+    fn now(&self, ms: u64) -> MonotonicTime {
+        at(ms - self.started_ms)
+    }
+}
+
+/// Guards against entries that use their whole share of the limit again after each restart
+/// (BUDGET): what their earlier processes used still counts for all entries together.
+///
+/// All calls fail from `fail_from_ms`, so that entries have saved up as much as they can.
+#[rstest]
+#[case::all_twice(21, 9, 9_000, &[9_500, 13_500], 1)]
+#[case::all_in_series(21, 95, 9_000, &[9_500, 10_700, 11_900, 13_100, 14_300, 15_500], 1)]
+#[case::all_quickly(5, 3, 20_000, &[20_100, 20_400, 20_700, 21_000, 21_300, 21_600], 1)]
+#[case::one_after_another(8, 4, 20_000, &[20_500, 21_500, 22_500, 23_500, 24_500], 8)]
+#[case::few_requests(5, 900, 30_000, &[30_500, 36_000, 42_000], 1)]
+#[case::each_window(5, 10, 15_000, &[15_500, 25_600, 35_700, 45_800], 1)]
+fn take_retry_after_restarts_stays_within_bound(
+    #[case] entries: u64,
+    #[case] interval_ms: u64,
+    #[case] fail_from_ms: u64,
+    #[case] restarts_ms: &[u64],
+    #[case] groups: u64,
+) {
+    let mut processes: Vec<Process> = (0..entries).map(|_| Process::start(0, 0)).collect();
+    let (mut requests, mut retries) = (Vec::new(), Vec::new());
+    for ms in 0..60_000 {
+        for (entry, process) in (0..).zip(&mut processes) {
+            // Each group of entries restarts a little after the one before.
+            let offset_ms = 100 * (entry % groups);
+            if restarts_ms.iter().any(|restart| restart + offset_ms == ms) {
+                *process = Process::start(ms, 50);
+            }
+            if (ms + entry) % interval_ms != 0 || ms < process.ready_ms {
+                continue;
+            }
+            if ms >= process.ready_ms + 100 {
+                process.budget.set_entry_count(entries as usize);
+            }
+            let now = process.now(ms);
+            process.budget.record_request("s", now);
+            requests.push(ms);
+            while ms >= fail_from_ms && process.budget.take_retry("s", now) {
+                retries.push(ms);
+            }
+        }
+    }
+    assert!(!retries.is_empty(), "no retry was allowed");
+    for from in (0..50_000).step_by(100) {
+        // As the operator counts: the window itself, the one before it, or the one half a
+        // window before it.
+        let windows = [0, WINDOW_MS / 2, WINDOW_MS].map(|back| u64::saturating_sub(from, back));
+        let requests = windows.map(|from| count_in_window(&requests, from));
+        let bound = RATIO * requests.into_iter().fold(0.0, f64::max) + EXTRA;
+        let sent = count_in_window(&retries, from);
+        assert!(
+            sent <= bound,
+            "{sent} retries in the window from {from} ms, limit {bound}"
+        );
+    }
+}
+
 #[test]
 fn take_retry_burst_can_use_whole_window() {
     let mut budget = FleetRetryBudget::new(RATIO, EXTRA, 10.0);
