Keep the retry limit when entries restart

Callers saw: after kills of all gateways, more retries than the operator allows (BUDGET): 1,240 in 10 s, 1,231 allowed. Cause: each gateway keeps what it used of its share in memory. A process that starts has an empty window, so it used its share anew, whatever its earlier process had just used. Change: in its first window, a process uses at most 0.15 of its share of the limit, of which the fixed part grows with its age; from then on 0.8, as before, when what its earlier process used has left the window. Together they stay within the limit for any series of restarts. Evidence: the six cases of take_retry_after_restarts_stays_within_bound failed before, e.g. 609 retries with 497 allowed.

--- a/src/core/fleet/fleet_retry_budget.rs
+++ b/src/core/fleet/fleet_retry_budget.rs
@@ -12,6 +12,10 @@
 /// that arrive at one entry and are counted at another.
 const ENFORCED_SHARE: f64 = 0.8;
 
+/// Share of the operator's limit that a process enforces in its first window. It does not
+/// know what an earlier process of the entry used, which is at most [`ENFORCED_SHARE`].
+const START_SHARE: f64 = 0.15;
+
 /// Minimum number of entries assumed, since a process that has just started
 /// knows no peers.
 const MIN_ENTRIES: usize = 4;
@@ -29,12 +33,14 @@
 
 /// Limits the retries of each service per window to a ratio of its requests
 /// plus a fixed extra, which is split evenly over the entries. As each entry
-/// keeps its share, the fleet keeps the limit.
+/// keeps its share, the fleet keeps the limit, however often entries restart.
 #[derive(Debug)]
 pub struct FleetRetryBudget {
     ratio: f64,
     extra: f64,
     step_time: Duration,
+    /// When the retries of an earlier process have left the window.
+    full_from: MonotonicTime,
     entry_count: usize,
     services: HashMap<String, Window>,
 }
@@ -57,16 +63,28 @@
 impl FleetRetryBudget {
     /// Creates the budget of one entry from the operator's limit: a ratio of
     /// retries to requests and extra retries per window of `window_s` seconds.
+    /// No earlier process of the entry has sent retries in the last window.
     pub fn new(ratio: f64, extra: f64, window_s: f64) -> Self {
         Self {
             ratio,
             extra,
             step_time: Duration::from_secs_f64(window_s) / WINDOW_STEPS,
+            full_from: MonotonicTime::ZERO,
             entry_count: MIN_ENTRIES,
             services: HashMap::new(),
         }
     }
 
+    /// Creates the budget of a process that starts at [`MonotonicTime::ZERO`], when an
+    /// earlier one of the entry may have used the whole limit: little is allowed in the
+    /// first window, and nothing that was not earned since the start.
+    pub fn after_restart(ratio: f64, extra: f64, window_s: f64) -> Self {
+        Self {
+            full_from: MonotonicTime::ZERO + Duration::from_secs_f64(window_s),
+            ..Self::new(ratio, extra, window_s)
+        }
+    }
+
     /// Sets the number of entries that share the extra retries.
     pub fn set_entry_count(&mut self, entries: usize) {
         self.entry_count = entries.max(MIN_ENTRIES);
@@ -122,7 +140,15 @@
             retries += step.retries;
         }
         let extra_share = self.extra / self.entry_count as f64;
-        let max_retries = (self.ratio * f64::from(requests) + extra_share) * ENFORCED_SHARE;
+        let by_requests = self.ratio * f64::from(requests);
+        let max_retries = if now >= self.full_from {
+            (by_requests + extra_share) * ENFORCED_SHARE
+        } else {
+            let age = now.since(MonotonicTime::ZERO);
+            let window = step_time * WINDOW_STEPS;
+            let age_share = age.as_secs_f64() / window.as_secs_f64();
+            (by_requests + extra_share * age_share) * START_SHARE
+        };
         RetryUsage {
             requests,
             retries,
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -111,7 +111,7 @@
 impl GatewayContext {
     /// Creates the context of a gateway without configuration and members.
     pub fn new(settings: GatewaySettings, ports: GatewayPorts) -> Self {
-        let mut state = GatewayState::new(&settings.name, &settings.zone, &settings.bounds);
+        let mut state = GatewayState::new(&settings);
         let zone_cost = settings.zones.cost_ms_per_mb;
         state.dispatcher.set_zone_cost(zone_cost);
         if settings.has_admission() {
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -127,10 +127,11 @@
     tokio::spawn(reload_settings(Arc::clone(&cx), settings_file));
     let listen = cx.settings.listen.clone();
     log::info!(
-        "gateway: started name={} zone={} incarnation={:x} seeds={:?} bounds={:?}",
+        "gateway: started name={} zone={} incarnation={:x} first_start={} seeds={:?} bounds={:?}",
         cx.settings.name,
         cx.settings.zone,
         cx.incarnation,
+        cx.settings.is_first_start,
         cx.settings.seeds,
         cx.settings.bounds,
     );
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -29,7 +29,7 @@
 use crate::core::fleet::TargetVersion;
 use crate::core::fleet::TrialRequest;
 use crate::metrics::GatewayGauges;
-use crate::settings::BoundSettings;
+use crate::settings::GatewaySettings;
 
 /// State of a gateway. One lock guards all of it, since each request reads most
 /// of it, for microseconds.
@@ -83,9 +83,15 @@
 
 impl GatewayState {
     /// Creates the state of a gateway without configuration and members.
-    pub fn new(name: &str, zone: &str, bounds: &BoundSettings) -> Self {
+    pub fn new(settings: &GatewaySettings) -> Self {
+        let (name, bounds) = (settings.name.as_str(), &settings.bounds);
         let window_s = bounds.retry_window.as_secs_f64();
-        let mut dispatcher = Dispatcher::for_entry(zone, name);
+        let create_budget = if settings.is_first_start {
+            FleetRetryBudget::new
+        } else {
+            FleetRetryBudget::after_restart
+        };
+        let mut dispatcher = Dispatcher::for_entry(&settings.zone, name);
         dispatcher.set_version_time(bounds.version_time);
         Self {
             route_table: None,
@@ -101,7 +107,7 @@
             dispatcher,
             admission: None,
             quota: FleetQuota::new(bounds.quota_overage, bounds.quota_slack),
-            retries: FleetRetryBudget::new(bounds.retry_ratio, bounds.retry_extra, window_s),
+            retries: create_budget(bounds.retry_ratio, bounds.retry_extra, window_s),
             has_members: false,
             progress: [AreaProgress::default(); 2],
         }
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -79,6 +79,9 @@
     /// Time from the stop signal until the process must have ended; 0.1 s to
     /// one hour.
     pub stop_timeout: Duration,
+    /// Whether the whole fleet starts for the first time, so that no earlier process
+    /// has used any of the limits.
+    pub is_first_start: bool,
     /// Limits that hold for all gateways together.
     pub bounds: BoundSettings,
     /// Names of the optional features of the deployment; unknown names are ignored.
@@ -203,6 +206,7 @@
             memory_mb: section.take_number("memory_mb", 256, 16..=1_000_000),
             descriptors: section.take_number("descriptors", 1_024, 400..=10_000_000),
             stop_timeout: Duration::from_secs_f64(stop_s.clamp(0.1, 3_600.0)),
+            is_first_start: section.take("first_start", false),
             bounds: section.take_section("bounds", BoundSettings::read),
             options: section.take("options", Vec::new()),
             admission: section.take_section("admission", AdmissionSettings::read),
--- a/tests/fleet_retries.rs
+++ b/tests/fleet_retries.rs
@@ -64,11 +64,19 @@
 }
 
 impl Process {
-    fn start(started_ms: u64, down_ms: u64) -> Self {
+    fn start() -> Self {
         Self {
             budget: FleetRetryBudget::new(RATIO, EXTRA, 10.0),
+            started_ms: 0,
+            ready_ms: 0,
+        }
+    }
+
+    fn restart(started_ms: u64) -> Self {
+        Self {
+            budget: FleetRetryBudget::after_restart(RATIO, EXTRA, 10.0),
             started_ms,
-            ready_ms: started_ms + down_ms,
+            ready_ms: started_ms + 50,
         }
     }
 
@@ -95,14 +103,14 @@
     #[case] restarts_ms: &[u64],
     #[case] groups: u64,
 ) {
-    let mut processes: Vec<Process> = (0..entries).map(|_| Process::start(0, 0)).collect();
+    let mut processes: Vec<Process> = (0..entries).map(|_| Process::start()).collect();
     let (mut requests, mut retries) = (Vec::new(), Vec::new());
     for ms in 0..60_000 {
         for (entry, process) in (0..).zip(&mut processes) {
             // Each group of entries restarts a little after the one before.
             let offset_ms = 100 * (entry % groups);
             if restarts_ms.iter().any(|restart| restart + offset_ms == ms) {
-                *process = Process::start(ms, 50);
+                *process = Process::restart(ms);
             }
             if (ms + entry) % interval_ms != 0 || ms < process.ready_ms {
                 continue;
