Refuse streams of unknown build at an entry that nobody answers

Callers saw, at a similar system: streams that began at servers of a new build, broke, were taken up at a gateway that was out of step, and went on at the old build (ORDER). Cause: it can happen here. Change: without a record and without any answer of the keepers that were asked, the call is refused with 503 `unknown-stream`, which says that it has not run. An entry that has no keepers to ask decides by itself as before. The log line says how many were asked. The random histories now have entries that are cut off and serve; earlier ones served nobody. An entry that stands still asks its keepers when it runs again, and they have the record.

--- a/src/core/fleet/streams/stream_origins.rs
+++ b/src/core/fleet/streams/stream_origins.rs
@@ -157,17 +157,19 @@
         }
     }
 
-    /// Decides at which build a stream goes on, by what this process and
-    /// `answers` of others know; `None` if that is not certain.
+    /// Decides at which build a stream goes on, by what this process and the
+    /// `answers` of the `asked` others know; `None` if that is not certain.
     ///
     /// A recorded build is certain. Without any record, the stream began while all
     /// builds that could be seen were one, and only a process that has observed
     /// the servers long enough knows which. What this process has seen itself must
-    /// not contradict it.
+    /// not contradict it. If nobody answers, this process may be cut off, and
+    /// streams may have begun at builds that it has not seen.
     pub fn decide_build(
         &self,
         stream: StreamKey,
         service: &str,
+        asked: usize,
         answers: &[KnownOrigin],
         now: MonotonicTime,
     ) -> Option<Build> {
@@ -176,6 +178,9 @@
         if let Some(build) = own.recorded.or(recorded) {
             return Some(build);
         }
+        if asked > 0 && answers.is_empty() {
+            return None;
+        }
         let mut sole = own
             .sole
             .iter()
--- a/src/gateway/stream_keepers.rs
+++ b/src/gateway/stream_keepers.rs
@@ -207,6 +207,7 @@
             rx
         })
         .collect();
+    let asked = pending.len();
     let mut answers = Vec::new();
     let gather = async {
         while let Some(answer) = pending.next().await {
@@ -224,9 +225,9 @@
     let build = cx
         .lock()
         .streams
-        .decide_build(stream, service, &answers, now);
+        .decide_build(stream, service, asked, &answers, now);
     log::info!(
-        "streams: asked stream={:x} service={service} answers={} build={}",
+        "streams: asked stream={:x} service={service} others={asked} answers={} build={}",
         stream.0,
         answers.len(),
         build.as_ref().map_or("unknown", Build::as_str)
--- a/tests/fleet_stream_builds.rs
+++ b/tests/fleet_stream_builds.rs
@@ -74,6 +74,12 @@
         process: usize,
         steps: usize,
     },
+    /// An entry can reach neither other processes nor the store for some steps, and goes
+    /// on serving callers.
+    Isolate {
+        entry: usize,
+        steps: usize,
+    },
     /// Nothing happens.
     Pass(usize),
 }
@@ -89,20 +95,22 @@
         1 => Just(Step::KillAllEntries),
         1 => Just(Step::KillAllAgents),
         1 => (process, 1..8usize).prop_map(|(process, steps)| Step::Cut { process, steps }),
+        1 => (0..ENTRIES, 1..8usize).prop_map(|(entry, steps)| Step::Isolate { entry, steps }),
         2 => (1..30usize).prop_map(Step::Pass),
     ]
 }
 
 /// Decides at which build a stream goes on.
-type Decide = fn(&StreamOrigins, StreamKey, &[KnownOrigin], MonotonicTime) -> Option<Build>;
+type Decide = fn(&StreamOrigins, StreamKey, usize, &[KnownOrigin], MonotonicTime) -> Option<Build>;
 
 fn decide(
     origins: &StreamOrigins,
     stream: StreamKey,
+    asked: usize,
     answers: &[KnownOrigin],
     now: MonotonicTime,
 ) -> Option<Build> {
-    origins.decide_build(stream, SERVICE, answers, now)
+    origins.decide_build(stream, SERVICE, asked, answers, now)
 }
 
 struct Begun {
@@ -120,6 +128,8 @@
     builds: usize,
     processes: Vec<StreamOrigins>,
     cut_for: HashMap<usize, usize>,
+    /// Entries that are cut off and serve callers.
+    isolated: HashSet<usize>,
     begun: Vec<Begun>,
     decide: Decide,
     /// Number of times that a stream went on at its build.
@@ -137,6 +147,7 @@
             builds: 1,
             processes: Vec::new(),
             cut_for: HashMap::new(),
+            isolated: HashSet::new(),
             begun: Vec::new(),
             decide,
             went_on: 0,
@@ -179,6 +190,8 @@
             *steps -= 1;
             *steps > 0
         });
+        self.isolated
+            .retain(|entry| self.cut_for.contains_key(entry));
         self.update_entries();
         for index in 0..ENTRIES {
             self.processes[index].expire(self.now);
@@ -188,18 +201,30 @@
         }
     }
 
+    fn is_serving(&self, entry: usize) -> bool {
+        !self.is_cut(entry) || self.isolated.contains(&entry)
+    }
+
+    /// Returns the keepers of a stream other than `process`.
     fn keepers(&self, process: usize, stream: StreamKey) -> Vec<usize> {
         let entries: Vec<SocketAddr> = (0..ENTRIES).map(address).collect();
         let agents: Vec<SocketAddr> = (ENTRIES..ENTRIES + AGENTS).map(address).collect();
         let keepers = choose_keepers(stream, &entries, &agents);
         (0..ENTRIES + AGENTS)
             .filter(|index| *index != process && keepers.contains(&address(*index)))
+            .collect()
+    }
+
+    /// Returns the keepers of a stream that `process` can reach.
+    fn reachable_keepers(&self, process: usize, stream: StreamKey) -> Vec<usize> {
+        let keepers = self.keepers(process, stream).into_iter();
+        keepers
             .filter(|index| !self.is_cut(process) && !self.is_cut(*index))
             .collect()
     }
 
     fn tell(&mut self, from: usize, origin: StreamOrigin) {
-        for keeper in self.keepers(from, origin.stream) {
+        for keeper in self.reachable_keepers(from, origin.stream) {
             self.processes[keeper].learn(origin.clone(), self.now);
             let mut begun = self.begun.iter_mut();
             if let Some(begun) = begun.find(|begun| begun.key == origin.stream) {
@@ -216,8 +241,7 @@
     }
 
     fn begin(&mut self, entry: usize, server: usize) {
-        // A frozen or cut entry serves nobody.
-        if self.is_cut(entry) || self.servers.is_empty() {
+        if !self.is_serving(entry) || self.servers.is_empty() {
             return;
         }
         let build = self.servers[server % self.servers.len()].build.clone();
@@ -243,16 +267,17 @@
         let recent: Vec<usize> = (0..self.begun.len())
             .filter(|index| self.now.since(self.begun[*index].at) < TIMEOUT)
             .collect();
-        if recent.is_empty() || self.is_cut(entry) {
+        if recent.is_empty() || !self.is_serving(entry) {
             return;
         }
         let begun = &self.begun[recent[stream % recent.len()]];
-        let keepers = self.keepers(entry, begun.key);
+        let asked = self.keepers(entry, begun.key).len();
+        let keepers = self.reachable_keepers(entry, begun.key);
         let answers: Vec<KnownOrigin> = keepers
             .iter()
             .map(|keeper| self.processes[*keeper].find(begun.key, SERVICE, self.now))
             .collect();
-        let decided = (self.decide)(&self.processes[entry], begun.key, &answers, self.now);
+        let decided = (self.decide)(&self.processes[entry], begun.key, asked, &answers, self.now);
         let is_known = begun.known_by.contains(&entry)
             || keepers.iter().any(|keeper| begun.known_by.contains(keeper));
         match decided {
@@ -294,6 +319,10 @@
             Step::Cut { process, steps } => {
                 self.cut_for.insert(process, steps);
             }
+            Step::Isolate { entry, steps } => {
+                self.cut_for.insert(entry, steps);
+                self.isolated.insert(entry);
+            }
             Step::Pass(steps) => (0..steps).for_each(|_| self.pass()),
         }
     }
@@ -313,6 +342,7 @@
 fn guess(
     origins: &StreamOrigins,
     _: StreamKey,
+    _: usize,
     _: &[KnownOrigin],
     now: MonotonicTime,
 ) -> Option<Build> {
@@ -378,6 +408,34 @@
     assert_eq!(fleet.begun[0].known_by.len(), 0);
 }
 
+/// Guards against an entry that is cut off while servers of a new build join, and lets
+/// streams that began there go on at the build that it knows (ORDER).
+#[test]
+fn decide_build_isolated_entry_refuses() {
+    let steps = [
+        Step::Pass(40),
+        Step::Isolate { entry: 0, steps: 6 },
+        Step::StartServer { is_new_build: true },
+        Step::Begin {
+            entry: 1,
+            server: 2,
+        },
+        Step::TakeUp {
+            entry: 0,
+            stream: 0,
+        },
+        Step::Pass(4),
+        Step::TakeUp {
+            entry: 0,
+            stream: 0,
+        },
+    ];
+    let fleet = play(&steps, decide);
+    assert_eq!(fleet.violations, Vec::<String>::new());
+    // It goes on once the entry is back.
+    assert_eq!(fleet.went_on, 1);
+}
+
 /// A record outlives the loss of all entries, and that of all agents.
 #[rstest::rstest]
 #[case::entries(Step::KillAllEntries)]
