Keep the shares of the retry limit of entries that are not heard

Cause: the fixed part of the limit was split over the entries heard within 15 s, and over four by an entry that had heard none. Entries that were cut off from each other for longer took over each other's shares, and so did those that had just started: 12 to 14 of 21 counted 50 to 80 ms after a start. Change: an entry keeps its share for ten minutes after it was last heard, or heard of in a peer's list; the first exchange tells all. With seeds in its settings, an entry uses none of the fixed part before it has heard any other.

--- a/src/core/fleet/fleet_retry_budget.rs
+++ b/src/core/fleet/fleet_retry_budget.rs
@@ -5,6 +5,8 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use xxhash_rust::xxh3::xxh3_64;
+
 use super::RetryUsage;
 use crate::core::MonotonicTime;
 
@@ -17,9 +19,13 @@
 const START_SHARE: f64 = 0.15;
 
 /// Minimum number of entries assumed, since a process that has just started
-/// knows no peers.
+/// does not know all its peers.
 const MIN_ENTRIES: usize = 4;
 
+/// Time for which an entry keeps its share that is not heard: it may be cut off and go on
+/// sending. What it sent before its end counts for a window in any case.
+const RESERVED_TIME: Duration = Duration::from_secs(600);
+
 /// Share of the enforced limit up to which calls that have not failed may use it, so that
 /// failed ones find some left.
 const SPARE_SHARE: f64 = 0.5;
@@ -33,7 +39,8 @@
 
 /// Limits the retries of each service per window to a ratio of its requests
 /// plus a fixed extra, which is split evenly over the entries. As each entry
-/// keeps its share, the fleet keeps the limit, however often entries restart.
+/// keeps its share, the fleet keeps the limit, however often entries restart and
+/// whether or not they hear each other.
 #[derive(Debug)]
 pub struct FleetRetryBudget {
     ratio: f64,
@@ -41,7 +48,10 @@
     step_time: Duration,
     /// When the retries of an earlier process have left the window.
     full_from: MonotonicTime,
-    entry_count: usize,
+    /// Hashes of the names of the other entries, and when each was last heard.
+    others: HashMap<u64, MonotonicTime>,
+    /// Whether there are other entries none of which has been heard.
+    awaits_others: bool,
     services: HashMap<String, Window>,
 }
 
@@ -70,7 +80,8 @@
             extra,
             step_time: Duration::from_secs_f64(window_s) / WINDOW_STEPS,
             full_from: MonotonicTime::ZERO,
-            entry_count: MIN_ENTRIES,
+            others: HashMap::new(),
+            awaits_others: false,
             services: HashMap::new(),
         }
     }
@@ -85,9 +96,20 @@
         }
     }
 
-    /// Sets the number of entries that share the extra retries.
-    pub fn set_entry_count(&mut self, entries: usize) {
-        self.entry_count = entries.max(MIN_ENTRIES);
+    /// Allows none of the extra retries until another entry is heard, since it is not
+    /// known how many share them.
+    #[must_use]
+    pub fn awaiting_others(self) -> Self {
+        Self {
+            awaits_others: true,
+            ..self
+        }
+    }
+
+    /// Records that another entry was heard, or heard of.
+    pub fn record_entry(&mut self, name: &str, now: MonotonicTime) {
+        self.awaits_others = false;
+        self.others.insert(xxh3_64(name.as_bytes()), now);
     }
 
     /// Counts a request to a service.
@@ -139,7 +161,14 @@
             requests += if is_in_window { step.requests } else { 0 };
             retries += step.retries;
         }
-        let extra_share = self.extra / self.entry_count as f64;
+        self.others
+            .retain(|_, heard_at| now.since(*heard_at) < RESERVED_TIME);
+        let entry_count = self.others.len() + 1;
+        let extra_share = if self.awaits_others {
+            0.0
+        } else {
+            self.extra / entry_count.max(MIN_ENTRIES) as f64
+        };
         let by_requests = self.ratio * f64::from(requests);
         let max_retries = if now >= self.full_from {
             (by_requests + extra_share) * ENFORCED_SHARE
@@ -153,7 +182,7 @@
             requests,
             retries,
             max_retries,
-            entry_count: self.entry_count,
+            entry_count,
         }
     }
 
--- a/src/core/fleet/retry_usage.rs
+++ b/src/core/fleet/retry_usage.rs
@@ -9,6 +9,6 @@
     pub retries: u32,
     /// Maximum number of retries at this entry.
     pub max_retries: f64,
-    /// Entries that share the extra retries.
+    /// Known entries, including this one.
     pub entry_count: usize,
 }
--- a/src/gateway/exchange_peer_state.rs
+++ b/src/gateway/exchange_peer_state.rs
@@ -757,6 +757,11 @@
     let mut state = cx.lock();
     let departures = take(&mut peer_state.news.departures);
     state.directory.learn_departures(departures, now);
+    for entry in &peer_state.known_entries {
+        if entry.name != cx.settings.name {
+            state.retries.record_entry(&entry.name, now);
+        }
+    }
     for run in take(&mut peer_state.news.leaving) {
         if let Some(server) = state.dispatcher.record_leaving(run, now) {
             log::info!(
@@ -778,12 +783,10 @@
     if peer_state.is_leaving {
         cx.known_entries.remove(&peer_state.usage.name);
     }
-    let entry_count = state.quota.count_entries();
-    state.retries.set_entry_count(entry_count);
 }
 
 /// Applies what the entry `name` told, directly or through a relay, of rollouts, of
-/// servers' speeds and of its own load.
+/// servers' speeds and of its own load, and records that it runs.
 pub fn apply_entry_news(
     cx: &GatewayContext,
     state: &mut GatewayState,
@@ -791,6 +794,7 @@
     news: &FleetNews,
     now: MonotonicTime,
 ) {
+    state.retries.record_entry(name, now);
     learn_rollouts(cx, state, &news.rollouts, now);
     if let Some(admission) = &mut state.admission {
         admission.record_demand(name, news.demand.clone(), now);
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -91,6 +91,10 @@
         } else {
             FleetRetryBudget::after_restart
         };
+        let mut retries = create_budget(bounds.retry_ratio, bounds.retry_extra, window_s);
+        if settings.has_other_seeds() {
+            retries = retries.awaiting_others();
+        }
         let mut dispatcher = Dispatcher::for_entry(&settings.zone, name);
         dispatcher.set_version_time(bounds.version_time);
         Self {
@@ -107,7 +111,7 @@
             dispatcher,
             admission: None,
             quota: FleetQuota::new(bounds.quota_overage, bounds.quota_slack),
-            retries: create_budget(bounds.retry_ratio, bounds.retry_extra, window_s),
+            retries,
             has_members: false,
             progress: [AreaProgress::default(); 2],
         }
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -189,6 +189,11 @@
         self.options.iter().any(|option| option == name)
     }
 
+    /// Returns whether there are seeds other than this gateway.
+    pub fn has_other_seeds(&self) -> bool {
+        self.seeds.iter().any(|seed| *seed != self.listen.peers)
+    }
+
     /// Returns whether calls wait in the gateway while servers have no room.
     pub fn has_admission(&self) -> bool {
         self.admission.is_enabled || self.has_option("pressure")
--- a/tests/fleet_retries.rs
+++ b/tests/fleet_retries.rs
@@ -1,5 +1,6 @@
 //! Fleet-wide limit on retries.
 
+use std::ops::Range;
 use std::time::Duration;
 
 use rstest::rstest;
@@ -10,6 +11,13 @@
 const EXTRA: f64 = 56.0;
 const WINDOW_MS: u64 = 10_000;
 
+/// Records that an entry has heard the others.
+fn record_entries(budget: &mut FleetRetryBudget, entries: Range<u64>, now: MonotonicTime) {
+    for other in entries.skip(1) {
+        budget.record_entry(&format!("entry-{other}"), now);
+    }
+}
+
 fn at(ms: u64) -> MonotonicTime {
     MonotonicTime::ZERO + Duration::from_millis(ms)
 }
@@ -27,7 +35,7 @@
     let (mut requests, mut retries) = (Vec::new(), Vec::new());
     for ms in 0..60_000 {
         for (entry, budget) in budgets.iter_mut().enumerate() {
-            budget.set_entry_count(entries);
+            record_entries(budget, 0..entries as u64, at(ms));
             let is_paused = (20_000..33_000).contains(&ms);
             if ms % interval_ms[entry] != 0 || is_paused {
                 continue;
@@ -74,7 +82,7 @@
 
     fn restart(started_ms: u64) -> Self {
         Self {
-            budget: FleetRetryBudget::after_restart(RATIO, EXTRA, 10.0),
+            budget: FleetRetryBudget::after_restart(RATIO, EXTRA, 10.0).awaiting_others(),
             started_ms,
             ready_ms: started_ms + 50,
         }
@@ -115,10 +123,10 @@
             if (ms + entry) % interval_ms != 0 || ms < process.ready_ms {
                 continue;
             }
+            let now = process.now(ms);
             if ms >= process.ready_ms + 100 {
-                process.budget.set_entry_count(entries as usize);
+                record_entries(&mut process.budget, 0..entries, now);
             }
-            let now = process.now(ms);
             process.budget.record_request("s", now);
             requests.push(ms);
             while ms >= fail_from_ms && process.budget.take_retry("s", now) {
@@ -126,14 +134,60 @@
             }
         }
     }
+    check_all_windows(&requests, &retries);
+}
+
+/// Guards against entries that take over the shares of others that they no longer hear,
+/// or have not heard yet, while these go on (BUDGET): without a limit to the time of a
+/// partition, and also when entries restart behind it.
+#[rstest]
+#[case::halves(20, 10, None)]
+#[case::each_alone(21, 1, None)]
+#[case::each_alone_restarted(21, 1, Some(45_000))]
+fn take_retry_parted_stays_within_bound(
+    #[case] entries: u64,
+    #[case] part_size: u64,
+    #[case] restart_ms: Option<u64>,
+) {
+    const PARTED_FROM_MS: u64 = 5_000;
+    const FAIL_FROM_MS: u64 = 60_000;
+    let mut processes: Vec<Process> = (0..entries).map(|_| Process::start()).collect();
+    let (mut requests, mut retries) = (Vec::new(), Vec::new());
+    for ms in 0..80_000 {
+        for (entry, process) in (0..).zip(&mut processes) {
+            if restart_ms == Some(ms) {
+                *process = Process::restart(ms);
+            }
+            if (ms + entry) % 1_000 != 0 || ms < process.ready_ms {
+                continue;
+            }
+            let now = process.now(ms);
+            let heard = if ms < PARTED_FROM_MS {
+                entries
+            } else {
+                part_size
+            };
+            record_entries(&mut process.budget, 0..heard, now);
+            process.budget.record_request("s", now);
+            requests.push(ms);
+            while ms >= FAIL_FROM_MS && process.budget.take_retry("s", now) {
+                retries.push(ms);
+            }
+        }
+    }
+    check_all_windows(&requests, &retries);
+}
+
+/// Checks the operator's limit in all windows. Requests are those of the window itself, of
+/// the one before it or of the one half a window before it, whichever has most.
+fn check_all_windows(requests: &[u64], retries: &[u64]) {
     assert!(!retries.is_empty(), "no retry was allowed");
-    for from in (0..50_000).step_by(100) {
-        // As the operator counts: the window itself, the one before it, or the one half a
-        // window before it.
+    let last_ms = requests.last().copied().unwrap_or(0);
+    for from in (0..last_ms).step_by(100) {
         let windows = [0, WINDOW_MS / 2, WINDOW_MS].map(|back| u64::saturating_sub(from, back));
-        let requests = windows.map(|from| count_in_window(&requests, from));
-        let bound = RATIO * requests.into_iter().fold(0.0, f64::max) + EXTRA;
-        let sent = count_in_window(&retries, from);
+        let counts = windows.map(|from| count_in_window(requests, from));
+        let bound = RATIO * counts.into_iter().fold(0.0, f64::max) + EXTRA;
+        let sent = count_in_window(retries, from);
         assert!(
             sent <= bound,
             "{sent} retries in the window from {from} ms, limit {bound}"
