Add a failing test: an account above its rate after kills in series

Callers saw: nothing; found by looking for the class of the retry limit, a limit that is kept in memory and starts anew.

--- a/tests/fleet_quota.rs
+++ b/tests/fleet_quota.rs
@@ -192,6 +192,38 @@
     );
 }
 
+/// Guards against an account above its rate after all entries have been killed several
+/// times in a row (QUOTA): each process starts with a part of the burst.
+#[rstest]
+#[case::not_at_all(0, 1_200)]
+#[case::twice(2, 1_200)]
+#[case::four_times(4, 1_200)]
+#[case::seven_times(7, 1_200)]
+#[case::three_times_slowly(3, 2_500)]
+fn admit_after_restarts_in_series_stays_within_allowed_rate(
+    #[case] restarts: u64,
+    #[case] interval_ms: u64,
+) {
+    const DOWN_MS: u64 = 500;
+    let mut fleet = Fleet::new(5);
+    fleet.run(20_000, 1, |_, _| true);
+    fleet.run(600, 20, |_, _| true);
+    for _ in 0..restarts {
+        for entry in 0..5 {
+            fleet.entries[entry] = fleet.start_entry();
+            fleet.incarnations[entry] += 100;
+        }
+        fleet.now_ms += DOWN_MS;
+        fleet.run(interval_ms - DOWN_MS, 20, |_, _| true);
+    }
+    fleet.run(3_000, 20, |_, _| true);
+    let max_tokens = fleet.max_tokens_in_window();
+    assert!(
+        max_tokens <= allowed_tokens(RATE, BURST),
+        "{max_tokens} tokens in a window"
+    );
+}
+
 /// A hot account sends nearly three times its rate to a large fleet, all of whose
 /// entries are killed, are back after half a second and hear of each other only
 /// after their first calls (`trouble-3` of the large deployment). What peers admitted before their first
