--- a/src/core/fleet/fleet_retry_budget.rs
+++ b/src/core/fleet/fleet_retry_budget.rs
@@ -10,20 +10,20 @@
 use super::RetryUsage;
 use crate::core::MonotonicTime;
 
-/// Share of the operator's limit that is enforced. The rest covers requests
-/// that arrive at one entry and are counted at another.
+/// Share of the operator's limit that a process enforces after its first window.
 const ENFORCED_SHARE: f64 = 0.7;
 
-/// Share of the operator's limit that a process enforces in its first window. It does not
-/// know what an earlier process of the entry used, which is at most [`ENFORCED_SHARE`].
+/// Like [`ENFORCED_SHARE`], in the first window of a process. What earlier processes of the
+/// entry used in that time is not known, and is at most the other share. What is left of
+/// the limit covers requests that arrive at one entry and are counted at another.
 const START_SHARE: f64 = 0.25;
 
 /// Minimum number of entries assumed, since a process that has just started
 /// does not know all its peers.
 const MIN_ENTRIES: usize = 4;
 
-/// Time for which an entry keeps its share that is not heard: it may be cut off and go on
-/// sending. What it sent before its end counts for a window in any case.
+/// Time for which an entry that is not heard keeps its share: it may be cut off and go on
+/// sending, and if it has ended, its last retries count for a window.
 const RESERVED_TIME: Duration = Duration::from_secs(600);
 
 /// Share of the enforced limit up to which calls that have not failed may use it, so that
@@ -163,27 +163,30 @@
         }
         self.others
             .retain(|_, heard_at| now.since(*heard_at) < RESERVED_TIME);
-        let entry_count = self.others.len() + 1;
+        RetryUsage {
+            requests,
+            retries,
+            max_retries: self.max_retries(requests, now),
+            entry_count: self.others.len() + 1,
+        }
+    }
+
+    /// Returns the maximum number of retries in a window with so many requests.
+    fn max_retries(&self, requests: u32, now: MonotonicTime) -> f64 {
+        let entry_count = (self.others.len() + 1).max(MIN_ENTRIES);
         let extra_share = if self.awaits_others {
             0.0
         } else {
-            self.extra / entry_count.max(MIN_ENTRIES) as f64
+            self.extra / entry_count as f64
         };
         let by_requests = self.ratio * f64::from(requests);
-        let max_retries = if now >= self.full_from {
-            (by_requests + extra_share) * ENFORCED_SHARE
-        } else {
-            let age = now.since(MonotonicTime::ZERO);
-            let window = step_time * WINDOW_STEPS;
-            let age_share = age.as_secs_f64() / window.as_secs_f64();
-            (by_requests + extra_share * age_share) * START_SHARE
-        };
-        RetryUsage {
-            requests,
-            retries,
-            max_retries,
-            entry_count,
+        if now >= self.full_from {
+            return (by_requests + extra_share) * ENFORCED_SHARE;
         }
+        let age = now.since(MonotonicTime::ZERO);
+        let first_window = self.full_from.since(MonotonicTime::ZERO);
+        let earned_share = age.as_secs_f64() / first_window.as_secs_f64();
+        (by_requests + extra_share * earned_share) * START_SHARE
     }
 
     /// Returns the current step and removes those that have left the window.
