--- a/tests/fleet_retries.rs
+++ b/tests/fleet_retries.rs
@@ -47,10 +47,9 @@
             }
         }
     }
-    let count = |times: &[u64], from: u64| count_in_window(times, from);
     for from in (0..50_000).step_by(100) {
-        let bound = RATIO * count(&requests, from) + EXTRA;
-        let sent = count(&retries, from);
+        let bound = RATIO * count_in_window(&requests, from) + EXTRA;
+        let sent = count_in_window(&retries, from);
         assert!(
             sent <= bound,
             "{sent} retries in the window from {from} ms, limit {bound}"
