Let one tenure say who orders an engine, on both sides

Cause: a gateway told the returned agent to leave it all versions up to its token, once, and went on to order them. A version that was named meanwhile made it raise its token, of which the agent knew nothing, and both waited for the same 3.2 s from different moments.

A gateway orders only while it reads the engine and the agent's port refuses it, asked again before each order, and under a claim written after that began. An agent orders only while gateways are in contact, 3.2 s after that began, under a token that the store gave out since; gateways write for it and pass the token on (`grant_orders`). Nothing is left to the other side. The two delays and the told token are gone; the message `yield_orders` is still understood.

The same cause on a related path: a gateway that keeps its claim for other engines of a group held a token from before the agent's last orders. It writes the claim again for each new term.

The last field alone of an agent's report may be left out, since fields are encoded by position: the stated slowness is always sent.

--- a/src/core/fleet/order_claim.rs
+++ b/src/core/fleet/order_claim.rs
@@ -19,9 +19,9 @@
 /// way for up to 400 ms.
 const EXPIRY_MARGIN: Duration = Duration::from_millis(800);
 
-/// Time after a claim, or after an agent has learned of one, in which the new
-/// holder sends no order. Engines that see orders of two holders within three
-/// seconds treat them as a conflict.
+/// Time after the start of a claim or of a term in which the new holder sends no
+/// order. Engines that see orders of two holders within three seconds treat them as a
+/// conflict.
 pub const TAKEOVER_DELAY: Duration = Duration::from_millis(3_200);
 
 /// Claim that the store has granted.
@@ -43,7 +43,7 @@
     /// Renew the lease of the claim.
     Renew(ClaimGrant),
     /// Replace the claim, for a fencing token above that of a newer target
-    /// version.
+    /// version, or above those of a holder before the current term.
     Refresh(ClaimGrant),
     /// Give up the claim; it is not needed any more.
     Release(u64),
@@ -62,6 +62,8 @@
 #[derive(Debug, Clone, Copy)]
 struct HeldClaim {
     grant: ClaimGrant,
+    /// When the request that gave out the fencing token was sent.
+    fence_requested_at: MonotonicTime,
     /// Orders may be sent from this time on.
     usable_from: MonotonicTime,
     /// The claim may have ended after this time.
@@ -72,11 +74,13 @@
 impl OrderClaim {
     /// Returns the next request. `is_needed` tells whether engines of the group
     /// need orders from this entry, `newest_revision` is the highest revision of
-    /// a target version.
+    /// a target version, and `term_began_at` when the newest term of an engine began,
+    /// for which tokens from before do not count.
     pub fn next_step(
         &mut self,
         is_needed: bool,
         newest_revision: u64,
+        term_began_at: MonotonicTime,
         now: MonotonicTime,
     ) -> ClaimStep {
         if self.held.is_some_and(|held| held.valid_until <= now) {
@@ -96,7 +100,9 @@
         if held.renew_at <= now {
             return ClaimStep::Renew(held.grant);
         }
-        if held.grant.fence <= newest_revision && self.next_request_at <= now {
+        let is_outdated =
+            held.grant.fence <= newest_revision || held.fence_requested_at < term_began_at;
+        if is_outdated && self.next_request_at <= now {
             return ClaimStep::Refresh(held.grant);
         }
         ClaimStep::Wait
@@ -111,6 +117,7 @@
     ) {
         self.held = Some(HeldClaim {
             grant,
+            fence_requested_at: sent_at,
             // The claim before may have been used until it ended, which was
             // before this one began.
             usable_from: self.earliest_use().max(now + TAKEOVER_DELAY),
@@ -145,10 +152,12 @@
         }
     }
 
-    /// Records that the claim was replaced by one with a higher fencing token.
-    pub fn record_refreshed(&mut self, fence: u64) {
+    /// Records that the claim was replaced by one with a higher fencing token; the
+    /// request was sent at `sent_at`.
+    pub fn record_refreshed(&mut self, fence: u64, sent_at: MonotonicTime) {
         if let Some(held) = &mut self.held {
             held.grant.fence = held.grant.fence.max(fence);
+            held.fence_requested_at = sent_at;
         }
     }
 
@@ -185,10 +194,18 @@
     }
 
     /// Returns the fencing token with which an order for a target version of
-    /// revision `target_revision` may be sent now.
-    pub fn usable_fence(&self, target_revision: u64, now: MonotonicTime) -> Option<u64> {
+    /// revision `target_revision` may be sent now, to an engine whose term began at
+    /// `term_began_at`.
+    pub fn usable_fence(
+        &self,
+        target_revision: u64,
+        term_began_at: MonotonicTime,
+        now: MonotonicTime,
+    ) -> Option<u64> {
         let held = self.held?;
-        let is_usable = held.usable_from <= now && now + EXPIRY_MARGIN < held.valid_until;
+        let is_usable = held.usable_from <= now
+            && now + EXPIRY_MARGIN < held.valid_until
+            && held.fence_requested_at >= term_began_at;
         (is_usable && held.grant.fence > target_revision).then_some(held.grant.fence)
     }
 }
--- a/src/core/fleet/routing/backend_view.rs
+++ b/src/core/fleet/routing/backend_view.rs
@@ -68,10 +68,14 @@
     pub used_tokens: u64,
     /// Size of the KV cache, in tokens.
     pub capacity_tokens: u64,
-    /// Slowness that the engine has usually stated, in percent. Left out if it states
-    /// none, so that an earlier release can read the message.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
+    /// Slowness that the engine has usually stated, in percent; `None` if it states none.
+    #[serde(default)]
     pub usual_slowness: Option<u16>,
+    /// Term for which the agent needs a fencing token, since its engine is outdated.
+    /// Left out if it needs none, so that an earlier release can read the message; only
+    /// the last field may be left out, since fields are encoded by position.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub term_without_fence: Option<u64>,
 }
 
 /// Known state of one backend server.
@@ -349,6 +353,11 @@
         self.recent_agent_report(now).is_some()
     }
 
+    /// Returns the term for which the server's agent needs a fencing token, if any.
+    pub fn agent_term_without_fence(&self, now: MonotonicTime) -> Option<u64> {
+        self.recent_agent_report(now)?.term_without_fence
+    }
+
     fn recent_agent_report(&self, now: MonotonicTime) -> Option<&AgentReport> {
         self.agent_report
             .as_ref()
--- a/src/core/fleet/weights/weights_change.rs
+++ b/src/core/fleet/weights/weights_change.rs
@@ -10,7 +10,6 @@
 use crate::core::MonotonicTime;
 use crate::core::WeightsVersion;
 use crate::core::fleet::ModelName;
-use crate::core::fleet::TAKEOVER_DELAY;
 
 /// Minimum time between announcing that the engine takes no new calls and the
 /// order: entries learn of it within one round trip, and calls already sent
@@ -92,8 +91,7 @@
     Accepted,
     /// Another order is in progress, or was accepted since the status was read.
     Conflict,
-    /// The engine has seen a higher fencing token, so the order is outdated.
-    /// The token is the store revision of the target version.
+    /// The engine has seen a higher fencing token, so another process has ordered it.
     Fenced,
     /// The engine refused the order for another reason.
     Refused,
@@ -129,11 +127,8 @@
     targets: HashMap<ModelName, TargetHistory>,
     batch_position: (u64, u64),
     phase: Phase,
-    /// Highest fencing token that another process has used for orders to the
-    /// engine; it sees to the targets up to this revision.
-    other_fence: u64,
-    /// No order is given before this time.
-    not_before: MonotonicTime,
+    /// When this process may give the first order; `None` while it must not.
+    earliest_order: Option<MonotonicTime>,
     /// Time within which all engines have to be at a new version.
     version_time: Duration,
     /// Time from the last order of this engine until its version was loaded.
@@ -147,8 +142,7 @@
             targets: HashMap::new(),
             batch_position: (0, 1),
             phase: Phase::Accepting,
-            other_fence: 0,
-            not_before: MonotonicTime::ZERO,
+            earliest_order: Some(MonotonicTime::ZERO),
             version_time: DEFAULT_VERSION_TIME,
             load_time: None,
         }
@@ -175,14 +169,10 @@
             .map_or(longest, |time| time.clamp(MIN_BATCH_INTERVAL, longest))
     }
 
-    /// Records that another process orders the engine with the fencing token
-    /// `fence`. From then on only targets of a higher revision are ordered here,
-    /// and none before [`TAKEOVER_DELAY`] has passed.
-    pub fn yield_orders(&mut self, fence: u64, now: MonotonicTime) {
-        if fence > self.other_fence {
-            self.other_fence = fence;
-            self.not_before = now + TAKEOVER_DELAY;
-        }
+    /// Sets when this process may give the first order; `None` if it must not give
+    /// any for now.
+    pub fn set_earliest_order(&mut self, earliest_order: Option<MonotonicTime>) {
+        self.earliest_order = earliest_order;
     }
 
     /// Records a target version and returns whether it is newer than the known
@@ -211,24 +201,32 @@
         self.phase == Phase::Accepting
     }
 
-    /// Returns the time until the order, if the engine's weights are outdated.
+    /// Returns the time until the order, if the engine's weights are outdated and this
+    /// process may order them.
     pub fn time_until_order(&self, status: &EngineStatus, now: MonotonicTime) -> Option<Duration> {
+        self.earliest_order?;
         let (_, order_at) = self.find_target_and_order_time(status)?;
         Some(order_at.since(now))
     }
 
-    /// Returns whether an engine with these weights needs no order from here.
-    pub fn is_current(&self, versions: &[(ModelName, WeightsVersion)]) -> bool {
-        let status = EngineStatus {
-            versions: versions.to_vec(),
-            ..EngineStatus::default()
-        };
-        self.find_target_and_order_time(&status).is_none()
+    /// Returns whether the engine has reported an older version than the target.
+    pub fn is_outdated(&self, status: &EngineStatus) -> bool {
+        self.find_target_and_order_time(status).is_some()
     }
 
     /// Advances the change by the engine's status and returns the next action.
     pub fn advance(&mut self, status: &EngineStatus, now: MonotonicTime) -> WeightsChangeStep {
+        let is_permitted = self.earliest_order.is_some();
         match (self.phase, self.find_target_and_order_time(status)) {
+            (Phase::Accepting, Some(_)) if !is_permitted => WeightsChangeStep::Wait,
+            // Another process may order the engine now, at a time unknown here.
+            (Phase::Stopping { .. } | Phase::Ordered { .. }, Some(_)) if !is_permitted => {
+                if status.is_busy {
+                    return WeightsChangeStep::Wait;
+                }
+                self.phase = Phase::Accepting;
+                WeightsChangeStep::ResumeAccepting
+            }
             (Phase::Accepting, Some((_, order_at))) if !status.is_busy => {
                 if now + MIN_TIME_BEFORE_ORDER < order_at {
                     return WeightsChangeStep::Wait;
@@ -303,9 +301,8 @@
             // normally due at once.
             let since = since.unwrap_or(MonotonicTime::ZERO);
             let order_at = since + FIRST_BATCH_DELAY + self.batch_interval() * batch;
-            let newest = history.newest()?;
-            let is_own = newest.revision > self.other_fence;
-            is_own.then(|| (newest.clone(), order_at.max(self.not_before)))
+            let earliest_order = self.earliest_order.unwrap_or(MonotonicTime::ZERO);
+            Some((history.newest()?.clone(), order_at.max(earliest_order)))
         })
     }
 }
--- a/src/gateway/exchange_peer_state.rs
+++ b/src/gateway/exchange_peer_state.rs
@@ -211,6 +211,8 @@
 
     async fn yield_orders(self, _: Context, _: u64) {}
 
+    async fn grant_orders(self, _: Context, _: u64, _: u64) {}
+
     async fn exchange(self, _: Context, peer_state: PeerState) -> Option<PeerState> {
         Some(self.answer_exchange(peer_state, None))
     }
--- a/src/gateway/lead_rollouts/check_servers.rs
+++ b/src/gateway/lead_rollouts/check_servers.rs
@@ -12,7 +12,7 @@
 use crate::core::fleet::RolloutOrder;
 use crate::core::fleet::ServiceServers;
 use crate::gateway::context::GatewayContext;
-use crate::gateway::refused_port::is_refused;
+use crate::gateway::probe_port::is_refused;
 
 /// Time to connect to an entry that does not report, and for an old server's load.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(200);
--- a/src/gateway/lead_rollouts/claim_lead.rs
+++ b/src/gateway/lead_rollouts/claim_lead.rs
@@ -77,7 +77,7 @@
             || (is_held && self.record_revision.is_none())
             || (!is_held && self.is_end_check_due(snapshot, now));
         let is_needed = self.is_claim_needed(snapshot, is_leading, now);
-        let step = self.claim.next_step(is_needed, 0, now);
+        let step = self.claim.next_step(is_needed, 0, MonotonicTime::ZERO, now);
         let request =
             match step {
                 ClaimStep::Renew(grant) => tokio::spawn(async move {
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -21,6 +21,7 @@
 use super::follow_kv_cache_stores::follow_kv_cache_stores;
 use super::follow_store::follow_area;
 use super::follow_store::ping_store;
+use super::grant_orders::grant_orders;
 use super::lead_rollouts::lead_rollouts;
 use super::read_call::CallerAddress;
 use super::report_mesh_traffic::report_mesh_traffic;
@@ -150,6 +151,7 @@
     tokio::spawn(ping_store(Arc::clone(&cx)));
     tokio::spawn(follow_agents(Arc::clone(&cx)));
     tokio::spawn(substitute_agents(Arc::clone(&cx)));
+    tokio::spawn(grant_orders(Arc::clone(&cx)));
     tokio::spawn(follow_kv_cache_stores(Arc::clone(&cx)));
     tokio::spawn(tell_stream_keepers(Arc::clone(&cx)));
     tokio::spawn(quarantine_culprits(Arc::clone(&cx)));
--- a/src/gateway/substitute_agents.rs
+++ b/src/gateway/substitute_agents.rs
@@ -8,7 +8,6 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
-use std::time::Instant;
 
 use futures::future::join_all;
 use tokio::task::JoinHandle;
@@ -18,7 +17,9 @@
 use super::claim_rank::rank_of;
 use super::context::GatewayContext;
 use super::follow_agents::list_engines;
-use super::refused_port::is_refused;
+use super::probe_port::is_refused;
+use super::substitute_right::CONNECT_TIMEOUT;
+use super::substitute_right::SubstituteRight;
 use crate::core::MonotonicTime;
 use crate::core::ServerName;
 use crate::core::fleet::CLAIM_TTL;
@@ -26,10 +27,10 @@
 use crate::core::fleet::EngineAgent;
 use crate::core::fleet::OrderClaim;
 use crate::core::fleet::TargetVersion;
-use crate::mesh::connect_mesh;
 use crate::ports::PortError;
 use crate::settings::SidecarSettings;
 use crate::sidecar::EnginePause;
+use crate::sidecar::OrderRight;
 use crate::sidecar::SidecarContext;
 use crate::sidecar::SidecarPorts;
 use crate::sidecar::reconcile_engine;
@@ -53,13 +54,6 @@
 /// entries.
 const GROUP_COUNT: u64 = 16;
 
-/// Time to connect to an agent; a process that is there accepts within a round
-/// trip, and a host without one refuses as soon.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-
-/// Timeout of a message to an agent that has returned.
-const MESSAGE_TIMEOUT: Duration = Duration::from_millis(800);
-
 /// Interval between reads of a distant engine's report, which count as probes.
 const REPORT_INTERVAL: Duration = Duration::from_millis(400);
 
@@ -72,10 +66,8 @@
 
 /// Task that orders one engine, with what the order loop knows of it.
 struct Substitute {
-    agent: SocketAddr,
     engine: Arc<SidecarContext>,
-    /// Whether the agent has returned and orders newer target versions.
-    has_yielded: bool,
+    right: Arc<SubstituteRight>,
     task: JoinHandle<()>,
 }
 
@@ -135,7 +127,7 @@
             let state = groups.entry(group).or_default();
             let is_needed = !members.is_empty() || !state.substitutes.is_empty();
             update_claim(&cx, group, state, is_needed, &targets).await;
-            update_substitutes(&cx, state, &members, &targets).await;
+            update_substitutes(&cx, state, &members, &targets);
             let is_idle = members.is_empty() && state.substitutes.is_empty();
             if is_idle && lock_claim(&state.claim).is_idle() {
                 groups.remove(&group);
@@ -209,7 +201,8 @@
     }
 }
 
-fn group_of(agent: SocketAddr) -> u64 {
+/// Returns the group of an engine, which one entry sees to.
+pub(super) fn group_of(agent: SocketAddr) -> u64 {
     xxh3_64(agent.to_string().as_bytes()) % GROUP_COUNT
 }
 
@@ -230,7 +223,16 @@
     if let Some(restored_at) = cx.lock().store_restored_at {
         lock_claim(&state.claim).record_restore(restored_at);
     }
-    let step = lock_claim(&state.claim).next_step(is_needed, newest_revision.unwrap_or(0), now);
+    let terms = state.substitutes.values();
+    let newest_term = terms
+        .filter_map(|substitute| substitute.right.term_began_at(now))
+        .max();
+    let step = lock_claim(&state.claim).next_step(
+        is_needed,
+        newest_revision.unwrap_or(0),
+        newest_term.unwrap_or(MonotonicTime::ZERO),
+        now,
+    );
     let (name, holder) = (group.to_string(), cx.settings.name.as_str());
     let claims = &cx.ports.claims;
     let result: Result<(), PortError> = match step {
@@ -253,7 +255,7 @@
         ClaimStep::Refresh(grant) => claims.refresh(&name, holder, grant).await.map(|fence| {
             let mut claim = lock_claim(&state.claim);
             match fence {
-                Some(fence) => claim.record_refreshed(fence),
+                Some(fence) => claim.record_refreshed(fence, now),
                 None => claim.record_lost(cx.now()),
             }
         }),
@@ -276,16 +278,15 @@
 }
 
 /// Starts a substitute for each engine of a held group that has none and passes
-/// on targets. An agent that has returned is told to order newer target versions
-/// only; its engine's substitute ends once the engine has the others.
-async fn update_substitutes(
+/// on targets. A substitute ends as soon as its agent is back or has been heard by
+/// this entry, and leaves everything that it has not ordered to the agent.
+fn update_substitutes(
     cx: &Arc<GatewayContext>,
     state: &mut Group,
     members: &[&AbsentAgent],
     targets: &[TargetVersion],
 ) {
-    let fence = lock_claim(&state.claim).held_fence(cx.now());
-    if fence.is_none() {
+    if lock_claim(&state.claim).held_fence(cx.now()).is_none() {
         state.substitutes.clear();
         return;
     }
@@ -303,24 +304,16 @@
             engine_state.weights_change.observe_target(target, now);
         }
     }
-    for (name, substitute) in &mut state.substitutes {
-        let is_absent = members.iter().any(|engine| engine.name == *name);
-        if is_absent {
-            substitute.has_yielded = false;
-        } else if let Some(fence) = fence
-            && !substitute.has_yielded
-        {
-            substitute.has_yielded = yield_to_agent(name, substitute.agent, fence).await;
-        }
-    }
-    // Versions that were set before the claim are still ordered from here.
+    let now = cx.now();
+    let gateway_state = cx.lock();
     state.substitutes.retain(|name, substitute| {
-        let is_listed = cx.lock().dispatcher.find_backend(name).is_some();
-        let engine_state = substitute.engine.lock();
-        let is_current = engine_state
-            .weights_change
-            .is_current(&engine_state.report.versions);
-        is_listed && !(substitute.has_yielded && is_current)
+        let view = gateway_state.dispatcher.find_backend(name);
+        let is_absent = view.is_some_and(|view| !view.has_recent_agent_report(now));
+        let is_kept = is_absent && !substitute.right.is_agent_back();
+        if !is_kept {
+            log::info!("orders: agent returned server={name}");
+        }
+        is_kept
     });
 }
 
@@ -349,14 +342,15 @@
         engine: Arc::clone(&cx.ports.engine),
         kv_cache: Arc::clone(&cx.ports.kv_cache),
     };
-    let (claim, claim_cx) = (Arc::clone(claim), Arc::clone(cx));
-    let fence_source = move |target: &TargetVersion| {
-        lock_claim(&claim).usable_fence(target.revision, claim_cx.now())
-    };
+    let right = Arc::new(SubstituteRight::new(
+        Arc::clone(cx),
+        absent.agent,
+        Arc::clone(claim),
+    ));
     let engine = Arc::new(SidecarContext::for_distant_engine(
         settings,
         ports,
-        Box::new(fence_source),
+        Arc::clone(&right) as Arc<dyn OrderRight>,
         REPORT_INTERVAL,
         Box::new(GatewayPause {
             cx: Arc::clone(cx),
@@ -364,28 +358,8 @@
         }),
     ));
     Substitute {
-        agent: absent.agent,
-        has_yielded: false,
+        right,
         task: tokio::spawn(reconcile_engine(Arc::clone(&engine))),
         engine,
     }
 }
-
-/// Tells an agent that has returned which orders it has to leave to this entry.
-/// Returns whether it received that.
-async fn yield_to_agent(name: &ServerName, agent: SocketAddr, fence: u64) -> bool {
-    let told = match connect_mesh(agent).await {
-        Ok(client) => {
-            let mut context = tarpc::context::current();
-            context.deadline = Instant::now() + MESSAGE_TIMEOUT;
-            let told = client.yield_orders(context, fence).await;
-            told.map_err(|e| e.to_string())
-        }
-        Err(e) => Err(e.to_string()),
-    };
-    match &told {
-        Ok(()) => log::info!("orders: agent returned server={name} fence={fence}"),
-        Err(e) => log::info!("orders: agent not told server={name} reason=\"{e}\""),
-    }
-    told.is_ok()
-}
--- a/src/mesh/message_kind.rs
+++ b/src/mesh/message_kind.rs
@@ -8,7 +8,7 @@
 
 /// Names of the kinds: the methods of [`Mesh`](super::Mesh), and all else (cancelled
 /// requests, errors).
-pub(super) const KIND_NAMES: [&str; 15] = [
+pub(super) const KIND_NAMES: [&str; 16] = [
     "observe",
     "announce",
     "exchange",
@@ -23,6 +23,7 @@
     "share_quarantine",
     "report_rollout",
     "exchange_zones",
+    "grant_orders",
     "other",
 ];
 
@@ -55,6 +56,7 @@
             MeshRequest::ShareQuarantine { .. } => 11,
             MeshRequest::ReportRollout { .. } => 12,
             MeshRequest::ExchangeZones { .. } => 13,
+            MeshRequest::GrantOrders { .. } => 14,
         }
     }
 }
@@ -79,6 +81,7 @@
             MeshResponse::ShareQuarantine(_) => 11,
             MeshResponse::ReportRollout(_) => 12,
             MeshResponse::ExchangeZones(_) => 13,
+            MeshResponse::GrantOrders(()) => 14,
         }
     }
 }
--- a/src/mesh/service.rs
+++ b/src/mesh/service.rs
@@ -60,8 +60,8 @@
     /// servers. Without changes, it delays the response.
     async fn follow_members(known: MembersCursor) -> Option<MembersUpdate>;
 
-    /// Tells an agent that another process orders its engine with the fencing
-    /// token `fence`, and sees to target versions up to that revision.
+    /// Tells an agent that another process has ordered its engine with the fencing
+    /// token `fence`. Only entries of an earlier release send this.
     async fn yield_orders(fence: u64);
 
     /// Tells a process at which builds streams began, to keep that for others.
@@ -79,4 +79,8 @@
     async fn report_rollout(report: RolloutReport) -> Option<RolloutPlan>;
     /// Like [`Self::exchange`], with the sender's zone and states that relays pass on.
     async fn exchange_zones(message: ZoneExchange) -> Option<ZoneExchange>;
+
+    /// Passes an agent a fencing token that the store gave out after the agent had
+    /// asked for one, in its term `term`.
+    async fn grant_orders(term: u64, fence: u64);
 }
--- a/src/ports/order_claims.rs
+++ b/src/ports/order_claims.rs
@@ -28,6 +28,11 @@
         held: ClaimGrant,
     ) -> BoxFuture<'a, Result<Option<u64>, PortError>>;
 
+    /// Writes to the store on behalf of the agents of `group`, and returns the revision.
+    /// As a fencing token it is above those of all claims granted before, and no claim
+    /// gets the same.
+    fn issue_fence<'a>(&'a self, group: &'a str) -> BoxFuture<'a, Result<u64, PortError>>;
+
     /// Renews the lease of the claim `held` and returns whether it still existed.
     fn renew(&self, held: ClaimGrant) -> BoxFuture<'_, Result<bool, PortError>>;
 
--- a/src/sidecar/context.rs
+++ b/src/sidecar/context.rs
@@ -9,9 +9,11 @@
 
 use tokio::sync::watch;
 
+use super::agent_right::AgentRight;
 use super::collector::Collector;
 use super::engine_pause::EnginePause;
 use super::local_pause::LocalPause;
+use super::order_right::OrderRight;
 use crate::clock::Clock;
 use crate::core::MonotonicTime;
 use crate::core::fleet::AgentReport;
@@ -20,7 +22,6 @@
 use crate::core::fleet::Quarantine;
 use crate::core::fleet::ServerSpeed;
 use crate::core::fleet::StreamOrigins;
-use crate::core::fleet::TargetVersion;
 use crate::core::fleet::WeightsChange;
 use crate::metrics::SidecarMetrics;
 use crate::ports::EngineClient;
@@ -68,10 +69,6 @@
     pub engine_run: Option<String>,
 }
 
-/// Returns the fencing token for an order of a target version, or `None` if the
-/// order must not be sent now.
-pub type FenceSource = Box<dyn Fn(&TargetVersion) -> Option<u64> + Send + Sync>;
-
 /// Settings, clients, metrics and state of a running sidecar.
 pub struct SidecarContext {
     /// Settings; they apply until the process ends.
@@ -82,8 +79,11 @@
     pub metrics: SidecarMetrics,
     /// Random number that identifies this run.
     pub incarnation: u64,
-    /// Where fencing tokens of orders come from.
-    fence_source: FenceSource,
+    /// Right of an agent to order the engine beside it.
+    pub agent_right: Arc<AgentRight>,
+    /// Right of this process to order the engine: that of the agent, unless the engine
+    /// is on another host.
+    pub order_right: Arc<dyn OrderRight>,
     /// Interval between reads of the engine's report.
     pub report_interval: Duration,
     /// Pauses that the engine asks for.
@@ -103,14 +103,16 @@
             weights_change: WeightsChange::within(settings.version_time),
             ..SidecarState::default()
         };
+        let incarnation = rand::random();
+        let agent_right = Arc::new(AgentRight::new(incarnation));
         Self {
-            // The only process that orders the engine needs no other token.
-            fence_source: Box::new(|target| Some(target.revision)),
+            order_right: Arc::clone(&agent_right) as Arc<dyn OrderRight>,
+            agent_right,
             report_interval: REPORT_INTERVAL,
             pause: Box::new(LocalPause::new()),
             settings,
             metrics: SidecarMetrics::new(),
-            incarnation: rand::random(),
+            incarnation,
             collector: Arc::new(Collector::new(Arc::clone(&ports.kv_cache))),
             ports,
             clock: Clock::start(),
@@ -119,17 +121,17 @@
         }
     }
 
-    /// Creates the context for an engine on another host, whose orders need
-    /// fencing tokens from `fence_source`, and whose pauses also hold for calls.
+    /// Creates the context for an engine on another host, which is ordered under
+    /// `order_right`, and whose pauses also hold for calls.
     pub fn for_distant_engine(
         settings: SidecarSettings,
         ports: SidecarPorts,
-        fence_source: FenceSource,
+        order_right: Arc<dyn OrderRight>,
         report_interval: Duration,
         pause: Box<dyn EnginePause>,
     ) -> Self {
         Self {
-            fence_source,
+            order_right,
             report_interval,
             pause,
             ..Self::new(settings, ports)
@@ -146,12 +148,6 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Returns the fencing token for an order of a target version, or `None` if
-    /// the order must not be sent now.
-    pub fn find_fence(&self, target: &TargetVersion) -> Option<u64> {
-        (self.fence_source)(target)
-    }
-
     /// Starts a new update and wakes the requests that wait for one.
     pub fn publish(&self) {
         self.update_number.send_modify(|number| *number += 1);
--- a/src/sidecar/reconcile_engine.rs
+++ b/src/sidecar/reconcile_engine.rs
@@ -51,6 +51,7 @@
                     log::info!("engine: regained address={}", cx.settings.engine);
                 }
                 failed_reads = 0;
+                cx.order_right.check().await;
                 apply_report(&cx, report).await;
             }
             Err(PortError::Paused(pause)) => record_pause(&cx, pause),
@@ -89,9 +90,12 @@
 
 async fn apply_report(cx: &SidecarContext, report: EngineReport) {
     let now = cx.now();
+    let earliest_order = cx.order_right.time_until_order().map(|time| now + time);
     let step = {
         let mut state = cx.lock();
+        state.weights_change.set_earliest_order(earliest_order);
         let step = state.weights_change.advance(&report.status, now);
+        let is_outdated = state.weights_change.is_outdated(&report.status);
         if let Some(percent) = report.load.slowness {
             state.speed.observe_stated(percent, now);
         }
@@ -109,6 +113,9 @@
             used_tokens: report.used_kv_tokens,
             capacity_tokens: report.total_kv_tokens,
             usual_slowness: state.speed.usual_percent(),
+            term_without_fence: is_outdated
+                .then(|| cx.agent_right.term_without_fence())
+                .flatten(),
         };
         let should_publish = take(&mut state.has_unpublished_changes)
             || has_notable_change(
@@ -143,7 +150,7 @@
             running,
             accepted_orders,
         } => {
-            let Some(fence) = cx.find_fence(&target) else {
+            let Some(fence) = cx.order_right.find_fence(target.revision).await else {
                 // Tried again later, like an order that had no effect.
                 let now = cx.now();
                 cx.lock()
@@ -174,6 +181,7 @@
         || published.is_alive != current.is_alive
         || published.versions != current.versions
         || published.switch_in_ms.is_some() != current.switch_in_ms.is_some()
+        || published.term_without_fence != current.term_without_fence
     {
         return true;
     }
@@ -221,6 +229,9 @@
         outcome.label()
     );
     cx.metrics.count_order(outcome.label());
+    if outcome == OrderOutcome::Fenced {
+        cx.order_right.record_fenced();
+    }
     let now = cx.now();
     cx.lock().weights_change.record_outcome(outcome, now);
 }
--- a/src/sidecar/sidecar_service.rs
+++ b/src/sidecar/sidecar_service.rs
@@ -9,6 +9,7 @@
 
 use super::collector::Subscription;
 use super::context::SidecarContext;
+use super::order_right::OrderRight;
 use crate::clock::read_wall_clock_ms;
 use crate::core::ServerName;
 use crate::core::fleet::AgentReport;
@@ -85,9 +86,14 @@
     }
 
     async fn yield_orders(self, _: Context, fence: u64) {
+        // Sent by entries of an earlier release.
         log::info!("weights: ordered by another process fence={fence}");
-        let now = self.cx.now();
-        self.cx.lock().weights_change.yield_orders(fence, now);
+        self.cx.agent_right.record_fenced();
+    }
+
+    async fn grant_orders(self, _: Context, term: u64, fence: u64) {
+        log::info!("weights: orders permitted term={term:x} fence={fence}");
+        self.cx.agent_right.record_fence(term, fence);
     }
 
     async fn keep_streams(self, _: Context, origins: Vec<StreamOrigin>) {
@@ -158,6 +164,7 @@
     }
 
     fn apply_request(&self, req: &ObserveRequest) {
+        self.cx.agent_right.record_contact();
         let now = self.cx.now();
         let mut state = self.cx.lock();
         state
--- a/tests/fleet_dispatch.rs
+++ b/tests/fleet_dispatch.rs
@@ -151,6 +151,7 @@
         used_tokens: 0,
         capacity_tokens: 300_000,
         usual_slowness: None,
+        term_without_fence: None,
     };
     dispatcher.observe_agent_report(&holder, report, at(0));
     let choice = choose(&dispatcher, &prompt, at(1));
--- a/tests/fleet_order_claims.rs
+++ b/tests/fleet_orders/claims.rs
@@ -11,13 +11,14 @@
 use proptest::test_runner::TestRunner;
 use rstest::rstest;
 use teaseldrum::core::MonotonicTime;
-use teaseldrum::core::fleet::CLAIM_TTL;
 use teaseldrum::core::fleet::ClaimGrant;
 use teaseldrum::core::fleet::ClaimStep;
 use teaseldrum::core::fleet::OrderClaim;
 
-/// Time within which an engine must not see orders of two holders.
-const HOLDER_CHANGE_MS: u64 = 3_000;
+use crate::claim_store::ClaimStore;
+use crate::seen_order::HOLDER_CHANGE_MS;
+use crate::seen_order::SeenOrder;
+use crate::seen_order::find_violation;
 
 /// Time in milliseconds between two steps of a history.
 const STEP_MS: u64 = 100;
@@ -26,103 +27,6 @@
     MonotonicTime::ZERO + Duration::from_millis(ms)
 }
 
-/// Order as an engine sees it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-struct SeenOrder {
-    ms: u64,
-    holder: usize,
-    fence: u64,
-}
-
-/// Returns what is wrong with the orders that one engine has seen.
-fn find_violation(orders: &[SeenOrder]) -> Option<&'static str> {
-    for (index, order) in orders.iter().enumerate() {
-        for before in &orders[..index] {
-            if before.fence > order.fence {
-                return Some("lower fencing token after a higher one");
-            }
-            if before.holder == order.holder {
-                continue;
-            }
-            if before.fence == order.fence {
-                return Some("two holders with one fencing token");
-            }
-            if order.ms < before.ms + HOLDER_CHANGE_MS {
-                return Some("two holders shortly after each other");
-            }
-        }
-    }
-    None
-}
-
-/// Store with the item of one claim.
-#[derive(Debug, Default, Clone, Copy)]
-struct ClaimStore {
-    revision: u64,
-    /// Rises with each restore; claims of an earlier one are void.
-    era: u64,
-    next_lease: u64,
-    /// Revision of the item, its lease and the end of the lease in ms.
-    item: Option<(u64, u64, u64)>,
-}
-
-impl ClaimStore {
-    fn expire(&mut self, ms: u64) {
-        self.item = self.item.filter(|(_, _, end_ms)| *end_ms > ms);
-    }
-
-    fn acquire(&mut self, ms: u64) -> Option<ClaimGrant> {
-        if self.item.is_some() {
-            return None;
-        }
-        self.revision += 1;
-        self.next_lease += 1;
-        let lease = self.next_lease;
-        self.item = Some((self.revision, lease, ms + CLAIM_TTL.as_millis() as u64));
-        Some(ClaimGrant {
-            fence: self.fence(),
-            lease,
-        })
-    }
-
-    /// Revision as the adapter passes it on, with the era above it.
-    fn fence(&self) -> u64 {
-        (self.era << 40) | self.revision
-    }
-
-    /// Goes back to an earlier copy of the items, whose leases go on.
-    fn restore(&mut self, copy: Self) {
-        *self = Self {
-            era: self.era + 1,
-            ..copy
-        };
-    }
-
-    fn refresh(&mut self, held: ClaimGrant) -> Option<u64> {
-        let (revision, lease, end_ms) = self.item?;
-        if ((self.era << 40) | revision, lease) != (held.fence, held.lease) {
-            return None;
-        }
-        self.revision += 1;
-        self.item = Some((self.revision, lease, end_ms));
-        Some(self.fence())
-    }
-
-    fn renew(&mut self, grant: ClaimGrant, ms: u64) -> bool {
-        match &mut self.item {
-            Some((_, held, end_ms)) if *held == grant.lease && grant.fence >> 40 == self.era => {
-                *end_ms = ms + CLAIM_TTL.as_millis() as u64;
-                true
-            }
-            _ => false,
-        }
-    }
-
-    fn release(&mut self, lease: u64) {
-        self.item = self.item.filter(|(_, held, _)| *held != lease);
-    }
-}
-
 /// What happens to one request to the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Transport {
@@ -190,7 +94,7 @@
             }
             paused_until[holder] = ms + u64::from(turn.pause) * STEP_MS;
             let has_request =
-                claims[holder].next_step(true, target_revision, at(ms)) != ClaimStep::Wait;
+                claims[holder].next_step(true, target_revision, at(0), at(ms)) != ClaimStep::Wait;
             if has_request
                 && turn.transport == Transport::Answered
                 && known_eras[holder] < store.era
@@ -202,7 +106,7 @@
                 }
             }
             request(&mut claims[holder], &mut store, turn, target_revision, ms);
-            if let Some(fence) = claims[holder].usable_fence(target_revision, at(ms)) {
+            if let Some(fence) = claims[holder].usable_fence(target_revision, at(0), at(ms)) {
                 orders.push(SeenOrder { ms, holder, fence });
             }
         }
@@ -218,7 +122,7 @@
     ms: u64,
 ) {
     let now = at(ms);
-    let step = claim.next_step(turn.is_needed, target_revision, now);
+    let step = claim.next_step(turn.is_needed, target_revision, at(0), now);
     if step == ClaimStep::Wait {
         return;
     }
@@ -240,7 +144,7 @@
             _ => claim.record_failure(now),
         },
         ClaimStep::Refresh(held) => match store.refresh(held) {
-            Some(fence) if is_answered => claim.record_refreshed(fence),
+            Some(fence) if is_answered => claim.record_refreshed(fence, now),
             None if is_answered => claim.record_lost(now),
             _ => claim.record_failure(now),
         },
@@ -327,22 +231,40 @@
 #[test]
 fn usable_fence_below_target_none() {
     let mut claim = OrderClaim::default();
-    assert_eq!(claim.next_step(true, 40, at(0)), ClaimStep::Acquire);
+    assert_eq!(claim.next_step(true, 40, at(0), at(0)), ClaimStep::Acquire);
     let grant = ClaimGrant {
         fence: 41,
         lease: 7,
     };
     claim.record_acquired(grant, at(0), at(10));
-    assert_eq!(claim.usable_fence(40, at(3_300)), None);
+    assert_eq!(claim.usable_fence(40, at(0), at(3_300)), None);
     claim.record_renewed(at(3_000));
-    assert_eq!(claim.usable_fence(40, at(3_300)), Some(41));
-    assert_eq!(claim.usable_fence(50, at(3_300)), None);
+    assert_eq!(claim.usable_fence(40, at(0), at(3_300)), Some(41));
+    assert_eq!(claim.usable_fence(50, at(0), at(3_300)), None);
     assert_eq!(
-        claim.next_step(true, 50, at(3_300)),
+        claim.next_step(true, 50, at(0), at(3_300)),
         ClaimStep::Refresh(grant)
     );
-    claim.record_refreshed(51);
-    assert_eq!(claim.usable_fence(50, at(3_300)), Some(51));
+    claim.record_refreshed(51, at(3_300));
+    assert_eq!(claim.usable_fence(50, at(0), at(3_300)), Some(51));
+}
+
+/// A token from before an engine's term may be below one of its agent: the holder
+/// waits for another.
+#[test]
+fn usable_fence_before_term_none() {
+    let mut claim = OrderClaim::default();
+    let grant = ClaimGrant {
+        fence: 41,
+        lease: 7,
+    };
+    claim.record_acquired(grant, at(0), at(10));
+    claim.record_renewed(at(3_000));
+    assert_eq!(claim.usable_fence(40, at(1_000), at(3_300)), None);
+    let step = claim.next_step(true, 40, at(1_000), at(3_300));
+    assert_eq!(step, ClaimStep::Refresh(grant));
+    claim.record_refreshed(43, at(3_300));
+    assert_eq!(claim.usable_fence(40, at(1_000), at(3_300)), Some(43));
 }
 
 /// The checker rejects each kind of broken history.
--- a/tests/fleet_weights_change.rs
+++ b/tests/fleet_weights_change.rs
@@ -168,26 +168,38 @@
     assert!(delayed_ms < immediate_ms + 1_000);
 }
 
-/// Another process has ordered the engine while its agent was away: the agent
-/// leaves it the versions up to that fencing token, and orders a later one no
-/// sooner than engines allow after another holder.
+/// Guards against orders before the process may give them, and against an engine that
+/// takes no calls meanwhile.
 #[test]
-fn yield_orders_only_later_targets_ordered_after_delay() {
+fn advance_before_earliest_order_waits_accepting() {
     let mut weights_change = WeightsChange::new();
     weights_change.observe_target(&target(2), at(0));
-    weights_change.yield_orders(25, at(100));
+    weights_change.set_earliest_order(None);
     let is_waiting = (0..6_000)
         .step_by(20)
         .all(|ms| weights_change.advance(&status(1, 0), at(ms)) == WeightsChangeStep::Wait);
     assert!(is_waiting);
-    weights_change.yield_orders(26, at(6_000));
-    weights_change.observe_target(&target(3), at(6_100));
+    assert!(weights_change.is_accepting());
+    weights_change.set_earliest_order(Some(at(9_200)));
     let (step, ms) = advance_to_order(&mut weights_change, &status(1, 0), 6_100);
-    let WeightsChangeStep::Order { target, .. } = step else {
-        panic!("expected an order, got {step:?}");
-    };
-    assert_eq!(target.version, WeightsVersion(3));
-    assert!(ms >= 6_000 + 3_000, "{ms}");
+    assert!(matches!(step, WeightsChangeStep::Order { .. }));
+    assert!(ms >= 9_200, "{ms}");
+}
+
+/// A process that loses the right to order between its decision and the order lets the
+/// engine take calls again.
+#[test]
+fn advance_right_lost_before_order_resumes_accepting() {
+    let mut weights_change = WeightsChange::new();
+    weights_change.observe_target(&target(2), at(0));
+    let stopped = (0..5_000).find(|&ms| {
+        weights_change.advance(&status(1, 0), at(ms)) == WeightsChangeStep::StopAccepting
+    });
+    let stopped_ms = stopped.expect("the change should stop new calls");
+    weights_change.set_earliest_order(None);
+    let step = weights_change.advance(&status(1, 0), at(stopped_ms + 100));
+    assert_eq!(step, WeightsChangeStep::ResumeAccepting);
+    assert!(weights_change.is_accepting());
 }
 
 /// Slow loads of many batches at once would leave too few engines for calls: the
