Keep parts that an account made before it became isolated from others

Cause: the cache salt of accounts that are not isolated depended on the weights version alone, so that the earlier parts stayed where all find them.

Change: the shared salt also depends on the set of isolated accounts, and is chosen each time that a call is sent. A part under it was computed by an account outside the set; no process has to remember anything.

Cost for accounts that are not isolated: their shared parts are read again once for each change of the set.

--- a/src/core/cache_salt.rs
+++ b/src/core/cache_salt.rs
@@ -1,5 +1,6 @@
 //! Salt that keeps one client account's cache entries apart from all others.
 
+use std::collections::BTreeSet;
 use std::fmt;
 
 use serde::Deserialize;
@@ -13,6 +14,9 @@
 /// the salt.
 const SALT_DOMAIN: &[u8] = b"teaseldrum cache salt v1\0";
 
+/// Hashed before the names of several accounts, for the same reason.
+const SET_DOMAIN: &[u8] = b"teaseldrum cache salt of a set v1\0";
+
 /// Salt that keeps one client account's cache entries apart from all others:
 /// the engine includes it in the key of each cache block.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -26,6 +30,22 @@
         let mut hasher = Sha256::new();
         hasher.update(SALT_DOMAIN);
         hasher.update(account.as_str().as_bytes());
+        Self::from_hasher(hasher)
+    }
+
+    /// Derives the salt of a set of accounts, whatever the order of their names.
+    pub fn of_accounts(accounts: &BTreeSet<AccountName>) -> Self {
+        let mut hasher = Sha256::new();
+        hasher.update(SET_DOMAIN);
+        for account in accounts {
+            let name = account.as_str().as_bytes();
+            hasher.update((name.len() as u64).to_le_bytes());
+            hasher.update(name);
+        }
+        Self::from_hasher(hasher)
+    }
+
+    fn from_hasher(hasher: Sha256) -> Self {
         let digest = hasher.finalize();
         let mut head = [0; 8];
         head.copy_from_slice(&digest[..8]);
--- a/src/core/fleet/mod.rs
+++ b/src/core/fleet/mod.rs
@@ -116,6 +116,7 @@
 pub use routing::BackendChoice;
 pub use routing::BackendKey;
 pub use routing::BackendView;
+pub use routing::CacheIsolation;
 pub use routing::CachedPartChange;
 pub use routing::CachedParts;
 pub use routing::DispatchError;
--- a/src/core/fleet/routing/dispatcher.rs
+++ b/src/core/fleet/routing/dispatcher.rs
@@ -9,6 +9,7 @@
 use super::AgentReport;
 use super::BackendKey;
 use super::BackendView;
+use super::CacheIsolation;
 use super::CachedPartChange;
 use super::ReportedLoad;
 use super::VersionedSalt;
@@ -66,8 +67,10 @@
     pub service: &'a str,
     /// Prompt, for a call to a model.
     pub prompt: Option<&'a Prompt>,
-    /// The call's account, if it shares no cached parts with others.
-    pub isolated_account: Option<&'a AccountName>,
+    /// The call's account, if it has one.
+    pub account: Option<&'a AccountName>,
+    /// Whether the account was isolated when the call was read.
+    pub was_isolated: bool,
     /// Servers that earlier attempts were sent to; they are not chosen again.
     pub tried: &'a [BackendKey],
     /// Build at which the stream of the call began, if it goes on with one; servers
@@ -166,6 +169,7 @@
     target_versions: HashMap<ModelName, TargetHistory>,
     prefill_factors: HashMap<ModelName, PrefillTimeFactor>,
     kv_cache_stores: KvCacheStores,
+    cache_isolation: CacheIsolation,
     run_limits: RunLimits,
     /// Time within which all engines have to be at a new weights version.
     version_time: Duration,
@@ -197,6 +201,7 @@
             target_versions: HashMap::new(),
             prefill_factors: HashMap::new(),
             kv_cache_stores: KvCacheStores::default(),
+            cache_isolation: CacheIsolation::default(),
             run_limits: RunLimits::default(),
             version_time: DEFAULT_VERSION_TIME,
             service_speeds: HashMap::new(),
@@ -307,6 +312,11 @@
         self.kv_cache_stores.set_addresses(addresses);
     }
 
+    /// Sets which accounts are isolated, for all calls that are sent from now on.
+    pub fn set_cache_isolation(&mut self, isolation: CacheIsolation) {
+        self.cache_isolation = isolation;
+    }
+
     /// Returns the addresses of the KV cache stores.
     pub fn list_kv_cache_stores(&self) -> Vec<SocketAddr> {
         self.kv_cache_stores.addresses()
@@ -780,7 +790,9 @@
     ) -> Option<(f64, BackendChoice)> {
         let version = view.find_version(&prompt.model, now)?;
         let version_cost_ms = self.version_cost_ms(&prompt.model, version, now)?;
-        let salt = VersionedSalt::new(version, req.isolated_account);
+        let salt = self
+            .cache_isolation
+            .find_salt(version, req.account, req.was_isolated);
         let namespace = salt.namespace(&prompt.model);
         let sources = sources.entry(namespace).or_insert_with(|| {
             let store = self.kv_cache_stores.find_for(prompt);
--- a/src/core/fleet/routing/versioned_salt.rs
+++ b/src/core/fleet/routing/versioned_salt.rs
@@ -1,5 +1,5 @@
-//! Cache salts that separate cached prompt parts by weights version and, for
-//! isolated accounts, by account.
+//! Cache salts that separate cached prompt parts by weights version and by the
+//! accounts that may share them.
 
 use std::fmt;
 
@@ -18,12 +18,17 @@
 pub struct VersionedSalt(String);
 
 impl VersionedSalt {
-    /// Creates the salt for a weights version; `isolated` is the call's account
-    /// if it is isolated.
-    pub fn new(version: WeightsVersion, isolated: Option<&AccountName>) -> Self {
+    /// Creates the salt of an isolated account.
+    pub fn of_account(version: WeightsVersion, account: &AccountName) -> Self {
+        Self(format!("v{}.{}", version.0, CacheSalt::of_account(account)))
+    }
+
+    /// Creates the salt that all accounts share but those of the set with the salt
+    /// `isolated`; `None` stands for the empty set.
+    pub fn shared(version: WeightsVersion, isolated: Option<CacheSalt>) -> Self {
         match isolated {
             None => Self(format!("v{}", version.0)),
-            Some(account) => Self(format!("v{}.{}", version.0, CacheSalt::of_account(account))),
+            Some(isolated) => Self(format!("v{}-{isolated}", version.0)),
         }
     }
 
--- a/src/gateway/read_call.rs
+++ b/src/gateway/read_call.rs
@@ -107,11 +107,6 @@
         })
     }
 
-    /// Returns the account if it shares no cached prompt parts.
-    fn isolated_account(&self) -> Option<&AccountName> {
-        self.account.as_ref().filter(|_| self.is_isolated)
-    }
-
     /// Returns whether the call may run on another server after `runs` servers
     /// ran it or may have run it.
     pub fn may_run_again(&self, runs: u32) -> bool {
@@ -124,7 +119,8 @@
         DispatchRequest {
             service: &self.service,
             prompt: self.head.prompt.as_ref(),
-            isolated_account: self.isolated_account(),
+            account: self.account.as_ref(),
+            was_isolated: self.is_isolated,
             tried: &progress.tried,
             build: progress.build.as_ref(),
             builds: BuildFilter::Any,
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -10,6 +10,7 @@
 use crate::core::fleet::AdmissionQueue;
 use crate::core::fleet::BackendChoice;
 use crate::core::fleet::BackendView;
+use crate::core::fleet::CacheIsolation;
 use crate::core::fleet::CallDigest;
 use crate::core::fleet::Configuration;
 use crate::core::fleet::Directory;
@@ -236,6 +237,8 @@
             .map(|store| store.address)
             .collect();
         self.dispatcher.set_kv_cache_stores(&kv_stores);
+        let isolation = CacheIsolation::from_accounts(&configuration.accounts);
+        self.dispatcher.set_cache_isolation(isolation);
         let timeouts = configuration.routes.iter().map(|route| route.timeout);
         if let Some(longest) = timeouts.max() {
             self.streams.set_longest_timeout(longest);
--- a/tests/fleet_admission/main.rs
+++ b/tests/fleet_admission/main.rs
@@ -593,7 +593,7 @@
             build: Build::from("v1"),
         });
     }
-    let namespace = VersionedSalt::new(WeightsVersion(1), None).namespace(&ModelName::from("m"));
+    let namespace = VersionedSalt::shared(WeightsVersion(1), None).namespace(&ModelName::from("m"));
     let parts = [("shared", 90_000), ("own", 1_000)].map(|(name, tokens)| PromptPart {
         id: PartId::from_name(name),
         tokens,
@@ -623,7 +623,8 @@
     let req = DispatchRequest {
         service: "s",
         prompt: Some(&prompt),
-        isolated_account: None,
+        account: None,
+        was_isolated: false,
         tried: &[],
         build: None,
         builds: BuildFilter::Any,
--- a/tests/fleet_dispatch.rs
+++ b/tests/fleet_dispatch.rs
@@ -84,7 +84,8 @@
     DispatchRequest {
         service: "drafting",
         prompt: Some(prompt),
-        isolated_account: None,
+        account: None,
+        was_isolated: false,
         tried: &[],
         build: None,
         builds: BuildFilter::Any,
@@ -101,7 +102,7 @@
 
 fn cached_changes(version: u64, part_name: &str) -> Vec<CachedPartChange> {
     let namespace =
-        VersionedSalt::new(WeightsVersion(version), None).namespace(&ModelName::from("m"));
+        VersionedSalt::shared(WeightsVersion(version), None).namespace(&ModelName::from("m"));
     ["outer", part_name]
         .map(|name| CachedPartChange {
             namespace,
@@ -459,7 +460,8 @@
     let prompt = prompt("a");
     let account = isolated.map(AccountName::from);
     let req = DispatchRequest {
-        isolated_account: account.as_ref(),
+        account: account.as_ref(),
+        was_isolated: account.is_some(),
         ..request(&prompt)
     };
     let choice = dispatcher
@@ -467,7 +469,7 @@
         .expect("a server should be chosen");
     assert_eq!(choice.prefill_tokens, if is_found { 6_700 } else { 12_000 });
     assert_eq!(choice.recomputed_tokens, 0);
-    let shared = VersionedSalt::new(WeightsVersion(1), None);
+    let shared = VersionedSalt::shared(WeightsVersion(1), None);
     assert_eq!(choice.salt == Some(shared), is_found);
 }
 
--- a/tests/fleet_server_speed.rs
+++ b/tests/fleet_server_speed.rs
@@ -101,7 +101,8 @@
     let req = DispatchRequest {
         service: "s",
         prompt,
-        isolated_account: None,
+        account: None,
+        was_isolated: false,
         tried: &[],
         build: None,
         builds: BuildFilter::Any,
--- a/tests/fleet_zone_balance.rs
+++ b/tests/fleet_zone_balance.rs
@@ -369,7 +369,8 @@
     DispatchRequest {
         service: "s",
         prompt,
-        isolated_account: None,
+        account: None,
+        was_isolated: false,
         tried: &[],
         build: None,
         builds: BuildFilter::Any,
