End the acceptance of requests at one moment of a drain

Cause: the drain waited, without a limit, for the rest of a head on each connection on which bytes had arrived since the last request. Bytes of the body of a refused request that were read after the refusal counted as such, and so did a head that arrived byte by byte.

Change: bytes count as the beginning of a request for 1.5 s. 1.5 s after a drain has begun to close connections no request is accepted: a connection that is still within a head is closed. A request counts as handled until its response has ended, so that no response is cut by that.

Callers of the soak send head and body apart in half of their calls, use a key that no configuration holds in one of 16, and go on using the connection; their other draws stay as they were.

--- a/lab/src/soak/traffic.rs
+++ b/lab/src/soak/traffic.rs
@@ -32,6 +32,13 @@
 /// Pause between two calls of a caller of a storm.
 const STORM_CALL_GAP: Duration = Duration::from_millis(5);
 
+/// One of this number of calls has a key that no configuration holds; its connection is
+/// used again.
+const CALLS_PER_UNKNOWN_KEY: u32 = 16;
+
+/// Longest pause between the head and the body of a request, in milliseconds.
+const MAX_BODY_PAUSE_MS: u64 = 30;
+
 /// API key of the account that causes storms.
 const STORM_KEY: &str = "key-other";
 
@@ -59,6 +66,8 @@
     /// Makes and records calls until `is_stopped` is set.
     pub async fn run_caller(self: Arc<Self>, number: usize, seed: u64) {
         let mut rng = StdRng::seed_from_u64(seed);
+        // Apart from the other draws, so that seeds keep their calls.
+        let mut form_rng = StdRng::seed_from_u64(!seed);
         let mut kept_connection: Option<(Caller, usize, u32)> = None;
         let mut count = 0;
         while !self.is_stopped.load(Ordering::Relaxed) {
@@ -76,9 +85,17 @@
             };
             count += 1;
             let id = format!("s{number}-{count}");
-            let (kind, bytes) = self.draw_call(&mut rng, &id);
+            let (kind, mut bytes) = self.draw_call(&mut rng, &id);
+            if form_rng.random_ratio(1, CALLS_PER_UNKNOWN_KEY) {
+                let request = String::from_utf8_lossy(&bytes);
+                bytes = request.replace("key-1", "key-unknown").into_bytes();
+            }
+            let body_pause = form_rng
+                .random_bool(0.5)
+                .then(|| Duration::from_millis(form_rng.random_range(0..MAX_BODY_PAUSE_MS)));
+            let request = (kind, bytes.as_slice(), body_pause);
             let is_reusable = self
-                .make_call(&mut caller, (kind, &bytes), id, (gateway, start_count))
+                .make_call(&mut caller, request, id, (gateway, start_count))
                 .await;
             if is_reusable {
                 kept_connection = Some((caller, gateway, start_count));
@@ -115,7 +132,7 @@
             let is_reusable = self
                 .make_call(
                     &mut caller,
-                    (kind, bytes.as_bytes()),
+                    (kind, bytes.as_bytes(), None),
                     id,
                     (gateway, start_count),
                 )
@@ -126,16 +143,17 @@
         }
     }
 
-    /// Makes and records a call. Returns whether its connection can be used again.
+    /// Makes and records a call, with a pause between head and body if one is given.
+    /// Returns whether its connection can be used again.
     async fn make_call(
         &self,
         caller: &mut Caller,
-        (kind, bytes): (CallKind, &[u8]),
+        (kind, bytes, body_pause): (CallKind, &[u8], Option<Duration>),
         id: String,
         gateway: (usize, u32),
     ) -> bool {
         let sent_at_ms = self.now_ms();
-        let response = exchange(caller, bytes).await;
+        let response = exchange(caller, bytes, body_pause).await;
         let record = CallRecord {
             id,
             kind,
@@ -193,9 +211,24 @@
     }
 }
 
-async fn exchange(caller: &mut Caller, bytes: &[u8]) -> ReceivedResponse {
+async fn exchange(
+    caller: &mut Caller,
+    bytes: &[u8],
+    body_pause: Option<Duration>,
+) -> ReceivedResponse {
     let call = async {
-        if caller.try_send(bytes).await {
+        let body_at = bytes.windows(4).position(|end| end == b"\r\n\r\n");
+        let (head, body) = bytes.split_at(body_at.map_or(bytes.len(), |end| end + 4));
+        let is_sent = match body_pause {
+            Some(pause) if !body.is_empty() => {
+                let is_head_sent = caller.try_send(head).await;
+                sleep(pause).await;
+                // A refusal may have closed the connection before the body.
+                caller.try_send(body).await || is_head_sent
+            }
+            _ => caller.try_send(bytes).await,
+        };
+        if is_sent {
             caller.read_response().await
         } else {
             no_response()
--- a/src/http/caller_activity.rs
+++ b/src/http/caller_activity.rs
@@ -1,8 +1,9 @@
 //! Whether a request has begun on a connection that is not handled yet.
 
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::time::Duration;
 
 use tokio::time::Instant;
@@ -11,18 +12,27 @@
 /// connect when they have a request to send.
 const FIRST_REQUEST_TIME: Duration = Duration::from_millis(1_500);
 
+/// Time after bytes have arrived in which the rest of a head is expected.
+const NEXT_BYTES_TIME: Duration = Duration::from_millis(1_500);
+
+/// Time after the start of a drain from which no request is accepted any more, whatever
+/// has arrived of it. The running ones need the rest of the drain.
+pub(super) const LAST_REQUEST_TIME: Duration = Duration::from_millis(1_500);
+
 /// Tells whether a request is to be expected on a connection. Clones share it.
 #[derive(Debug, Clone)]
 pub(super) struct CallerActivity {
     accepted_at: Instant,
-    state: Arc<ActivityState>,
+    state: Arc<Mutex<ActivityState>>,
 }
 
 #[derive(Debug, Default)]
 struct ActivityState {
-    has_had_request: AtomicBool,
-    is_handling: AtomicBool,
-    has_unhandled_bytes: AtomicBool,
+    has_had_request: bool,
+    is_handling: bool,
+    /// When bytes last arrived while no request was handled. They belong to a head, or
+    /// to the body of a request that was answered before its body was read.
+    unhandled_bytes_at: Option<Instant>,
 }
 
 impl CallerActivity {
@@ -34,35 +44,47 @@
         }
     }
 
-    /// Records that bytes have arrived. They belong to a head unless a request is being
-    /// handled.
+    /// Records that bytes have arrived.
     pub fn record_bytes(&self) {
-        if !self.state.is_handling.load(Ordering::Acquire) {
-            self.state
-                .has_unhandled_bytes
-                .store(true, Ordering::Release);
+        let mut state = self.lock();
+        if !state.is_handling {
+            state.unhandled_bytes_at = Some(Instant::now());
         }
     }
 
     /// Records that the head of a request has arrived whole.
     pub fn begin_request(&self) {
-        self.state.has_had_request.store(true, Ordering::Release);
-        self.state.is_handling.store(true, Ordering::Release);
-        self.state
-            .has_unhandled_bytes
-            .store(false, Ordering::Release);
+        *self.lock() = ActivityState {
+            has_had_request: true,
+            is_handling: true,
+            unhandled_bytes_at: None,
+        };
     }
 
-    /// Records that a request was handled.
+    /// Records that a request was handled, and its response ended.
     pub fn end_request(&self) {
-        self.state.is_handling.store(false, Ordering::Release);
+        self.lock().is_handling = false;
+    }
+
+    /// Returns whether a request has begun lately whose head is not whole, or a first
+    /// request is still to be expected, in a drain that began at `drained_from`.
+    pub fn expects_request(&self, drained_from: Instant) -> bool {
+        if drained_from.elapsed() >= LAST_REQUEST_TIME {
+            return false;
+        }
+        let state = self.lock();
+        let is_new = !state.has_had_request && self.accepted_at.elapsed() < FIRST_REQUEST_TIME;
+        let has_lately = |at: Instant| at.elapsed() < NEXT_BYTES_TIME;
+        is_new || state.unhandled_bytes_at.is_some_and(has_lately)
+    }
+
+    /// Returns whether a part of a head may have arrived, and no request is handled.
+    pub fn is_within_head(&self) -> bool {
+        let state = self.lock();
+        !state.is_handling && state.unhandled_bytes_at.is_some()
     }
 
-    /// Returns whether a request has begun whose head is not whole, or a first request is
-    /// still to be expected.
-    pub fn expects_request(&self) -> bool {
-        let is_new = !self.state.has_had_request.load(Ordering::Acquire)
-            && self.accepted_at.elapsed() < FIRST_REQUEST_TIME;
-        is_new || self.state.has_unhandled_bytes.load(Ordering::Acquire)
+    fn lock(&self) -> MutexGuard<'_, ActivityState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -15,6 +15,7 @@
 mod client_error;
 mod event_stream;
 mod exchange;
+mod handled_body;
 mod hop_by_hop_headers;
 mod reader_limits;
 mod serve;
--- a/src/http/serve.rs
+++ b/src/http/serve.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use futures::FutureExt;
+use futures::TryFutureExt;
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
@@ -23,16 +24,20 @@
 use tokio::sync::Semaphore;
 use tokio::sync::watch;
 use tokio::task::yield_now;
+use tokio::time::Instant;
 use tokio::time::sleep;
+use tokio::time::sleep_until;
 use tokio::time::timeout;
 use tokio_util::task::TaskTracker;
 
 use super::HttpBody;
 use super::ServerLimits;
 use super::caller_activity::CallerActivity;
+use super::caller_activity::LAST_REQUEST_TIME;
 use super::caller_left::CallerLeft;
 use super::caller_presence::CallerPresence;
 use super::caller_stream::CallerStream;
+use super::handled_body::HandledBody;
 use super::set_socket_options;
 
 /// Pause after a failed accept, before the next attempt.
@@ -180,7 +185,7 @@
         activity.begin_request();
         let activity = activity.clone();
         let response = respond_unless_left(response, presence.clone());
-        response.inspect(move |_| activity.end_request())
+        response.map_ok(move |response| response.map(|body| HandledBody::new(body, activity)))
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -188,32 +193,40 @@
         .max_buf_size(limits.max_head_bytes)
         .serve_connection(stream, service);
     connections.tasks.spawn(async move {
+        let _permit = permit;
         let mut connection = pin!(connection);
-        let ended = tokio::select! {
-            ended = connection.as_mut() => Some(ended),
-            () = wait_until_idle(closing, drain_activity) => None,
+        let drained_from = tokio::select! {
+            ended = connection.as_mut() => return log_end(ended),
+            drained_from = wait_until_idle(closing, &drain_activity) => drained_from,
         };
-        let ended = match ended {
-            Some(ended) => ended,
-            None => {
-                connection.as_mut().graceful_shutdown();
-                connection.await
-            }
-        };
-        if let Err(e) = ended {
-            log::debug!("http: Connection ended: {e}.");
+        connection.as_mut().graceful_shutdown();
+        tokio::select! {
+            ended = connection.as_mut() => return log_end(ended),
+            () = sleep_until(drained_from + LAST_REQUEST_TIME) => {}
+        }
+        // A request that becomes whole from now on would be cut off at the end.
+        if !drain_activity.is_within_head() {
+            log_end(connection.await);
         }
-        drop(permit);
     });
 }
 
-/// Waits until connections are to be closed and no request is expected on this one.
-async fn wait_until_idle(mut closing: watch::Receiver<bool>, activity: CallerActivity) {
+fn log_end(ended: hyper::Result<()>) {
+    if let Err(e) = ended {
+        log::debug!("http: Connection ended: {e}.");
+    }
+}
+
+/// Waits until connections are to be closed and no request is expected on this one, but
+/// not longer than a drain accepts requests. Returns when the drain began.
+async fn wait_until_idle(mut closing: watch::Receiver<bool>, activity: &CallerActivity) -> Instant {
     // An error means that the server has ended, which closes connections as well.
     let _ = closing.wait_for(|is_closing| *is_closing).await;
-    while activity.expects_request() {
+    let drained_from = Instant::now();
+    while activity.expects_request(drained_from) {
         sleep(IDLE_CHECK_INTERVAL).await;
     }
+    drained_from
 }
 
 /// Polls `response` as long as the caller is present.
