Pass on only streams where a broken stream goes on

A report of other operators: clients found an error's text in the middle of their stream, or the stream ended as if it were complete. Here an error status was never passed on, but a response with a status of success and another media type than the stream's was: its body took the place of the missing events, and its end that of the stream.

Change: a stream goes on only with a response of the media type that the caller was told; else it ends as broken (`not-a-stream` in the log).

Tests: stream_resumption_answered_with_error_is_not_spliced (the case of a success failed before, the error passed).

--- a/src/explain/outcome.rs
+++ b/src/explain/outcome.rs
@@ -2,7 +2,7 @@
 
 /// Codes of outcomes of calls and of reasons for which attempts failed, each
 /// with its meaning and, where it helps, the log lines to look at next.
-const OUTCOME_DESCRIPTIONS: [(&str, &str); 33] = [
+const OUTCOME_DESCRIPTIONS: [(&str, &str); 34] = [
     ("complete", "The stream was received completely."),
     (
         "answered",
@@ -106,6 +106,10 @@
         "ended-within-event",
         "The server ended its stream in the middle of an event.",
     ),
+    (
+        "not-a-stream",
+        "The server at which a stream was to go on sent something else, which was not passed on.",
+    ),
     ("server-failed", "The server ran the request and failed."),
     ("caller-gone", "The client closed the connection."),
 ];
--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -7,6 +7,7 @@
 use bytes::BytesMut;
 use http::StatusCode;
 use http::header::CONTENT_LENGTH;
+use http::header::CONTENT_TYPE;
 use http::header::TRANSFER_ENCODING;
 use tokio::time::Instant;
 use tokio::time::timeout_at;
@@ -73,6 +74,8 @@
     cx: Arc<GatewayContext>,
     call: Call,
     upstream: Option<(Exchange, InFlightGuard)>,
+    /// Media type that the first server has stated, and the caller was told.
+    media_type: Option<String>,
     buffer: BytesMut,
     /// Bytes for `buffer` and the next chunk; `None` without shares of the memory.
     reservation: Option<ByteReservation>,
@@ -104,6 +107,7 @@
             wanted_at: Instant::now(),
             delivered_at: Instant::now(),
             call,
+            media_type: read_media_type(&upstream.0),
             upstream: Some(upstream),
             buffer: BytesMut::new(),
             event_progress: EventProgress::default(),
@@ -321,6 +325,13 @@
             )
             .await
             {
+                // Such as the text of an error, under a status of success.
+                AttemptOutcome::Streaming(head)
+                    if read_media_type(&head.exchange) != self.media_type =>
+                {
+                    self.call_log.record_failure("not-a-stream");
+                    return false;
+                }
                 AttemptOutcome::Streaming(head) => {
                     self.progress.runs += 1;
                     self.event_progress.restart();
@@ -348,6 +359,13 @@
     !headers.contains_key(CONTENT_LENGTH) && !headers.contains_key(TRANSFER_ENCODING)
 }
 
+/// Returns the media type of a response, without parameters.
+fn read_media_type(exchange: &Exchange) -> Option<String> {
+    let value = exchange.headers().get(CONTENT_TYPE)?.to_str().ok()?;
+    let media_type = value.split(';').next().unwrap_or(value);
+    Some(media_type.trim().to_ascii_lowercase())
+}
+
 fn count_events(events: &[u8]) -> u32 {
     let ends = events.windows(EVENT_TERMINATOR.len());
     let count = ends.filter(|window| *window == EVENT_TERMINATOR).count();
