--- a/src/gateway/substitute_agents.rs
+++ b/src/gateway/substitute_agents.rs
@@ -307,13 +307,14 @@
     let now = cx.now();
     let gateway_state = cx.lock();
     state.substitutes.retain(|name, substitute| {
-        let view = gateway_state.dispatcher.find_backend(name);
-        let is_absent = view.is_some_and(|view| !view.has_recent_agent_report(now));
-        let is_kept = is_absent && !substitute.right.is_agent_back();
-        if !is_kept {
+        let Some(view) = gateway_state.dispatcher.find_backend(name) else {
+            return false;
+        };
+        let is_back = view.has_recent_agent_report(now) || substitute.right.is_agent_back();
+        if is_back {
             log::info!("orders: agent returned server={name}");
         }
-        is_kept
+        !is_back
     });
 }
 
