--- a/src/sidecar/agent_right.rs
+++ b/src/sidecar/agent_right.rs
@@ -13,7 +13,7 @@
 use crate::core::fleet::OrderTenure;
 
 /// Right of the agent beside an engine: held while entries are in contact with it,
-/// under fencing tokens that they read from the store.
+/// under fencing tokens that they get from the store.
 #[derive(Debug)]
 pub struct AgentRight {
     clock: Clock,
@@ -30,8 +30,7 @@
         }
     }
 
-    /// Records that an entry is in contact with the agent, and passes it the newest
-    /// target versions.
+    /// Records that an entry, or a collector on its behalf, is in contact with the agent.
     pub fn record_contact(&self) {
         self.lock().confirm(self.clock.now());
     }
