Count an agent's silence anew after an entry stood still

After a gap between its checks an entry counts anew; a directed history guards it.

Reports with either field or both are read back by a test.

--- a/src/core/fleet/routing/backend_view.rs
+++ b/src/core/fleet/routing/backend_view.rs
@@ -6,6 +6,8 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+use serde::Serializer;
+use serde::ser::SerializeStruct;
 
 use super::CachedPartChange;
 use super::ReportedLoad;
@@ -46,7 +48,7 @@
 const MAX_LIVENESS_FACTOR: f64 = 4.0;
 
 /// Report of the agent beside an engine.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Deserialize)]
 pub struct AgentReport {
     /// Whether the engine takes new calls; false shortly before and during a
     /// change of weights.
@@ -72,12 +74,36 @@
     #[serde(default)]
     pub usual_slowness: Option<u16>,
     /// Term for which the agent needs a fencing token, since its engine is outdated.
-    /// Left out if it needs none, so that an earlier release can read the message; only
-    /// the last field may be left out, since fields are encoded by position.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde(default)]
     pub term_without_fence: Option<u64>,
 }
 
+/// Leaves out the last fields while they are empty, so that an earlier release can read
+/// the message. Fields are encoded by position.
+impl Serialize for AgentReport {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let has_term = self.term_without_fence.is_some();
+        let has_slowness = has_term || self.usual_slowness.is_some();
+        let count = 8 + usize::from(has_slowness) + usize::from(has_term);
+        let mut fields = serializer.serialize_struct("AgentReport", count)?;
+        fields.serialize_field("is_accepting", &self.is_accepting)?;
+        fields.serialize_field("is_alive", &self.is_alive)?;
+        fields.serialize_field("switch_in_ms", &self.switch_in_ms)?;
+        fields.serialize_field("versions", &self.versions)?;
+        fields.serialize_field("load", &self.load)?;
+        fields.serialize_field("reading_ms", &self.prefill_ms)?;
+        fields.serialize_field("used_tokens", &self.used_tokens)?;
+        fields.serialize_field("capacity_tokens", &self.capacity_tokens)?;
+        if has_slowness {
+            fields.serialize_field("usual_slowness", &self.usual_slowness)?;
+        }
+        if has_term {
+            fields.serialize_field("term_without_fence", &self.term_without_fence)?;
+        }
+        fields.end()
+    }
+}
+
 /// Known state of one backend server.
 #[derive(Debug)]
 pub struct BackendView {
--- a/src/gateway/substitute_agents.rs
+++ b/src/gateway/substitute_agents.rs
@@ -42,6 +42,11 @@
 /// restart are back sooner.
 const ABSENCE_TIME: Duration = Duration::from_secs(5);
 
+/// Longest time between two checks of the agents. After a longer one, such as while the
+/// process stood still, the silence before it does not count: an agent may have been in
+/// contact with other entries meanwhile.
+const MAX_CHECK_GAP: Duration = Duration::from_secs(2);
+
 /// Additional time for each entry that comes before this one in the order in
 /// which entries claim a group.
 const RANK_DELAY: Duration = Duration::from_secs(2);
@@ -112,8 +117,13 @@
 pub async fn substitute_agents(cx: Arc<GatewayContext>) {
     let mut absent_since: HashMap<ServerName, MonotonicTime> = HashMap::new();
     let mut groups: HashMap<u64, Group> = HashMap::new();
+    let mut checked_at = cx.now();
     loop {
         sleep(CHECK_INTERVAL).await;
+        if cx.now().since(checked_at) > MAX_CHECK_GAP {
+            absent_since.clear();
+        }
+        checked_at = cx.now();
         let absent = find_absent_agents(&cx, &mut absent_since).await;
         let targets = cx.lock().dispatcher.list_target_versions();
         for group in 0..GROUP_COUNT {
--- a/tests/fleet_orders/tenures.rs
+++ b/tests/fleet_orders/tenures.rs
@@ -167,6 +167,7 @@
     claim: OrderClaim,
     substitute: Option<Holder>,
     heard_at: u64,
+    checked_at: u64,
     /// Term that the agent has stated, and when this entry sees to it.
     stated_term: Option<(u64, u64)>,
 }
@@ -408,6 +409,11 @@
 
     fn claim(&mut self, number: usize, entry: &mut Entry) {
         let (ms, now) = (self.ms, at(self.ms));
+        // As `substitute_agents` does after a gap between its checks.
+        if ms > entry.checked_at + 2_000 {
+            entry.heard_at = ms;
+        }
+        entry.checked_at = ms;
         let is_silent = ms >= entry.heard_at + 1_500;
         let is_absent = ms >= entry.heard_at + 5_000 + 2_000 * number as u64
             && self.probe(number) == Probe::Refused;
@@ -567,6 +573,12 @@
     (Trouble::OrdersWithoutEffect, 0, 6_000),
     (Trouble::AgentLost, 6_000, 24_000),
 ])]
+#[case::silence_before_standstill(&[
+    (Trouble::EntryFrozen(0), 7_200, 17_600),
+    (Trouble::EntryFrozen(1), 4_800, 16_600),
+    (Trouble::AgentCut, 18_000, 22_300),
+    (Trouble::OrdersWithoutEffect, 0, 24_000),
+])]
 #[case::evidence_before_term(&[
     (Trouble::AgentKilled, 0, 9_000),
     (Trouble::OrdersWithoutEffect, 0, 15_000),
--- a/tests/fleet_server_speed.rs
+++ b/tests/fleet_server_speed.rs
@@ -786,10 +786,18 @@
     assert_eq!(decoded, report);
 }
 
-#[test]
-fn agent_report_with_slowness_returns_same_fields() {
+/// Guards against a field that is read in the place of another that was left out.
+#[rstest]
+#[case::slowness(Some(120), None)]
+#[case::term(None, Some(u64::MAX))]
+#[case::both(Some(120), Some(7))]
+fn agent_report_with_optional_fields_returns_same_fields(
+    #[case] usual_slowness: Option<u16>,
+    #[case] term_without_fence: Option<u64>,
+) {
     let mut report = agent_report(load(3, 1, Some(250)));
-    report.usual_slowness = Some(120);
+    report.usual_slowness = usual_slowness;
+    report.term_without_fence = term_without_fence;
     let encoded = rmp_serde::to_vec(&report).expect("the value is serializable");
     let decoded: AgentReport = rmp_serde::from_slice(&encoded).expect("it is readable");
     assert_eq!(decoded, report);
