--- a/src/core/fleet/order_tenure.rs
+++ b/src/core/fleet/order_tenure.rs
@@ -102,11 +102,6 @@
         self.held.filter(is_recent)
     }
 
-    /// Returns whether this process holds the right, whether it may use it yet or not.
-    pub fn is_held(&self, now: MonotonicTime) -> bool {
-        self.current(now).is_some()
-    }
-
     /// Returns when the current term began.
     pub fn began_at(&self, now: MonotonicTime) -> Option<MonotonicTime> {
         self.current(now).map(|held| held.began_at)
--- a/tests/fleet_cache_isolation.rs
+++ b/tests/fleet_cache_isolation.rs
@@ -16,20 +16,23 @@
 /// Accounts that are isolated in one configuration.
 type Isolated = [bool; 4];
 
+fn account_rule(name: &str, is_isolated: bool) -> AccountRule {
+    AccountRule {
+        name: AccountName::from(name),
+        keys: Vec::new(),
+        priority: None,
+        rate: None,
+        burst: 0,
+        counts_tokens: false,
+        tokens_per_plain_call: 0,
+        is_isolated,
+    }
+}
+
 fn isolation(isolated: Isolated) -> CacheIsolation {
-    let rules: Vec<AccountRule> = ACCOUNTS
-        .iter()
-        .zip(isolated)
-        .map(|(name, is_isolated)| AccountRule {
-            name: AccountName::from(*name),
-            keys: Vec::new(),
-            priority: None,
-            rate: None,
-            burst: 0,
-            counts_tokens: false,
-            tokens_per_plain_call: 0,
-            is_isolated,
-        })
+    let rules = ACCOUNTS.iter().zip(isolated);
+    let rules: Vec<AccountRule> = rules
+        .map(|(name, is_isolated)| account_rule(name, is_isolated))
         .collect();
     CacheIsolation::from_accounts(&rules)
 }
@@ -72,16 +75,7 @@
 #[test]
 fn find_salt_sets_alike_differ() {
     let rules = |names: &[&str]| {
-        let accounts = names.iter().map(|name| AccountRule {
-            name: AccountName::from(*name),
-            keys: Vec::new(),
-            priority: None,
-            rate: None,
-            burst: 0,
-            counts_tokens: false,
-            tokens_per_plain_call: 0,
-            is_isolated: true,
-        });
+        let accounts = names.iter().map(|name| account_rule(name, true));
         CacheIsolation::from_accounts(&accounts.collect::<Vec<_>>())
     };
     let shared = |names: &[&str]| rules(names).find_salt(VERSION, None, false).to_string();
