--- a/lab/src/soak/process.rs
+++ b/lab/src/soak/process.rs
@@ -73,6 +73,15 @@
         line.trim().strip_suffix(" kB")?.parse().ok()
     }
 
+    /// Returns what the process and those before it have written.
+    ///
+    /// # Errors
+    ///
+    /// The file cannot be read.
+    pub fn read_log(&self) -> io::Result<String> {
+        fs::read_to_string(&self.log)
+    }
+
     /// Tells whether the process runs.
     pub fn is_running(&mut self) -> bool {
         let is_running = match &mut self.child {
