Log each call that a stop cuts, and write the last lines of a process

On call, nothing told what became of a request whose connection a stopping gateway closed: its call had no line, and the lines that a process wrote in its last 40 ms never reached the log, 'gateway: stopped' among them.

--- a/src/cli/run_role.rs
+++ b/src/cli/run_role.rs
@@ -30,7 +30,11 @@
     if let Err(e) = &logger {
         eprintln!("Cannot start logging: {e}");
     }
-    match run(settings) {
+    let result = run(settings);
+    if let Ok(logger) = &logger {
+        logger.flush();
+    }
+    match result {
         Ok(()) => Exit::Success,
         Err(e) => {
             eprintln!("{e}");
--- a/src/gateway/call_log.rs
+++ b/src/gateway/call_log.rs
@@ -2,12 +2,14 @@
 
 use std::fmt::Write;
 use std::mem::take;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use tokio::time::Instant;
 
 use super::context::GatewayContext;
 use super::read_call::Call;
+use crate::core::ServerName;
 use crate::core::fleet::BackendChoice;
 
 /// Log lines of one call: one for each send, with the reasons for it, and one
@@ -22,12 +24,26 @@
     /// Field with the reasons of failed attempts, such as ` failed=silent,broken`;
     /// empty without any.
     failures: String,
+    caller: Option<SocketAddr>,
     received_at: Instant,
+    read_at: Instant,
     attempts: u32,
+    sent: Option<SentAttempt>,
+    /// Bytes of events that are not complete, and so not passed on yet.
+    held_bytes: usize,
     first_event_at: Option<Instant>,
     is_ended: bool,
 }
 
+/// The last send of a call, and what its server did since.
+#[derive(Debug)]
+struct SentAttempt {
+    server: ServerName,
+    sent_at: Instant,
+    last_act: &'static str,
+    acted_at: Instant,
+}
+
 impl CallLog {
     /// Creates the log of a call; nothing is written yet.
     pub fn new(cx: &Arc<GatewayContext>, call: &Call) -> Self {
@@ -46,8 +62,12 @@
             id: call.id_text().to_owned(),
             unlogged_fields,
             failures: String::new(),
+            caller: call.holder.connection,
             received_at: call.received_at,
+            read_at: call.read_at,
             attempts: 0,
+            sent: None,
+            held_bytes: 0,
             first_event_at: None,
             is_ended: false,
         }
@@ -57,6 +77,13 @@
     /// previous attempt failed.
     pub fn log_send(&mut self, choice: &BackendChoice, reason: &str) {
         self.attempts += 1;
+        let now = Instant::now();
+        self.sent = Some(SentAttempt {
+            server: choice.name.clone(),
+            sent_at: now,
+            last_act: "none",
+            acted_at: now,
+        });
         log::info!(
             "call: sent id={}{} attempt={} why={reason} server={} build={} v={} load={:.1} age_ms={} predicted_ms={} end_ms={} read={} again={} fetch={}",
             self.id,
@@ -87,6 +114,21 @@
         let _ = write!(self.failures, "{separator}{reason}");
     }
 
+    /// Records that the server of the last send has sent something, of which `held_bytes`
+    /// are not passed on yet.
+    pub fn record_server_act(&mut self, act: &'static str, held_bytes: usize) {
+        self.held_bytes = held_bytes;
+        if let Some(sent) = &mut self.sent {
+            sent.last_act = act;
+            sent.acted_at = Instant::now();
+        }
+    }
+
+    /// Records how many bytes of the server are not passed on yet.
+    pub fn record_held(&mut self, held_bytes: usize) {
+        self.held_bytes = held_bytes;
+    }
+
     /// Records when the first event was sent to the caller; later events are
     /// ignored.
     pub fn record_first_event(&mut self) {
@@ -118,12 +160,38 @@
             elapsed.as_millis(),
         );
     }
+
+    /// Logs what is known of a call that the end of a drain cuts. Its times count from the
+    /// begin of the drain.
+    fn log_cut(&self) {
+        let drain = &self.cx.drain;
+        let sent = self.sent.as_ref();
+        log::warn!(
+            "call: cut id={} caller={} head_ms={} body_ms={} sent_ms={} server={} server_did={} did_ms={} held_bytes={}",
+            self.id,
+            self.caller
+                .map_or_else(|| "-".into(), |caller| caller.to_string()),
+            drain.offset_ms(self.received_at),
+            drain.offset_ms(self.read_at),
+            sent.map_or_else(|| "-".into(), |s| drain.offset_ms(s.sent_at).to_string()),
+            sent.map_or("-", |s| s.server.as_str()),
+            sent.map_or("-", |s| s.last_act),
+            sent.map_or_else(|| "-".into(), |s| drain.offset_ms(s.acted_at).to_string()),
+            self.held_bytes,
+        );
+    }
 }
 
 impl Drop for CallLog {
-    /// Ends the log of a call that was dropped since its caller disconnected.
+    /// Ends the log of a call that was dropped since its caller disconnected, or that the
+    /// end of a drain cuts.
     fn drop(&mut self) {
-        self.log_end("caller-gone", 499);
+        if self.is_ended || !self.cx.drain.is_over() {
+            self.log_end("caller-gone", 499);
+            return;
+        }
+        self.log_cut();
+        self.log_end("cut-by-stop", 499);
     }
 }
 
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -8,14 +8,13 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
 
 use tokio::sync::watch;
 
 use super::admission::WaitingCalls;
 use super::agent_connections::AgentConnections;
 use super::clock_offsets::ClockOffsets;
+use super::drain::Drain;
 use super::known_entries::KnownEntries;
 use super::led_rollouts::LedRollouts;
 use super::report_mesh_traffic::ReportedTraffic;
@@ -103,9 +102,10 @@
     pub waiting_calls: WaitingCalls,
     /// Clock offsets of other processes.
     pub clock_offsets: ClockOffsets,
+    /// Course of the drain.
+    pub drain: Drain,
     clock: Clock,
     state: Mutex<GatewayState>,
-    draining: AtomicBool,
 }
 
 impl GatewayContext {
@@ -143,9 +143,9 @@
             zone_relaying: ZoneRelaying::new(&settings.name, &settings.zone),
             waiting_calls: WaitingCalls::default(),
             clock_offsets: ClockOffsets::default(),
+            drain: Drain::default(),
             clock: Clock::start(),
             state: Mutex::new(state),
-            draining: AtomicBool::new(false),
             settings,
             ports,
         }
@@ -210,13 +210,13 @@
 
     /// Returns whether the gateway is about to stop.
     pub fn is_draining(&self) -> bool {
-        self.draining.load(Ordering::Acquire)
+        self.drain.has_begun()
     }
 
     /// Starts to drain: the gateway is no longer ready and closes connections
     /// after the next response. Calls that wait are refused.
     pub fn start_drain(&self) {
-        self.draining.store(true, Ordering::Release);
+        self.drain.begin();
         let now = self.now();
         if let Some(admission) = &mut self.lock().admission {
             admission.stop(now);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -16,6 +16,7 @@
 mod claim_rank;
 mod clock_offsets;
 mod context;
+mod drain;
 mod exchange_peer_state;
 mod follow_agents;
 mod follow_collector;
@@ -45,6 +46,7 @@
 mod stream_relay;
 mod substitute_agents;
 mod substitute_right;
+mod unread_call;
 mod zone_relaying;
 
 pub use context::GatewayPorts;
--- a/src/gateway/read_call.rs
+++ b/src/gateway/read_call.rs
@@ -69,6 +69,8 @@
     pub body: Bytes,
     /// When the head of the request arrived.
     pub received_at: Instant,
+    /// When its whole body had arrived.
+    pub read_at: Instant,
     /// When the caller stops waiting or the route's timeout ends, whichever is
     /// first.
     pub deadline: Instant,
@@ -206,6 +208,7 @@
         body,
         _body_reservation: body_reservation,
         received_at,
+        read_at: Instant::now(),
         deadline: received_at + timeout,
         expires_at,
         clock: cx.clock(),
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -170,6 +170,7 @@
     sleep(DRAIN_LINGER).await;
     stop_tx.send_replace(true);
     let all_calls_ended = traffic_server.await.unwrap_or(false);
+    cx.drain.end();
     log::info!(
         "gateway: stopped name={} all_calls_ended={all_calls_ended}",
         cx.settings.name
--- a/src/gateway/serve_call.rs
+++ b/src/gateway/serve_call.rs
@@ -33,6 +33,7 @@
 use super::share_quarantine::record_completion;
 use super::stream_keepers::find_stream_build;
 use super::stream_relay::StreamRelay;
+use super::unread_call::UnreadCall;
 use crate::core::fleet::BackendChoice;
 use crate::core::fleet::BackendKey;
 use crate::core::fleet::Build;
@@ -82,7 +83,10 @@
         Err(refusal) => return refuse_call(&cx, refusal, b"", received_at),
     };
     let id = head.id.clone();
-    let call = match read_call(&cx, parts, head, body, received_at).await {
+    let unread = UnreadCall::new(&cx, &id, received_at);
+    let read = read_call(&cx, parts, head, body, received_at).await;
+    unread.finish();
+    let call = match read {
         Ok(call) => call,
         Err(refusal) => return refuse_call(&cx, refusal, &id, received_at),
     };
@@ -215,7 +219,7 @@
     call: Call,
     head: StreamingResponse,
     progress: CallProgress,
-    call_log: CallLog,
+    mut call_log: CallLog,
 ) -> Response<HttpBody> {
     let id = call.head.id.clone();
     let deadline = call.deadline;
@@ -225,6 +229,7 @@
         exchange,
         in_flight,
     } = head;
+    call_log.record_server_act("head", 0);
     let mut relay = StreamRelay::new(cx, call, (exchange, in_flight), progress, call_log);
     let first_events = match relay.next_events().await {
         Ok(first_events) => first_events,
--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -158,6 +158,7 @@
                         let now = self.cx.now();
                         self.cx.lock().record_answer(&choice, now);
                         self.buffer.extend_from_slice(&chunk);
+                        self.call_log.record_server_act("body", self.buffer.len());
                         if let Some(reservation) = &mut self.reservation {
                             reservation.set_held(self.buffer.len());
                         }
@@ -269,6 +270,7 @@
     fn take_events(&mut self) -> Option<Bytes> {
         let end = find_last_match(&self.buffer, EVENT_TERMINATOR)? + EVENT_TERMINATOR.len();
         let events = self.buffer.split_to(end).freeze();
+        self.call_log.record_held(self.buffer.len());
         if let Some(id) = find_last_event_id(&events) {
             self.last_event_id = Some(id);
         }
--- a/src/http/caller_activity.rs
+++ b/src/http/caller_activity.rs
@@ -33,6 +33,8 @@
     /// When bytes last arrived while no request was handled. They belong to a head, or
     /// to the body of a request that was answered before its body was read.
     unhandled_bytes_at: Option<Instant>,
+    /// Since when the kernel has taken no bytes of a response that wait for the caller.
+    blocked_since: Option<Instant>,
 }
 
 impl CallerActivity {
@@ -54,11 +56,10 @@
 
     /// Records that the head of a request has arrived whole.
     pub fn begin_request(&self) {
-        *self.lock() = ActivityState {
-            has_had_request: true,
-            is_handling: true,
-            unhandled_bytes_at: None,
-        };
+        let mut state = self.lock();
+        state.has_had_request = true;
+        state.is_handling = true;
+        state.unhandled_bytes_at = None;
     }
 
     /// Records that a request was handled, and its response ended.
@@ -66,6 +67,20 @@
         self.lock().is_handling = false;
     }
 
+    /// Records whether bytes wait for the caller that the kernel does not take.
+    pub fn record_write(&self, is_blocked: bool) {
+        let mut state = self.lock();
+        state.blocked_since = is_blocked.then(|| state.blocked_since.unwrap_or_else(Instant::now));
+    }
+
+    /// Returns whether a request is handled, and for how long the caller has taken nothing
+    /// of what waits for it.
+    pub fn describe_response(&self) -> (bool, Option<Duration>) {
+        let state = self.lock();
+        let blocked = state.blocked_since.map(|since| since.elapsed());
+        (state.is_handling, blocked)
+    }
+
     /// Returns whether a request has begun lately whose head is not whole, or a first
     /// request is still to be expected, in a drain that began at `drained_from`.
     pub fn expects_request(&self, drained_from: Instant) -> bool {
--- a/src/http/caller_stream.rs
+++ b/src/http/caller_stream.rs
@@ -176,6 +176,7 @@
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
         let written = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.activity.record_write(written.is_pending());
         self.check_reader(cx, buf, written)
     }
 
@@ -197,6 +198,7 @@
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.activity.record_write(written.is_pending());
         let first = bufs.iter().find(|buf| !buf.is_empty());
         let first = first.map_or(&[][..], |buf| &**buf);
         self.check_reader(cx, first, written)
--- a/src/http/serve.rs
+++ b/src/http/serve.rs
@@ -1,6 +1,7 @@
 //! The accept loop of an HTTP listener, with a limit on connections and a
 //! graceful drain.
 
+use std::error::Error;
 use std::future::Future;
 use std::future::poll_fn;
 use std::net::SocketAddr;
@@ -15,6 +16,7 @@
 use hyper::Response;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
+use hyper::service::HttpService;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioTimer;
 use socket2::SockRef;
@@ -38,6 +40,7 @@
 use super::caller_presence::CallerPresence;
 use super::caller_stream::CallerStream;
 use super::handled_body::HandledBody;
+use super::open_connection::OpenConnection;
 use super::set_socket_options;
 
 /// Pause after a failed accept, before the next attempt.
@@ -194,23 +197,38 @@
         .serve_connection(stream, service);
     connections.tasks.spawn(async move {
         let _permit = permit;
-        let mut connection = pin!(connection);
-        let drained_from = tokio::select! {
-            ended = connection.as_mut() => return log_end(ended),
-            drained_from = wait_until_idle(closing, &drain_activity) => drained_from,
-        };
-        connection.as_mut().graceful_shutdown();
-        tokio::select! {
-            ended = connection.as_mut() => return log_end(ended),
-            () = sleep_until(drained_from + LAST_REQUEST_TIME) => {}
-        }
-        // A request that becomes whole from now on would be cut off at the end.
-        if !drain_activity.is_within_head() {
-            log_end(connection.await);
-        }
+        let open = OpenConnection::new(caller, drain_activity.clone());
+        serve_connection(connection, closing, &drain_activity).await;
+        open.finish();
     });
 }
 
+/// Serves a connection to its end. Once connections are to be closed, ends it with the
+/// request that is handled or expected.
+async fn serve_connection<S>(
+    connection: http1::Connection<CallerStream, S>,
+    closing: watch::Receiver<bool>,
+    activity: &CallerActivity,
+) where
+    S: HttpService<Incoming, ResBody = HandledBody>,
+    S::Error: Into<Box<dyn Error + Send + Sync>>,
+{
+    let mut connection = pin!(connection);
+    let drained_from = tokio::select! {
+        ended = connection.as_mut() => return log_end(ended),
+        drained_from = wait_until_idle(closing, activity) => drained_from,
+    };
+    connection.as_mut().graceful_shutdown();
+    tokio::select! {
+        ended = connection.as_mut() => return log_end(ended),
+        () = sleep_until(drained_from + LAST_REQUEST_TIME) => {}
+    }
+    // A request that becomes whole from now on would be cut off at the end.
+    if !activity.is_within_head() {
+        log_end(connection.await);
+    }
+}
+
 fn log_end(ended: hyper::Result<()>) {
     if let Err(e) = ended {
         log::debug!("http: Connection ended: {e}.");
