Send on only calls that a stopping gateway can answer by its end

Calls that were at work without a response at the end were cut without any.

Cause: a drain decided when to stop accepting heads, but not what may still be sent on.

Change: the drain has a plan (core/fleet/stop_plan, without I/O). Once the listener is closed, a stream is sent on only if its caller stops waiting before the end. At any time of a drain, a call that is expected to end too late is refused. Refusals are 503 before any send, so their callers are served by another gateway at once. Calls that have no response yet at the end get 504, which promises nothing, instead of a closed connection.

--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -8,6 +8,7 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::time::Duration;
 
 use tokio::sync::watch;
 
@@ -26,6 +27,7 @@
 use crate::core::MonotonicTime;
 use crate::core::fleet::AdmissionQueue;
 use crate::core::fleet::ServerBytes;
+use crate::core::fleet::StopPlan;
 use crate::http::ByteBudget;
 use crate::http::Client;
 use crate::metrics::GatewayMetrics;
@@ -210,14 +212,18 @@
 
     /// Returns whether the gateway is about to stop.
     pub fn is_draining(&self) -> bool {
-        self.drain.has_begun()
+        self.drain.plan().is_some()
     }
 
     /// Starts to drain: the gateway is no longer ready and closes connections
-    /// after the next response. Calls that wait are refused.
-    pub fn start_drain(&self) {
-        self.drain.begin();
+    /// after the next response. Calls that wait are refused. Streams are sent on for
+    /// `streams_for`, and all calls have their answers after `answers_for`.
+    pub fn start_drain(&self, streams_for: Duration, answers_for: Duration) {
         let now = self.now();
+        self.drain.begin(StopPlan {
+            streams_until: now + streams_for,
+            ends_at: now + answers_for,
+        });
         if let Some(admission) = &mut self.lock().admission {
             admission.stop(now);
         }
--- a/src/gateway/drain.rs
+++ b/src/gateway/drain.rs
@@ -1,43 +1,50 @@
 //! Course of a gateway's drain, from the stop signal to the cut of what still runs.
 
 use std::sync::OnceLock;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
 
+use tokio::sync::watch;
 use tokio::time::Instant;
 
+use crate::core::fleet::StopPlan;
+
 /// Course of a gateway's drain.
 #[derive(Debug, Default)]
 pub struct Drain {
-    began_at: OnceLock<Instant>,
-    is_over: AtomicBool,
+    begun: OnceLock<(Instant, StopPlan)>,
+    is_over: watch::Sender<bool>,
 }
 
 impl Drain {
     /// Begins the drain; later calls change nothing.
-    pub fn begin(&self) {
-        self.began_at.get_or_init(Instant::now);
+    pub fn begin(&self, plan: StopPlan) {
+        self.begun.get_or_init(|| (Instant::now(), plan));
     }
 
-    /// Returns whether the gateway is about to stop.
-    pub fn has_begun(&self) -> bool {
-        self.began_at.get().is_some()
+    /// Returns which calls are still sent on; `None` without a drain.
+    pub fn plan(&self) -> Option<&StopPlan> {
+        self.begun.get().map(|(_, plan)| plan)
     }
 
-    /// Ends the drain: what still runs is cut.
+    /// Ends the drain: calls that still run get their last answers or are cut.
     pub fn end(&self) {
-        self.is_over.store(true, Ordering::Release);
+        self.is_over.send_replace(true);
     }
 
-    /// Returns whether what still runs is being cut.
+    /// Returns whether the drain has ended.
     pub fn is_over(&self) -> bool {
-        self.is_over.load(Ordering::Acquire)
+        *self.is_over.borrow()
+    }
+
+    /// Waits for the end of the drain.
+    pub async fn wait_until_over(&self) {
+        // The sender lives as long as the drain.
+        let _ = self.is_over.subscribe().wait_for(|is_over| *is_over).await;
     }
 
     /// Returns the milliseconds from the begin of the drain to `at`, negative before it;
     /// 0 without a drain.
     pub fn offset_ms(&self, at: Instant) -> i64 {
-        let Some(&began_at) = self.began_at.get() else {
+        let Some(&(began_at, _)) = self.begun.get() else {
             return 0;
         };
         let after = at.saturating_duration_since(began_at).as_millis() as i64;
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -12,6 +12,7 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 use tokio::time::sleep;
+use tokio::time::timeout_at;
 
 use super::admission::look_at_waiting_calls;
 use super::context::GatewayContext;
@@ -69,6 +70,9 @@
 /// Part of the stop timeout that is reserved for the exit itself.
 const SHUTDOWN_MARGIN: Duration = Duration::from_millis(400);
 
+/// Time to write the answers of the calls that still run at the end of a drain.
+const LAST_ANSWERS_TIME: Duration = Duration::from_millis(200);
+
 /// Reason why a gateway cannot run.
 #[derive(Debug)]
 pub enum GatewayError {
@@ -163,14 +167,23 @@
         tokio::spawn(look_at_waiting_calls(Arc::clone(&cx)));
     }
     let traffic = open_tokio_listener(listen.traffic)?;
-    let traffic_server = tokio::spawn(serve_traffic(Arc::clone(&cx), traffic, stop.clone()));
+    let mut traffic_server = tokio::spawn(serve_traffic(Arc::clone(&cx), traffic, stop.clone()));
     wait_for_stop(stop_request).await;
-    cx.start_drain();
+    let answers_for = cx.settings.stop_timeout;
+    let answers_for = answers_for.saturating_sub(SHUTDOWN_MARGIN + LAST_ANSWERS_TIME);
+    let answers_until = Instant::now() + answers_for;
+    cx.start_drain(DRAIN_LINGER, answers_for);
     log::info!("gateway: draining name={}", cx.settings.name);
     sleep(DRAIN_LINGER).await;
     stop_tx.send_replace(true);
-    let all_calls_ended = traffic_server.await.unwrap_or(false);
-    cx.drain.end();
+    let ended = match timeout_at(answers_until, &mut traffic_server).await {
+        Ok(ended) => ended,
+        Err(_) => {
+            cx.drain.end();
+            traffic_server.await
+        }
+    };
+    let all_calls_ended = ended.unwrap_or(false);
     log::info!(
         "gateway: stopped name={} all_calls_ended={all_calls_ended}",
         cx.settings.name
--- a/src/gateway/serve_call.rs
+++ b/src/gateway/serve_call.rs
@@ -90,7 +90,13 @@
         Ok(call) => call,
         Err(refusal) => return refuse_call(&cx, refusal, &id, received_at),
     };
-    let mut response = dispatch_call(&cx, call).await;
+    let mut response = tokio::select! {
+        biased;
+        response = dispatch_call(&cx, call) => response,
+        () = cx.drain.wait_until_over() => {
+            build_error_response(&cx, StatusCode::GATEWAY_TIMEOUT, "stopping", &id)
+        }
+    };
     close_connection_if_draining(&cx, response.headers_mut());
     response
 }
@@ -116,7 +122,7 @@
         }
     }
     while progress.tried.len() < MAX_SENDS_PER_CALL && !call.time_left().is_zero() {
-        let choice = match wait_for_server(cx, &call, &mut progress).await {
+        let choice = match choose_unless_stopping(cx, &call, &mut progress).await {
             Ok(choice) => choice,
             Err(refusal) => {
                 let tells_when = matches!(
@@ -183,6 +189,38 @@
     respond_to_failure(cx, &call, failure, &id, &mut call_log)
 }
 
+/// Chooses the server of a call like [`wait_for_server`], unless the gateway stops and
+/// the call may outlast it.
+async fn choose_unless_stopping(
+    cx: &GatewayContext,
+    call: &Call,
+    progress: &mut CallProgress,
+) -> Result<BackendChoice, CallRefusal> {
+    // A late stream is refused before a server is kept for it.
+    check_stop(cx, call, Duration::ZERO)?;
+    let choice = wait_for_server(cx, call, progress).await?;
+    check_stop(cx, call, choice.predicted_end)?;
+    Ok(choice)
+}
+
+fn check_stop(
+    cx: &GatewayContext,
+    call: &Call,
+    predicted_end: Duration,
+) -> Result<(), CallRefusal> {
+    let is_stream = call.route.kind.is_stream();
+    let now = cx.now();
+    let is_allowed = cx
+        .drain
+        .plan()
+        .is_none_or(|plan| plan.allows_send(is_stream, call.time_left(), predicted_end, now));
+    if is_allowed {
+        Ok(())
+    } else {
+        Err(CallRefusal::Stopping(MIN_RETRY_AFTER))
+    }
+}
+
 /// Responds to a call that no server answered. The account gets its tokens back
 /// if the call was refused.
 fn respond_to_failure(
