Keep a stream at a silent server while no other one can go on with it

A resumable stream was cut when its server was silent for 0.7 s and it could go on nowhere else: no other server, or no retry left.

Cause: the suspicion closed the connection to the server before it was known whether another one could take the stream up.

Change: the next server is chosen, and its retry taken, first. Without one the stream stays, and is looked at again as the silence goes on.

Test: stream_silent_without_other_server_goes_on; failed on the code before.

--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -27,6 +27,7 @@
 use super::serve_call::MAX_SENDS_PER_CALL;
 use super::share_quarantine::record_completion;
 use super::stream_keepers::record_stream_start;
+use crate::core::fleet::BackendChoice;
 use crate::core::fleet::EventProgress;
 use crate::core::fleet::HoldPurpose;
 use crate::core::fleet::StreamKey;
@@ -192,9 +193,17 @@
                 self.call_log.log_end(READER_SLOW, 502);
                 return Err(BodyAborted);
             }
+            let mut next = None;
+            if problem == STREAM_SILENT && !self.call.time_left().is_zero() {
+                // The server may only be slow, as long as no other one can go on.
+                match self.choose_next() {
+                    Ok(choice) => next = Some(choice),
+                    Err(_) => continue,
+                }
+            }
             self.report_break(problem);
             self.close_upstream(true);
-            if !self.resume(problem).await {
+            if !self.resume(problem, next).await {
                 self.call_log.log_end(problem, 502);
                 return Err(BodyAborted);
             }
@@ -297,23 +306,40 @@
         }
     }
 
+    /// Chooses the server at which the stream goes on, and takes a retry for it.
+    ///
+    /// # Errors
+    ///
+    /// The stream can go on at no other server; holds the reason.
+    fn choose_next(&self) -> Result<BackendChoice, &'static str> {
+        if !self.call.may_run_again(self.progress.runs)
+            || self.progress.tried.len() >= MAX_SENDS_PER_CALL
+            || self.call.time_left().is_zero()
+        {
+            return Err("no-attempts-left");
+        }
+        let choice = choose_with_room(&self.cx, &self.call, &self.progress, &[]);
+        let choice = choice.map_err(|_| "no-server")?;
+        if self.cx.take_retry(&self.call.service) {
+            Ok(choice)
+        } else {
+            Err("no-repeats-left")
+        }
+    }
+
     /// Resumes the stream at another server after the last event that was
-    /// taken. Returns whether that worked.
-    async fn resume(&mut self, problem: &'static str) -> bool {
+    /// taken: first at `next`, if it was chosen already. Returns whether that worked.
+    async fn resume(&mut self, problem: &'static str, next: Option<BackendChoice>) -> bool {
         let mut reason = problem;
-        while self.call.may_run_again(self.progress.runs)
-            && self.progress.tried.len() < MAX_SENDS_PER_CALL
-            && !self.call.time_left().is_zero()
-        {
-            let chosen = choose_with_room(&self.cx, &self.call, &self.progress, &[]);
-            let Ok(choice) = chosen else {
-                self.call_log.record_failure("no-server");
-                return false;
+        let mut next = next;
+        loop {
+            let choice = match next.take().map_or_else(|| self.choose_next(), Ok) {
+                Ok(choice) => choice,
+                Err(why) => {
+                    self.call_log.record_failure(why);
+                    return false;
+                }
             };
-            if !self.cx.take_retry(&self.call.service) {
-                self.call_log.record_failure("no-repeats-left");
-                return false;
-            }
             self.call_log.log_send(&choice, reason);
             self.progress.tried.push(choice.key);
             let may_run_again = self.call.may_run_again(self.progress.runs + 1);
@@ -350,7 +376,6 @@
             }
             self.call_log.record_failure(reason);
         }
-        false
     }
 }
 
