Show what callers that do not behave do to each listener of each process

A crowd of eight kinds of callers (lab/src/crowd: 20 of each kind, from four hosts, that connect again whenever they are cut off) calls one listener of a process with settings of a small host. Checked are its resident memory with the bytes that it has not read, its descriptors, that it lives, and that ordinary calls of another host and account are answered beside the crowd and after it. The bounds are the memory and the descriptors of the settings, and the 128 MB of a node of the target. No times and no shares of served calls are checked; a wait of a minute only ends a test that hangs.

--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod bench;
 pub mod cli;
 pub mod clock;
+pub mod crowd;
 pub mod demo;
 pub mod deployment;
 pub mod engine;
--- a/lab/src/soak/process.rs
+++ b/lab/src/soak/process.rs
@@ -43,6 +43,11 @@
 
     /// Starts the process unless it runs.
     pub fn start(&mut self) -> io::Result<()> {
+        self.start_role("gateway")
+    }
+
+    /// Starts the process in another role unless it runs.
+    pub fn start_role(&mut self, role: &str) -> io::Result<()> {
         if self.is_running() {
             return Ok(());
         }
@@ -51,7 +56,7 @@
             .append(true)
             .open(&self.log)?;
         let child = Command::new(&self.program)
-            .arg("gateway")
+            .arg(role)
             .arg("--settings")
             .arg(&self.settings)
             .stdin(Stdio::null())
@@ -63,6 +68,11 @@
         Ok(())
     }
 
+    /// Returns the id of the running process.
+    pub fn id(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
     /// Returns the most memory that the running process has had, in kilobytes.
     pub fn peak_memory_kb(&self) -> Option<u64> {
         let id = self.child.as_ref()?.id();
