Bound what unfinished control messages hold

Cause: a buffer of the announced size is allocated for each message, on up to 4,096 connections.

Change: peer::BoundedStream allows each connection 64 KB, all of a process 16 MB beyond that, and 10 s for a message. A gateway accepts one connection for each eight descriptors, other roles 512; at the limit one without a whole message is closed for a new one.

Counting only the bytes that have arrived was not enough: 139 MB in one run of crowd_at_peers_of_gateway, as the allocator reuses pages.

Evidence: crowd_at_peers_of_gateway 35 MB, crowd_at_messages_of_sidecar 35 MB, crowd_at_own_roles with peers 53 and 36 MB, one run each after the change; all four failed before.

--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -17,6 +17,7 @@
 use crate::core::limit::Origin;
 use crate::core::limit::ShareMessage;
 use crate::peer::ControlThread;
+use crate::peer::MAX_PEER_CONNECTIONS;
 use crate::peer::Peer;
 use crate::peer::PeerError;
 use crate::peer::PeerStatus;
@@ -51,7 +52,7 @@
         control.spawn(async move {
             match tokio::net::TcpListener::from_std(listener) {
                 Ok(listener) => {
-                    accept_peers(listener, |stream| {
+                    accept_peers(listener, MAX_PEER_CONNECTIONS, |stream| {
                         serve_connection(stream, service.clone(), Arc::clone(&counts))
                     })
                     .await;
--- a/src/gateway/exchange_peer_state.rs
+++ b/src/gateway/exchange_peer_state.rs
@@ -283,7 +283,8 @@
         discovered_tx: discovered_tx.clone(),
     });
     let served_exchange = Arc::clone(&exchange);
-    tokio::spawn(accept_peers(listener, move |stream| {
+    let max_connections = cx.settings.max_peer_connections();
+    tokio::spawn(accept_peers(listener, max_connections, move |stream| {
         let connection = ServedConnection {
             exchange: Arc::clone(&served_exchange),
             peer: Mutex::default(),
--- a/src/mesh/serve_mesh.rs
+++ b/src/mesh/serve_mesh.rs
@@ -6,7 +6,6 @@
 use tarpc::serde_transport;
 use tarpc::server::BaseChannel;
 use tarpc::server::Channel;
-use tokio::net::TcpStream;
 use tokio_util::codec::LengthDelimitedCodec;
 
 use super::Mesh;
@@ -14,6 +13,7 @@
 use super::service::MeshRequest;
 use super::service::MeshResponse;
 use crate::http::set_socket_options;
+use crate::peer::BoundedStream;
 
 /// Maximum size of a message in bytes; the largest holds a whole configuration.
 pub(super) const MAX_MESSAGE_BYTES: usize = 2 * 1024 * 1024;
@@ -25,14 +25,14 @@
 const DEAD_PEER_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Serves the requests of one connection until it closes.
-pub async fn serve_mesh<M>(stream: TcpStream, service: M)
+pub async fn serve_mesh<M>(stream: BoundedStream, service: M)
 where
     M: Mesh + Clone,
 {
-    if let Err(e) = set_socket_options(&stream, DEAD_PEER_TIMEOUT) {
+    if let Err(e) = set_socket_options(stream.get_ref(), DEAD_PEER_TIMEOUT) {
         log::warn!("mesh: Cannot set socket options: {e}.");
     }
-    let host = stream.peer_addr().ok().map(|address| address.ip());
+    let host = stream.peer_address().map(|address| address.ip());
     let framed = LengthDelimitedCodec::builder()
         .max_frame_length(MAX_MESSAGE_BYTES)
         .new_framed(stream);
--- a/src/peer/metered_stream.rs
+++ b/src/peer/metered_stream.rs
@@ -11,7 +11,6 @@
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
-use tokio::net::TcpStream;
 
 /// Bytes of all control connections of a process since it started, as
 /// [`PeerStatus`](super::PeerStatus) reports them.
@@ -33,21 +32,21 @@
     }
 }
 
-/// TCP connection that adds its bytes to shared counts.
+/// Connection that adds its bytes to shared counts.
 #[derive(Debug)]
-pub(super) struct MeteredStream {
-    stream: TcpStream,
+pub(super) struct MeteredStream<S> {
+    stream: S,
     counts: Arc<ByteCounts>,
 }
 
-impl MeteredStream {
+impl<S> MeteredStream<S> {
     /// Wraps a connection; `counts` are those of the process.
-    pub(super) fn new(stream: TcpStream, counts: Arc<ByteCounts>) -> Self {
+    pub(super) fn new(stream: S, counts: Arc<ByteCounts>) -> Self {
         Self { stream, counts }
     }
 }
 
-impl AsyncRead for MeteredStream {
+impl<S: AsyncRead + Unpin> AsyncRead for MeteredStream<S> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -63,7 +62,7 @@
     }
 }
 
-impl AsyncWrite for MeteredStream {
+impl<S: AsyncWrite + Unpin> AsyncWrite for MeteredStream<S> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -13,6 +13,7 @@
 //! 3. Call it from any thread: `peers.call(address, timeout, |client, cx| async move {
 //!    client.method(cx, request).await })`.
 
+mod bounded_stream;
 mod call_error;
 mod control_thread;
 mod host_table;
@@ -25,6 +26,7 @@
 mod share_reply;
 mod status;
 
+pub use bounded_stream::BoundedStream;
 pub use call_error::CallError;
 pub use control_thread::ControlThread;
 pub use host_table::HostTable;
@@ -32,6 +34,7 @@
 pub use peer_connections::PeerConnections;
 pub use peer_error::PeerError;
 pub use revision_notice::RevisionNotice;
+pub use serve_peers::MAX_PEER_CONNECTIONS;
 pub use serve_peers::accept_peers;
 pub use serve_peers::serve_connection;
 pub use service::Peer;
--- a/src/peer/peer_connections.rs
+++ b/src/peer/peer_connections.rs
@@ -237,6 +237,9 @@
     use crate::core::config::RulesUpdate;
     use crate::core::limit::Origin;
     use crate::core::limit::ShareMessage;
+    use crate::http::CallerActivity;
+    use crate::peer::BoundedStream;
+    use crate::peer::MAX_PEER_CONNECTIONS;
     use crate::peer::Peer;
     use crate::peer::PeerStatus;
     use crate::peer::RevisionNotice;
@@ -317,7 +320,7 @@
         let accepted = Arc::new(AtomicU32::new(0));
         let counted = Arc::clone(&accepted);
         let task = tokio::spawn(async move {
-            accept_peers(listener, |stream| {
+            accept_peers(listener, MAX_PEER_CONNECTIONS, |stream| {
                 counted.fetch_add(1, Ordering::AcqRel);
                 serve_connection(stream, peer.clone(), Arc::default())
             })
@@ -391,6 +394,7 @@
             let (first, _) = listener.accept().await.expect("the client connects");
             drop(first);
             let (second, _) = listener.accept().await.expect("the client connects");
+            let second = BoundedStream::new(second, CallerActivity::start());
             serve_connection(second, FakePeer::default(), Arc::default()).await;
         });
         let peers = make_peers();
--- a/src/peer/serve_peers.rs
+++ b/src/peer/serve_peers.rs
@@ -18,18 +18,24 @@
 use tokio::time::sleep;
 use tokio_util::codec::LengthDelimitedCodec;
 
+use super::BoundedStream;
 use super::ByteCounts;
 use super::Peer;
 use super::metered_stream::MeteredStream;
 use super::service::PeerRequest;
 use super::service::PeerResponse;
+use crate::http::CallerActivity;
+use crate::http::OpenConnections;
 
 /// Maximum size of a control message. The largest message holds a whole rules
 /// file.
 pub(super) const MAX_MESSAGE_BYTES: usize = 2 * 1024 * 1024;
 
-/// Above this number new connections wait to be accepted.
-const MAX_CONNECTIONS: usize = 4_096;
+/// Time to wait for the end of a connection before another one is closed.
+const CLOSE_RETRY_DELAY: Duration = Duration::from_millis(10);
+
+/// Maximum number of connections of a process without a setting for them.
+pub const MAX_PEER_CONNECTIONS: usize = 512;
 /// Concurrent calls that are served on one connection.
 const MAX_CALLS_PER_CONNECTION: usize = 64;
 /// Wait after a failed accept, for example for lack of file descriptors.
@@ -40,39 +46,52 @@
 const DEAD_PEER_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// Accepts connections until the future is dropped and serves each in a task with
-/// `serve_connection`, to which the caller binds its service.
-pub async fn accept_peers<S, F>(listener: TcpListener, serve_connection: S)
+/// `serve_connection`, to which the caller binds its service. At `max_connections`, one
+/// that has brought no whole message is closed for a new one; without one, that waits.
+pub async fn accept_peers<S, F>(listener: TcpListener, max_connections: usize, serve_connection: S)
 where
-    S: Fn(TcpStream) -> F,
+    S: Fn(BoundedStream) -> F,
     F: Future<Output = ()> + Send + 'static,
 {
-    let connections = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+    let permits = Arc::new(Semaphore::new(max_connections));
+    let connections = OpenConnections::default();
     loop {
-        let Ok(permit) = Arc::clone(&connections).acquire_owned().await else {
-            unreachable!("connection semaphore is never closed");
-        };
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let connection_task = serve_connection(stream);
-                tokio::spawn(async move {
-                    connection_task.await;
-                    drop(permit);
-                });
-            }
+        let (stream, peer) = match listener.accept().await {
+            Ok(accepted) => accepted,
             Err(e) => {
                 log::warn!("peer: Accept failed: {e}.");
+                connections.close_least_useful();
                 sleep(ACCEPT_RETRY_DELAY).await;
+                continue;
+            }
+        };
+        let permit = loop {
+            if let Ok(permit) = Arc::clone(&permits).try_acquire_owned() {
+                break permit;
+            }
+            connections.close_least_useful();
+            sleep(CLOSE_RETRY_DELAY).await;
+        };
+        let activity = CallerActivity::start();
+        let open = connections.open(peer, activity.clone());
+        let service = serve_connection(BoundedStream::new(stream, activity));
+        tokio::spawn(async move {
+            tokio::select! {
+                () = service => {}
+                () = open.closed_for_other() => {}
             }
-        }
+            open.finish();
+            drop(permit);
+        });
     }
 }
 
 /// Serves the messages of one connection until it closes.
-pub async fn serve_connection<P>(stream: TcpStream, service: P, counts: Arc<ByteCounts>)
+pub async fn serve_connection<P>(stream: BoundedStream, service: P, counts: Arc<ByteCounts>)
 where
     P: Peer + Clone,
 {
-    if let Err(e) = set_socket_options(&stream) {
+    if let Err(e) = set_socket_options(stream.get_ref()) {
         log::warn!("peer: Socket options not set: {e}.");
     }
     let framed = LengthDelimitedCodec::builder()
--- a/src/sidecar/run.rs
+++ b/src/sidecar/run.rs
@@ -16,6 +16,7 @@
 use crate::http::serve;
 use crate::http::status_page_limits;
 use crate::mesh::serve_mesh;
+use crate::peer::MAX_PEER_CONNECTIONS;
 use crate::peer::accept_peers;
 use crate::settings::SidecarSettings;
 use crate::threads::StartError;
