Serve operator pages by the server of all other pages

Cause: rouille gives each connection that blocks a thread of its pool until none is left, and has no bound on the time of a reader.

--- a/src/operator/operator_server.rs
+++ b/src/operator/operator_server.rs
@@ -3,15 +3,34 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::mpsc::Sender;
+use std::thread;
 use std::thread::JoinHandle;
-
-use rouille::Request;
-use rouille::Response;
-use rouille::Server;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderValue;
+use http::Method;
+use http::StatusCode;
+use http::header::CONTENT_TYPE;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
 
 use super::RoleStatus;
+use crate::http::HttpBody;
+use crate::http::ReaderLimits;
+use crate::http::ServerLimits;
+use crate::http::full_body;
+use crate::http::serve;
+use crate::http::status_page_limits;
 use crate::threads::StartError;
+use crate::threads::build_runtime;
+use crate::threads::open_listener;
+
+/// Time without a byte taken after which a reader is disconnected.
+const READER_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Content type of the OpenMetrics text format.
 const METRICS_CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
@@ -20,25 +39,34 @@
 /// server and closes its listener.
 pub struct OperatorServer {
     address: SocketAddr,
-    stop: Sender<()>,
+    stop: watch::Sender<bool>,
     thread: Option<JoinHandle<()>>,
 }
 
 impl OperatorServer {
-    /// Starts the server on threads of its own. Port 0 selects a free port.
+    /// Starts the server on a thread of its own. Port 0 selects a free port.
     ///
     /// # Errors
     ///
-    /// The address cannot be bound.
+    /// The address cannot be bound, or the thread cannot be started.
     pub fn start(
         address: SocketAddr,
         role_status: Arc<dyn RoleStatus>,
     ) -> Result<Self, StartError> {
-        let handler = move |req: &Request| respond(req, role_status.as_ref());
-        let server = Server::new(address, handler)
-            .map_err(|e| StartError::Listen(address, std::io::Error::other(e.to_string())))?;
-        let address = server.server_addr();
-        let (thread, stop) = server.stoppable();
+        let listener = open_listener(address)?;
+        let address = listener.local_addr().map_err(StartError::Thread)?;
+        let runtime = build_runtime()?;
+        let (stop, stopped) = watch::channel(false);
+        let thread = thread::Builder::new().name("operator".into());
+        let thread = thread.spawn(move || {
+            runtime.block_on(async {
+                match TcpListener::from_std(listener) {
+                    Ok(listener) => serve_pages(listener, role_status, stopped).await,
+                    Err(e) => log::error!("operator: The listener is unusable: {e}."),
+                }
+            });
+        });
+        let thread = thread.map_err(StartError::Thread)?;
         log::info!("operator: Serving on {address}.");
         Ok(Self {
             address,
@@ -55,8 +83,7 @@
 
 impl Drop for OperatorServer {
     fn drop(&mut self) {
-        // Sending fails only if the server thread has already ended.
-        let _ = self.stop.send(());
+        self.stop.send_replace(true);
         let join_result = self.thread.take().map(JoinHandle::join);
         if matches!(join_result, Some(Err(_))) {
             log::error!("operator: The server thread panicked.");
@@ -72,19 +99,48 @@
     }
 }
 
-fn respond(req: &Request, role_status: &dyn RoleStatus) -> Response {
-    if req.method() != "GET" {
-        return Response::text("only GET is served\n").with_status_code(405);
+async fn serve_pages(
+    listener: TcpListener,
+    role_status: Arc<dyn RoleStatus>,
+    stopped: watch::Receiver<bool>,
+) {
+    let limits = ServerLimits {
+        reader: Some(ReaderLimits::without_budget(READER_TIMEOUT)),
+        ..status_page_limits()
+    };
+    let handle = move |req: Request<Incoming>, _caller| {
+        let response = respond(&req, role_status.as_ref());
+        async move { response }
+    };
+    serve(listener, limits, handle, stopped).await;
+}
+
+fn respond(req: &Request<Incoming>, role_status: &dyn RoleStatus) -> Response<HttpBody> {
+    if req.method() != Method::GET {
+        return build_page(StatusCode::METHOD_NOT_ALLOWED, "only GET is served\n");
     }
-    match req.url().as_str() {
-        "/healthz" => Response::text("ok\n"),
-        "/readyz" if role_status.is_ready() => Response::text("ready\n"),
-        "/readyz" => Response::text("draining\n").with_status_code(503),
-        "/metrics" => Response::from_data(METRICS_CONTENT_TYPE, role_status.write_metrics()),
-        _ => Response::text("no such page\n").with_status_code(404),
+    match req.uri().path() {
+        "/healthz" => build_page(StatusCode::OK, "ok\n"),
+        "/readyz" if role_status.is_ready() => build_page(StatusCode::OK, "ready\n"),
+        "/readyz" => build_page(StatusCode::SERVICE_UNAVAILABLE, "draining\n"),
+        "/metrics" => {
+            let mut response = build_page(StatusCode::OK, role_status.write_metrics());
+            let content_type = HeaderValue::from_static(METRICS_CONTENT_TYPE);
+            response.headers_mut().insert(CONTENT_TYPE, content_type);
+            response
+        }
+        _ => build_page(StatusCode::NOT_FOUND, "no such page\n"),
     }
 }
 
+fn build_page(status: StatusCode, text: impl Into<Bytes>) -> Response<HttpBody> {
+    let mut response = Response::new(full_body(text));
+    *response.status_mut() = status;
+    let content_type = HeaderValue::from_static("text/plain; charset=utf-8");
+    response.headers_mut().insert(CONTENT_TYPE, content_type);
+    response
+}
+
 #[cfg(test)]
 mod tests {
     use std::sync::atomic::AtomicBool;
