--- a/lab/src/crowd/crowd_trial.rs
+++ b/lab/src/crowd/crowd_trial.rs
@@ -1,5 +1,6 @@
 //! Runs a crowd against a process and checks what its host and ordinary callers see.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -80,23 +81,38 @@
     ///
     /// None arrives within a minute.
     pub async fn expect_served(&self, what: &str) {
+        let mut statuses = BTreeMap::new();
         let served = async {
-            while !self.is_served().await {
+            while let Some(failure) = self.call_once().await {
+                *statuses.entry(failure).or_insert(0) += 1;
                 sleep(POLL_INTERVAL).await;
             }
         };
         let is_served = timeout(HANG_TIMEOUT, served).await.is_ok();
-        assert!(is_served, "an ordinary caller got no response: {what}");
+        assert!(
+            is_served,
+            "an ordinary caller got no response: {what}, {statuses:?}"
+        );
     }
 
-    async fn is_served(&self) -> bool {
+    /// Returns what became of one call that was not served.
+    async fn call_once(&self) -> Option<&'static str> {
         let (address, req) = &self.ordinary;
         let call = async {
             let mut caller = Caller::try_connect(*address).await?;
             let is_sent = caller.try_send(req).await;
             is_sent.then_some(caller.read_response().await)
         };
-        let response = timeout(ORDINARY_PATIENCE, call).await.ok().flatten();
-        response.is_some_and(|response| response.status == 200 && response.is_complete)
+        let Ok(response) = timeout(ORDINARY_PATIENCE, call).await else {
+            return Some("no response in time");
+        };
+        match response.map(|response| (response.status, response.is_complete)) {
+            None => Some("not connected"),
+            Some((200, true)) => None,
+            Some((200, false)) => Some("response cut"),
+            Some((503 | 429, _)) => Some("refused"),
+            Some((0, _)) => Some("connection closed"),
+            Some(_) => Some("another status"),
+        }
     }
 }
