--- a/src/logs/bounded_writer.rs
+++ b/src/logs/bounded_writer.rs
@@ -100,7 +100,7 @@
         Ok(())
     }
 
-    /// Waits until the lines so far are written, for [`FLUSH_TIMEOUT`] at most.
+    /// Waits until the lines so far are written, for 0.2 s at most.
     fn flush(&self) -> io::Result<()> {
         let deadline = Instant::now() + FLUSH_TIMEOUT;
         let (written_tx, written) = sync_channel(1);
