--- a/src/core/connections.rs
+++ b/src/core/connections/choose_least_useful.rs
@@ -1,56 +1,15 @@
-//! Which connection a process that has too many of them closes.
+//! Which connection is closed in favour of a new one.
 
 use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::net::IpAddr;
-use std::time::Duration;
+
+use super::ConnectionView;
 
 /// Factor by which the times are shorter after which connections may be closed of a host
 /// that has more than its share of them.
 const OVER_SHARE_DIVISOR: u32 = 10;
 
-/// What a connection is used for, from the least useful on.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum ConnectionUse {
-    /// No part of a request has arrived since the last response.
-    Idle,
-    /// A part of a head has arrived.
-    Head,
-    /// A part of a body has arrived.
-    Body,
-    /// The caller takes nothing of a response that waits for it.
-    Blocked,
-    /// A whole request is handled.
-    Working,
-}
-
-impl ConnectionUse {
-    /// Returns the time after which a connection of this use may be closed in favour of
-    /// another one; `None` if it may not.
-    fn spared_for(self) -> Option<Duration> {
-        match self {
-            Self::Idle => Some(Duration::from_millis(100)),
-            Self::Head => Some(Duration::from_millis(500)),
-            Self::Body => Some(Duration::from_secs(1)),
-            Self::Blocked => Some(Duration::from_secs(2)),
-            Self::Working => None,
-        }
-    }
-}
-
-/// State of an open connection.
-#[derive(Debug, Clone, Copy)]
-pub struct ConnectionView<K> {
-    /// Key of the connection.
-    pub key: K,
-    /// Host of the caller.
-    pub host: IpAddr,
-    /// What it is used for.
-    pub usage: ConnectionUse,
-    /// For how long it has been used so.
-    pub used_for: Duration,
-}
-
 /// Returns the connection to be closed in favour of a new one: the least useful, among
 /// those the one whose host has most connections, and among those the oldest. Connections
 /// are spared for a while, shorter if their host has more than its share. Returns `None`
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -17,6 +17,7 @@
 mod exchange;
 mod handled_body;
 mod hop_by_hop_headers;
+mod open_connection;
 mod open_connections;
 mod reader_limits;
 mod serve;
--- a/src/http/open_connections.rs
+++ b/src/http/open_connections.rs
@@ -13,6 +13,7 @@
 use tokio::time::Instant;
 
 use super::caller_activity::CallerActivity;
+use super::open_connection::OpenConnection;
 use crate::core::ConnectionView;
 use crate::core::choose_least_useful;
 
@@ -21,7 +22,7 @@
 
 new_key_type! {
     /// Key of an open connection.
-    struct ConnectionKey;
+    pub(super) struct ConnectionKey;
 }
 
 /// Open connections of a listener. Clones share them.
@@ -45,18 +46,6 @@
     closed: Arc<Notify>,
 }
 
-/// Connection that is served. It leaves the table when dropped; if that happens before its
-/// service has finished, as at the end of a drain, it is logged if its caller has no whole
-/// response yet.
-pub struct OpenConnection {
-    table: OpenConnections,
-    key: ConnectionKey,
-    caller: SocketAddr,
-    activity: CallerActivity,
-    closed: Arc<Notify>,
-    is_finished: bool,
-}
-
 impl OpenConnections {
     /// Adds the connection of `caller`.
     pub fn open(&self, caller: SocketAddr, activity: CallerActivity) -> OpenConnection {
@@ -66,14 +55,12 @@
             activity: activity.clone(),
             closed: Arc::clone(&closed),
         });
-        OpenConnection {
-            table: self.clone(),
-            key,
-            caller,
-            activity,
-            closed,
-            is_finished: false,
-        }
+        OpenConnection::new(self.clone(), key, caller, activity, closed)
+    }
+
+    /// Removes a connection that has ended.
+    pub(super) fn remove(&self, key: ConnectionKey) {
+        self.lock().connections.remove(key);
     }
 
     /// Closes the least useful connection in favour of a new one, unless all are needed.
@@ -125,30 +112,3 @@
         self.unlogged = 0;
     }
 }
-
-impl OpenConnection {
-    /// Waits until the connection is to be closed for another one.
-    pub async fn closed_for_other(&self) {
-        self.closed.notified().await;
-    }
-
-    /// Ends the service of the connection.
-    pub fn finish(mut self) {
-        self.is_finished = true;
-    }
-}
-
-impl Drop for OpenConnection {
-    fn drop(&mut self) {
-        self.table.lock().connections.remove(self.key);
-        let (is_handling, blocked) = self.activity.describe_response();
-        if self.is_finished || !(is_handling || blocked.is_some()) {
-            return;
-        }
-        log::warn!(
-            "http: connection cut caller={} is_handling={is_handling} blocked_ms={}",
-            self.caller,
-            blocked.map_or(-1, |blocked| blocked.as_millis() as i64),
-        );
-    }
-}
