Mend what a reading of the whole change found

- A control connection counted as a handled HTTP request, so that a gateway that stops would have logged each of its peers as a cut connection (http: connection cut).
It has a state of its own now.
- ProcessUsage counted the unread bytes of connections to listeners, but not those of a process's own connections to servers, though it said so.
- Both accept loops made room for a connection by themselves.
OpenConnections owns the limit and does it for both.
- status_page_limits takes the limits on readers that all its callers added.
- GatewayProcess also started other roles: it is RoleProcess, and the role is given with the settings.
Rules that two tests wrote out are desk_rules.
- The conditions of StopPlan, comments on the bound on servers and the lines of a call that gets 504 at the end of a stop needed to be read twice.

--- a/lab/src/crowd/crowd_trial.rs
+++ b/lab/src/crowd/crowd_trial.rs
@@ -36,8 +36,11 @@
 pub struct CrowdTrial {
     /// Id of the process.
     pub pid: u32,
-    /// Ports at its ends of connections, whose unread bytes count.
-    pub ports: Vec<u16>,
+    /// Ports of its listeners, and of the servers that it calls. The bytes that it has not
+    /// read of these connections count.
+    pub listeners: Vec<u16>,
+    /// See `listeners`.
+    pub servers: Vec<u16>,
     /// Memory that it may take with the unread bytes, in megabytes of 1e6 bytes.
     pub memory_mb: u64,
     /// Descriptors that it may have open.
@@ -54,7 +57,7 @@
     /// The process ends, takes more than it may, or does not answer ordinary callers
     /// beside the crowd or after it.
     pub async fn expect_bounded(&self, target: &CrowdTarget, kinds: &[Misbehavior]) {
-        let watch = ProcessWatch::start(self.pid, self.ports.clone());
+        let watch = ProcessWatch::start(self.pid, self.listeners.clone(), self.servers.clone());
         let crowd = Crowd::start(target, kinds, CALLERS);
         let started_at = Instant::now();
         sleep(CROWD_TIME / 4).await;
--- a/lab/src/crowd/process_usage.rs
+++ b/lab/src/crowd/process_usage.rs
@@ -16,13 +16,14 @@
 }
 
 impl ProcessUsage {
-    /// Reads what process `pid` uses. Connections with one of `ports` at either end are
-    /// taken to be its own; each end of a connection has its own line.
+    /// Reads what process `pid` uses. Connections to its listeners, with these ports, and
+    /// those to servers with these ports are taken to be its own; the host lists each end
+    /// of a connection by itself.
     ///
     /// # Errors
     ///
     /// The process has ended.
-    pub fn read(pid: u32, ports: &[u16]) -> io::Result<Self> {
+    pub fn read(pid: u32, listeners: &[u16], servers: &[u16]) -> io::Result<Self> {
         let status = fs::read_to_string(format!("/proc/{pid}/status"))?;
         let rss = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
         let rss = rss.and_then(|rss| rss.trim().strip_suffix(" kB"));
@@ -32,7 +33,10 @@
         let table = fs::read_to_string(format!("/proc/{pid}/net/tcp"))?;
         Ok(Self {
             resident_bytes: kilobytes * 1_024,
-            unread_bytes: table.lines().map(|line| read_unread(line, ports)).sum(),
+            unread_bytes: table
+                .lines()
+                .map(|line| read_unread(line, listeners, servers))
+                .sum(),
             descriptors: fs::read_dir(format!("/proc/{pid}/fd"))?.count(),
         })
     }
@@ -57,19 +61,28 @@
     }
 }
 
-/// Returns the unread bytes of a line of the kernel's table, if its local port is one of
-/// `ports`.
-fn read_unread(line: &str, ports: &[u16]) -> u64 {
-    let mut fields = line.split_whitespace().skip(1);
-    let local = fields.next().and_then(|local| local.rsplit(':').next());
-    let port = local.and_then(|port| u16::from_str_radix(port, 16).ok());
-    if !port.is_some_and(|port| ports.contains(&port)) {
+/// Returns the unread bytes of a line of the kernel's table, if its connection is one to
+/// `listeners` at their end, or one to `servers` at the other end.
+fn read_unread(line: &str, listeners: &[u16], servers: &[u16]) -> u64 {
+    const OPEN: &str = "01";
+    let fields: Vec<&str> = line.split_whitespace().collect();
+    // Number, local and remote address, state, unsent and unread bytes.
+    let [_, local, remote, state, queues, ..] = fields[..] else {
+        return 0;
+    };
+    let is_own = read_port(local).is_some_and(|port| listeners.contains(&port))
+        || read_port(remote).is_some_and(|port| servers.contains(&port));
+    // In a listening socket, the number is that of connections.
+    if !is_own || state != OPEN {
         return 0;
     }
-    let is_open = fields.nth(1) == Some("01");
-    let queues = fields.next();
-    let unread = queues.and_then(|queues| queues.rsplit(':').next());
+    let unread = queues.rsplit(':').next();
     let unread = unread.and_then(|unread| u64::from_str_radix(unread, 16).ok());
-    // In a listening socket, the number is that of connections.
-    if is_open { unread.unwrap_or(0) } else { 0 }
+    unread.unwrap_or(0)
+}
+
+/// Returns the port of an address in the kernel's table.
+fn read_port(address: &str) -> Option<u16> {
+    let port = address.rsplit(':').next()?;
+    u16::from_str_radix(port, 16).ok()
 }
--- a/lab/src/crowd/watch_process.rs
+++ b/lab/src/crowd/watch_process.rs
@@ -19,13 +19,13 @@
 }
 
 impl ProcessWatch {
-    /// Starts to read the usage of process `pid`, whose listeners have `ports`.
-    pub fn start(pid: u32, ports: Vec<u16>) -> Self {
+    /// Starts to read the usage of process `pid`, as [`ProcessUsage::read`] does.
+    pub fn start(pid: u32, listeners: Vec<u16>, servers: Vec<u16>) -> Self {
         let (stop, stopped) = watch::channel(false);
         let thread = thread::spawn(move || {
             let mut most = ProcessUsage::default();
             while !*stopped.borrow() {
-                most = most.max_of(&ProcessUsage::read(pid, &ports).ok()?);
+                most = most.max_of(&ProcessUsage::read(pid, &listeners, &servers).ok()?);
                 thread::sleep(INTERVAL);
             }
             Some(most)
--- a/lab/src/deployment.rs
+++ b/lab/src/deployment.rs
@@ -6,6 +6,7 @@
 use serde_json::Value;
 use serde_json::json;
 use teaseldrum::agent::serve_agent;
+use teaseldrum::core::KeyDigest;
 use teaseldrum::entry::serve_entry;
 use teaseldrum::settings::AgentSettings;
 use teaseldrum::settings::EntrySettings;
@@ -75,6 +76,18 @@
     })
 }
 
+/// Returns rules with one pool and an account that never reaches its rate; `key` is its
+/// key. Every rule needs a comment that names who asked for it.
+pub fn desk_rules(key: &str) -> String {
+    format!(
+        "account desk rate 100000000 burst 1000000000 # asked by the desk\n\
+         key desk-1 account desk digest {} # asked by the desk\n\
+         pool drafting model cedar # asked by the desk\n\
+         route /v1/ pool drafting # asked by the desk\n",
+        KeyDigest::of_key(key.as_bytes())
+    )
+}
+
 /// Describes an agent as the `servers` list of the entry settings does.
 pub fn server_settings(name: &str, pool: &str, address: SocketAddr) -> Value {
     json!({"name": name, "pool": pool, "zone": "a", "address": address})
--- a/lab/src/soak/mod.rs
+++ b/lab/src/soak/mod.rs
@@ -16,7 +16,7 @@
 pub use check::Observations;
 pub use check::Violation;
 pub use check::check_guarantees;
-pub use process::GatewayProcess;
+pub use process::RoleProcess;
 pub use rollout::ObservedRollout;
 pub use run::SoakError;
 pub use run::SoakPlan;
--- a/lab/src/soak/process.rs
+++ b/lab/src/soak/process.rs
@@ -1,4 +1,4 @@
-//! Starts, signals and kills a gateway as a process of its own.
+//! Starts, signals and kills a role of teaseldrum as a process of its own.
 
 use std::fs;
 use std::io;
@@ -10,10 +10,11 @@
 
 use serde_json::Value;
 
-/// A gateway process, which is killed when this is dropped.
+/// A process of one role, which is killed when this is dropped.
 #[derive(Debug)]
-pub struct GatewayProcess {
+pub struct RoleProcess {
     program: PathBuf,
+    role: String,
     settings: PathBuf,
     log: PathBuf,
     /// Number of times that the process was started.
@@ -21,12 +22,13 @@
     child: Option<Child>,
 }
 
-impl GatewayProcess {
-    /// Writes the settings of a gateway to `NAME.json` in the folder, without
+impl RoleProcess {
+    /// Writes the settings of a process in `role` to `NAME.json` in the folder, without
     /// starting it. Its output is appended to `NAME.log` there.
     pub fn prepare(
         program: &Path,
         folder: &Path,
+        role: &str,
         name: &str,
         settings: &Value,
     ) -> io::Result<Self> {
@@ -34,6 +36,7 @@
         fs::write(&file, settings.to_string())?;
         Ok(Self {
             program: program.into(),
+            role: role.into(),
             settings: file,
             log: folder.join(format!("{name}.log")),
             start_count: 0,
@@ -43,11 +46,6 @@
 
     /// Starts the process unless it runs.
     pub fn start(&mut self) -> io::Result<()> {
-        self.start_role("gateway")
-    }
-
-    /// Starts the process in another role unless it runs.
-    pub fn start_role(&mut self, role: &str) -> io::Result<()> {
         if self.is_running() {
             return Ok(());
         }
@@ -56,7 +54,7 @@
             .append(true)
             .open(&self.log)?;
         let child = Command::new(&self.program)
-            .arg(role)
+            .arg(&self.role)
             .arg("--settings")
             .arg(&self.settings)
             .stdin(Stdio::null())
@@ -123,7 +121,7 @@
     }
 }
 
-impl Drop for GatewayProcess {
+impl Drop for RoleProcess {
     fn drop(&mut self) {
         self.kill();
     }
--- a/lab/src/soak/run.rs
+++ b/lab/src/soak/run.rs
@@ -39,7 +39,7 @@
 use super::fault::draw_faults;
 use super::fault_link::FaultLink;
 use super::fault_link::LinkMode;
-use super::process::GatewayProcess;
+use super::process::RoleProcess;
 use super::rollout::EXPOSURE_SHARE;
 use super::rollout::EXPOSURE_SLACK;
 use super::rollout::PlannedRollout;
@@ -169,7 +169,7 @@
     store_links: Vec<FaultLink>,
     backends: Vec<Backend>,
     server_links: Vec<FaultLink>,
-    processes: Vec<Mutex<GatewayProcess>>,
+    processes: Vec<Mutex<RoleProcess>>,
     traffic: Arc<Traffic>,
     fault_injector: FaultInjector,
     /// Callers of all storms so far.
@@ -214,7 +214,8 @@
                 "admission": {"enabled": plan.seed.is_multiple_of(2)},
                 "memory": {"enabled": true, "reader_timeout_ms": 1_500},
             });
-            let process = GatewayProcess::prepare(&plan.program, &plan.folder, &name, &settings)?;
+            let process =
+                RoleProcess::prepare(&plan.program, &plan.folder, "gateway", &name, &settings)?;
             processes.push(Mutex::new(process));
             store_links.push(link);
         }
@@ -582,7 +583,7 @@
         Ok(())
     }
 
-    fn process(&self, gateway: usize) -> MutexGuard<'_, GatewayProcess> {
+    fn process(&self, gateway: usize) -> MutexGuard<'_, RoleProcess> {
         self.processes[gateway]
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
--- a/src/core/fleet/refusal.rs
+++ b/src/core/fleet/refusal.rs
@@ -44,8 +44,8 @@
     /// The call cannot start in time, by the calls that wait; retry after the given
     /// time, at which capacity is expected.
     NotAdmitted(Duration),
-    /// The entry stops, and the call would have to wait; retry after the given time, at
-    /// another entry.
+    /// The entry stops, and the call would have to wait or may not be answered by its end;
+    /// retry after the given time, at another entry.
     Stopping(Duration),
 }
 
--- a/src/core/fleet/stop_plan.rs
+++ b/src/core/fleet/stop_plan.rs
@@ -27,9 +27,12 @@
         predicted_end: Duration,
         now: MonotonicTime,
     ) -> bool {
-        let ends_for_caller = now + time_left;
-        if now >= self.ends_at || ends_for_caller <= self.ends_at {
-            return now < self.ends_at;
+        if now >= self.ends_at {
+            return false;
+        }
+        let caller_leaves_first = now + time_left <= self.ends_at;
+        if caller_leaves_first {
+            return true;
         }
         let is_expected_to_end = now + predicted_end <= self.ends_at;
         is_expected_to_end && (!is_stream || now < self.streams_until)
--- a/src/gateway/choose_with_room.rs
+++ b/src/gateway/choose_with_room.rs
@@ -17,7 +17,8 @@
 const NO_ROOM_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// Chooses the next server of a call, other than those it was sent to and those in
-/// `avoid`. Servers that cannot hold its body are passed over, if that is bounded.
+/// `avoid`. Servers that cannot hold its body are passed over, if the settings bound what
+/// servers hold.
 ///
 /// # Errors
 ///
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -68,7 +68,7 @@
     pub client: Client,
     /// Memory budget of everything that is held for callers.
     pub byte_budget: Arc<ByteBudget>,
-    /// Bytes outstanding at each server; counted only if they are bounded.
+    /// Bytes outstanding at each server; counted only if the settings bound them.
     server_bytes: Mutex<ServerBytes>,
     /// Metrics of this process.
     pub metrics: GatewayMetrics,
--- a/src/gateway/outstanding_bytes.rs
+++ b/src/gateway/outstanding_bytes.rs
@@ -6,7 +6,7 @@
 use crate::core::fleet::BackendKey;
 
 /// Counts the body of a call as outstanding at its server until dropped. Nothing is counted
-/// if that is not bounded.
+/// unless the settings bound what servers hold.
 #[derive(Debug)]
 pub struct OutstandingBytes {
     cx: Arc<GatewayContext>,
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -201,11 +201,7 @@
     let cx = Arc::clone(cx);
     let stop = stop.clone();
     let handle = move |req, _caller| serve_status_page(Arc::clone(&cx), req);
-    let limits = ServerLimits {
-        reader: Some(reader),
-        ..status_page_limits()
-    };
-    tokio::spawn(serve(listener, limits, handle, stop));
+    tokio::spawn(serve(listener, status_page_limits(reader), handle, stop));
     Ok(())
 }
 
--- a/src/http/caller_activity.rs
+++ b/src/http/caller_activity.rs
@@ -42,6 +42,8 @@
     unhandled_bytes_at: Option<Instant>,
     /// When the first of them arrived.
     head_began_at: Option<Instant>,
+    /// Whether the connection carries control messages, and one has arrived whole.
+    has_had_message: bool,
     /// Since when the kernel has taken no bytes of a response that wait for the caller.
     blocked_since: Option<Instant>,
 }
@@ -86,12 +88,7 @@
     /// Records that a whole control message has arrived: its peer counts as useful from
     /// now on.
     pub(crate) fn record_message(&self) {
-        let mut state = self.lock();
-        if !state.is_handling {
-            state.is_handling = true;
-            state.has_whole_body = true;
-            state.changed_at = Some(Instant::now());
-        }
+        self.lock().has_had_message = true;
     }
 
     /// Records that a request was handled, and its response ended.
@@ -121,7 +118,7 @@
         let changed_at = state.changed_at.unwrap_or(self.accepted_at);
         let (usage, since) = if let Some(since) = state.blocked_since {
             (ConnectionUse::Blocked, since)
-        } else if state.is_handling && state.has_whole_body {
+        } else if state.has_had_message || state.is_handling && state.has_whole_body {
             (ConnectionUse::Working, changed_at)
         } else if state.is_handling {
             (ConnectionUse::Body, changed_at)
--- a/src/http/open_connections.rs
+++ b/src/http/open_connections.rs
@@ -10,7 +10,10 @@
 use slotmap::SlotMap;
 use slotmap::new_key_type;
 use tokio::sync::Notify;
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::sync::Semaphore;
 use tokio::time::Instant;
+use tokio::time::timeout;
 
 use super::caller_activity::CallerActivity;
 use super::open_connection::OpenConnection;
@@ -25,9 +28,13 @@
     pub(super) struct ConnectionKey;
 }
 
-/// Open connections of a listener. Clones share them.
-#[derive(Debug, Clone, Default)]
+/// Time to wait for the end of a connection before another one is closed.
+const CLOSE_RETRY_DELAY: Duration = Duration::from_millis(10);
+
+/// Open connections of a listener, up to a limit. Clones share them.
+#[derive(Debug, Clone)]
 pub struct OpenConnections {
+    permits: Arc<Semaphore>,
     state: Arc<Mutex<State>>,
 }
 
@@ -47,6 +54,34 @@
 }
 
 impl OpenConnections {
+    /// Creates the table of a listener with at most `max_connections`.
+    pub fn new(max_connections: usize) -> Self {
+        Self {
+            permits: Arc::new(Semaphore::new(max_connections)),
+            state: Arc::default(),
+        }
+    }
+
+    /// Returns a permit for a new connection if there is room.
+    pub fn try_permit(&self) -> Option<OwnedSemaphorePermit> {
+        Arc::clone(&self.permits).try_acquire_owned().ok()
+    }
+
+    /// Returns a permit for a new connection. Without room, closes the least useful
+    /// connection, or waits until one ends if all are needed.
+    pub async fn make_room(&self) -> OwnedSemaphorePermit {
+        loop {
+            if let Some(permit) = self.try_permit() {
+                return permit;
+            }
+            self.close_least_useful();
+            let permit = Arc::clone(&self.permits).acquire_owned();
+            if let Ok(Ok(permit)) = timeout(CLOSE_RETRY_DELAY, permit).await {
+                return permit;
+            }
+        }
+    }
+
     /// Adds the connection of `caller`.
     pub fn open(&self, caller: SocketAddr, activity: CallerActivity) -> OpenConnection {
         let closed = Arc::new(Notify::new());
--- a/src/http/serve.rs
+++ b/src/http/serve.rs
@@ -6,7 +6,6 @@
 use std::future::poll_fn;
 use std::net::SocketAddr;
 use std::pin::pin;
-use std::sync::Arc;
 use std::task::Poll;
 use std::time::Duration;
 
@@ -24,7 +23,6 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::OwnedSemaphorePermit;
-use tokio::sync::Semaphore;
 use tokio::sync::watch;
 use tokio::task::yield_now;
 use tokio::time::Instant;
@@ -46,8 +44,6 @@
 
 /// Pause after a failed accept, before the next attempt.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
-/// Time to wait for the end of a connection before another one is closed.
-const CLOSE_RETRY_DELAY: Duration = Duration::from_millis(10);
 /// Maximum number of connections that are accepted before they are served.
 const MAX_ACCEPT_BATCH: usize = 64;
 
@@ -56,7 +52,6 @@
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
 /// Open connections of a listener, and whether they are to be closed.
-#[derive(Default)]
 struct Connections {
     open: OpenConnections,
     tasks: TaskTracker,
@@ -84,27 +79,24 @@
     H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + 'static,
     F: Future<Output = Response<HttpBody>> + Send + 'static,
 {
-    let connection_permits = Arc::new(Semaphore::new(limits.max_connections));
-    let connections = Connections::default();
+    let connections = Connections {
+        open: OpenConnections::new(limits.max_connections),
+        tasks: TaskTracker::new(),
+        is_closing: watch::Sender::default(),
+    };
     let mut waiting = None;
     loop {
         let first = tokio::select! {
             biased;
             _ = drain.wait_for(|draining| *draining) => None,
-            first = accept(&listener, &mut waiting, &connection_permits, &connections.open) => Some(first),
+            first = accept(&listener, &mut waiting, &connections.open) => Some(first),
         };
         let Some(first) = first else {
             break;
         };
         let mut accepted = vec![first];
         while accepted.len() < MAX_ACCEPT_BATCH
-            && let Some(next) = accept(
-                &listener,
-                &mut waiting,
-                &connection_permits,
-                &connections.open,
-            )
-            .now_or_never()
+            && let Some(next) = accept(&listener, &mut waiting, &connections.open).now_or_never()
         {
             accepted.push(next);
         }
@@ -115,7 +107,7 @@
         .take()
         .or_else(|| listener.accept().now_or_never()?.ok())
     {
-        let Ok(permit) = Arc::clone(&connection_permits).try_acquire_owned() else {
+        let Some(permit) = connections.open.try_permit() else {
             break;
         };
         accepted.push((stream, caller, permit));
@@ -135,7 +127,6 @@
 async fn accept(
     listener: &TcpListener,
     waiting: &mut Option<(TcpStream, SocketAddr)>,
-    connection_permits: &Arc<Semaphore>,
     open: &OpenConnections,
 ) -> (TcpStream, SocketAddr, OwnedSemaphorePermit) {
     while waiting.is_none() {
@@ -148,16 +139,7 @@
             }
         }
     }
-    let permit = loop {
-        if let Ok(permit) = Arc::clone(connection_permits).try_acquire_owned() {
-            break permit;
-        }
-        open.close_least_useful();
-        let permit = Arc::clone(connection_permits).acquire_owned();
-        if let Ok(Ok(permit)) = timeout(CLOSE_RETRY_DELAY, permit).await {
-            break permit;
-        }
-    };
+    let permit = open.make_room().await;
     let Some((stream, caller)) = waiting.take() else {
         unreachable!("a connection was accepted");
     };
--- a/src/http/server_limits.rs
+++ b/src/http/server_limits.rs
@@ -36,13 +36,13 @@
 
 /// Returns the limits for status pages, read by the load balancer and by
 /// operators. A drain does not wait for them.
-pub fn status_page_limits() -> ServerLimits {
+pub fn status_page_limits(reader: ReaderLimits) -> ServerLimits {
     ServerLimits {
         max_connections: MAX_STATUS_PAGE_CONNECTIONS,
         max_head_bytes: MAX_STATUS_PAGE_HEAD_BYTES,
         head_timeout: STATUS_PAGE_HEAD_TIMEOUT,
         dead_peer_timeout: STATUS_PAGE_DEAD_PEER_TIMEOUT,
         drain_timeout: Duration::ZERO,
-        reader: None,
+        reader: Some(reader),
     }
 }
--- a/src/logs/bounded_writer.rs
+++ b/src/logs/bounded_writer.rs
@@ -193,6 +193,32 @@
         write!(w, "{}", record.args())
     }
 
+    /// The ends of a [`BlockedOutput`] that the test holds.
+    struct OutputControl {
+        began: Receiver<()>,
+        release: Sender<()>,
+        written: Receiver<Vec<u8>>,
+    }
+
+    /// Starts a writer whose output blocks each write until it is released.
+    fn start_blocked() -> (BoundedWriter, OutputControl) {
+        let (began_tx, began) = channel();
+        let (release, release_rx) = channel();
+        let (written_tx, written) = channel();
+        let out = BlockedOutput {
+            began: began_tx,
+            release: release_rx,
+            written: written_tx,
+        };
+        let writer = BoundedWriter::start(write_plain, out).expect("the writing thread starts");
+        let control = OutputControl {
+            began,
+            release,
+            written,
+        };
+        (writer, control)
+    }
+
     fn log_line(writer: &BoundedWriter) {
         let record = Record::builder()
             .args(format_args!("line"))
@@ -204,24 +230,16 @@
 
     #[test]
     fn write_blocked_output_drops_and_counts() {
-        let (began, began_rx) = channel();
-        let (release, release_rx) = channel();
-        let (written, written_rx) = channel();
-        let out = BlockedOutput {
-            began,
-            release: release_rx,
-            written,
-        };
-        let writer = BoundedWriter::start(write_plain, out).expect("the writing thread starts");
+        let (writer, out) = start_blocked();
         log_line(&writer);
-        began_rx.recv().expect("the output is written to");
+        out.began.recv().expect("the output is written to");
         for _ in 0..MAX_QUEUED_LINES + 100 {
             log_line(&writer);
         }
         let dropped = dropped_line_count();
         assert_eq!(dropped, 100);
-        release.send(()).expect("the output is blocked");
-        let first = written_rx.recv().expect("the first line is written");
+        out.release.send(()).expect("the output is blocked");
+        let first = out.written.recv().expect("the first line is written");
         assert_eq!(first, b"line\n");
     }
 
@@ -256,15 +274,7 @@
     /// Guards against a process that does not end because nobody reads its log.
     #[test]
     fn flush_blocked_output_times_out() {
-        let (began, _began_rx) = channel();
-        let (_release, release_rx) = channel();
-        let (written, _written_rx) = channel();
-        let out = BlockedOutput {
-            began,
-            release: release_rx,
-            written,
-        };
-        let writer = BoundedWriter::start(write_plain, out).expect("the writing thread starts");
+        let (writer, _out) = start_blocked();
         log_line(&writer);
         assert!(writer.flush().is_err());
     }
--- a/src/mesh/serve_mesh.rs
+++ b/src/mesh/serve_mesh.rs
@@ -32,7 +32,11 @@
     if let Err(e) = set_socket_options(stream.get_ref(), DEAD_PEER_TIMEOUT) {
         log::warn!("mesh: Cannot set socket options: {e}.");
     }
-    let host = stream.peer_address().map(|address| address.ip());
+    let host = stream
+        .get_ref()
+        .peer_addr()
+        .ok()
+        .map(|address| address.ip());
     let framed = LengthDelimitedCodec::builder()
         .max_frame_length(MAX_MESSAGE_BYTES)
         .new_framed(stream);
--- a/src/operator/operator_server.rs
+++ b/src/operator/operator_server.rs
@@ -21,7 +21,6 @@
 use super::RoleStatus;
 use crate::http::HttpBody;
 use crate::http::ReaderLimits;
-use crate::http::ServerLimits;
 use crate::http::full_body;
 use crate::http::serve;
 use crate::http::status_page_limits;
@@ -104,10 +103,7 @@
     role_status: Arc<dyn RoleStatus>,
     stopped: watch::Receiver<bool>,
 ) {
-    let limits = ServerLimits {
-        reader: Some(ReaderLimits::without_budget(READER_TIMEOUT)),
-        ..status_page_limits()
-    };
+    let limits = status_page_limits(ReaderLimits::without_budget(READER_TIMEOUT));
     let handle = move |req: Request<Incoming>, _caller| {
         let response = respond(&req, role_status.as_ref());
         async move { response }
--- a/src/peer/bounded_stream.rs
+++ b/src/peer/bounded_stream.rs
@@ -1,7 +1,6 @@
 //! Connection of control messages that bounds what unfinished messages hold.
 
 use std::io;
-use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
@@ -66,11 +65,6 @@
         &self.inner
     }
 
-    /// Returns the address of the peer; `None` if it has left.
-    pub fn peer_address(&self) -> Option<SocketAddr> {
-        self.inner.peer_addr().ok()
-    }
-
     /// Follows the messages in bytes that have arrived.
     fn follow(&mut self, mut bytes: &[u8]) -> io::Result<()> {
         while !bytes.is_empty() {
--- a/src/peer/serve_peers.rs
+++ b/src/peer/serve_peers.rs
@@ -14,7 +14,6 @@
 use tarpc::tokio_serde::formats::MessagePack;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
-use tokio::sync::Semaphore;
 use tokio::time::sleep;
 use tokio_util::codec::LengthDelimitedCodec;
 
@@ -31,9 +30,6 @@
 /// file.
 pub(super) const MAX_MESSAGE_BYTES: usize = 2 * 1024 * 1024;
 
-/// Time to wait for the end of a connection before another one is closed.
-const CLOSE_RETRY_DELAY: Duration = Duration::from_millis(10);
-
 /// Maximum number of connections of a process without a setting for them.
 pub const MAX_PEER_CONNECTIONS: usize = 512;
 /// Concurrent calls that are served on one connection.
@@ -53,8 +49,7 @@
     S: Fn(BoundedStream) -> F,
     F: Future<Output = ()> + Send + 'static,
 {
-    let permits = Arc::new(Semaphore::new(max_connections));
-    let connections = OpenConnections::default();
+    let connections = OpenConnections::new(max_connections);
     loop {
         let (stream, peer) = match listener.accept().await {
             Ok(accepted) => accepted,
@@ -65,13 +60,7 @@
                 continue;
             }
         };
-        let permit = loop {
-            if let Ok(permit) = Arc::clone(&permits).try_acquire_owned() {
-                break permit;
-            }
-            connections.close_least_useful();
-            sleep(CLOSE_RETRY_DELAY).await;
-        };
+        let permit = connections.make_room().await;
         let activity = CallerActivity::start();
         let open = connections.open(peer, activity.clone());
         let service = serve_connection(BoundedStream::new(stream, activity));
--- a/src/sidecar/run.rs
+++ b/src/sidecar/run.rs
@@ -12,7 +12,6 @@
 use super::reconcile_engine::reconcile_engine;
 use super::sidecar_service::SidecarService;
 use super::status_pages::serve_status_page;
-use crate::http::ServerLimits;
 use crate::http::serve;
 use crate::http::status_page_limits;
 use crate::mesh::serve_mesh;
@@ -95,10 +94,7 @@
     stop: &watch::Receiver<bool>,
 ) -> Result<(), StartError> {
     let listener = open_tokio_listener(address)?;
-    let limits = ServerLimits {
-        reader: Some(cx.settings.reader_limits()),
-        ..status_page_limits()
-    };
+    let limits = status_page_limits(cx.settings.reader_limits());
     let (cx, stop) = (Arc::clone(cx), stop.clone());
     let handle = move |req, _caller| serve_status_page(Arc::clone(&cx), req);
     tokio::spawn(serve(listener, limits, handle, stop));
--- a/tests/hostile_callers_at_entries.rs
+++ b/tests/hostile_callers_at_entries.rs
@@ -10,18 +10,18 @@
 use rstest::rstest;
 use serde_json::Value;
 use serde_json::json;
-use teaseldrum::core::KeyDigest;
 use teaseldrum::threads::build_runtime;
 use teaseldrum_lab::background_server::BackgroundServer;
 use teaseldrum_lab::crowd::CrowdTarget;
 use teaseldrum_lab::crowd::CrowdTrial;
 use teaseldrum_lab::crowd::Misbehavior;
+use teaseldrum_lab::deployment::desk_rules;
 use teaseldrum_lab::deployment::server_settings;
 use teaseldrum_lab::deployment::write_rules_file;
 use teaseldrum_lab::engine::EngineScript;
 use teaseldrum_lab::engine::start_scripted_engine;
 use teaseldrum_lab::loopback::allocate_address;
-use teaseldrum_lab::soak::GatewayProcess;
+use teaseldrum_lab::soak::RoleProcess;
 
 /// Memory that the control processes of a node may take, in megabytes of 1e6 bytes.
 const NODE_MEMORY_MB: u64 = 128;
@@ -105,12 +105,12 @@
 
 /// An entry and an agent before an engine.
 struct Fixture {
-    entry: GatewayProcess,
-    agent: GatewayProcess,
+    entry: RoleProcess,
+    agent: RoleProcess,
     folder: PathBuf,
     entry_listeners: Listeners,
     agent_listeners: Listeners,
-    _engine: BackgroundServer,
+    engine: BackgroundServer,
 }
 
 impl Fixture {
@@ -124,14 +124,7 @@
             "name": "s1", "zone": "a", "pool": "drafting", "server": engine.address,
             "listen": agent_listeners.settings(), "traffic": traffic,
         });
-        // Every rule needs a comment that names who asked for it.
-        let rules = format!(
-            "account desk rate 100000000 burst 1000000000 # asked by the desk\n\
-             key desk-1 account desk digest {} # asked by the desk\n\
-             pool drafting model cedar # asked by the desk\n\
-             route /v1/ pool drafting # asked by the desk\n",
-            KeyDigest::of_key(ACCOUNT_KEY.as_bytes())
-        );
+        let rules = desk_rules(ACCOUNT_KEY);
         let name = format!("crowd-{}", entry_listeners.traffic.port());
         let entry = json!({
             "name": "entry-1", "zone": "a", "rules_file": write_rules_file(&name, &rules),
@@ -143,9 +136,9 @@
         std::fs::create_dir_all(&folder).expect("create the folder of the run");
         let start = |role: &str, settings: &Value| {
             let program = PathBuf::from(env!("CARGO_BIN_EXE_teaseldrum"));
-            let process = GatewayProcess::prepare(&program, &folder, role, settings);
+            let process = RoleProcess::prepare(&program, &folder, role, role, settings);
             let mut process = process.expect("the settings are written");
-            process.start_role(role).expect("the process starts");
+            process.start().expect("the process starts");
             process
         };
         Self {
@@ -154,17 +147,19 @@
             folder,
             entry_listeners,
             agent_listeners,
-            _engine: engine,
+            engine,
         }
     }
 
     /// Returns the trial of a process. Ordinary requests go to the operator's pages, or
     /// all the way to the engine.
     fn trial(&self, role: &str, listener: Listener) -> CrowdTrial {
-        let (process, listeners) = if role == "entry" {
-            (&self.entry, &self.entry_listeners)
+        let (process, listeners, server) = if role == "entry" {
+            let server = self.agent_listeners.traffic;
+            (&self.entry, &self.entry_listeners, server.port())
         } else {
-            (&self.agent, &self.agent_listeners)
+            let server = self.engine.address;
+            (&self.agent, &self.agent_listeners, server.port())
         };
         let ordinary = if listener == Listener::Operator {
             let req = b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n".to_vec();
@@ -174,7 +169,8 @@
         };
         CrowdTrial {
             pid: process.id().expect("the process runs"),
-            ports: listeners.ports(),
+            listeners: listeners.ports(),
+            servers: vec![server],
             memory_mb: NODE_MEMORY_MB,
             descriptors: DESCRIPTORS,
             ordinary,
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -16,7 +16,6 @@
 use http::Request;
 use serde_json::Value;
 use serde_json::json;
-use teaseldrum::core::KeyDigest;
 use teaseldrum::http::Client;
 use teaseldrum::http::ClientTimeouts;
 use teaseldrum::http::EventStream;
@@ -24,6 +23,7 @@
 use teaseldrum::http::full_body;
 use teaseldrum::threads::build_runtime;
 use teaseldrum_lab::background_server::BackgroundServer;
+use teaseldrum_lab::deployment::desk_rules;
 use teaseldrum_lab::deployment::server_settings;
 use teaseldrum_lab::deployment::start_agent;
 use teaseldrum_lab::deployment::write_rules_file;
@@ -77,14 +77,7 @@
     }
 
     fn start_entry(name: &str, servers: &[Value]) -> Self {
-        // Every rule needs a comment that names who asked for it.
-        let rules = format!(
-            "account desk rate 100000000 burst 1000000000 # asked by the desk\n\
-             key desk-1 account desk digest {} # asked by the desk\n\
-             pool drafting model cedar # asked by the desk\n\
-             route /v1/ pool drafting # asked by the desk\n",
-            KeyDigest::of_key(ACCOUNT_KEY.as_bytes())
-        );
+        let rules = desk_rules(ACCOUNT_KEY);
         let settings = json!({
             "name": name,
             "zone": "a",
