Reset a connection to a server that answered before it had read the request

Cause: the body that is not sent yet keeps its reservation, and went into the pool with its connection, which nothing else can use before the server reads on.

Change: a request's bytes share a token with their connection until they are written. A connection whose response is whole while parts of its request are not sent is reset instead of pooled.

--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -157,7 +157,7 @@
         address: SocketAddr,
         req: Request<HttpBody>,
     ) -> Result<SendOutcome, ClientError> {
-        connection.begin_request();
+        let req = connection.begin_request(req);
         let sent = connection.sender.try_send_request(req);
         let result = timeout(self.timeouts.head, sent).await;
         let Ok(result) = result else {
--- a/src/http/client_connection.rs
+++ b/src/http/client_connection.rs
@@ -7,13 +7,17 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use http_body_util::BodyExt;
+use hyper::Request;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 
 use super::HttpBody;
+use super::sent_body::SentBody;
 
 /// Maximum size of the head of a response, in bytes.
 const MAX_HEAD_BYTES: usize = 128 * 1024;
@@ -28,6 +32,9 @@
     /// Sends requests; hyper's side of the connection runs in a task of its own.
     pub sender: SendRequest<HttpBody>,
     has_request: Arc<AtomicBool>,
+    /// Has clones as long as parts of a request body are not sent.
+    unsent: Arc<()>,
+    given_up: Arc<Notify>,
 }
 
 impl ClientConnection {
@@ -40,12 +47,18 @@
         let address = stream.peer_addr();
         let has_request = Arc::new(AtomicBool::new(false));
         let has_running_request = Arc::clone(&has_request);
+        let given_up = Arc::new(Notify::new());
+        let is_given_up = Arc::clone(&given_up);
         let (sender, mut connection) = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
             .handshake(TokioIo::new(stream))
             .await?;
         tokio::spawn(async move {
-            let result = poll_fn(|cx| connection.poll_without_shutdown(cx)).await;
+            let run = poll_fn(|cx| connection.poll_without_shutdown(cx));
+            let result = tokio::select! {
+                result = run => result,
+                () = is_given_up.notified() => Ok(()),
+            };
             if let Err(e) = result {
                 log::debug!("http: Connection to {address:?} ended: {e}.");
             }
@@ -56,12 +69,25 @@
         Ok(Self {
             sender,
             has_request,
+            unsent: Arc::default(),
+            given_up,
         })
     }
 
-    /// Marks that a request is about to be sent.
-    pub fn begin_request(&self) {
+    /// Marks that `req` is about to be sent, and returns it for that.
+    pub fn begin_request(&self, req: Request<HttpBody>) -> Request<HttpBody> {
         self.has_request.store(true, Ordering::Release);
+        req.map(|body| SentBody::new(body, Arc::clone(&self.unsent)).boxed_unsync())
+    }
+
+    /// Returns whether the whole request was sent.
+    pub fn is_request_sent(&self) -> bool {
+        Arc::strong_count(&self.unsent) == 1
+    }
+
+    /// Resets the connection, whatever waits to be sent.
+    pub fn give_up(self) {
+        self.given_up.notify_one();
     }
 
     /// Marks that the whole response has arrived.
--- a/src/http/exchange.rs
+++ b/src/http/exchange.rs
@@ -173,6 +173,12 @@
 
     fn return_connection(&mut self) {
         if let Some(connection) = self.connection.take() {
+            // The server has answered early. The rest of the request would be held until
+            // it reads on, and nothing else can be sent before.
+            if !connection.is_request_sent() {
+                connection.give_up();
+                return;
+            }
             connection.end_request();
             if !self.is_reusable {
                 return;
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -20,6 +20,7 @@
 mod open_connection;
 mod open_connections;
 mod reader_limits;
+mod sent_body;
 mod serve;
 mod server_limits;
 mod socket_options;
