--- a/review/harness-2/common.rs
+++ b/review/harness-2/common.rs
@@ -622,6 +622,17 @@
         id
     }
 
+    /// Kills the process `name` as the platform does without notice.
+    pub fn kill(&mut self, name: &str) {
+        for (known, child) in &mut self.children {
+            if known == name {
+                let _ = child.kill();
+                let _ = child.wait();
+            }
+        }
+        self.children.retain(|(known, _)| known != name);
+    }
+
     /// Returns the names of processes that have ended by themselves.
     pub fn ended(&mut self) -> Vec<String> {
         let mut ended = Vec::new();
