Review case 7: the foreign entries are removed again after 5 s

Cause: the mark of a superseded entry is not taken back when the other entry goes. Change: the script removes the entries after 5 s.

--- a/review/harness-2/foreign.rs
+++ b/review/harness-2/foreign.rs
@@ -39,6 +39,8 @@
 const CALM_TIME: Duration = Duration::from_secs(8);
 /// How long all processes of the system are down.
 const DOWN_TIME: Duration = Duration::from_millis(1_300);
+/// How long the entries of the other writer lie in the store.
+const FOREIGN_TIME: Duration = Duration::from_secs(5);
 /// `RecoveryS` of the site.
 const RECOVERY_TIME: Duration = Duration::from_secs(12);
 const JUDGED_TIME: Duration = Duration::from_secs(15);
@@ -135,6 +137,11 @@
     let back = struck + DOWN_TIME;
     record.line(&format!("the processes are back is_ready={is_ready}"));
     let judged_from = back + RECOVERY_TIME;
+    thread::sleep((struck + FOREIGN_TIME).saturating_duration_since(Instant::now()));
+    for index in 0..WORKERS {
+        store.remove(&format!("servers/inventory-{index}"));
+        record.line(&format!("servers/inventory-{index} is removed"));
+    }
     thread::sleep((judged_from + JUDGED_TIME).saturating_duration_since(Instant::now()));
     is_over.store(true, Ordering::SeqCst);
     thread::sleep(Duration::from_secs(5));
