--- a/review/harness-2/engine.rs
+++ b/review/harness-2/engine.rs
@@ -1,6 +1,8 @@
 //! Stand-in of a model worker: batches, a memory of tokens with preemption, cached parts by
 //! salt, orders, reports and cache events, as PROTOCOL.md describes them.
 
+#![allow(dead_code)]
+
 use std::collections::HashMap;
 use std::io::BufReader;
 use std::io::Write;
@@ -50,9 +52,16 @@
     pub begun: AtomicU64,
     pub fetches: AtomicU64,
     pub loads: AtomicU64,
+    /// Version under which each request began, and when.
+    begun_at: Mutex<HashMap<String, (u64, Instant)>>,
 }
 
 impl Fleet {
+    /// Returns the version under which a request began, and when.
+    pub fn begun_under(&self, id: &str) -> Option<(u64, Instant)> {
+        self.begun_at.lock().unwrap().get(id).copied()
+    }
+
     pub fn new(record: Arc<Record>) -> Arc<Self> {
         Arc::new(Self {
             record,
@@ -63,6 +72,7 @@
             begun: AtomicU64::new(0),
             fetches: AtomicU64::new(0),
             loads: AtomicU64::new(0),
+            begun_at: Mutex::default(),
         })
     }
 }
@@ -501,6 +511,9 @@
             if !run.has_begun {
                 run.has_begun = true;
                 self.fleet.begun.fetch_add(1, Ordering::SeqCst);
+                let mut begun_at = self.fleet.begun_at.lock().unwrap();
+                begun_at.insert(run.id.clone(), (version, now));
+                drop(begun_at);
                 self.fleet.record.line(&format!(
                     "{} begins request={} version={version} salt={}",
                     self.name, run.id, run.salt
