--- a/review/harness-2/common.rs
+++ b/review/harness-2/common.rs
@@ -697,7 +697,7 @@
 
 /// Returns a port from which `count` ports are free on all loopback addresses used here.
 pub fn find_ports(count: u16) -> u16 {
-    let mut base = 21_000 + (std::process::id() % 4_000) as u16;
+    let mut base = 21_000 + (std::process::id() % 1_000) as u16 * 8;
     loop {
         let is_free = |port: u16| TcpListener::bind(("0.0.0.0", port)).is_ok();
         if (base..base + count).all(is_free) {
