--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,6 +3,6 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-for case in stale foreign weights; do
+for case in stale foreign weights slow; do
     rustc --edition 2024 -O -o "target/review-2/$case" "review/harness-2/$case.rs"
 done
