--- a/review/harness-2/stale.rs
+++ b/review/harness-2/stale.rs
@@ -35,7 +35,7 @@
 /// Engines with a document of their own; the others are free for enquiries.
 const HOMES: usize = 3;
 const SLOTS: usize = 64;
-const DOCUMENT_TOKENS: u64 = 36_000;
+const DOCUMENT_TOKENS: u64 = 15_000;
 const DRAFT_TOKENS: u64 = 3_000;
 const ENQUIRY_TOKENS: u64 = 300;
 /// A document, three drafts on it, and 1,000 tokens of their output.
