Fetch prompt parts only from engines that still serve their weights

Cause: the salt of a cached part names the version that its call was planned for. A call that goes on under newer weights and is preempted computes its parts again under that salt. Gateways looked for parts by salt alone, so an engine on newer weights passed for a source of parts of older ones.

Change: what a salt says holds as long as its engine serves that version. Only such engines are sources, until shortly before their next order; a KV cache store is one, and gets parts, only before the first order of a change is due. `call: sent` names the source, which the log did not show.

--- a/src/core/fleet/routing/dispatcher.rs
+++ b/src/core/fleet/routing/dispatcher.rs
@@ -15,6 +15,7 @@
 use super::VersionedSalt;
 use super::call_costs;
 use super::fetch_plan::PartSources;
+use super::fetch_plan::VersionedNamespace;
 use super::kv_cache_stores::KvCacheStores;
 use super::prefill_time_factor::PrefillTimeFactor;
 use super::server_pace::ServerPace;
@@ -789,7 +790,8 @@
         now: MonotonicTime,
     ) -> Option<(f64, BackendChoice)> {
         let version = view.find_version(&prompt.model, now)?;
-        let version_cost_ms = self.version_cost_ms(&prompt.model, version, now)?;
+        let status = self.status_of(&prompt.model, version);
+        let version_cost_ms = self.version_cost_ms(status, now)?;
         let salt = self
             .cache_isolation
             .find_salt(version, req.account, req.was_isolated);
@@ -798,11 +800,19 @@
             let store = self.kv_cache_stores.find_for(prompt);
             let store = store.map(|store| (store.address, &store.parts));
             let engines = self.list_service_backends(req.service);
-            PartSources::find(prompt, namespace, store, engines, now)
+            let salted = VersionedNamespace {
+                namespace,
+                version,
+                status,
+            };
+            PartSources::find(prompt, salted, store, engines, now)
         });
-        let plan = sources.plan_fetch(view, now);
         let pace = ServerPace::new(view, speed, now);
         let load = pace.estimate_calls(view, now);
+        let queued_prefill_ms = pace.estimate_prefill_ms(view, call_costs::ASSUMED_PREFILL_MS, now);
+        let hold_ms = pace.slot_hold_ms(WorkKind::Decode, call_costs::ENGINE_SLOT_HOLD_MS);
+        let wait_ms = queued_prefill_ms + pace.slot_wait_ms(view, hold_ms, now);
+        let plan = sources.plan_fetch(view, milliseconds(wait_ms), now);
         let prefill_tokens = plan.recomputed_tokens + plan.new_tokens;
         let prefill_factor = self
             .prefill_factors
@@ -812,9 +822,6 @@
         let prefill_ms = call_costs::predict_prefill_ms(prompt, prefill_tokens)
             * prefill_factor.value()
             * pace.prefill.value;
-        let queued_prefill_ms = pace.estimate_prefill_ms(view, call_costs::ASSUMED_PREFILL_MS, now);
-        let hold_ms = pace.slot_hold_ms(WorkKind::Decode, call_costs::ENGINE_SLOT_HOLD_MS);
-        let wait_ms = queued_prefill_ms + pace.slot_wait_ms(view, hold_ms, now);
         let is_from_store = plan
             .source
             .is_some_and(|source| self.kv_cache_stores.contains(source));
@@ -851,18 +858,15 @@
         Some((cost_ms, choice))
     }
 
+    fn status_of(&self, model: &ModelName, version: WeightsVersion) -> VersionStatus {
+        self.target_versions
+            .get(model)
+            .map_or(VersionStatus::Current, |history| history.status_of(version))
+    }
+
     /// Returns the cost of a weights version, or `None` if it must not be used:
     /// it has been outdated for too long or since an unknown time.
-    fn version_cost_ms(
-        &self,
-        model: &ModelName,
-        version: WeightsVersion,
-        now: MonotonicTime,
-    ) -> Option<f64> {
-        let status = self
-            .target_versions
-            .get(model)
-            .map_or(VersionStatus::Current, |history| history.status_of(version));
+    fn version_cost_ms(&self, status: VersionStatus, now: MonotonicTime) -> Option<f64> {
         let VersionStatus::Outdated(since) = status else {
             return Some(0.0);
         };
--- a/src/core/fleet/routing/fetch_plan.rs
+++ b/src/core/fleet/routing/fetch_plan.rs
@@ -2,15 +2,38 @@
 //! or prefills.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::BackendView;
 use super::part_table::PartTable;
 use crate::core::MonotonicTime;
+use crate::core::WeightsVersion;
 use crate::core::fleet::PartId;
 use crate::core::fleet::Prompt;
 use crate::core::fleet::PromptPart;
+use crate::core::fleet::weights::FIRST_BATCH_DELAY;
+use crate::core::fleet::weights::VersionStatus;
+
+/// Minimum time between the predicted start of a fetch and the first order after which its
+/// source may hold parts of newer weights.
+const FETCH_MARGIN: Duration = Duration::from_millis(300);
+
+/// Namespace of cached parts, and the weights that its salt stands for.
+///
+/// A call that goes on under newer weights keeps its salt, and computes its parts again
+/// under it once it is preempted. What a salt says of a part therefore holds only at an
+/// engine that still serves that version.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct VersionedNamespace {
+    /// Hash of the model and the salt.
+    pub namespace: u64,
+    /// Version that the salt names.
+    pub version: WeightsVersion,
+    /// How the version compares with the target versions.
+    pub status: VersionStatus,
+}
 
 /// Origin of a prompt's tokens at one engine.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
@@ -35,6 +58,8 @@
     address: SocketAddr,
     part_count: usize,
     load: f64,
+    /// Time until the earliest order to change its weights; `None` if none is expected.
+    order_in: Option<Duration>,
 }
 
 /// Locations of one prompt's shared parts, over all engines and the KV cache
@@ -42,12 +67,14 @@
 #[derive(Debug)]
 pub(super) struct PartSources<'a> {
     prompt: &'a Prompt,
-    namespace: u64,
+    salted: VersionedNamespace,
     /// Number of leading shared parts in the store.
     stored_count: usize,
     /// Engine that every entry prefers for parts that no engine has computed.
     preferred: Option<SocketAddr>,
     store: Option<SocketAddr>,
+    /// Time until the earliest order to any engine that saves parts to the store.
+    store_order_in: Option<Duration>,
     holders: Vec<PartHolder>,
     /// Number of leading shared parts that any engine or the store has or is
     /// expected to have.
@@ -58,12 +85,13 @@
     /// Collects the locations of the shared parts.
     pub fn find<'b>(
         prompt: &'a Prompt,
-        namespace: u64,
+        salted: VersionedNamespace,
         store: Option<(SocketAddr, &PartTable)>,
         engines: impl Iterator<Item = &'b BackendView>,
         now: MonotonicTime,
     ) -> Self {
         let shared = prompt.shared_parts();
+        let namespace = salted.namespace;
         let holds = |part: PartId| {
             store.is_some_and(|(_, stored_parts)| stored_parts.contains(namespace, part))
         };
@@ -72,16 +100,19 @@
         let mut holders = Vec::new();
         let mut preferred: Option<(u64, SocketAddr)> = None;
         for view in engines {
-            computed_count = computed_count.max(count_leading_parts(shared, |part| {
-                view.has_or_expects_part(namespace, part, now)
-            }));
-            let parts = count_leading_parts(shared, |part| view.has_part(namespace, part));
-            if parts > 0 {
-                holders.push(PartHolder {
-                    address: view.member.address,
-                    part_count: parts,
-                    load: view.load.estimate_calls(now),
-                });
+            if view.find_version(&prompt.model, now) == Some(salted.version) {
+                computed_count = computed_count.max(count_leading_parts(shared, |part| {
+                    view.has_or_expects_part(namespace, part, now)
+                }));
+                let parts = count_leading_parts(shared, |part| view.has_part(namespace, part));
+                if parts > 0 {
+                    holders.push(PartHolder {
+                        address: view.member.address,
+                        part_count: parts,
+                        load: view.load.estimate_calls(now),
+                        order_in: find_earliest_order(view, salted.status, now),
+                    });
+                }
             }
             if let Some(last) = shared.last().filter(|_| view.accepts_calls(now)) {
                 let name = view.member.name.as_str().as_bytes();
@@ -93,19 +124,23 @@
         }
         Self {
             prompt,
-            namespace,
+            salted,
             stored_count,
             preferred: preferred.map(|(_, address)| address),
             store: store.map(|(address, _)| address),
+            store_order_in: predict_earliest_order(salted.status, now),
             holders,
             computed_count,
         }
     }
 
-    /// Returns the store if it lacks some of the shared parts.
+    /// Returns the store if it lacks some of the shared parts and they are of the newest
+    /// weights. Parts of older ones are soon of no use, and might be saved only after the
+    /// engine has changed its weights.
     pub fn find_incomplete_store(&self) -> Option<SocketAddr> {
         let is_incomplete = self.stored_count < self.prompt.shared_parts().len();
-        self.store.filter(|_| is_incomplete)
+        let is_current = self.salted.status == VersionStatus::Current;
+        self.store.filter(|_| is_incomplete && is_current)
     }
 
     /// Returns whether every entry prefers this engine for parts that no engine
@@ -115,26 +150,37 @@
         self.preferred == Some(view.member.address)
     }
 
-    /// Returns the other engine that has most leading parts cached; among
-    /// equals, the one with the fewest calls.
-    fn find_holder(&self, view: &BackendView) -> Option<&PartHolder> {
+    /// Returns the other engine that has most leading parts cached and keeps its weights
+    /// until a fetch that begins within `start_in`; among equals, the one with the fewest
+    /// calls.
+    fn find_holder(&self, view: &BackendView, start_in: Duration) -> Option<&PartHolder> {
         self.holders
             .iter()
             .filter(|holder| holder.address != view.member.address)
+            .filter(|holder| allows_fetch(holder.order_in, start_in))
             .max_by(|a, b| {
                 let by_part_count = a.part_count.cmp(&b.part_count);
                 by_part_count.then_with(|| b.load.total_cmp(&a.load))
             })
     }
 
-    /// Plans how one engine obtains the prompt.
-    pub fn plan_fetch(&self, view: &BackendView, now: MonotonicTime) -> FetchPlan {
+    /// Plans how one engine obtains the prompt if it begins with the call within
+    /// `start_in`.
+    pub fn plan_fetch(
+        &self,
+        view: &BackendView,
+        start_in: Duration,
+        now: MonotonicTime,
+    ) -> FetchPlan {
         let shared = self.prompt.shared_parts();
         let cached_count = count_leading_parts(shared, |part| {
-            view.has_or_expects_part(self.namespace, part, now)
+            view.has_or_expects_part(self.salted.namespace, part, now)
         });
-        let stored_count = self.stored_count;
-        let (source, fetched_count) = match (self.store, self.find_holder(view)) {
+        let store = self
+            .store
+            .filter(|_| allows_fetch(self.store_order_in, start_in));
+        let stored_count = store.map_or(0, |_| self.stored_count);
+        let (source, fetched_count) = match (store, self.find_holder(view, start_in)) {
             (Some(store), Some(holder)) if stored_count > holder.part_count => {
                 (Some(store), stored_count)
             }
@@ -164,6 +210,37 @@
     }
 }
 
+/// Returns whether a source whose engines are ordered after `order_in` can serve a fetch
+/// that begins within `start_in`.
+fn allows_fetch(order_in: Option<Duration>, start_in: Duration) -> bool {
+    order_in.is_none_or(|order_in| order_in > start_in + FETCH_MARGIN)
+}
+
+/// Returns the time until the earliest order to an engine to change its weights; `None`
+/// if none is expected.
+fn find_earliest_order(
+    view: &BackendView,
+    status: VersionStatus,
+    now: MonotonicTime,
+) -> Option<Duration> {
+    if !view.has_recent_agent_report(now) {
+        // Another process may order the engine without telling this one.
+        return (status != VersionStatus::Current).then_some(Duration::ZERO);
+    }
+    view.time_until_order(now)
+        .or_else(|| predict_earliest_order(status, now))
+}
+
+/// Returns the time until the earliest order to any engine whose weights have a version of
+/// this status; `None` if none is expected.
+fn predict_earliest_order(status: VersionStatus, now: MonotonicTime) -> Option<Duration> {
+    match status {
+        VersionStatus::Current => None,
+        VersionStatus::Outdated(None) => Some(Duration::ZERO),
+        VersionStatus::Outdated(Some(since)) => Some((since + FIRST_BATCH_DELAY).since(now)),
+    }
+}
+
 /// Counts the leading parts that are present. A present part implies those
 /// before it, whose events may have been lost.
 fn count_leading_parts(parts: &[PromptPart], holds: impl Fn(PartId) -> bool) -> usize {
--- a/src/core/fleet/weights/mod.rs
+++ b/src/core/fleet/weights/mod.rs
@@ -9,6 +9,7 @@
 pub use target_version::TargetVersion;
 pub use weights_change::DEFAULT_VERSION_TIME;
 pub use weights_change::EngineStatus;
+pub(super) use weights_change::FIRST_BATCH_DELAY;
 pub use weights_change::OrderOutcome;
 pub use weights_change::RunningCalls;
 pub use weights_change::WeightsChange;
--- a/src/core/fleet/weights/weights_change.rs
+++ b/src/core/fleet/weights/weights_change.rs
@@ -29,7 +29,7 @@
 
 /// Time from when the agent learns of a newer version to the orders of the
 /// first batch. Meanwhile entries send long calls elsewhere and many running calls end.
-const FIRST_BATCH_DELAY: Duration = Duration::from_millis(500);
+pub(in crate::core::fleet) const FIRST_BATCH_DELAY: Duration = Duration::from_millis(500);
 
 /// Minimum time between the orders of two batches.
 const MIN_BATCH_INTERVAL: Duration = Duration::from_millis(300);
--- a/src/gateway/call_log.rs
+++ b/src/gateway/call_log.rs
@@ -85,7 +85,7 @@
             acted_at: now,
         });
         log::info!(
-            "call: sent id={}{} attempt={} why={reason} server={} build={} v={} load={:.1} age_ms={} predicted_ms={} end_ms={} read={} again={} fetch={}",
+            "call: sent id={}{} attempt={} why={reason} server={} build={} v={} load={:.1} age_ms={} predicted_ms={} end_ms={} read={} again={} fetch={} from={}",
             self.id,
             take(&mut self.unlogged_fields),
             self.attempts,
@@ -99,6 +99,9 @@
             choice.prefill_tokens,
             choice.recomputed_tokens,
             choice.fetch_from.is_some(),
+            choice
+                .fetch_from
+                .map_or("none".into(), |address| address.to_string()),
         );
     }
 
--- a/tests/fleet_dispatch.rs
+++ b/tests/fleet_dispatch.rs
@@ -194,15 +194,29 @@
     }
 }
 
+fn target(version: u64) -> TargetVersion {
+    TargetVersion {
+        model: ModelName::from("m"),
+        version: WeightsVersion(version),
+        revision: version,
+    }
+}
+
+/// Report of an agent whose engine serves `version`.
+fn report_of(version: u64, switch_in_ms: Option<u32>) -> AgentReport {
+    AgentReport {
+        is_accepting: true,
+        is_alive: true,
+        switch_in_ms,
+        versions: vec![(ModelName::from("m"), WeightsVersion(version))],
+        ..AgentReport::default()
+    }
+}
+
 #[test]
 fn choose_outdated_weights_until_limit() {
     let mut dispatcher = dispatcher_with_engines(2);
-    let target = TargetVersion {
-        model: ModelName::from("m"),
-        version: WeightsVersion(2),
-        revision: 9,
-    };
-    dispatcher.observe_target_version(&target, Some(at(0)));
+    dispatcher.observe_target_version(&target(2), Some(at(0)));
     let prompt = prompt("a");
     assert!(dispatcher.choose(&request(&prompt), at(1_000)).is_ok());
     let result = dispatcher.choose(&request(&prompt), at(5_000));
@@ -215,12 +229,7 @@
 fn choose_outdated_weights_counts_from_first_newer_version() {
     let mut dispatcher = dispatcher_with_engines(1);
     for (version, ms) in [(2, 0), (3, 2_400), (4, 4_800)] {
-        let target = TargetVersion {
-            model: ModelName::from("m"),
-            version: WeightsVersion(version),
-            revision: version,
-        };
-        dispatcher.observe_target_version(&target, Some(at(ms)));
+        dispatcher.observe_target_version(&target(version), Some(at(ms)));
     }
     let result = dispatcher.choose(&request(&prompt("a")), at(5_000));
     assert!(matches!(result, Err(DispatchError::NoServer(_))));
@@ -229,13 +238,7 @@
 #[test]
 fn choose_long_call_skips_engine_about_to_switch() {
     let mut dispatcher = dispatcher_with_engines(2);
-    let report = AgentReport {
-        is_accepting: true,
-        is_alive: true,
-        switch_in_ms: Some(400),
-        versions: vec![(ModelName::from("m"), WeightsVersion(1))],
-        ..AgentReport::default()
-    };
+    let report = report_of(1, Some(400));
     dispatcher.observe_agent_report(&ServerName::from("i-0"), report, at(0));
     for number in 0..20 {
         let part_name = format!("s{number}");
@@ -490,7 +493,8 @@
         let store = choose(&first, &prompt, at(0)).save_to.expect("a store");
         assert_eq!(choose(&second, &prompt, at(0)).save_to, Some(store));
         *saves.entry(store).or_insert(0) += 1;
-        second.observe_kv_cache_store(store, &cached_changes(1, &format!("part {number}")), false);
+        let changes = cached_changes(1, &format!("part {number}"));
+        second.observe_kv_cache_store(store, &changes, false);
         let choice = choose(&second, &prompt, at(0));
         assert_eq!((choice.fetch_from, choice.save_to), (Some(store), None));
     }
@@ -524,3 +528,82 @@
     dispatcher.observe_kv_cache_store(stores[0], &[], true);
     assert_eq!(find_stores(&dispatcher), before);
 }
+
+/// Returns where a call to `i-1`, which serves the first version, fetches parts from
+/// 100 ms after the second version was named. The same parts are listed by `i-0`, whose
+/// agent has sent `report`.
+fn find_source_of_outdated_call(report: Option<AgentReport>) -> Option<SocketAddr> {
+    let mut dispatcher = dispatcher_with_engines(2);
+    dispatcher.observe_target_version(&target(2), Some(at(0)));
+    let (holder, other) = (ServerName::from("i-0"), ServerName::from("i-1"));
+    dispatcher.observe_cached_parts(&holder, &cached_changes(1, "a"), true);
+    if let Some(report) = report {
+        dispatcher.observe_agent_report(&holder, report, at(100));
+    }
+    dispatcher.observe_agent_report(&other, report_of(1, Some(2_500)), at(100));
+    let prompt = prompt("a");
+    let holder = dispatcher.upsert_member(engine(0, 1));
+    let req = DispatchRequest {
+        tried: &[holder],
+        ..request(&prompt)
+    };
+    let choice = dispatcher.choose(&req, at(100));
+    choice.expect("a server should be chosen").fetch_from
+}
+
+/// Guards against calls that run on parts made under newer weights: a call that goes on
+/// under these computes its parts again under the salt that it came with, and the engine
+/// lists them under it.
+#[rstest]
+#[case::other_weights(Some(report_of(2, None)), false)]
+#[case::skipped_a_version(Some(report_of(3, None)), false)]
+#[case::order_before_fetch(Some(report_of(1, Some(200))), false)]
+#[case::order_given(Some(report_of(1, Some(0))), false)]
+#[case::agent_silent(None, false)]
+#[case::order_not_announced(Some(report_of(1, None)), true)]
+#[case::order_after_fetch(Some(report_of(1, Some(2_000))), true)]
+fn choose_fetches_only_from_engine_on_same_weights(
+    #[case] report: Option<AgentReport>,
+    #[case] is_source: bool,
+) {
+    let source = find_source_of_outdated_call(report);
+    assert_eq!(source, is_source.then(|| address(0)));
+}
+
+/// Guards against an engine that serves newer weights than this process knows of.
+#[test]
+fn choose_fetches_not_from_engine_ahead_of_known_target() {
+    let mut dispatcher = dispatcher_with_engines(2);
+    let holder = ServerName::from("i-0");
+    dispatcher.observe_cached_parts(&holder, &cached_changes(1, "a"), true);
+    dispatcher.observe_agent_report(&holder, report_of(2, None), at(0));
+    let prompt = prompt("a");
+    let holder = dispatcher.upsert_member(engine(0, 1));
+    let req = DispatchRequest {
+        tried: &[holder],
+        ..request(&prompt)
+    };
+    let choice = dispatcher.choose(&req, at(0)).expect("a server");
+    assert_eq!((choice.fetch_from, choice.recomputed_tokens), (None, 0));
+}
+
+/// Guards against parts in a store that were saved by a call that went on under newer
+/// weights, under the salt that it came with.
+#[rstest]
+#[case::none_named(None, true)]
+#[case::before_first_order(Some(1_100), true)]
+#[case::after_first_order(Some(500), false)]
+fn choose_uses_store_only_before_first_order(#[case] named_ms: Option<u64>, #[case] is_used: bool) {
+    let mut dispatcher = dispatcher_with_engines(1);
+    let store = address(200);
+    dispatcher.set_kv_cache_stores(&[store]);
+    dispatcher.observe_kv_cache_store(store, &cached_changes(1, "a"), false);
+    if let Some(named_ms) = named_ms {
+        dispatcher.observe_target_version(&target(2), Some(at(named_ms)));
+    }
+    let choice = choose(&dispatcher, &prompt("a"), at(1_200));
+    assert_eq!(choice.fetch_from, is_used.then_some(store));
+    // Parts that it lacks are saved only under weights that stay.
+    let choice = choose(&dispatcher, &prompt("b"), at(1_200));
+    assert_eq!(choice.save_to, named_ms.is_none().then_some(store));
+}
