Decide anew which records name servers whenever what they say has changed

Cause: of two records with one address, the one with the earlier start was marked as superseded when a record was written. The later one need not name a server to use (another writer's record of a service that the configuration does not name), and nothing took the mark back when it was removed.

Change: the mark is gone. Which records are used follows from the records and the configuration known now, and is decided again when either changes. Changes are logged.

--- a/src/core/fleet/mod.rs
+++ b/src/core/fleet/mod.rs
@@ -124,6 +124,7 @@
 pub use routing::DispatchRequest;
 pub use routing::Dispatcher;
 pub use routing::PrefillQueue;
+pub use routing::RecordUse;
 pub use routing::ReportedLoad;
 pub use routing::SpeedChange;
 pub use routing::VersionedSalt;
--- a/src/core/fleet/routing/backend_view.rs
+++ b/src/core/fleet/routing/backend_view.rs
@@ -10,6 +10,7 @@
 use serde::ser::SerializeStruct;
 
 use super::CachedPartChange;
+use super::RecordUse;
 use super::ReportedLoad;
 use super::backend_load::BackendLoad;
 use super::part_table::PartTable;
@@ -109,8 +110,16 @@
 pub struct BackendView {
     /// The server's membership record.
     pub member: Member,
-    /// Whether another run of a server answers at its address.
+    /// Whether the configuration in force names its service.
+    pub(super) has_known_service: bool,
+    /// Whether a later run is listed at its address.
     pub(super) is_superseded: bool,
+    /// Until when it gets no calls since another server has answered at its address.
+    pub(super) replaced_until: Option<MonotonicTime>,
+    /// Whether another server has answered at its address since the record last changed.
+    pub(super) is_refuted: bool,
+    /// Use of the record as last logged.
+    pub(super) logged_use: RecordUse,
     /// Whether this run has said that it leaves, whatever its record says.
     pub(super) is_leaving: bool,
     /// Until when this run wants no calls, if it has asked for a pause.
@@ -138,7 +147,11 @@
     pub(super) fn new(member: Member) -> Self {
         Self {
             member,
+            has_known_service: true,
             is_superseded: false,
+            replaced_until: None,
+            is_refuted: false,
+            logged_use: RecordUse::Used,
             is_leaving: false,
             paused_until: None,
             is_limited: false,
@@ -158,7 +171,7 @@
         }
     }
 
-    /// Replaces the record. A different start time means a restart: the agent
+    /// Replaces the record, so that the server is tried again if it was replaced. A different start time means a restart: the agent
     /// report, versions, cached and expected parts, speed and failure ratio of the
     /// earlier run are dropped, and an exclusion by backoff ends. The load and
     /// the length of the next backoff stay.
@@ -173,6 +186,8 @@
             self.speed = ServerSpeed::default();
             self.answer_gap = AnswerGap::default();
         }
+        self.replaced_until = None;
+        self.is_refuted = false;
         self.member = member;
     }
 
@@ -195,9 +210,24 @@
         self.is_in_service() && !is_backing_off && agent_allows && !self.is_paused(now)
     }
 
+    /// Returns whether the record names a server that is used.
+    pub fn record_use(&self) -> RecordUse {
+        match self.replaced_until {
+            _ if !self.has_known_service => RecordUse::UnknownService,
+            _ if self.is_superseded => RecordUse::Superseded,
+            Some(until) => RecordUse::Replaced { until },
+            None => RecordUse::Used,
+        }
+    }
+
+    /// Returns whether the record names a server that is used.
+    pub(super) fn is_used(&self) -> bool {
+        self.record_use() == RecordUse::Used
+    }
+
     /// Returns whether the server takes calls at all.
     fn is_in_service(&self) -> bool {
-        self.member.state == MemberState::Ready && !self.is_superseded && !self.is_leaving
+        self.member.state == MemberState::Ready && self.is_used() && !self.is_leaving
     }
 
     /// Returns whether the server wants no requests from this process now.
--- a/src/core/fleet/routing/dispatcher.rs
+++ b/src/core/fleet/routing/dispatcher.rs
@@ -1,6 +1,7 @@
 //! Chooses the backend server of each call and tracks the state of all servers.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -165,6 +166,8 @@
 pub struct Dispatcher {
     pub(super) zone: String,
     pub(super) backends: SlotMap<BackendKey, BackendView>,
+    /// Services that the configuration in force names; `None` before the first one.
+    pub(super) services: Option<HashSet<String>>,
     keys_by_name: HashMap<ServerName, BackendKey>,
     pub(super) keys_by_service: HashMap<String, Vec<BackendKey>>,
     target_versions: HashMap<ModelName, TargetHistory>,
@@ -197,6 +200,7 @@
         Self {
             zone: zone.into(),
             backends: SlotMap::with_key(),
+            services: None,
             keys_by_name: HashMap::new(),
             keys_by_service: HashMap::new(),
             target_versions: HashMap::new(),
@@ -220,8 +224,11 @@
     }
 
     /// Inserts or updates a server's record. Of two records with the same
-    /// address, the one with the earlier start belongs to a run that has ended.
+    /// address, the one with the earlier start belongs to a run that has ended, unless
+    /// the other one names no server to use.
     pub fn upsert_member(&mut self, member: Member) -> BackendKey {
+        let address = member.address;
+        let old_address = self.find_record(&member.name).map(|old| old.address);
         let key = self.upsert_record(member);
         if let Some(view) = self.backends.get_mut(key) {
             let run = view.run();
@@ -229,26 +236,16 @@
             view.paused_until = self.run_limits.paused_until(run);
             view.is_limited = self.server_limits.calls_per_s(run).is_some();
         }
-        self.mark_superseded(key);
+        self.update_uses(address);
+        if let Some(old_address) = old_address.filter(|old| *old != address) {
+            self.update_uses(old_address);
+        }
         key
     }
 
-    fn mark_superseded(&mut self, key: BackendKey) {
-        let Some(view) = self.backends.get(key) else {
-            return;
-        };
-        let (address, started_at_ms) = (view.member.address, view.member.started_at_ms);
-        let mut is_superseded = false;
-        for (other_key, other) in &mut self.backends {
-            if other_key == key || other.member.address != address {
-                continue;
-            }
-            is_superseded |= other.member.started_at_ms > started_at_ms;
-            other.is_superseded |= other.member.started_at_ms < started_at_ms;
-        }
-        if let Some(view) = self.backends.get_mut(key) {
-            view.is_superseded = is_superseded;
-        }
+    fn find_record(&self, name: &ServerName) -> Option<&Member> {
+        let key = self.keys_by_name.get(name)?;
+        self.backends.get(*key).map(|view| &view.member)
     }
 
     fn upsert_record(&mut self, member: Member) -> BackendKey {
@@ -277,11 +274,13 @@
         let Some(key) = self.keys_by_name.remove(name) else {
             return;
         };
-        if let Some(view) = self.backends.remove(key)
-            && let Some(keys) = self.keys_by_service.get_mut(&view.member.service)
-        {
+        let Some(view) = self.backends.remove(key) else {
+            return;
+        };
+        if let Some(keys) = self.keys_by_service.get_mut(&view.member.service) {
             keys.retain(|&other| other != key);
         }
+        self.update_uses(view.member.address);
     }
 
     /// Records a target version and returns whether it is newer than the known
@@ -426,7 +425,7 @@
         }
     }
 
-    /// Returns the servers of a service, without superseded runs.
+    /// Returns the used servers of a service.
     pub fn list_service_backends(&self, service: &str) -> impl Iterator<Item = &BackendView> {
         let keys = self
             .keys_by_service
@@ -434,7 +433,7 @@
             .map_or(&[][..], Vec::as_slice);
         keys.iter()
             .filter_map(|&key| self.backends.get(key))
-            .filter(|view| !view.is_superseded)
+            .filter(|view| view.is_used())
     }
 
     /// Lists the servers of a service that accept calls.
@@ -448,15 +447,15 @@
         keys.filter(accepts).collect()
     }
 
-    /// Returns the server with a name, unless it is superseded.
+    /// Returns the server with a name if it is used.
     pub fn find_backend(&self, name: &ServerName) -> Option<&BackendView> {
         let key = self.keys_by_name.get(name)?;
-        self.backends.get(*key).filter(|view| !view.is_superseded)
+        self.backends.get(*key).filter(|view| view.is_used())
     }
 
-    /// Returns all servers, without superseded runs.
+    /// Returns all used servers.
     pub fn list_backends(&self) -> impl Iterator<Item = &BackendView> {
-        self.backends.values().filter(|view| !view.is_superseded)
+        self.backends.values().filter(|view| view.is_used())
     }
 
     /// Chooses the server with the lowest cost for a call.
@@ -629,11 +628,12 @@
     }
 
     /// Returns whether a call that has waited for `waited` should treat the
-    /// server as dead. True for removed and superseded servers.
+    /// server as dead. True for servers that were removed, superseded or replaced.
     pub fn is_suspected_dead(&self, key: BackendKey, waited: Duration, now: MonotonicTime) -> bool {
         self.backends.get(key).is_none_or(|view| {
             let slowness = self.pace_of(view, now).slowest();
-            view.is_superseded || view.is_suspected_dead(waited, slowness, now)
+            let is_other_run = view.is_superseded || view.replaced_until.is_some();
+            is_other_run || view.is_suspected_dead(waited, slowness, now)
         })
     }
 
@@ -644,14 +644,6 @@
         }
     }
 
-    /// Marks a server as superseded because another run has answered at its
-    /// address. It gets no calls until its record is renewed.
-    pub fn mark_replaced(&mut self, key: BackendKey) {
-        if let Some(view) = self.backends.get_mut(key) {
-            view.is_superseded = true;
-        }
-    }
-
     /// Records that a run leaves, as it has said itself. It gets no new calls, also
     /// if its record is written again. Returns the server's name if that is new and
     /// it is listed.
--- a/src/core/fleet/routing/mod.rs
+++ b/src/core/fleet/routing/mod.rs
@@ -14,6 +14,7 @@
 mod part_table;
 mod prefill_queue;
 mod prefill_time_factor;
+mod record_use;
 mod server_pace;
 mod versioned_salt;
 
@@ -33,4 +34,5 @@
 pub use observe_speed::SpeedChange;
 pub(super) use part_table::PartTable;
 pub use prefill_queue::PrefillQueue;
+pub use record_use::RecordUse;
 pub use versioned_salt::VersionedSalt;
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -403,7 +403,7 @@
 }
 
 /// Returns why a server did not run a call. If another server answered at its
-/// address, it is also marked as replaced, so that it gets no more calls.
+/// address, it is also marked as replaced, so that it gets no calls for a time.
 fn classify_not_run(
     cx: &GatewayContext,
     choice: &BackendChoice,
@@ -425,7 +425,8 @@
         choice.address,
         metadata.server
     );
-    cx.lock().dispatcher.mark_replaced(choice.key);
+    let now = cx.now();
+    cx.lock().dispatcher.mark_replaced(choice.key, now);
     "misdirected"
 }
 
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -32,7 +32,9 @@
 use super::stream_keepers::tell_stream_keepers;
 use super::substitute_agents::substitute_agents;
 use super::zone_relaying::plan_zone_exchanges;
+use crate::core::ServerName;
 use crate::core::fleet::CallerLimits;
+use crate::core::fleet::RecordUse;
 use crate::core::fleet::SpeedChange;
 use crate::core::fleet::ZoneShare;
 use crate::http::ServerLimits;
@@ -294,6 +296,7 @@
         let changes = state.directory.apply_deferred_removals(now);
         state.apply_member_changes(changes, now);
         state.streams.expire(now);
+        log_record_uses(state.dispatcher.refresh_record_uses(now));
         log_speed_changes(state.dispatcher.refresh_speeds(now));
         report_zone_shares(&cx, state.dispatcher.refresh_zones(now));
     }
@@ -315,6 +318,13 @@
     }
 }
 
+/// Logs which records name servers that are no longer used, or are used again.
+fn log_record_uses(changes: Vec<(ServerName, RecordUse)>) {
+    for (server, record_use) in changes {
+        log::info!("members: {} server={server}", record_use.label());
+    }
+}
+
 /// Logs which servers are slower or faster than their service, or silent.
 fn log_speed_changes(changes: Vec<SpeedChange>) {
     for change in changes {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -237,6 +237,9 @@
             .map(|store| store.address)
             .collect();
         self.dispatcher.set_kv_cache_stores(&kv_stores);
+        let services = configuration.services.iter();
+        self.dispatcher
+            .set_services(services.map(|service| service.name.as_str()));
         let isolation = CacheIsolation::from_accounts(&configuration.accounts);
         self.dispatcher.set_cache_isolation(isolation);
         let timeouts = configuration.routes.iter().map(|route| route.timeout);
@@ -249,8 +252,8 @@
         true
     }
 
-    /// Counts servers, agents and entries for the metrics. Superseded runs of
-    /// servers are left out.
+    /// Counts servers, agents and entries for the metrics. Records that name no used
+    /// server are left out.
     pub fn read_gauges(&self, now: MonotonicTime) -> GatewayGauges {
         let count = |is_counted: fn(&BackendView, MonotonicTime) -> bool| {
             let views = self.dispatcher.list_backends();
--- a/tests/fleet_dispatch.rs
+++ b/tests/fleet_dispatch.rs
@@ -322,7 +322,7 @@
     let mut dispatcher = dispatcher_with_engines(2);
     let prompt = prompt("a");
     let first = choose(&dispatcher, &prompt, at(0));
-    dispatcher.mark_replaced(first.key);
+    dispatcher.mark_replaced(first.key, at(0));
     for ms in 0..20 {
         assert_ne!(choose(&dispatcher, &prompt, at(ms)).name, first.name);
     }
