Count the age of a weights version from when no newer one was known

Cause: calls go to engines on older weights for 4.5 s after a newer version was named. A version that a peer, an agent or a collector told was taken for one that was named at that moment, whatever its age.

Change: TargetsConfirmed holds when the known versions were last the newest. A version that is learned, from whatever source, was named after that, and its age counts from there; before the operator's records have been read, it is unknown. After a lost watch, a ping confirms nothing until the records were read again, for which the first watch after a failure returns at once. The log has the age.

--- a/src/core/fleet/mod.rs
+++ b/src/core/fleet/mod.rs
@@ -170,6 +170,7 @@
 pub use weights::OrderOutcome;
 pub use weights::RunningCalls;
 pub use weights::TargetVersion;
+pub use weights::TargetsConfirmed;
 pub use weights::WeightsChange;
 pub use weights::WeightsChangeStep;
 pub use zone_balance::BalanceInput;
--- a/src/core/fleet/routing/dispatcher.rs
+++ b/src/core/fleet/routing/dispatcher.rs
@@ -284,18 +284,17 @@
     }
 
     /// Records a target version and returns whether it is newer than the known
-    /// ones. `learned_at` is `None` for a version found by a full read of the
-    /// record store, since it is unknown when that version was set.
+    /// ones. It was named after `named_after`, or at an unknown time.
     pub fn observe_target_version(
         &mut self,
         target: &TargetVersion,
-        learned_at: Option<MonotonicTime>,
+        named_after: Option<MonotonicTime>,
     ) -> bool {
         let history = self
             .target_versions
             .entry(target.model.clone())
             .or_default();
-        history.add_if_newer(target, learned_at)
+        history.add_if_newer(target, named_after)
     }
 
     /// Returns the newest target version of each model.
--- a/src/core/fleet/weights/mod.rs
+++ b/src/core/fleet/weights/mod.rs
@@ -2,11 +2,13 @@
 
 mod target_history;
 mod target_version;
+mod targets_confirmed;
 mod weights_change;
 
 pub(super) use target_history::TargetHistory;
 pub(super) use target_history::VersionStatus;
 pub use target_version::TargetVersion;
+pub use targets_confirmed::TargetsConfirmed;
 pub use weights_change::DEFAULT_VERSION_TIME;
 pub use weights_change::EngineStatus;
 pub(super) use weights_change::FIRST_BATCH_DELAY;
--- a/src/core/fleet/weights/target_history.rs
+++ b/src/core/fleet/weights/target_history.rs
@@ -16,12 +16,12 @@
 pub(in crate::core::fleet) enum VersionStatus {
     /// No newer version is known.
     Current,
-    /// An older version. Holds the time at which this process learned of the
-    /// first newer version, or `None` if it is unknown when that was set.
+    /// An older version. Holds a time after which the first newer version was named, or
+    /// `None` if it is unknown when that was.
     Outdated(Option<MonotonicTime>),
 }
 
-/// Target versions of one model, each with the time at which it became known.
+/// Target versions of one model, each with a time after which it was named.
 /// An engine is outdated from the first newer version on; later versions do not
 /// restart that time.
 #[derive(Debug, Default)]
@@ -31,12 +31,11 @@
 
 impl TargetHistory {
     /// Appends a version if it is newer than all known ones, and returns
-    /// whether it is. `learned_at` is `None` if it is unknown when the version
-    /// was set.
+    /// whether it is. It was named after `named_after`, or at an unknown time.
     pub fn add_if_newer(
         &mut self,
         target: &TargetVersion,
-        learned_at: Option<MonotonicTime>,
+        named_after: Option<MonotonicTime>,
     ) -> bool {
         let is_newer = self
             .newest()
@@ -45,7 +44,7 @@
             if self.versions.len() >= MAX_VERSIONS {
                 self.versions.pop_front();
             }
-            self.versions.push_back((target.clone(), learned_at));
+            self.versions.push_back((target.clone(), named_after));
         }
         is_newer
     }
@@ -60,8 +59,8 @@
         self.versions
             .iter()
             .find(|(target, _)| target.version > version)
-            .map_or(VersionStatus::Current, |(_, learned_at)| {
-                VersionStatus::Outdated(*learned_at)
+            .map_or(VersionStatus::Current, |(_, named_after)| {
+                VersionStatus::Outdated(*named_after)
             })
     }
 }
--- a/src/gateway/exchange_peer_state.rs
+++ b/src/gateway/exchange_peer_state.rs
@@ -782,6 +782,9 @@
     }
     state.quota.observe_peer_usage(&peer_state.usage, now);
     state.learn_targets(&peer_state.targets, "peer", now);
+    if peer_state.newest_revisions[Area::Operator.index()] > 0 {
+        state.record_peer_targets(now);
+    }
     resync_if_behind(cx, &mut state, peer_state.newest_revisions, now);
     if peer_state.is_leaving {
         cx.known_entries.remove(&peer_state.usage.name);
--- a/src/gateway/follow_store.rs
+++ b/src/gateway/follow_store.rs
@@ -20,6 +20,10 @@
 /// connection is detected by pings and by peers that have newer records.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Wait of the first watch of the operator's records after a failure, whose answer shows
+/// that nothing was missed.
+const RECHECK_WAIT: Duration = Duration::from_millis(1);
+
 /// Minimum interval between pings. Together with the timeout of a ping, it is
 /// well below the time limit for calls to a server that leaves.
 const PING_INTERVAL: Duration = Duration::from_millis(700);
@@ -62,7 +66,12 @@
             None => cx.ports.source.read_all(area).await,
             Some(after_revision) => {
                 resync.borrow_and_update();
-                let watching = cx.ports.source.watch(area, after_revision, WATCH_TIMEOUT);
+                let wait = if is_unreachable && area == Area::Operator {
+                    RECHECK_WAIT
+                } else {
+                    WATCH_TIMEOUT
+                };
+                let watching = cx.ports.source.watch(area, after_revision, wait);
                 tokio::select! {
                     result = watching => result,
                     _ = resync.changed() => {
@@ -106,7 +115,7 @@
                     log::warn!("store: lost area={area:?} reason=\"{e}\"");
                 }
                 is_unreachable = true;
-                cx.lock().directory.record_store_failure();
+                record_store_failure(&cx, area);
                 sleep(retry_delay).await;
                 retry_delay = (retry_delay * 2).min(MAX_RETRY_DELAY);
             }
@@ -114,6 +123,14 @@
     }
 }
 
+fn record_store_failure(cx: &GatewayContext, area: Area) {
+    let mut state = cx.lock();
+    state.directory.record_store_failure();
+    if area == Area::Operator {
+        state.record_operator_records_lost();
+    }
+}
+
 fn apply_update(cx: &GatewayContext, area: Area, update: SourceUpdate, is_full_read: bool) {
     let now = cx.now();
     let mut state = cx.lock();
@@ -134,17 +151,7 @@
                 }
             }
             SourceChange::TargetVersion(target) => {
-                // It is unknown when a version that a full read found was set.
-                let learned_at = (!is_full_read).then_some(now);
-                if state.dispatcher.observe_target_version(&target, learned_at) {
-                    log::info!(
-                        "weights: wanted model={} version={} revision={} is_new={}",
-                        target.model,
-                        target.version,
-                        target.revision,
-                        !is_full_read
-                    );
-                }
+                state.learn_targets([&target], "store", now);
             }
             SourceChange::RolloutOrder(order) => {
                 observe_rollout_order(cx, &mut state, order, !is_full_read, now);
@@ -181,6 +188,9 @@
             }
         }
     }
+    if area == Area::Operator {
+        state.record_operator_records_read(now);
+    }
     if is_full_read && area == Area::Members {
         let changes = state.directory.replace(members, now);
         state.apply_member_changes(changes, now);
@@ -208,16 +218,16 @@
         };
         sleep(interval).await;
         match cx.ports.source.ping().await {
-            Ok(()) => cx.lock().record_store_answer(cx.now()),
+            Ok(()) => cx.lock().record_ping_answer(cx.now()),
             Err(e) => {
                 log::info!("store: ping failed reason=\"{e}\"");
                 if e == PortError::StoreRestored {
                     cx.lock().record_restore(cx.now());
                 }
-                cx.lock().directory.record_store_failure();
-                Area::ALL
-                    .into_iter()
-                    .for_each(|area| cx.request_resync(area));
+                for area in Area::ALL {
+                    record_store_failure(&cx, area);
+                    cx.request_resync(area);
+                }
             }
         }
     }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -28,6 +28,7 @@
 use crate::core::fleet::StreamOrigins;
 use crate::core::fleet::Suspect;
 use crate::core::fleet::TargetVersion;
+use crate::core::fleet::TargetsConfirmed;
 use crate::core::fleet::TrialRequest;
 use crate::metrics::GatewayGauges;
 use crate::settings::GatewaySettings;
@@ -69,6 +70,8 @@
     pub has_members: bool,
     /// How far each area was read, from the store or a peer, by `Area::index`.
     pub progress: [AreaProgress; 2],
+    /// When the known target versions were last the newest.
+    targets_confirmed: TargetsConfirmed,
 }
 
 /// How far an area was read, from the store or a peer.
@@ -115,6 +118,7 @@
             retries,
             has_members: false,
             progress: [AreaProgress::default(); 2],
+            targets_confirmed: TargetsConfirmed::default(),
         }
     }
 
@@ -273,25 +277,55 @@
         }
     }
 
-    /// Adopts target versions that another process sent, and logs those that
-    /// are new.
-    pub fn learn_targets(
+    /// Adopts target versions that the store or another process has told, and logs those
+    /// that are new. Each one was named after the known ones were last confirmed, however
+    /// long it was on its way; before the first confirmation, it is unknown when.
+    pub fn learn_targets<'a>(
         &mut self,
-        targets: &[TargetVersion],
+        targets: impl IntoIterator<Item = &'a TargetVersion>,
         source: impl Display,
         now: MonotonicTime,
     ) {
+        let named_after = self.targets_confirmed.at();
         for target in targets {
-            if self.dispatcher.observe_target_version(target, Some(now)) {
-                log::info!(
-                    "weights: wanted model={} version={} source={source}",
-                    target.model,
-                    target.version
-                );
+            if !self.dispatcher.observe_target_version(target, named_after) {
+                continue;
             }
+            let max_age = named_after.map(|at| now.since(at).as_millis());
+            log::info!(
+                "weights: wanted model={} version={} revision={} max_age_ms={} source={source}",
+                target.model,
+                target.version,
+                target.revision,
+                max_age.map_or("unknown".into(), |ms| ms.to_string()),
+            );
         }
     }
 
+    /// Records that all of the operator's records in the store were read, and what is new
+    /// among them was applied.
+    pub fn record_operator_records_read(&mut self, now: MonotonicTime) {
+        self.targets_confirmed.record_read(now);
+    }
+
+    /// Records that changes of the operator's records may have been missed, until they
+    /// are read again.
+    pub fn record_operator_records_lost(&mut self) {
+        self.targets_confirmed.record_lost();
+    }
+
+    /// Records that the store has answered a ping.
+    pub fn record_ping_answer(&mut self, now: MonotonicTime) {
+        self.record_store_answer(now);
+        self.targets_confirmed.record_ping(now);
+    }
+
+    /// Records that a peer which has read the operator's records knows no newer target
+    /// versions.
+    pub fn record_peer_targets(&mut self, now: MonotonicTime) {
+        self.targets_confirmed.record_peer(now);
+    }
+
     /// Logs changes of the members and passes them on to the dispatcher.
     pub fn apply_member_changes(
         &mut self,
--- /dev/null
+++ b/tests/fleet_targets_confirmed.rs
@@ -0,0 +1,47 @@
+//! When the known target versions of weights were last the newest.
+
+use std::time::Duration;
+
+use teaseldrum::core::MonotonicTime;
+use teaseldrum::core::fleet::TargetsConfirmed;
+
+fn at(ms: u64) -> MonotonicTime {
+    MonotonicTime::ZERO + Duration::from_millis(ms)
+}
+
+/// Guards against a process that takes what it hears first for the newest: peers and
+/// stores that answer may be behind, or may not have been asked for the records.
+#[test]
+fn at_before_first_read_is_unknown() {
+    let mut confirmed = TargetsConfirmed::default();
+    confirmed.record_peer(at(1));
+    confirmed.record_ping(at(2));
+    assert_eq!(confirmed.at(), None);
+    confirmed.record_read(at(3));
+    assert_eq!(confirmed.at(), Some(at(3)));
+}
+
+/// Guards against a store that answers again before the changes that were missed have
+/// been read.
+#[test]
+fn record_ping_after_loss_confirms_nothing() {
+    let mut confirmed = TargetsConfirmed::default();
+    confirmed.record_read(at(1));
+    confirmed.record_ping(at(2));
+    assert_eq!(confirmed.at(), Some(at(2)));
+    confirmed.record_lost();
+    confirmed.record_ping(at(3));
+    assert_eq!(confirmed.at(), Some(at(2)));
+    confirmed.record_read(at(4));
+    confirmed.record_ping(at(5));
+    assert_eq!(confirmed.at(), Some(at(5)));
+}
+
+#[test]
+fn record_peer_while_store_is_lost_confirms() {
+    let mut confirmed = TargetsConfirmed::default();
+    confirmed.record_read(at(1));
+    confirmed.record_lost();
+    confirmed.record_peer(at(2));
+    assert_eq!(confirmed.at(), Some(at(2)));
+}
