Take no part of a response, and no switch of protocols, for an answer

Shown not to happen: a reset or close in the middle of a long upload, with any framing, and statuses such as 000 or 2000; each ends as 502. Two neighbours do happen, and callers saw them:

- A server answers a long upload early without a length and then ends its sending side while the upload is still on its way.
The caller got the part as a whole 200.
Nothing tells that end from a server in trouble, so it counts as a broken connection now.
When the whole request was sent, a response without a length still ends with its connection.
- A server answers 101, which nobody has asked for.
The caller got it as an answer, after which the connection speaks no known protocol.
The HTTP client of all roles refuses it.

--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -11,6 +11,7 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use http::StatusCode;
 use hyper::Request;
 use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
@@ -165,6 +166,10 @@
             return Err(ClientError::TimedOut);
         };
         match result {
+            // Nobody asks for another protocol, and what follows would not be HTTP.
+            Ok(response) if response.status() == StatusCode::SWITCHING_PROTOCOLS => Err(
+                ClientError::Broken("the server switches to another protocol".into()),
+            ),
             Ok(response) => Ok(SendOutcome::Responded(Exchange::new(
                 response,
                 connection,
--- a/src/http/client_connection.rs
+++ b/src/http/client_connection.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
+use std::sync::atomic::fence;
 use std::time::Duration;
 
 use http_body_util::BodyExt;
@@ -34,6 +35,8 @@
     has_request: Arc<AtomicBool>,
     /// Has clones as long as parts of a request body are not sent.
     unsent: Arc<()>,
+    /// Whether the connection ended before the whole request was sent.
+    is_cut: Arc<AtomicBool>,
     given_up: Arc<Notify>,
 }
 
@@ -49,6 +52,10 @@
         let has_running_request = Arc::clone(&has_request);
         let given_up = Arc::new(Notify::new());
         let is_given_up = Arc::clone(&given_up);
+        let unsent = Arc::new(());
+        let unsent_at_end = Arc::downgrade(&unsent);
+        let is_cut = Arc::new(AtomicBool::new(false));
+        let is_cut_at_end = Arc::clone(&is_cut);
         let (sender, mut connection) = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
             .handshake(TokioIo::new(stream))
@@ -62,6 +69,8 @@
             if let Err(e) = result {
                 log::debug!("http: Connection to {address:?} ended: {e}.");
             }
+            // Before the connection is dropped with what it has not sent.
+            is_cut_at_end.store(unsent_at_end.strong_count() > 1, Ordering::SeqCst);
             if has_running_request.load(Ordering::Acquire) {
                 reset_at_close(&connection.into_parts().io.into_inner());
             }
@@ -69,7 +78,8 @@
         Ok(Self {
             sender,
             has_request,
-            unsent: Arc::default(),
+            unsent,
+            is_cut,
             given_up,
         })
     }
@@ -82,7 +92,10 @@
 
     /// Returns whether the whole request was sent.
     pub fn is_request_sent(&self) -> bool {
-        Arc::strong_count(&self.unsent) == 1
+        let has_unsent_parts = Arc::strong_count(&self.unsent) > 1;
+        // Parts that are dropped with the connection are not sent either.
+        fence(Ordering::SeqCst);
+        !has_unsent_parts && !self.is_cut.load(Ordering::SeqCst)
     }
 
     /// Resets the connection, whatever waits to be sent.
--- a/src/http/exchange.rs
+++ b/src/http/exchange.rs
@@ -8,6 +8,8 @@
 use bytes::Bytes;
 use http::HeaderMap;
 use http::StatusCode;
+use http::header::CONTENT_LENGTH;
+use http::header::TRANSFER_ENCODING;
 use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::body::Body;
@@ -31,6 +33,8 @@
     read_timeout: Duration,
     is_reusable: bool,
     has_reused_connection: bool,
+    /// Whether the response states no length, so that its body ends with the connection.
+    ends_with_connection: bool,
 }
 
 impl Exchange {
@@ -41,7 +45,10 @@
         client: Client,
     ) -> Self {
         let (head, body) = response.into_parts();
+        let states_length = head.headers.contains_key(CONTENT_LENGTH)
+            || head.headers.contains_key(TRANSFER_ENCODING);
         Self {
+            ends_with_connection: !states_length && !body.is_end_stream(),
             status: head.status,
             headers: head.headers,
             body,
@@ -104,8 +111,8 @@
     ///
     /// # Errors
     ///
-    /// The connection broke, or the chunk did not arrive within the read
-    /// timeout.
+    /// The connection broke, the chunk did not arrive within the read timeout, or a
+    /// response without length ended before the whole request was sent.
     pub async fn next_chunk(&mut self) -> Result<Option<Bytes>, ClientError> {
         loop {
             let Ok(frame) = timeout(self.read_timeout, self.body.frame()).await else {
@@ -113,6 +120,9 @@
                 return Err(ClientError::TimedOut);
             };
             match frame {
+                None if self.is_cut() => {
+                    return Err(ClientError::Broken("answer ends within the request".into()));
+                }
                 None => {
                     self.return_connection();
                     return Ok(None);
@@ -171,6 +181,14 @@
         Ok(buf.into())
     }
 
+    /// Returns whether the end of the body is only that of a connection that ended before
+    /// the server had the whole request. Nothing tells that from a server in trouble.
+    fn is_cut(&self) -> bool {
+        let connection = self.connection.as_ref();
+        let is_request_sent = connection.is_none_or(ClientConnection::is_request_sent);
+        self.ends_with_connection && !is_request_sent
+    }
+
     fn return_connection(&mut self) {
         if let Some(connection) = self.connection.take() {
             // The server has answered early. The rest of the request would be held until
