--- a/src/core/fleet/routing/record_use.rs
+++ b/src/core/fleet/routing/record_use.rs
@@ -65,7 +65,7 @@
     }
 
     /// Records that another server has answered a call to this one. It gets no calls for
-    /// [`REPLACED_PERIOD`], or until its record changes, and its record supersedes no
+    /// two seconds, or until its record changes, and its record supersedes no
     /// other one until it changes.
     pub fn mark_replaced(&mut self, key: BackendKey, now: MonotonicTime) {
         let Some(view) = self.backends.get_mut(key) else {
