Give responses and requests shares of their own in the budget of bytes

Cause: an account had one share for bodies of requests and for responses, and the whole budget was one as well, so that what a server sends keeps new calls out. Nothing bounded the responses of one server.

Change: bodies and responses have shares of their own, of an account and of the budget, and the responses of a server have a share like those of an account.

--- a/src/core/fleet/held_bytes/held_bytes.rs
+++ b/src/core/fleet/held_bytes/held_bytes.rs
@@ -10,13 +10,15 @@
 use super::Holder;
 use crate::core::AccountName;
 
-/// Fraction of the budget that new bodies may take. The rest is left to the
-/// responses of calls that already run.
-const NEW_BODY_FRACTION: f64 = 0.75;
-
-/// An account and a connection may hold as much as is free, divided by these numbers.
-/// With 1 for accounts, six of them that fill their shares one after another left a
-/// 64th of the budget to the next one; with 2 it is an eleventh.
+/// Fraction of the budget that bodies of requests may take, and also that responses may.
+/// Each leaves room for the other: responses to the calls that already run, and calls
+/// that need no long response.
+const PURPOSE_FRACTION: f64 = 0.75;
+
+/// An account and a connection may hold as much as is free, divided by these numbers; the
+/// responses of a server count like those of an account. With 1 for accounts, six of them
+/// that fill their shares one after another left a 64th of the budget to the next one;
+/// with 2 it is an eleventh.
 const ACCOUNT_DIVISOR: usize = 2;
 const CONNECTION_DIVISOR: usize = 3;
 
@@ -32,17 +34,37 @@
 /// more.
 ///
 /// With shares, an account may hold at most half of the bytes that stay free and a
-/// connection at most a third. One account thus takes at most a third of the budget, and
-/// another account finds a share of the rest. A body that is the only thing held may take
-/// half of the budget.
+/// connection at most a third, of bodies of requests and again of responses. The responses
+/// of one server have a share like those of an account. One account thus takes at most a
+/// third of the budget for responses, whatever its servers send, and still finds room for
+/// its requests, and another account finds a share of the rest. A body that is the only
+/// thing held may take half of the budget.
 #[derive(Debug)]
 pub struct HeldBytes {
     limit: usize,
     has_shares: bool,
+    bodies: PurposeBytes,
+    responses: PurposeBytes,
+    responses_by_server: HashMap<SocketAddr, usize>,
+}
+
+/// Bytes that are held for one purpose.
+#[derive(Debug, Default)]
+struct PurposeBytes {
     total: usize,
     by_account: HashMap<Option<AccountName>, usize>,
     by_connection: HashMap<SocketAddr, usize>,
-    responses_by_connection: HashMap<SocketAddr, usize>,
+}
+
+impl PurposeBytes {
+    fn of_account(&self, holder: &Holder) -> usize {
+        let by_account = self.by_account.get(&holder.account);
+        by_account.copied().unwrap_or(0)
+    }
+
+    fn of_connection(&self, holder: &Holder) -> usize {
+        look_up(&self.by_connection, holder.connection)
+    }
 }
 
 impl HeldBytes {
@@ -51,10 +73,9 @@
         Self {
             limit,
             has_shares: false,
-            total: 0,
-            by_account: HashMap::new(),
-            by_connection: HashMap::new(),
-            responses_by_connection: HashMap::new(),
+            bodies: PurposeBytes::default(),
+            responses: PurposeBytes::default(),
+            responses_by_server: HashMap::new(),
         }
     }
 
@@ -78,7 +99,7 @@
 
     /// Returns the number of bytes that are held.
     pub fn total(&self) -> usize {
-        self.total
+        self.bodies.total + self.responses.total
     }
 
     /// Counts `bytes` as held if the budget and the shares allow it.
@@ -92,7 +113,7 @@
 
     /// Returns the decision of [`Self::reserve`] without counting the bytes.
     pub fn check(&self, holder: &Holder, bytes: usize, purpose: HoldPurpose) -> HoldDecision {
-        let total = self.total.saturating_add(bytes);
+        let total = self.total().saturating_add(bytes);
         if !self.has_shares {
             return if total <= self.limit {
                 HoldDecision::Held
@@ -100,73 +121,110 @@
                 HoldDecision::Refuse
             };
         }
-        let limit = match purpose {
-            HoldPurpose::NewBody => (self.limit as f64 * NEW_BODY_FRACTION) as usize,
-            HoldPurpose::RunningCall => self.limit,
+        let purpose_limit = (self.limit as f64 * PURPOSE_FRACTION) as usize;
+        let free = self.limit.checked_sub(total);
+        let connection_bytes = self
+            .bodies
+            .of_connection(holder)
+            .saturating_add(self.responses.of_connection(holder))
+            .saturating_add(bytes);
+        let fits_share = |account_bytes: usize, free: usize| {
+            account_bytes.saturating_add(bytes) <= free / ACCOUNT_DIVISOR
+                && connection_bytes <= free / CONNECTION_DIVISOR
         };
-        let connection_bytes = look_up(&self.by_connection, holder).saturating_add(bytes);
-        let response_bytes = look_up(&self.responses_by_connection, holder).saturating_add(bytes);
-        let by_account = self.by_account.get(&holder.account);
-        let account_bytes = by_account.copied().unwrap_or(0).saturating_add(bytes);
-        let fits = limit.checked_sub(total).is_some_and(|free| {
-            let is_within_minimum =
-                purpose == HoldPurpose::RunningCall && response_bytes <= MIN_CONNECTION_BYTES;
-            let is_within_shares = account_bytes <= free / ACCOUNT_DIVISOR
-                && connection_bytes <= free / CONNECTION_DIVISOR;
-            is_within_minimum || is_within_shares
-        });
-        // In calm, so that the largest body that is allowed passes on a small host.
-        let is_only_body = purpose == HoldPurpose::NewBody
-            && connection_bytes == total
-            && total <= self.limit / ONLY_BODY_DIVISOR;
-        // With nothing else held, a connection gets `limit / (divisor + 1)`.
-        let can_ever_fit = connection_bytes <= limit / (CONNECTION_DIVISOR + 1);
         match purpose {
-            _ if fits || is_only_body => HoldDecision::Held,
-            HoldPurpose::RunningCall if can_ever_fit => HoldDecision::Wait,
-            _ => HoldDecision::Refuse,
+            HoldPurpose::NewBody => {
+                let purpose_total = self.bodies.total.saturating_add(bytes);
+                let free_for_bodies = purpose_limit.checked_sub(purpose_total);
+                let fits = free.zip(free_for_bodies).is_some_and(|(free, for_bodies)| {
+                    fits_share(self.bodies.of_account(holder), free.min(for_bodies))
+                });
+                // In calm, so that the largest body that is allowed passes on a small host.
+                let is_only_body =
+                    connection_bytes == total && total <= self.limit / ONLY_BODY_DIVISOR;
+                if fits || is_only_body {
+                    HoldDecision::Held
+                } else {
+                    HoldDecision::Refuse
+                }
+            }
+            HoldPurpose::RunningCall => {
+                let response_bytes = self.responses.of_connection(holder).saturating_add(bytes);
+                let server_bytes = look_up(&self.responses_by_server, holder.server);
+                let is_within_purpose = self.responses.total.saturating_add(bytes) <= purpose_limit;
+                let fits = free.is_some_and(|free| {
+                    let is_within_shares = fits_share(self.responses.of_account(holder), free)
+                        && server_bytes.saturating_add(bytes) <= free / ACCOUNT_DIVISOR;
+                    response_bytes <= MIN_CONNECTION_BYTES
+                        || (is_within_purpose && is_within_shares)
+                });
+                // With nothing else held, a connection gets `limit / (divisor + 1)`.
+                let can_ever_fit = connection_bytes <= self.limit / (CONNECTION_DIVISOR + 1);
+                match fits {
+                    true => HoldDecision::Held,
+                    false if can_ever_fit => HoldDecision::Wait,
+                    false => HoldDecision::Refuse,
+                }
+            }
         }
     }
 
     /// Counts `bytes` as held that have already arrived, beyond all limits.
     pub fn hold(&mut self, holder: &Holder, bytes: usize, purpose: HoldPurpose) {
-        self.total += bytes;
-        if !self.has_shares || bytes == 0 {
+        let has_shares = self.has_shares && bytes > 0;
+        let held = self.of_purpose_mut(purpose);
+        held.total += bytes;
+        if !has_shares {
             return;
         }
-        *self.by_account.entry(holder.account.clone()).or_default() += bytes;
+        *held.by_account.entry(holder.account.clone()).or_default() += bytes;
         if let Some(connection) = holder.connection {
-            *self.by_connection.entry(connection).or_default() += bytes;
-            if purpose == HoldPurpose::RunningCall {
-                *self.responses_by_connection.entry(connection).or_default() += bytes;
-            }
+            *held.by_connection.entry(connection).or_default() += bytes;
+        }
+        if let (Some(server), HoldPurpose::RunningCall) = (holder.server, purpose) {
+            *self.responses_by_server.entry(server).or_default() += bytes;
         }
     }
 
     /// Releases bytes that the holder holds.
     pub fn release(&mut self, holder: &Holder, bytes: usize, purpose: HoldPurpose) {
-        self.total = self.total.saturating_sub(bytes);
-        if !self.has_shares || bytes == 0 {
+        let has_shares = self.has_shares && bytes > 0;
+        let held = self.of_purpose_mut(purpose);
+        held.total = held.total.saturating_sub(bytes);
+        if !has_shares {
             return;
         }
-        subtract(self.by_account.entry(holder.account.clone()), bytes);
+        subtract(held.by_account.entry(holder.account.clone()), bytes);
         if let Some(connection) = holder.connection {
-            subtract(self.by_connection.entry(connection), bytes);
-            if purpose == HoldPurpose::RunningCall {
-                subtract(self.responses_by_connection.entry(connection), bytes);
-            }
+            subtract(held.by_connection.entry(connection), bytes);
         }
+        if let (Some(server), HoldPurpose::RunningCall) = (holder.server, purpose) {
+            subtract(self.responses_by_server.entry(server), bytes);
+        }
+    }
+
+    /// Returns the number of accounts and connections for which bytes are held, and of
+    /// servers whose responses are held. An account or a connection counts once for each
+    /// purpose.
+    pub fn count_holders(&self) -> (usize, usize, usize) {
+        let purposes = [&self.bodies, &self.responses];
+        (
+            purposes.iter().map(|held| held.by_account.len()).sum(),
+            purposes.iter().map(|held| held.by_connection.len()).sum(),
+            self.responses_by_server.len(),
+        )
     }
 
-    /// Returns the number of accounts and connections for which bytes are held.
-    pub fn count_holders(&self) -> (usize, usize) {
-        (self.by_account.len(), self.by_connection.len())
+    fn of_purpose_mut(&mut self, purpose: HoldPurpose) -> &mut PurposeBytes {
+        match purpose {
+            HoldPurpose::NewBody => &mut self.bodies,
+            HoldPurpose::RunningCall => &mut self.responses,
+        }
     }
 }
 
-fn look_up(by_connection: &HashMap<SocketAddr, usize>, holder: &Holder) -> usize {
-    let connection = holder.connection.as_ref();
-    let bytes = connection.and_then(|connection| by_connection.get(connection));
+fn look_up(bytes: &HashMap<SocketAddr, usize>, address: Option<SocketAddr>) -> usize {
+    let bytes = address.and_then(|address| bytes.get(&address));
     bytes.copied().unwrap_or(0)
 }
 
--- a/src/core/fleet/held_bytes/holder.rs
+++ b/src/core/fleet/held_bytes/holder.rs
@@ -11,4 +11,6 @@
     pub account: Option<AccountName>,
     /// Address of the caller, which identifies the connection while it is open.
     pub connection: Option<SocketAddr>,
+    /// Address of the server whose response is held, if it is that.
+    pub server: Option<SocketAddr>,
 }
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -23,6 +23,7 @@
 use crate::core::ServerName;
 use crate::core::fleet::BackendChoice;
 use crate::core::fleet::HoldPurpose;
+use crate::core::fleet::Holder;
 use crate::http::Exchange;
 use crate::http::HttpBody;
 use crate::http::empty_body;
@@ -350,9 +351,11 @@
             in_flight,
         }));
     }
-    let mut reservation = cx
-        .byte_budget
-        .reserve_for(call.holder.clone(), HoldPurpose::RunningCall);
+    let holder = Holder {
+        server: Some(choice.address),
+        ..call.holder.clone()
+    };
+    let mut reservation = cx.byte_budget.reserve_for(holder, HoldPurpose::RunningCall);
     // The whole length is reserved first: calls that each hold a part of a response could
     // wait for each other. The server is not at fault meanwhile.
     let declared_len = exchange.declared_len().min(MAX_RESPONSE_BYTES);
--- a/src/gateway/read_call.rs
+++ b/src/gateway/read_call.rs
@@ -165,6 +165,7 @@
             .extensions
             .get::<CallerAddress>()
             .map(|caller| caller.0),
+        server: None,
     };
     let mut body_reservation = cx
         .byte_budget
--- a/tests/fleet_held_bytes.rs
+++ b/tests/fleet_held_bytes.rs
@@ -26,6 +26,15 @@
     Holder {
         account: (!account.is_empty()).then(|| AccountName::from(account)),
         connection: Some(SocketAddr::from((host.to_be_bytes(), port))),
+        server: None,
+    }
+}
+
+/// Returns a connection of an account for a response of the server `number`.
+fn response_holder(account: &str, port: u16, number: u8) -> Holder {
+    Holder {
+        server: Some(SocketAddr::from(([10, 0, 0, number], 8_000))),
+        ..holder(account, port)
     }
 }
 
@@ -81,6 +90,42 @@
     assert_eq!(running, HoldDecision::Held);
 }
 
+/// Guards against servers whose responses keep new calls out, of the accounts that they
+/// are for and of others.
+#[rstest]
+#[case::one_account(1)]
+#[case::many_accounts(40)]
+fn reserve_responses_leave_room_for_new_bodies(#[case] hogs: u16) {
+    let mut held = HeldBytes::with_shares(80 * MB);
+    for hog in 0..hogs {
+        let account = format!("hog-{hog}");
+        fill(&mut held, &account, MB / 4, HoldPurpose::RunningCall);
+    }
+    assert!(held.total() <= 60 * MB);
+    for account in ["hog-0", "other"] {
+        let body = held.reserve(&holder(account, 9_000), MB, HoldPurpose::NewBody);
+        assert_eq!(body, HoldDecision::Held, "{account}");
+    }
+}
+
+/// Guards against a server whose responses to many accounts keep those of other servers
+/// waiting.
+#[test]
+fn reserve_responses_of_one_server_leave_room_for_others() {
+    let mut held = HeldBytes::with_shares(80 * MB);
+    for port in 1..1_000 {
+        let own = response_holder(&format!("account-{}", port % 40), port, 1);
+        held.reserve(&own, MB / 4, HoldPurpose::RunningCall);
+    }
+    assert!(held.total() <= 27 * MB);
+    let more = response_holder("account-0", 9_000, 1);
+    let more = held.reserve(&more, MB, HoldPurpose::RunningCall);
+    assert_eq!(more, HoldDecision::Wait);
+    let other = response_holder("account-0", 9_001, 2);
+    let other = held.reserve(&other, MB, HoldPurpose::RunningCall);
+    assert_eq!(other, HoldDecision::Held);
+}
+
 /// Guards against running calls of an account over its share that never end: a small
 /// chunk for a connection that holds none is always held within the budget.
 #[test]
@@ -161,7 +206,7 @@
                 let (holder, bytes, purpose) = open.swap_remove(bytes % open.len());
                 held.release(&holder, bytes, purpose);
             }
-            let own = holder(&account.to_string(), port);
+            let own = response_holder(&account.to_string(), port, port as u8 % 3);
             let purpose = if is_new { HoldPurpose::NewBody } else { HoldPurpose::RunningCall };
             if held.reserve(&own, bytes, purpose) == HoldDecision::Held {
                 open.push((own, bytes, purpose));
@@ -174,7 +219,7 @@
             held.release(&holder, bytes, purpose);
         }
         prop_assert_eq!(held.total(), 0);
-        prop_assert_eq!(held.count_holders(), (0, 0));
+        prop_assert_eq!(held.count_holders(), (0, 0, 0));
     }
 }
 
