Serve calls that have begun of a service that is no longer named

Which services get calls is up to the routes; unknown services matter for superseding, agents and orders only.

Also splits the checks of bodies and responses in HeldBytes; no change there.

--- a/src/core/fleet/held_bytes/held_bytes.rs
+++ b/src/core/fleet/held_bytes/held_bytes.rs
@@ -121,54 +121,70 @@
                 HoldDecision::Refuse
             };
         }
-        let purpose_limit = (self.limit as f64 * PURPOSE_FRACTION) as usize;
-        let free = self.limit.checked_sub(total);
-        let connection_bytes = self
-            .bodies
-            .of_connection(holder)
-            .saturating_add(self.responses.of_connection(holder))
-            .saturating_add(bytes);
-        let fits_share = |account_bytes: usize, free: usize| {
-            account_bytes.saturating_add(bytes) <= free / ACCOUNT_DIVISOR
-                && connection_bytes <= free / CONNECTION_DIVISOR
-        };
         match purpose {
-            HoldPurpose::NewBody => {
-                let purpose_total = self.bodies.total.saturating_add(bytes);
-                let free_for_bodies = purpose_limit.checked_sub(purpose_total);
-                let fits = free.zip(free_for_bodies).is_some_and(|(free, for_bodies)| {
-                    fits_share(self.bodies.of_account(holder), free.min(for_bodies))
-                });
-                // In calm, so that the largest body that is allowed passes on a small host.
-                let is_only_body =
-                    connection_bytes == total && total <= self.limit / ONLY_BODY_DIVISOR;
-                if fits || is_only_body {
-                    HoldDecision::Held
-                } else {
-                    HoldDecision::Refuse
-                }
-            }
-            HoldPurpose::RunningCall => {
-                let response_bytes = self.responses.of_connection(holder).saturating_add(bytes);
-                let server_bytes = look_up(&self.responses_by_server, holder.server);
-                let is_within_purpose = self.responses.total.saturating_add(bytes) <= purpose_limit;
-                let fits = free.is_some_and(|free| {
-                    let is_within_shares = fits_share(self.responses.of_account(holder), free)
-                        && server_bytes.saturating_add(bytes) <= free / ACCOUNT_DIVISOR;
-                    response_bytes <= MIN_CONNECTION_BYTES
-                        || (is_within_purpose && is_within_shares)
-                });
-                // With nothing else held, a connection gets `limit / (divisor + 1)`.
-                let can_ever_fit = connection_bytes <= self.limit / (CONNECTION_DIVISOR + 1);
-                match fits {
-                    true => HoldDecision::Held,
-                    false if can_ever_fit => HoldDecision::Wait,
-                    false => HoldDecision::Refuse,
-                }
-            }
+            HoldPurpose::NewBody => self.check_body(holder, bytes),
+            HoldPurpose::RunningCall => self.check_response(holder, bytes),
+        }
+    }
+
+    fn check_body(&self, holder: &Holder, bytes: usize) -> HoldDecision {
+        let total = self.total().saturating_add(bytes);
+        let body_total = self.bodies.total.saturating_add(bytes);
+        let free = self.limit.checked_sub(total);
+        let free_for_bodies = self.purpose_limit().checked_sub(body_total);
+        let fits = free.zip(free_for_bodies).is_some_and(|(free, for_bodies)| {
+            self.fits_shares(&self.bodies, holder, bytes, free.min(for_bodies))
+        });
+        // In calm, so that the largest body that is allowed passes on a small host.
+        let is_only_body = self.connection_bytes_with(holder, bytes) == total
+            && total <= self.limit / ONLY_BODY_DIVISOR;
+        if fits || is_only_body {
+            HoldDecision::Held
+        } else {
+            HoldDecision::Refuse
+        }
+    }
+
+    fn check_response(&self, holder: &Holder, bytes: usize) -> HoldDecision {
+        let total = self.total().saturating_add(bytes);
+        let is_within_purpose = self.responses.total.saturating_add(bytes) <= self.purpose_limit();
+        let server_bytes = look_up(&self.responses_by_server, holder.server).saturating_add(bytes);
+        let is_small =
+            self.responses.of_connection(holder).saturating_add(bytes) <= MIN_CONNECTION_BYTES;
+        let fits = self.limit.checked_sub(total).is_some_and(|free| {
+            let is_within_shares = self.fits_shares(&self.responses, holder, bytes, free)
+                && server_bytes <= free / ACCOUNT_DIVISOR;
+            is_small || (is_within_purpose && is_within_shares)
+        });
+        // With nothing else held, a connection gets `limit / (divisor + 1)`.
+        let can_ever_fit =
+            self.connection_bytes_with(holder, bytes) <= self.limit / (CONNECTION_DIVISOR + 1);
+        if fits {
+            HoldDecision::Held
+        } else if can_ever_fit {
+            HoldDecision::Wait
+        } else {
+            HoldDecision::Refuse
         }
     }
 
+    /// Returns whether `bytes` more are within the shares of an account and a connection,
+    /// if `free` bytes stay free.
+    fn fits_shares(&self, held: &PurposeBytes, holder: &Holder, bytes: usize, free: usize) -> bool {
+        held.of_account(holder).saturating_add(bytes) <= free / ACCOUNT_DIVISOR
+            && self.connection_bytes_with(holder, bytes) <= free / CONNECTION_DIVISOR
+    }
+
+    fn connection_bytes_with(&self, holder: &Holder, bytes: usize) -> usize {
+        let bodies = self.bodies.of_connection(holder);
+        let responses = self.responses.of_connection(holder);
+        bodies.saturating_add(responses).saturating_add(bytes)
+    }
+
+    fn purpose_limit(&self) -> usize {
+        (self.limit as f64 * PURPOSE_FRACTION) as usize
+    }
+
     /// Counts `bytes` as held that have already arrived, beyond all limits.
     pub fn hold(&mut self, holder: &Holder, bytes: usize, purpose: HoldPurpose) {
         let has_shares = self.has_shares && bytes > 0;
--- a/src/core/fleet/routing/backend_view.rs
+++ b/src/core/fleet/routing/backend_view.rs
@@ -225,9 +225,11 @@
         self.record_use() == RecordUse::Used
     }
 
-    /// Returns whether the server takes calls at all.
+    /// Returns whether the server takes calls at all. Which services get calls is up to
+    /// the routes, also for calls that began under an earlier configuration.
     fn is_in_service(&self) -> bool {
-        self.member.state == MemberState::Ready && self.is_used() && !self.is_leaving
+        let is_current_run = !self.is_superseded && self.replaced_until.is_none();
+        self.member.state == MemberState::Ready && is_current_run && !self.is_leaving
     }
 
     /// Returns whether the server wants no requests from this process now.
--- a/tests/fleet_dispatch.rs
+++ b/tests/fleet_dispatch.rs
@@ -529,6 +529,16 @@
     assert_eq!(find_stores(&dispatcher), before);
 }
 
+/// Guards against calls that began under an earlier configuration and are refused because
+/// the present one no longer names their service.
+#[test]
+fn choose_service_no_longer_named_serves_calls_that_have_begun() {
+    let mut dispatcher = dispatcher_with_engines(1);
+    dispatcher.set_services(["drafting"]);
+    dispatcher.set_services(["booking"]);
+    assert!(dispatcher.choose(&request(&prompt("a")), at(0)).is_ok());
+}
+
 /// Returns where a call to `i-1`, which serves the first version, fetches parts from
 /// 100 ms after the second version was named. The same parts are listed by `i-0`, whose
 /// agent has sent `report`.
