--- a/tests/http_client.rs
+++ b/tests/http_client.rs
@@ -3,11 +3,14 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bytes::Bytes;
 use http::Request;
+use rstest::rstest;
 use teaseldrum::http::Client;
 use teaseldrum::http::ClientError;
 use teaseldrum::http::ClientTimeouts;
 use teaseldrum::http::empty_body;
+use teaseldrum::http::full_body;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
@@ -98,3 +101,51 @@
     assert!(sent.is_ok(), "{sent:?}");
     assert_eq!(builds.get(), 1);
 }
+
+/// Starts a server that sends `response` once it has read a part of a request, and then
+/// ends its sending side.
+async fn start_half_closing_listener(response: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+    let address = listener.local_addr().expect("local address");
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        let mut buf = [0; 4096];
+        let _ = stream.read(&mut buf).await;
+        let _ = stream.write_all(response.as_bytes()).await;
+        let _ = stream.shutdown().await;
+        sleep(Duration::from_secs(30)).await;
+    });
+    address
+}
+
+/// Larger than all socket buffers.
+const UPLOAD_BYTES: usize = 24 * 1024 * 1024;
+
+/// Guards all roles against a part of a response that passes for a whole one, since the
+/// connection ends before the whole request was sent, and against a protocol that nobody
+/// asked for. A response without length to a request that was sent whole is complete.
+#[rstest]
+#[case::request_sent("HTTP/1.1 200 OK\r\n\r\nok", 2, true)]
+#[case::request_not_sent("HTTP/1.1 200 OK\r\n\r\nok", UPLOAD_BYTES, false)]
+#[case::length_stated("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok", UPLOAD_BYTES, true)]
+#[case::switched("HTTP/1.1 101 Switching Protocols\r\n\r\nok", 2, false)]
+#[tokio::test]
+async fn read_rest_response_before_end_of_request(
+    #[case] response: &'static str,
+    #[case] body_bytes: usize,
+    #[case] is_whole: bool,
+) {
+    let address = start_half_closing_listener(response).await;
+    let body = full_body(Bytes::from(vec![b'b'; body_bytes]));
+    let req = Request::post("/").header("host", "x").body(body);
+    let client = make_client();
+    let sent = client.send(address, req.expect("valid request")).await;
+    let result = match sent {
+        Ok(mut exchange) => exchange.read_rest(16).await,
+        Err(e) => Err(e),
+    };
+    match result {
+        Ok(body) => assert!(is_whole, "{body:?}"),
+        Err(e) => assert!(!is_whole && matches!(e, ClientError::Broken(_)), "{e:?}"),
+    }
+}
