Try a server less often each time that another one answers in its place

A server that is gone while its record stays, as during an outage of the store, was tried every 2 s by each entry since the mark on it ends. Each try takes from the retries of its service: 24 entries would take 120 in the 10 s for which 88 and a fifth of the requests are allowed. The period doubles up to 16 s until the record changes.

--- a/src/core/fleet/routing/backend_view.rs
+++ b/src/core/fleet/routing/backend_view.rs
@@ -14,6 +14,7 @@
 use super::ReportedLoad;
 use super::backend_load::BackendLoad;
 use super::part_table::PartTable;
+use super::record_use::MIN_REPLACED_PERIOD;
 use crate::core::MonotonicTime;
 use crate::core::WeightsVersion;
 use crate::core::fleet::Member;
@@ -116,6 +117,8 @@
     pub(super) is_superseded: bool,
     /// Until when it gets no calls since another server has answered at its address.
     pub(super) replaced_until: Option<MonotonicTime>,
+    /// Length of the next such period.
+    pub(super) replaced_period: Duration,
     /// Whether another server has answered at its address since the record last changed.
     pub(super) is_refuted: bool,
     /// Use of the record as last logged.
@@ -150,6 +153,7 @@
             has_known_service: true,
             is_superseded: false,
             replaced_until: None,
+            replaced_period: MIN_REPLACED_PERIOD,
             is_refuted: false,
             logged_use: RecordUse::Used,
             is_leaving: false,
@@ -187,6 +191,7 @@
             self.answer_gap = AnswerGap::default();
         }
         self.replaced_until = None;
+        self.replaced_period = MIN_REPLACED_PERIOD;
         self.is_refuted = false;
         self.member = member;
     }
--- a/src/core/fleet/routing/record_use.rs
+++ b/src/core/fleet/routing/record_use.rs
@@ -14,9 +14,11 @@
 use crate::core::MonotonicTime;
 use crate::core::ServerName;
 
-/// Time for which a server gets no calls after another one has answered at its address.
-/// The call that ends this period does not run if it reaches the other server again.
-const REPLACED_PERIOD: Duration = Duration::from_secs(2);
+/// Time for which a server gets no calls after another one has answered at its address;
+/// doubles up to [`MAX_REPLACED_PERIOD`] until its record changes. A call that reaches the
+/// other server again does not run, but takes from the retries of its service.
+pub(super) const MIN_REPLACED_PERIOD: Duration = Duration::from_secs(2);
+const MAX_REPLACED_PERIOD: Duration = Duration::from_secs(16);
 
 /// Whether a record names a server that is used.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -65,13 +67,14 @@
     }
 
     /// Records that another server has answered a call to this one. It gets no calls for
-    /// two seconds, or until its record changes, and its record supersedes no
-    /// other one until it changes.
+    /// some seconds, or until its record changes, and its record supersedes no other one
+    /// until it changes.
     pub fn mark_replaced(&mut self, key: BackendKey, now: MonotonicTime) {
         let Some(view) = self.backends.get_mut(key) else {
             return;
         };
-        view.replaced_until = Some(now + REPLACED_PERIOD);
+        view.replaced_until = Some(now + view.replaced_period);
+        view.replaced_period = (view.replaced_period * 2).min(MAX_REPLACED_PERIOD);
         view.is_refuted = true;
         let address = view.member.address;
         self.update_uses(address);
