Say once what a newcomer had to read twice

From the last reading of the change: the documentation of record_use, of the record's replacement, of FETCH_MARGIN and of a response that ends with its connection; a ping no longer counts as a peer; the log names what ended. No decision, bound or check is changed.

--- a/src/core/fleet/routing/backend_view.rs
+++ b/src/core/fleet/routing/backend_view.rs
@@ -119,7 +119,8 @@
     pub(super) replaced_until: Option<MonotonicTime>,
     /// Length of the next such period.
     pub(super) replaced_period: Duration,
-    /// Whether another server has answered at its address since the record last changed.
+    /// Whether another server has answered at its address since the record last changed,
+    /// also after the period in which it gets no calls.
     pub(super) is_refuted: bool,
     /// Use of the record as last logged.
     pub(super) logged_use: RecordUse,
@@ -175,10 +176,10 @@
         }
     }
 
-    /// Replaces the record, so that the server is tried again if it was replaced. A different start time means a restart: the agent
-    /// report, versions, cached and expected parts, speed and failure ratio of the
-    /// earlier run are dropped, and an exclusion by backoff ends. The load and
-    /// the length of the next backoff stay.
+    /// Replaces the record. What answers of another server have shown ends with the one
+    /// before. A different start time means a restart: the agent report, versions, cached
+    /// and expected parts, speed and failure ratio of the earlier run are dropped, and an
+    /// exclusion by backoff ends. The load and the length of the next backoff stay.
     pub(super) fn update(&mut self, member: Member) {
         if self.member.started_at_ms != member.started_at_ms {
             self.agent_report = None;
@@ -215,7 +216,7 @@
         self.is_in_service() && !is_backing_off && agent_allows && !self.is_paused(now)
     }
 
-    /// Returns whether the record names a server that is used.
+    /// Returns whether the record names a server that is used, or why it does not.
     pub fn record_use(&self) -> RecordUse {
         match self.replaced_until {
             _ if !self.has_known_service => RecordUse::UnknownService,
--- a/src/core/fleet/routing/fetch_plan.rs
+++ b/src/core/fleet/routing/fetch_plan.rs
@@ -16,8 +16,8 @@
 use crate::core::fleet::weights::FIRST_BATCH_DELAY;
 use crate::core::fleet::weights::VersionStatus;
 
-/// Minimum time between the predicted start of a fetch and the first order after which its
-/// source may hold parts of newer weights.
+/// Minimum time from the predicted start of a fetch to the next order to its source, after
+/// which parts of newer weights may appear there.
 const FETCH_MARGIN: Duration = Duration::from_millis(300);
 
 /// Namespace of cached parts, and the weights that its salt stands for.
--- a/src/core/fleet/weights/targets_confirmed.rs
+++ b/src/core/fleet/weights/targets_confirmed.rs
@@ -36,7 +36,7 @@
     /// Records that the store answers, so that a pending watch has delivered all changes.
     pub fn record_ping(&mut self, now: MonotonicTime) {
         if !self.is_lost {
-            self.record_peer(now);
+            self.confirm(now);
         }
     }
 
@@ -44,6 +44,10 @@
     /// peer that an entry hears may itself be behind, so this has no effect before the
     /// entry has read the records.
     pub fn record_peer(&mut self, now: MonotonicTime) {
+        self.confirm(now);
+    }
+
+    fn confirm(&mut self, now: MonotonicTime) {
         self.at = self.at.map(|_| now);
     }
 }
--- a/src/http/exchange.rs
+++ b/src/http/exchange.rs
@@ -33,7 +33,8 @@
     read_timeout: Duration,
     is_reusable: bool,
     has_reused_connection: bool,
-    /// Whether the response states no length, so that its body ends with the connection.
+    /// Whether the response has neither a length nor chunks, so that its body ends with the
+    /// connection.
     ends_with_connection: bool,
 }
 
@@ -45,10 +46,10 @@
         client: Client,
     ) -> Self {
         let (head, body) = response.into_parts();
-        let states_length = head.headers.contains_key(CONTENT_LENGTH)
+        let is_framed = head.headers.contains_key(CONTENT_LENGTH)
             || head.headers.contains_key(TRANSFER_ENCODING);
         Self {
-            ends_with_connection: !states_length && !body.is_end_stream(),
+            ends_with_connection: !is_framed && !body.is_end_stream(),
             status: head.status,
             headers: head.headers,
             body,
@@ -121,7 +122,9 @@
             };
             match frame {
                 None if self.is_cut() => {
-                    return Err(ClientError::Broken("answer ends within the request".into()));
+                    return Err(ClientError::Broken(
+                        "the response ended before the request was sent".into(),
+                    ));
                 }
                 None => {
                     self.return_connection();
