Add review case 11: a woken gateway has parts of newer weights fetched

Cause: a fetch is planned from the record in the store when no agent has reported for 1.5 s, and is allowed while the gateway knows of no newer version.

--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# A worker's entry is removed from the store; the store's revision counter stands at 2^40.
-# TROUBLE=0: the same, and the entry stays. BASE=NUMBER: another counter.
+# A gateway is stopped for three seconds (SIGSTOP, SIGCONT) while new weights are named.
+# TROUBLE=0: the same, and it is not stopped. KEEP=1 keeps the settings and logs.
 cd "$(dirname "$0")/../.."
-exec target/review-3/stand revision review/11
+exec target/review-3/stand frozen review/11
--- a/review/stand-3/main.rs
+++ b/review/stand-3/main.rs
@@ -3,7 +3,9 @@
 
 #![allow(dead_code)]
 
+mod case_frozen;
 mod case_revision;
+mod engine;
 mod http;
 mod json;
 mod process;
@@ -23,6 +25,7 @@
     };
     let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let result = match case.as_str() {
+        "frozen" => case_frozen::run(folder, has_trouble),
         "revision" => case_revision::run(folder, has_trouble),
         _ => Err(format!("unknown case {case}")),
     };
--- a/review/stand-3/settings.rs
+++ b/review/stand-3/settings.rs
@@ -48,3 +48,38 @@
         route("look", "idempotent", 2)
     )
 }
+
+impl GatewayAddresses {
+    pub fn free(ip: &str) -> Self {
+        use crate::process::free_address;
+        Self {
+            traffic: free_address(ip),
+            ready: free_address(ip),
+            control: free_address(ip),
+            metrics: free_address(ip),
+        }
+    }
+
+    pub fn is_ready(&self) -> bool {
+        let wait = std::time::Duration::from_secs(1);
+        let answer = crate::http::send(self.ready, "GET", "/ready", &[("Host", "x")], b"", wait);
+        answer.is_some_and(|answer| answer.status() == 200)
+    }
+}
+
+pub fn sidecar(name: &str, listen: SocketAddr, metrics: SocketAddr, engine: SocketAddr) -> String {
+    format!(
+        r#"{{"name": "{name}", "zone": "patan", "listen": "{listen}", "metrics": "{metrics}", "engine": "{engine}",
+  "version_ms": 12000,
+  "options": ["base","drain","config","cost","retry","recover","kvcache","stream","engine","tenants","quota","platform"],
+  "log": {{"level": "info", "format": "text"}}
+}}"#
+    )
+}
+
+/// Configuration with a streaming route to the model service `marking`.
+pub fn model_configuration(version: u64) -> String {
+    format!(
+        r#"{{"Version":{version},"Routes":[{{"Name":"label","Host":"desk.example","Prefix":"/label/","Kind":"streaming","TimeoutMs":15000,"TargetLatencyMs":1000,"Priority":0,"Service":"marking","MaxAttempts":1,"Public":false,"Sticky":true,"Resumable":false,"GapAimMs":400}}],"Services":[{{"Name":"marking","HealthPath":"/healthz","MaxConnections":460,"Protocol":"h1","Tls":false,"Engine":{{"Slots":64,"KvCapacityTokens":220962,"KvTokenBytes":18432,"LinkMbps":550000.0,"Moves":true,"Backups":true,"Stride":6,"MaxConcurrency":12,"PinMs":4000.0,"HoldMs":2000.0,"handle_s":5.0,"Models":[{{"Name":"m"}}]}}}}],"Limits":{{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}},"Tenants":[{{"Name":"desk","ApiKeys":["key-desk"],"Priority":1,"Unit":"tokens","UncachedTokens":200,"Isolated":false,"RatePerS":0,"Burst":0}}]}}"#
+    )
+}
