--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -309,6 +309,7 @@
         .ports
         .dialect
         .read_response(exchange.status(), exchange.headers());
+    log_unusual_response(call, &choice, &metadata, &exchange);
     if metadata.call_id.is_none() {
         exchange.forbid_reuse();
     }
@@ -379,6 +380,42 @@
     }
 }
 
+/// Logs a response that may be taken for a promise that the call did not run, or that
+/// names another call.
+fn log_unusual_response(
+    call: &Call,
+    choice: &BackendChoice,
+    metadata: &ResponseMetadata,
+    exchange: &Exchange,
+) {
+    let names_call = metadata.call_id.as_ref() == Some(&call.head.id);
+    let status = exchange.status();
+    if names_call && !metadata.is_not_run && !status_promises_not_run(status) {
+        return;
+    }
+    log::info!(
+        "call: rejected id={} server={} connection={} is_reused={} status={} names_call={names_call} says_not_run={} has_seal={}",
+        call.id_text(),
+        choice.name,
+        exchange.connection_number().unwrap_or_default(),
+        exchange.has_reused_connection(),
+        status.as_u16(),
+        metadata.is_not_run,
+        metadata.has_seal,
+    );
+}
+
+/// Returns whether a status promises the caller that the call has not run and will not.
+fn status_promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 /// Records the time of a successful response. Failures are often faster or slower than
 /// the work would have been.
 fn record_full_response(
--- a/src/http/client_connection.rs
+++ b/src/http/client_connection.rs
@@ -4,6 +4,7 @@
 use std::future::poll_fn;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::sync::atomic::fence;
 use std::time::Duration;
@@ -23,6 +24,9 @@
 /// Maximum size of the head of a response, in bytes.
 const MAX_HEAD_BYTES: usize = 128 * 1024;
 
+/// Number of connections that this process has opened.
+static OPENED: AtomicU64 = AtomicU64::new(0);
+
 /// Connection over which one request at a time is sent.
 ///
 /// If it ends between [`Self::begin_request`] and [`Self::end_request`], it is reset:
@@ -32,6 +36,8 @@
 pub(super) struct ClientConnection {
     /// Sends requests; hyper's side of the connection runs in a task of its own.
     pub sender: SendRequest<HttpBody>,
+    /// Number of the connection in this process, for logs.
+    number: u64,
     has_request: Arc<AtomicBool>,
     /// Has clones as long as parts of a request body are not sent.
     unsent: Arc<()>,
@@ -77,6 +83,7 @@
         });
         Ok(Self {
             sender,
+            number: OPENED.fetch_add(1, Ordering::Relaxed),
             has_request,
             unsent,
             is_cut,
@@ -90,6 +97,11 @@
         req.map(|body| SentBody::new(body, Arc::clone(&self.unsent)).boxed_unsync())
     }
 
+    /// Returns the number of the connection in this process.
+    pub fn number(&self) -> u64 {
+        self.number
+    }
+
     /// Returns whether the whole request was sent.
     pub fn is_request_sent(&self) -> bool {
         let has_unsent_parts = Arc::strong_count(&self.unsent) > 1;
--- a/src/http/exchange.rs
+++ b/src/http/exchange.rs
@@ -74,6 +74,12 @@
         self.has_reused_connection
     }
 
+    /// Returns the number of the connection in this process, for logs; `None` after the
+    /// end of the body.
+    pub fn connection_number(&self) -> Option<u64> {
+        self.connection.as_ref().map(ClientConnection::number)
+    }
+
     /// Returns the status of the response.
     pub fn status(&self) -> StatusCode {
         self.status
