Send a call over no connection that has carried it before

Cause: a response counted as a call's if it named the call. After a refusal the call may be sent again, over the connection of the refusal, which went back to the pool. A late copy of the refusal names the call as well, so the name alone does not tell which of its sends a response belongs to.

Change: the client decides by what ties a response to its request. A named request goes only over connections that have not carried that name, a request that nothing identifies over one of its own. A connection is used again only once the receiver has said that the response is its own. What has arrived before the first byte of a request is written, read by the runtime or not, is no response to it: the request goes over another connection. With that, name and connection together identify a send.

Entries use a connection for each attempt for now.

Without the check before the write, send_named_input_before_request_is_not_its_response fails.

--- a/lab/src/bench/overhead.rs
+++ b/lab/src/bench/overhead.rs
@@ -8,6 +8,7 @@
 use std::thread;
 use std::time::Duration;
 
+use bytes::Bytes;
 use hdrhistogram::Histogram;
 use http::Request;
 use serde_json::Value;
@@ -16,7 +17,6 @@
 use teaseldrum::http::Client;
 use teaseldrum::http::ClientTimeouts;
 use teaseldrum::http::EventStream;
-use teaseldrum::http::HttpBody;
 use teaseldrum::http::full_body;
 use teaseldrum::threads::build_runtime;
 use tokio::sync::watch;
@@ -142,14 +142,14 @@
     })
 }
 
-fn make_request(address: SocketAddr, max_tokens: u64) -> Request<HttpBody> {
+fn make_request(address: SocketAddr, max_tokens: u64) -> Request<Bytes> {
     let body =
         json!({"prompt": "x".repeat(PROMPT_BYTES), "stream": true, "max_tokens": max_tokens});
     Request::post("/v1/completions")
         .header("host", address.to_string())
         .header("authorization", format!("Bearer {API_KEY}"))
         .header("content-type", "application/json")
-        .body(full_body(body.to_string()))
+        .body(body.to_string().into())
         .expect("valid request")
 }
 
@@ -175,8 +175,8 @@
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     for number in 0..WARM_UP_REQUESTS + MEASURED_REQUESTS {
         ticks.tick().await;
-        let direct = measure_first_event(&client, engine).await;
-        let via_entry = measure_first_event(&client, entry).await;
+        let direct = measure_first_event(&client, engine, number).await;
+        let via_entry = measure_first_event(&client, entry, number).await;
         if number >= WARM_UP_REQUESTS {
             times.direct.saturating_record(direct);
             times.via_entry.saturating_record(via_entry);
@@ -187,10 +187,15 @@
 
 /// Sends one request, reads its stream to the end and returns the time to the
 /// first event in microseconds.
-async fn measure_first_event(client: &Client, address: SocketAddr) -> u64 {
+async fn measure_first_event(client: &Client, address: SocketAddr, number: u64) -> u64 {
+    let name = number.to_ne_bytes();
     let req = make_request(address, 1);
+    let build = || req.clone().map(full_body);
     let started_at = now_micros();
-    let exchange = client.send(address, req).await.expect("response arrives");
+    let sent = client.send_named(address, &name, build).await;
+    let mut exchange = sent.expect("response arrives");
+    // Neither side sends a response twice.
+    exchange.allow_reuse();
     let mut events = EventStream::new(exchange);
     events
         .next()
@@ -269,7 +274,7 @@
 
 async fn read_stream(client: Client, entry: SocketAddr, lags: Arc<Mutex<EventLags>>) {
     let req = make_request(entry, OPEN_STREAM_EVENTS);
-    let exchange = client.send(entry, req).await;
+    let exchange = client.send(entry, req.map(full_body)).await;
     let mut events = EventStream::new(exchange.expect("response arrives"));
     let mut is_first = true;
     while let Some(event) = events.next().await.expect("stream is readable") {
--- a/src/agent/canceller.rs
+++ b/src/agent/canceller.rs
@@ -70,9 +70,9 @@
         let Ok(request) = request else {
             return;
         };
-        match self.client.send_on_new_connection(address, request).await {
+        match self.client.send(address, request).await {
             Ok(mut exchange) => {
-                // Reading the rest allows the connection to be reused.
+                // Closing the connection earlier could end the cancellation.
                 let _ = exchange.read_rest(MAX_RESPONSE_BYTES).await;
             }
             Err(e) => log::warn!("agent: Request not cancelled: {e}."),
--- a/src/agent/engine_stream.rs
+++ b/src/agent/engine_stream.rs
@@ -138,7 +138,7 @@
         let last_number = self.next_number.saturating_sub(1);
         let request = build_resume_request(&self.attempt_id, last_number, &address.to_string());
         let request = request.ok_or("cannot build the resume request")?;
-        let sent = self.client.send_on_new_connection(address, request).await;
+        let sent = self.client.send(address, request).await;
         let exchange = sent.map_err(|e| e.to_string())?;
         if exchange.status() != StatusCode::OK {
             return Err(format!(
--- a/src/agent/order_reconciler.rs
+++ b/src/agent/order_reconciler.rs
@@ -244,11 +244,7 @@
             .header(CONTENT_TYPE, "application/json")
             .body(full_body(serde_json::to_vec(&body).ok()?))
             .ok()?;
-        let mut exchange = self
-            .client
-            .send_on_new_connection(address, request)
-            .await
-            .ok()?;
+        let mut exchange = self.client.send(address, request).await.ok()?;
         let status = exchange.status();
         exchange.read_rest(MAX_RESPONSE_BYTES).await.ok()?;
         Some(status)
--- a/src/agent/server_call.rs
+++ b/src/agent/server_call.rs
@@ -118,9 +118,7 @@
             return writer.send(&failed).await;
         };
         let response_timeout = Duration::from_millis(self.envelope.deadline_ms) + RESPONSE_MARGIN;
-        let sent = self
-            .client
-            .send_on_new_connection(self.cx.settings.server, server_request);
+        let sent = self.client.send(self.cx.settings.server, server_request);
         let sent = writer
             .send_heartbeats_during(timeout(response_timeout, sent))
             .await?;
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -69,9 +69,7 @@
     pub frames: FrameReader,
 }
 
-/// Sends one attempt and waits for the head of its response. Only the first
-/// attempt of an idempotent request uses a pooled connection; retries,
-/// resumptions and at-most-once requests open a new one.
+/// Sends one attempt and waits for the head of its response.
 ///
 /// # Errors
 ///
@@ -84,12 +82,7 @@
     req: &CallerRequest,
 ) -> Result<AgentResponse, AttemptError> {
     let message = build_message(envelope, req)?;
-    let is_first_attempt = envelope.attempt == 1 && envelope.resume_after.is_none();
-    let response = if is_first_attempt && !envelope.once {
-        client.send(server.address, message).await
-    } else {
-        client.send_on_new_connection(server.address, message).await
-    };
+    let response = client.send(server.address, message).await;
     let response = response.map_err(classify_client_error)?;
     if response.status() != StatusCode::OK {
         let reason = format!("agent responded with {}", response.status());
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -291,7 +291,7 @@
     let choice = in_flight.choice().clone();
     let sent_at = in_flight.sent_at;
     let build = || build_forward_request(cx, call, &choice, last_event_id);
-    let send = cx.client.send_built(choice.address, build);
+    let send = cx.client.send_named(choice.address, &call.head.id, build);
     let sent = wait_while_alive(cx, choice.key, may_run_again, call.deadline, send).await;
     let mut exchange = match sent {
         None => return AttemptOutcome::Unknown("silent"),
@@ -310,9 +310,6 @@
         .dialect
         .read_response(exchange.status(), exchange.headers());
     log_unusual_response(call, &choice, &metadata, &exchange);
-    if metadata.call_id.is_none() {
-        exchange.forbid_reuse();
-    }
     if let Some(pause) = metadata.pause {
         record_pause(cx, &choice, pause);
     }
@@ -325,6 +322,9 @@
     if let Some(problem) = find_response_mismatch(call, &metadata, &exchange) {
         return AttemptOutcome::Unknown(problem);
     }
+    if metadata.call_id.is_some() {
+        exchange.allow_reuse();
+    }
     // A rejection may come from a part of the server that does not know of the limit.
     if metadata.calls_per_s.is_none() && !metadata.is_not_run {
         record_limit(cx, &choice, None, sent_at);
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -3,6 +3,8 @@
 
 use std::collections::HashMap;
 use std::fmt;
+use std::hash::BuildHasher;
+use std::hash::RandomState;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -24,7 +26,7 @@
 use super::client_connection::ClientConnection;
 use super::set_socket_options;
 
-/// Idle connections kept for one address. Beyond that, the one that went
+/// Idle connections kept for one address and use. Beyond that, the one that went
 /// back to the pool earliest is closed.
 const MAX_IDLE_PER_ADDRESS: usize = 64;
 
@@ -54,14 +56,32 @@
     pub idle: Duration,
 }
 
-/// Sends requests and reuses idle connections. A connection is returned to the
-/// pool only after the body of its response was read to its end. Cheap to clone;
-/// all clones share the pool and must be used on one runtime.
+/// Sends requests. What ties a response to its request decides over which connection a
+/// request goes, since a server may send a response once more, when another one is due:
+///
+/// - Nothing: [`Self::send`] opens a connection for this one exchange.
+/// - Its name, which the server repeats: [`Self::send_named`] uses a connection again, but
+///   not for the same name.
+/// - Its content: [`Self::poll`] uses a connection again for the same question only.
+///
+/// The last two return a connection to the pool once the receiver of the response has told
+/// that it belongs to the request ([`Exchange::allow_reuse`]) and its body was read to its
+/// end. Cheap to clone; all clones share the pool and must be used on one runtime.
 #[derive(Clone)]
 pub struct Client {
     timeouts: Arc<ClientTimeouts>,
     receive_buffer_bytes: Option<u32>,
-    idle_connections: Arc<Mutex<HashMap<SocketAddr, Vec<IdleConnection>>>>,
+    name_hasher: RandomState,
+    idle_connections: Arc<Mutex<HashMap<PoolKey, Vec<IdleConnection>>>>,
+}
+
+/// Connections that may carry each other's requests: those to one address for one use.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub(super) struct PoolKey {
+    /// Address of the server.
+    pub address: SocketAddr,
+    /// Question that is asked over the connections; `None` for named requests.
+    pub topic: Option<&'static str>,
 }
 
 /// Pooled connection and the time from which it is not reused any more.
@@ -76,6 +96,7 @@
         Self {
             timeouts: Arc::new(timeouts),
             receive_buffer_bytes: None,
+            name_hasher: RandomState::new(),
             idle_connections: Arc::default(),
         }
     }
@@ -90,9 +111,8 @@
         }
     }
 
-    /// Sends a request over an idle connection if there is one, else over a new
-    /// one, and waits for the head of its response. If the returned future is dropped,
-    /// the connection is reset.
+    /// Sends a request over a connection of its own and waits for the head of its
+    /// response. If the returned future is dropped, the connection is reset.
     ///
     /// # Errors
     ///
@@ -104,65 +124,86 @@
         address: SocketAddr,
         req: Request<HttpBody>,
     ) -> Result<Exchange, ClientError> {
-        let mut req = req;
-        while let Some(connection) = self.take_idle_connection(address) {
-            match self.send_on_connection(connection, address, req).await? {
-                SendOutcome::Responded(exchange) => return Ok(exchange),
-                SendOutcome::Unsent(unsent) => req = unsent,
-            }
-        }
-        self.send_on_new_connection(address, req).await
+        let connection = self.connect(address).await?;
+        let key = PoolKey {
+            address,
+            topic: None,
+        };
+        self.send_on_connection(connection, key, None, req).await
     }
 
-    /// Sends a request like [`Self::send`], but builds it only once a connection is
-    /// there, so that times in it are those of the send.
+    /// Sends a request whose responses bear `name`, over an idle connection that has not
+    /// carried that name, or a new one. It is built only once a connection is there, so
+    /// that times in it are those of the send. The receiver compares the name.
     ///
     /// # Errors
     ///
     /// As for [`Self::send`].
-    pub async fn send_built(
+    pub async fn send_named(
         &self,
         address: SocketAddr,
+        name: &[u8],
         build: impl Fn() -> Request<HttpBody>,
     ) -> Result<Exchange, ClientError> {
-        while let Some(connection) = self.take_idle_connection(address) {
-            let outcome = self.send_on_connection(connection, address, build());
-            if let SendOutcome::Responded(exchange) = outcome.await? {
-                return Ok(exchange.on_reused_connection());
-            }
-        }
-        let connection = self.connect(address).await?;
-        let outcome = self.send_on_connection(connection, address, build());
-        outcome.await?.into_exchange()
+        let key = PoolKey {
+            address,
+            topic: None,
+        };
+        let name_hash = self.name_hasher.hash_one(name);
+        self.send_pooled(key, Some(name_hash), build).await
     }
 
-    /// Sends a request over a new connection. An idle one may have failed
-    /// unnoticed.
+    /// Asks for the present state of something, over a connection on which nothing but
+    /// `topic` is asked. A response too many is an older state then. The receiver compares
+    /// it with what it knows, such as by [`Exchange::advance_state`].
     ///
     /// # Errors
     ///
     /// As for [`Self::send`].
-    pub async fn send_on_new_connection(
+    pub async fn poll(
         &self,
         address: SocketAddr,
-        req: Request<HttpBody>,
+        topic: &'static str,
+        build: impl Fn() -> Request<HttpBody>,
     ) -> Result<Exchange, ClientError> {
-        let connection = self.connect(address).await?;
-        let outcome = self.send_on_connection(connection, address, req);
-        outcome.await?.into_exchange()
+        let key = PoolKey {
+            address,
+            topic: Some(topic),
+        };
+        self.send_pooled(key, None, build).await
+    }
+
+    async fn send_pooled(
+        &self,
+        key: PoolKey,
+        name_hash: Option<u64>,
+        build: impl Fn() -> Request<HttpBody>,
+    ) -> Result<Exchange, ClientError> {
+        while let Some(connection) = self.take_idle_connection(key, name_hash) {
+            let sent = self.send_on_connection(connection, key, name_hash, build());
+            match sent.await {
+                // The server has closed the connection, or sent what nobody asked for.
+                Err(ClientError::NotSent(_)) => {}
+                result => return result,
+            }
+        }
+        let connection = self.connect(key.address).await?;
+        self.send_on_connection(connection, key, name_hash, build())
+            .await
     }
 
     async fn send_on_connection(
         &self,
         mut connection: ClientConnection,
-        address: SocketAddr,
+        key: PoolKey,
+        name_hash: Option<u64>,
         req: Request<HttpBody>,
-    ) -> Result<SendOutcome, ClientError> {
-        let req = connection.begin_request(req);
+    ) -> Result<Exchange, ClientError> {
+        let req = connection.begin_request(req, name_hash);
         let sent = connection.sender.try_send_request(req);
         let result = timeout(self.timeouts.head, sent).await;
         let Ok(result) = result else {
-            self.drop_idle_connections(address);
+            self.drop_idle_connections(key.address);
             return Err(ClientError::TimedOut);
         };
         match result {
@@ -170,16 +211,16 @@
             Ok(response) if response.status() == StatusCode::SWITCHING_PROTOCOLS => Err(
                 ClientError::Broken("the server switches to another protocol".into()),
             ),
-            Ok(response) => Ok(SendOutcome::Responded(Exchange::new(
-                response,
-                connection,
-                address,
-                self.clone(),
-            ))),
-            Err(mut e) => match e.take_message() {
-                Some(unsent) => Ok(SendOutcome::Unsent(unsent)),
-                None => Err(ClientError::Broken(e.into_error().to_string())),
-            },
+            Ok(response) => Ok(Exchange::new(response, connection, key, self.clone())),
+            Err(mut e) => {
+                let is_unsent = e.take_message().is_some() || connection.is_request_unwritten();
+                let reason = e.into_error().to_string();
+                Err(if is_unsent {
+                    ClientError::NotSent(reason)
+                } else {
+                    ClientError::Broken(reason)
+                })
+            }
         }
     }
 
@@ -208,35 +249,41 @@
         socket.connect(address).await
     }
 
-    fn take_idle_connection(&self, address: SocketAddr) -> Option<ClientConnection> {
+    /// Takes the connection that was returned last of those that may carry the request.
+    fn take_idle_connection(
+        &self,
+        key: PoolKey,
+        name_hash: Option<u64>,
+    ) -> Option<ClientConnection> {
         let mut idle_connections = self.lock_idle_connections();
-        let address_connections = idle_connections.get_mut(&address)?;
-        while let Some(idle) = address_connections.pop() {
-            let is_unexpired = Instant::now() < idle.expires_at;
-            if is_unexpired && idle.connection.sender.is_ready() {
-                return Some(idle.connection);
-            }
+        let connections = idle_connections.get_mut(&key)?;
+        let now = Instant::now();
+        connections.retain(|idle| now < idle.expires_at && idle.connection.sender.is_ready());
+        let may_carry = |idle: &IdleConnection| idle.connection.history().allows(name_hash);
+        let index = connections.iter().rposition(may_carry);
+        let taken = index.map(|index| connections.remove(index).connection);
+        if connections.is_empty() {
+            idle_connections.remove(&key);
         }
-        idle_connections.remove(&address);
-        None
+        taken
     }
 
     /// Returns a connection to the pool after its last response was read to the
     /// end. `server_idle_time` is the keep-alive timeout that the server stated.
     pub(super) fn return_connection(
         &self,
-        address: SocketAddr,
+        key: PoolKey,
         connection: ClientConnection,
         server_idle_time: Option<Duration>,
     ) {
         let usable_idle_time = server_idle_time.map(|idle| idle.mul_f64(USABLE_IDLE_FRACTION));
         let idle_time = usable_idle_time.map_or(self.timeouts.idle, |idle| idle.min(MAX_IDLE_TIME));
         let mut idle_connections = self.lock_idle_connections();
-        let address_connections = idle_connections.entry(address).or_default();
-        if address_connections.len() >= MAX_IDLE_PER_ADDRESS {
-            address_connections.remove(0);
+        let connections = idle_connections.entry(key).or_default();
+        if connections.len() >= MAX_IDLE_PER_ADDRESS {
+            connections.remove(0);
         }
-        address_connections.push(IdleConnection {
+        connections.push(IdleConnection {
             connection,
             expires_at: Instant::now() + idle_time,
         });
@@ -245,7 +292,8 @@
     /// Drops all idle connections to an address after one timed out, since the
     /// same fault may affect all of them.
     pub(super) fn drop_idle_connections(&self, address: SocketAddr) {
-        self.lock_idle_connections().remove(&address);
+        self.lock_idle_connections()
+            .retain(|key, _| key.address != address);
     }
 
     /// Returns the default timeout between two chunks of a response body.
@@ -253,7 +301,7 @@
         self.timeouts.read
     }
 
-    fn lock_idle_connections(&self) -> MutexGuard<'_, HashMap<SocketAddr, Vec<IdleConnection>>> {
+    fn lock_idle_connections(&self) -> MutexGuard<'_, HashMap<PoolKey, Vec<IdleConnection>>> {
         self.idle_connections
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
@@ -267,20 +315,3 @@
             .finish_non_exhaustive()
     }
 }
-
-/// Result of sending over a connection that may have been closed meanwhile.
-enum SendOutcome {
-    /// The head of the response arrived.
-    Responded(Exchange),
-    /// The connection was closed; no byte of the request was sent over it.
-    Unsent(Request<HttpBody>),
-}
-
-impl SendOutcome {
-    fn into_exchange(self) -> Result<Exchange, ClientError> {
-        match self {
-            Self::Responded(exchange) => Ok(exchange),
-            Self::Unsent(_) => Err(ClientError::NotSent("connection closed".into())),
-        }
-    }
-}
--- a/src/http/client_connection.rs
+++ b/src/http/client_connection.rs
@@ -19,6 +19,8 @@
 use tokio::sync::Notify;
 
 use super::HttpBody;
+use super::checked_stream::CheckedStream;
+use super::connection_history::ConnectionHistory;
 use super::sent_body::SentBody;
 
 /// Maximum size of the head of a response, in bytes.
@@ -38,7 +40,10 @@
     pub sender: SendRequest<HttpBody>,
     /// Number of the connection in this process, for logs.
     number: u64,
+    history: ConnectionHistory,
     has_request: Arc<AtomicBool>,
+    /// Whether no byte of the current request was written.
+    is_unwritten: Arc<AtomicBool>,
     /// Has clones as long as parts of a request body are not sent.
     unsent: Arc<()>,
     /// Whether the connection ended before the whole request was sent.
@@ -62,6 +67,8 @@
         let unsent_at_end = Arc::downgrade(&unsent);
         let is_cut = Arc::new(AtomicBool::new(false));
         let is_cut_at_end = Arc::clone(&is_cut);
+        let is_unwritten = Arc::new(AtomicBool::new(true));
+        let stream = CheckedStream::new(stream, Arc::clone(&is_unwritten));
         let (sender, mut connection) = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
             .handshake(TokioIo::new(stream))
@@ -78,22 +85,31 @@
             // Before the connection is dropped with what it has not sent.
             is_cut_at_end.store(unsent_at_end.strong_count() > 1, Ordering::SeqCst);
             if has_running_request.load(Ordering::Acquire) {
-                reset_at_close(&connection.into_parts().io.into_inner());
+                reset_at_close(connection.into_parts().io.inner().inner());
             }
         });
         Ok(Self {
             sender,
             number: OPENED.fetch_add(1, Ordering::Relaxed),
+            history: ConnectionHistory::default(),
             has_request,
+            is_unwritten,
             unsent,
             is_cut,
             given_up,
         })
     }
 
-    /// Marks that `req` is about to be sent, and returns it for that.
-    pub fn begin_request(&self, req: Request<HttpBody>) -> Request<HttpBody> {
+    /// Marks that `req` is about to be sent, and returns it for that. Its responses bear a
+    /// name with the hash `name_hash`, or none.
+    pub fn begin_request(
+        &mut self,
+        req: Request<HttpBody>,
+        name_hash: Option<u64>,
+    ) -> Request<HttpBody> {
+        self.history.record_request(name_hash);
         self.has_request.store(true, Ordering::Release);
+        self.is_unwritten.store(true, Ordering::Release);
         req.map(|body| SentBody::new(body, Arc::clone(&self.unsent)).boxed_unsync())
     }
 
@@ -102,6 +118,22 @@
         self.number
     }
 
+    /// Returns the requests that the connection has carried.
+    pub fn history(&self) -> &ConnectionHistory {
+        &self.history
+    }
+
+    /// Records the number of the state that a response states, as
+    /// [`ConnectionHistory::advance_state`] does.
+    pub fn advance_state(&mut self, number: u64) -> bool {
+        self.history.advance_state(number)
+    }
+
+    /// Returns whether no byte of the current request was written.
+    pub fn is_request_unwritten(&self) -> bool {
+        self.is_unwritten.load(Ordering::Acquire)
+    }
+
     /// Returns whether the whole request was sent.
     pub fn is_request_sent(&self) -> bool {
         let has_unsent_parts = Arc::strong_count(&self.unsent) > 1;
--- a/src/http/exchange.rs
+++ b/src/http/exchange.rs
@@ -2,7 +2,6 @@
 //! connection to the client's pool.
 
 use std::fmt;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -19,6 +18,7 @@
 use super::ByteReservation;
 use super::Client;
 use super::ClientError;
+use super::client::PoolKey;
 use super::client_connection::ClientConnection;
 
 /// A request whose response head has arrived. Dropping it before the end of the
@@ -28,11 +28,13 @@
     headers: HeaderMap,
     body: Incoming,
     connection: Option<ClientConnection>,
-    address: SocketAddr,
+    key: PoolKey,
     client: Client,
     read_timeout: Duration,
+    /// Whether the response is known to belong to the request.
     is_reusable: bool,
-    has_reused_connection: bool,
+    /// Whether the body was read to its end.
+    is_read: bool,
     /// Whether the response has neither a length nor chunks, so that its body ends with the
     /// connection.
     ends_with_connection: bool,
@@ -42,7 +44,7 @@
     pub(super) fn new(
         response: Response<Incoming>,
         connection: ClientConnection,
-        address: SocketAddr,
+        key: PoolKey,
         client: Client,
     ) -> Self {
         let (head, body) = response.into_parts();
@@ -54,24 +56,19 @@
             headers: head.headers,
             body,
             connection: Some(connection),
-            address,
+            key,
             read_timeout: client.read_timeout(),
             client,
-            is_reusable: true,
-            has_reused_connection: false,
+            is_reusable: false,
+            is_read: false,
         }
     }
 
-    /// Marks the connection as one that has carried other requests before.
-    pub(super) fn on_reused_connection(mut self) -> Self {
-        self.has_reused_connection = true;
-        self
-    }
-
     /// Returns whether the connection has carried other requests before, so that the
     /// response may be a late one to them.
     pub fn has_reused_connection(&self) -> bool {
-        self.has_reused_connection
+        let connection = self.connection.as_ref();
+        connection.is_some_and(|connection| connection.history().requests() > 1)
     }
 
     /// Returns the number of the connection in this process, for logs; `None` after the
@@ -90,11 +87,21 @@
         &self.headers
     }
 
-    /// Closes the connection after this response instead of using it again. If a second
-    /// copy of a response that names no request arrived late, it would be taken for the
-    /// response to the next request.
-    pub fn forbid_reuse(&mut self) {
-        self.is_reusable = false;
+    /// Tells that the response belongs to the request, so that other requests may go over
+    /// the connection. Without that, it is closed: the own response may still come, and
+    /// would be taken for that to the next request.
+    pub fn allow_reuse(&mut self) {
+        self.is_reusable = true;
+        if self.is_read {
+            self.return_connection();
+        }
+    }
+
+    /// Records the number of the state that the response states. Returns false if the
+    /// connection has brought a newer state before, so that the response is a late one.
+    pub fn advance_state(&mut self, number: u64) -> bool {
+        let connection = self.connection.as_mut();
+        connection.is_none_or(|connection| connection.advance_state(number))
     }
 
     /// Sets the timeout between two chunks of the body.
@@ -114,7 +121,7 @@
     }
 
     /// Waits for the next chunk of the body. Returns `None` at its end, and then
-    /// the connection can be reused.
+    /// the connection can be reused if [`Self::allow_reuse`] was called.
     ///
     /// # Errors
     ///
@@ -123,7 +130,7 @@
     pub async fn next_chunk(&mut self) -> Result<Option<Bytes>, ClientError> {
         loop {
             let Ok(frame) = timeout(self.read_timeout, self.body.frame()).await else {
-                self.client.drop_idle_connections(self.address);
+                self.client.drop_idle_connections(self.key.address);
                 return Err(ClientError::TimedOut);
             };
             match frame {
@@ -133,7 +140,7 @@
                     ));
                 }
                 None => {
-                    self.return_connection();
+                    self.end_request();
                     return Ok(None);
                 }
                 Some(Err(e)) => return Err(ClientError::Broken(e.to_string())),
@@ -198,21 +205,27 @@
         self.ends_with_connection && !is_request_sent
     }
 
+    fn end_request(&mut self) {
+        self.is_read = true;
+        // The server has answered early. The rest of the request would be held until
+        // it reads on, and nothing else can be sent before.
+        let is_early = |connection: &mut ClientConnection| !connection.is_request_sent();
+        if let Some(connection) = self.connection.take_if(is_early) {
+            connection.give_up();
+        }
+        if let Some(connection) = &self.connection {
+            connection.end_request();
+        }
+        if self.is_reusable {
+            self.return_connection();
+        }
+    }
+
     fn return_connection(&mut self) {
         if let Some(connection) = self.connection.take() {
-            // The server has answered early. The rest of the request would be held until
-            // it reads on, and nothing else can be sent before.
-            if !connection.is_request_sent() {
-                connection.give_up();
-                return;
-            }
-            connection.end_request();
-            if !self.is_reusable {
-                return;
-            }
             let server_idle_time = parse_keep_alive_timeout(&self.headers);
             self.client
-                .return_connection(self.address, connection, server_idle_time);
+                .return_connection(self.key, connection, server_idle_time);
         }
     }
 }
@@ -231,7 +244,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("Exchange")
             .field("status", &self.status)
-            .field("address", &self.address)
+            .field("address", &self.key.address)
             .finish_non_exhaustive()
     }
 }
--- a/tests/http_client.rs
+++ b/tests/http_client.rs
@@ -1,6 +1,9 @@
-//! Tests the HTTP client against a server whose connections stall.
+//! Tests the HTTP client against servers whose connections stall or bring late responses.
 
+use std::io::Read;
+use std::io::Write;
 use std::net::SocketAddr;
+use std::thread;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -9,6 +12,8 @@
 use teaseldrum::http::Client;
 use teaseldrum::http::ClientError;
 use teaseldrum::http::ClientTimeouts;
+use teaseldrum::http::Exchange;
+use teaseldrum::http::HttpBody;
 use teaseldrum::http::empty_body;
 use teaseldrum::http::full_body;
 use tokio::io::AsyncReadExt;
@@ -53,12 +58,14 @@
     })
 }
 
-async fn send_get(client: &Client, address: SocketAddr) -> Result<(), ClientError> {
-    let req = Request::get("/")
-        .header("host", "x")
-        .body(empty_body())
-        .expect("valid request");
-    let mut exchange = client.send(address, req).await?;
+fn build_get() -> Request<HttpBody> {
+    let req = Request::get("/").header("host", "x").body(empty_body());
+    req.expect("valid request")
+}
+
+async fn send_get(client: &Client, address: SocketAddr, name: u8) -> Result<(), ClientError> {
+    let mut exchange = client.send_named(address, &[name], build_get).await?;
+    exchange.allow_reuse();
     exchange.read_rest(16).await.map(|_| ())
 }
 
@@ -69,35 +76,34 @@
 async fn send_after_idle_connections_stalled() {
     let address = start_listener().await;
     let client = make_client();
-    let requests: Vec<_> = (0..4).map(|_| send_get(&client, address)).collect();
+    let requests: Vec<_> = (0..4)
+        .map(|name| send_get(&client, address, name))
+        .collect();
     for result in futures::future::join_all(requests).await {
         assert_eq!(result, Ok(()));
     }
-    assert_eq!(send_get(&client, address).await, Err(ClientError::TimedOut));
-    assert_eq!(send_get(&client, address).await, Ok(()));
+    let timed_out = send_get(&client, address, 4).await;
+    assert_eq!(timed_out, Err(ClientError::TimedOut));
+    assert_eq!(send_get(&client, address, 5).await, Ok(()));
 }
 
 /// A request is built only for a connection that is there: what it says of the time
 /// left holds when it is sent.
 #[tokio::test]
-async fn send_built_unreachable_builds_nothing() {
+async fn send_named_unreachable_builds_nothing() {
     let refused = TcpListener::bind("127.0.0.1:0").await.expect("bind");
     let address = refused.local_addr().expect("local address");
     drop(refused);
     let builds = std::cell::Cell::new(0);
     let build = || {
         builds.set(builds.get() + 1);
-        Request::get("/")
-            .header("host", "x")
-            .body(empty_body())
-            .expect("valid request")
+        build_get()
     };
-    let result = make_client().send_built(address, build).await;
+    let result = make_client().send_named(address, b"n", build).await;
     assert!(matches!(result, Err(ClientError::Connect(_))), "{result:?}");
     assert_eq!(builds.get(), 0);
-    let sent = make_client()
-        .send_built(start_listener().await, build)
-        .await;
+    let address = start_listener().await;
+    let sent = make_client().send_named(address, b"n", build).await;
     assert!(sent.is_ok(), "{sent:?}");
     assert_eq!(builds.get(), 1);
 }
@@ -149,3 +155,80 @@
         Err(e) => assert!(!is_whole && matches!(e, ClientError::Broken(_)), "{e:?}"),
     }
 }
+
+/// Starts a server on a thread that responds with the number of the connection, from 1,
+/// and sends `extra` once, 20 ms after its first response.
+fn start_numbering_listener(extra: &'static [u8]) -> SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("bind");
+    let address = listener.local_addr().expect("local address");
+    thread::spawn(move || {
+        for (index, stream) in listener.incoming().enumerate() {
+            let stream = stream.expect("a connection");
+            thread::spawn(move || respond_with_number(stream, index + 1, extra));
+        }
+    });
+    address
+}
+
+fn respond_with_number(mut stream: std::net::TcpStream, number: usize, extra: &[u8]) {
+    let mut buf = [0; 4096];
+    let mut is_first = number == 1;
+    while stream.read(&mut buf).is_ok_and(|count| count > 0) {
+        let response = format!("HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\n{number}");
+        if stream.write_all(response.as_bytes()).is_err() {
+            return;
+        }
+        if is_first {
+            thread::sleep(Duration::from_millis(20));
+            let _ = stream.write_all(extra);
+        }
+        is_first = false;
+    }
+}
+
+/// Reads the number of the connection, and has it used again if `is_own`.
+async fn read_number(sent: Result<Exchange, ClientError>, is_own: bool) -> String {
+    let mut exchange = sent.expect("a response arrives");
+    if is_own {
+        exchange.allow_reuse();
+    }
+    let body = exchange.read_rest(16).await.expect("a whole body");
+    String::from_utf8(body.to_vec()).expect("text")
+}
+
+/// Guards all roles against a late response that is taken for that to a later request: a
+/// connection carries no name twice, and none after a response that nobody has identified.
+#[tokio::test]
+async fn send_named_uses_connection_once_for_a_name() {
+    let address = start_numbering_listener(b"");
+    let client = make_client();
+    let mut numbers = Vec::new();
+    for (name, is_own) in [
+        ("a", true),
+        ("b", true),
+        ("a", true),
+        ("b", true),
+        ("c", false),
+    ] {
+        let sent = client.send_named(address, name.as_bytes(), build_get).await;
+        numbers.push(read_number(sent, is_own).await);
+    }
+    let sent = client.send_named(address, b"d", build_get).await;
+    numbers.push(read_number(sent, true).await);
+    let sent = client.send(address, build_get()).await;
+    numbers.push(read_number(sent, true).await);
+    assert_eq!(numbers, ["1", "1", "2", "2", "2", "1", "3"]);
+}
+
+/// Guards all roles against a response that was sent before the request and is taken for
+/// its response: it has arrived, but the runtime has not heard of it.
+#[tokio::test]
+async fn send_named_input_before_request_is_not_its_response() {
+    let address = start_numbering_listener(RESPONSE);
+    let client = make_client();
+    let sent = client.send_named(address, b"a", build_get).await;
+    assert_eq!(read_number(sent, true).await, "1");
+    thread::sleep(Duration::from_millis(60));
+    let sent = client.send_named(address, b"b", build_get).await;
+    assert_eq!(read_number(sent, true).await, "2");
+}
