Take nothing from a response before it is known to be the call's own

What callers saw: calls refused for as long as a late response of a server had asked for, although the server serves them.

Cause: pause, leaving and limit were recorded from the headers of any response, before the check that it is the server's own response to this call.

Change: the check comes first.

Evidence: response_second_copy_tells_nothing_of_the_server fails in two of two cases on the code before.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -310,6 +310,13 @@
         .dialect
         .read_response(exchange.status(), exchange.headers());
     log_unusual_response(call, &choice, &metadata, &exchange);
+    // Nothing in a response counts before it is known to be the server's own to this call.
+    if let Some(problem) = find_response_mismatch(call, &metadata, &exchange) {
+        return AttemptOutcome::Unknown(problem);
+    }
+    if metadata.call_id.is_some() {
+        exchange.allow_reuse();
+    }
     if let Some(pause) = metadata.pause {
         record_pause(cx, &choice, pause);
     }
@@ -319,12 +326,6 @@
     if metadata.calls_per_s.is_some() && !metadata.is_misdirected {
         record_limit(cx, &choice, metadata.calls_per_s, sent_at);
     }
-    if let Some(problem) = find_response_mismatch(call, &metadata, &exchange) {
-        return AttemptOutcome::Unknown(problem);
-    }
-    if metadata.call_id.is_some() {
-        exchange.allow_reuse();
-    }
     // A rejection may come from a part of the server that does not know of the limit.
     if metadata.calls_per_s.is_none() && !metadata.is_not_run {
         record_limit(cx, &choice, None, sent_at);
