Tell late reports, events and order outcomes from present ones

All of them went over one pool by address: a late report passed for the outcome of an order, a late list for another list, and each later response was off by one.

--- a/src/ports/port_error.rs
+++ b/src/ports/port_error.rs
@@ -19,6 +19,9 @@
     /// The system was restored from an older copy since the request was built; what
     /// is known of it has to be read anew.
     StoreRestored,
+    /// The response states an older state than one before it, so that it was meant for an
+    /// earlier request.
+    Outdated,
     /// The response cannot be decoded; holds the reason.
     Malformed(String),
 }
@@ -31,6 +34,7 @@
             Self::Paused(pause) => write!(f, "wants no requests for {} ms", pause.as_millis()),
             Self::HistoryCompacted => f.write_str("history no longer kept"),
             Self::StoreRestored => f.write_str("restored from an older copy"),
+            Self::Outdated => f.write_str("response to an earlier request"),
             Self::Malformed(reason) => write!(f, "malformed response: {reason}"),
         }
     }
