Check that an agent's refusal belongs to the attempt that was sent

A caller could be told that its key was withdrawn for a request that ran.

Cause: an entry compared the report of an acceptance with its attempt, but not that of a refusal, and took a failure without any report before it. The refusal of an earlier request, sent once more on its connection, counted for a later one.

Change: nothing in a response counts before a report in it names the attempt, and only then may the connection be used again. First attempts of idempotent requests use kept connections again, none for the same attempt twice.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -3,6 +3,7 @@
 
 use std::fmt;
 
+use bytes::Bytes;
 use http::Request;
 use http::StatusCode;
 
@@ -13,10 +14,10 @@
 use crate::core::AttemptRefusal;
 use crate::core::Envelope;
 use crate::core::Outcome;
+use crate::core::ResponseReport;
 use crate::core::retry::AttemptFailure;
 use crate::http::Client;
 use crate::http::ClientError;
-use crate::http::HttpBody;
 use crate::http::full_body;
 use crate::relay::ENVELOPE_HEADER;
 use crate::relay::Frame;
@@ -69,7 +70,10 @@
     pub frames: FrameReader,
 }
 
-/// Sends one attempt and waits for the head of its response.
+/// Sends one attempt and waits for the head of its response. Only the first
+/// attempt of an idempotent request uses a pooled connection; retries,
+/// resumptions and at-most-once requests open a new one. Nothing in the response counts
+/// before an agent's report names the attempt.
 ///
 /// # Errors
 ///
@@ -82,36 +86,49 @@
     req: &CallerRequest,
 ) -> Result<AgentResponse, AttemptError> {
     let message = build_message(envelope, req)?;
-    let response = client.send(server.address, message).await;
+    let is_first_attempt = envelope.attempt == 1 && envelope.resume_after.is_none();
+    let response = if is_first_attempt && !envelope.once {
+        let name = format!("{}-{}", envelope.request, envelope.attempt);
+        let build = || message.clone().map(full_body);
+        client
+            .send_named(server.address, name.as_bytes(), build)
+            .await
+    } else {
+        client.send(server.address, message.map(full_body)).await
+    };
     let response = response.map_err(classify_client_error)?;
     if response.status() != StatusCode::OK {
         let reason = format!("agent responded with {}", response.status());
         return Err(AttemptError::Unknown(reason));
     }
     let mut frames = FrameReader::new(response);
+    let mut is_accepted = false;
     loop {
         match frames.next().await.map_err(classify_reader_error)? {
             Frame::Accepted(report) => {
-                let is_other_attempt =
-                    report.request != envelope.request || report.attempt != envelope.attempt;
-                if is_other_attempt {
-                    return Err(AttemptError::Unknown(
-                        "report belongs to another attempt".into(),
-                    ));
-                }
+                check_report(envelope, &report)?;
+                is_accepted = true;
+                frames.allow_reuse();
                 cx.record_report(&server.name, report);
             }
             Frame::Refused(refusal, report) => {
+                check_report(envelope, &report)?;
+                frames.allow_reuse();
                 cx.record_report(&server.name, report);
                 frames.finish().await;
                 return Err(AttemptError::Refused(refusal));
             }
+            Frame::Heartbeat => {}
+            _ if !is_accepted => {
+                return Err(AttemptError::Unknown(
+                    "response names no attempt before it begins".into(),
+                ));
+            }
             Frame::Head(head) => return Ok(AgentResponse { head, frames }),
             Frame::Failed(Outcome::NotRun, reason) => {
                 return Err(AttemptError::Unsent(ClientError::NotSent(reason)));
             }
             Frame::Failed(_, reason) => return Err(AttemptError::Unknown(reason)),
-            Frame::Heartbeat => {}
             Frame::Event(_) | Frame::Body(_) | Frame::End(_) => {
                 return Err(AttemptError::Unknown(
                     "response body came before its head".into(),
@@ -121,10 +138,17 @@
     }
 }
 
-fn build_message(
-    envelope: &Envelope,
-    req: &CallerRequest,
-) -> Result<Request<HttpBody>, AttemptError> {
+/// Checks that a report belongs to the attempt that was sent.
+fn check_report(envelope: &Envelope, report: &ResponseReport) -> Result<(), AttemptError> {
+    if (report.request, report.attempt) == (envelope.request, envelope.attempt) {
+        return Ok(());
+    }
+    Err(AttemptError::Unknown(
+        "report belongs to another attempt".into(),
+    ))
+}
+
+fn build_message(envelope: &Envelope, req: &CallerRequest) -> Result<Request<Bytes>, AttemptError> {
     let not_sent = |reason: String| AttemptError::Unsent(ClientError::NotSent(reason));
     let envelope = serde_json::to_string(envelope).map_err(|e| not_sent(e.to_string()))?;
     let mut message = Request::builder()
@@ -132,7 +156,7 @@
         .uri(req.target.as_str())
         .header(ENVELOPE_HEADER, envelope)
         .header("host", "agent")
-        .body(full_body(req.body.clone()))
+        .body(req.body.clone())
         .map_err(|e| not_sent(e.to_string()))?;
     message.headers_mut().extend(req.headers.clone());
     Ok(message)
--- a/src/relay/frame_reader.rs
+++ b/src/relay/frame_reader.rs
@@ -62,6 +62,12 @@
         }
     }
 
+    /// Tells that the response belongs to the attempt, so that the connection can be
+    /// reused after its end.
+    pub fn allow_reuse(&mut self) {
+        self.exchange.allow_reuse();
+    }
+
     /// Reads the end of the body after the last frame, so that the connection
     /// can be reused.
     pub async fn finish(mut self) {
