Pass on no status that promises "not run" for a call that may have run

Cause: a response with the server's seal was passed on as it was, also if its status promises that the call did not run while the server has not said so.

Change: such a response to a call that must not run again ends as a call of unknown outcome: 502 without the server's seal. Calls that may run more than once get the server's response as before.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -68,6 +68,8 @@
 /// - `crossed-answer`: the response is for another call.
 /// - `not-the-servers-answer`: the response does not come from the server, or an
 ///   intermediary has changed it.
+/// - `unfounded-promise`: the status of the response promises the caller that the call did
+///   not run, which the server has not said.
 /// - `answer-without-identity`: a successful response names no call, or one on a
 ///   connection that was used before.
 #[derive(Debug)]
@@ -342,9 +344,12 @@
         let _ = timeout(REFUSAL_BODY_TIMEOUT, exchange.read_rest(MAX_REFUSAL_BYTES)).await;
         return AttemptOutcome::NotRun(classify_not_run(cx, &choice, &metadata));
     }
+    let status = exchange.status();
+    if status_promises_not_run(status) && !call.route.kind.is_retryable() {
+        return AttemptOutcome::Unknown("unfounded-promise");
+    }
     let mut headers = exchange.headers().clone();
     strip_hop_by_hop_headers(&mut headers);
-    let status = exchange.status();
     if status.is_success() && call.route.kind.is_stream() {
         return AttemptOutcome::Streaming(Box::new(StreamingResponse {
             status,
