Call the platform's store over a connection of its own from the command line

Cause: the blocking client kept connections, and responses of the store name no request. A late response passed for that to the next call: an accepted configuration could be reported with the revision of another one.

Change: it keeps none, like the client of the long-running roles.

Evidence: store_put_takes_no_earlier_response fails without the change, with the responses 1, 1, 2 in place of 1, 2, 3.

--- a/src/registry/blocking_store.rs
+++ b/src/registry/blocking_store.rs
@@ -33,6 +33,8 @@
     pub fn new(settings: &PlatformSettings) -> Self {
         let config = Agent::config_builder()
             .http_status_as_error(false)
+            // Responses name no request: a late one must not meet another request.
+            .max_idle_connections(0)
             .timeout_connect(Some(settings.connect_timeout))
             .timeout_global(Some(settings.connect_timeout + settings.call_timeout))
             .build();
--- a/src/settings/platform.rs
+++ b/src/settings/platform.rs
@@ -21,7 +21,7 @@
     pub call_timeout: Duration,
     /// Time without any data after which a watch is opened again.
     pub watch_timeout: Duration,
-    /// Time for which an unused connection is kept.
+    /// Time for which an unused connection is kept; no call to the platform leaves one.
     pub idle_timeout: Duration,
 }
 
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -3,6 +3,9 @@
 //! have been applied.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -22,6 +25,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::task::spawn_blocking;
 use tokio::time::sleep;
 
 /// How the server replies to the first request of a connection.
@@ -208,3 +212,62 @@
     assert!(matches!(closed, Err(StoreError::Unknown(_))), "{closed:?}");
     assert!(working.expect("transaction response").succeeded);
 }
+
+/// Starts a server that responds with the revision 1, 2 and so on. When a further request
+/// arrives on a connection, it first sends the response to the one before once more.
+async fn start_copying_listener() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+    let address = listener.local_addr().expect("local address");
+    let revision = Arc::new(AtomicU64::new(0));
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(serve_copies(stream, Arc::clone(&revision)));
+        }
+    });
+    address
+}
+
+async fn serve_copies(mut stream: TcpStream, revision: Arc<AtomicU64>) {
+    let mut last = String::new();
+    while read_put(&mut stream).await {
+        let revision = revision.fetch_add(1, Ordering::SeqCst) + 1;
+        let body = format!(r#"{{"header":{{"revision":"{revision}"}}}}"#);
+        let length = body.len();
+        let own = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n{body}");
+        let bytes = [last.as_bytes(), own.as_bytes()].concat();
+        last = own;
+        if stream.write_all(&bytes).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Reads a whole write; false if the connection ends before. Its body alone ends in a brace.
+async fn read_put(stream: &mut TcpStream) -> bool {
+    let mut received = Vec::new();
+    let mut buf = [0; 4096];
+    while !received.ends_with(b"}") {
+        match stream.read(&mut buf).await {
+            Ok(0) | Err(_) => return false,
+            Ok(count) => received.extend_from_slice(&buf[..count]),
+        }
+    }
+    true
+}
+
+/// Guards against a write that is taken for the one before, since the response to that
+/// came once more on the connection.
+#[tokio::test]
+async fn store_put_takes_no_earlier_response() {
+    let store = Store::new(&make_settings(&[start_copying_listener().await]));
+    for revision in 1..4 {
+        let result = store.put(Bytes::new(), Bytes::new(), None).await;
+        assert_eq!(result, Ok(revision));
+    }
+    let settings = make_settings(&[start_copying_listener().await]);
+    let puts = spawn_blocking(move || {
+        let store = BlockingStore::new(&settings);
+        [(); 3].map(|()| store.put(Bytes::new(), Bytes::new(), None))
+    });
+    assert_eq!(puts.await.expect("no panic"), [Ok(1), Ok(2), Ok(3)]);
+}
