Keep no connection that cannot be used again

Connections that had carried as many requests as they may went back to the pool and stayed open until they expired, at the cost of the server's limit. Loads at the health path, which are read during rollouts only and state no number, go over a connection of their own.

--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -80,8 +80,19 @@
 pub(super) struct PoolKey {
     /// Address of the server.
     pub address: SocketAddr,
-    /// Question that is asked over the connections; `None` for named requests.
-    pub topic: Option<&'static str>,
+    /// What the connections are used for.
+    pub connection_use: ConnectionUse,
+}
+
+/// What a connection is used for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub(super) enum ConnectionUse {
+    /// One exchange.
+    Single,
+    /// Requests whose responses bear their names.
+    Named,
+    /// Polls of a topic.
+    Poll(&'static str),
 }
 
 /// Pooled connection and the time from which it is not reused any more.
@@ -127,7 +138,7 @@
         let connection = self.connect(address).await?;
         let key = PoolKey {
             address,
-            topic: None,
+            connection_use: ConnectionUse::Single,
         };
         self.send_on_connection(connection, key, None, req).await
     }
@@ -147,7 +158,7 @@
     ) -> Result<Exchange, ClientError> {
         let key = PoolKey {
             address,
-            topic: None,
+            connection_use: ConnectionUse::Named,
         };
         let name_hash = self.name_hasher.hash_one(name);
         self.send_pooled(key, Some(name_hash), build).await
@@ -168,7 +179,7 @@
     ) -> Result<Exchange, ClientError> {
         let key = PoolKey {
             address,
-            topic: Some(topic),
+            connection_use: ConnectionUse::Poll(topic),
         };
         self.send_pooled(key, None, build).await
     }
@@ -269,13 +280,16 @@
     }
 
     /// Returns a connection to the pool after its last response was read to the
-    /// end. `server_idle_time` is the keep-alive timeout that the server stated.
+    /// end, if it may carry further requests. `server_idle_time` is the keep-alive timeout that the server stated.
     pub(super) fn return_connection(
         &self,
         key: PoolKey,
         connection: ClientConnection,
         server_idle_time: Option<Duration>,
     ) {
+        if key.connection_use == ConnectionUse::Single || !connection.history().allows(None) {
+            return;
+        }
         let usable_idle_time = server_idle_time.map(|idle| idle.mul_f64(USABLE_IDLE_FRACTION));
         let idle_time = usable_idle_time.map_or(self.timeouts.idle, |idle| idle.min(MAX_IDLE_TIME));
         let mut idle_connections = self.lock_idle_connections();
--- a/tests/http_client.rs
+++ b/tests/http_client.rs
@@ -217,7 +217,9 @@
     numbers.push(read_number(sent, true).await);
     let sent = client.send(address, build_get()).await;
     numbers.push(read_number(sent, true).await);
-    assert_eq!(numbers, ["1", "1", "2", "2", "2", "1", "3"]);
+    let sent = client.send_named(address, b"e", build_get).await;
+    numbers.push(read_number(sent, true).await);
+    assert_eq!(numbers, ["1", "1", "2", "2", "2", "1", "3", "1"]);
 }
 
 /// Guards all roles against a response that was sent before the request and is taken for
@@ -232,3 +234,23 @@
     let sent = client.send_named(address, b"b", build_get).await;
     assert_eq!(read_number(sent, true).await, "2");
 }
+
+/// Guards against connections that nobody can use and that count against the limit of
+/// their server, and against polls of one topic that meet late responses to another.
+#[tokio::test]
+async fn poll_keeps_connection_for_its_topic_and_a_bounded_number() {
+    let address = start_numbering_listener(b"");
+    let client = make_client();
+    let mut numbers = Vec::new();
+    for topic in ["load", "events", "load", "events"] {
+        let sent = client.poll(address, topic, build_get).await;
+        numbers.push(read_number(sent, true).await);
+    }
+    assert_eq!(numbers, ["1", "2", "1", "2"]);
+    for _ in 2..256 {
+        let sent = client.poll(address, "load", build_get).await;
+        assert_eq!(read_number(sent, true).await, "1");
+    }
+    let sent = client.poll(address, "load", build_get).await;
+    assert_eq!(read_number(sent, true).await, "3");
+}
