--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -279,8 +279,9 @@
         taken
     }
 
-    /// Returns a connection to the pool after its last response was read to the
-    /// end, if it may carry further requests. `server_idle_time` is the keep-alive timeout that the server stated.
+    /// Returns a connection to the pool after its last response was read to the end, if it
+    /// may carry further requests. `server_idle_time` is the keep-alive timeout that the
+    /// server stated.
     pub(super) fn return_connection(
         &self,
         key: PoolKey,
