Fetch parts only from sources that recent news vouches for

Cause: while no newer version was known, an engine counted as a source for any length of time. Without a recent report of its agent its version came from the record, and nobody asked when the known versions had last been confirmed. And news that waited while the process stood still passed for new when it was read.

Change: a source needs the report of its agent, or the confirmation that the known versions are the newest, less than 500 ms old, which is the least time from the naming of a version to the first order. A KV cache store needs the confirmation. After 250 ms without a sign that the process runs, what it reads in the next 250 ms confirms nothing; a ping confirms the time at which it was sent. The times are held beside the dispatcher, which now reads them.

Tests: two cases of tests/fleet_dispatch.rs fetch from a KV cache store, which now needs a confirmation, so its dispatcher states that the records were read, and one case that they were confirmed at the time of the choice. What they assert is unchanged.

--- a/src/core/fleet/routing/backend_view.rs
+++ b/src/core/fleet/routing/backend_view.rs
@@ -141,6 +141,8 @@
     backoff: Duration,
     answered_at: Option<MonotonicTime>,
     agent_report: Option<(AgentReport, MonotonicTime)>,
+    /// Whether the report may have come while this process stood still.
+    pub(super) is_report_backlog: bool,
     observed_versions: HashMap<ModelName, WeightsVersion>,
     cached_parts: PartTable,
     expected_parts: HashMap<(u64, PartId), MonotonicTime>,
@@ -170,6 +172,7 @@
             backoff: MIN_BACKOFF,
             answered_at: None,
             agent_report: None,
+            is_report_backlog: false,
             observed_versions: HashMap::new(),
             cached_parts: PartTable::default(),
             expected_parts: HashMap::new(),
@@ -417,6 +420,14 @@
         self.recent_agent_report(now).is_some()
     }
 
+    /// Returns when the agent's last report came, if it is recent enough to be used and
+    /// did not wait to be read.
+    pub(super) fn vouched_at(&self, now: MonotonicTime) -> Option<MonotonicTime> {
+        self.recent_agent_report(now)?;
+        let (_, received_at) = self.agent_report.as_ref()?;
+        (!self.is_report_backlog).then_some(*received_at)
+    }
+
     /// Returns the term for which the server's agent needs a fencing token, if any.
     pub fn agent_term_without_fence(&self, now: MonotonicTime) -> Option<u64> {
         self.recent_agent_report(now)?.term_without_fence
--- a/src/core/fleet/routing/dispatcher.rs
+++ b/src/core/fleet/routing/dispatcher.rs
@@ -34,6 +34,7 @@
 use crate::core::fleet::RunKey;
 use crate::core::fleet::ServerLimits;
 use crate::core::fleet::TargetVersion;
+use crate::core::fleet::TargetsConfirmed;
 use crate::core::fleet::server_limits::RunLimits;
 use crate::core::fleet::server_speed::HotParts;
 use crate::core::fleet::server_speed::ServiceSpeed;
@@ -185,6 +186,8 @@
     pub(super) zone_cost_ms_per_mb: f64,
     /// Limits that servers name on the calls of all entries together.
     pub server_limits: ServerLimits,
+    /// When the known target versions were last the newest.
+    pub targets_confirmed: TargetsConfirmed,
 }
 
 impl Dispatcher {
@@ -215,6 +218,7 @@
             service_zones: HashMap::new(),
             zone_cost_ms_per_mb: 0.0,
             server_limits: ServerLimits::new(name, MonotonicTime::ZERO),
+            targets_confirmed: TargetsConfirmed::default(),
         }
     }
 
@@ -381,8 +385,10 @@
         report: AgentReport,
         now: MonotonicTime,
     ) {
+        let is_backlog = self.targets_confirmed.is_reading_backlog(now);
         if let Some(view) = self.find_backend_mut(name) {
             view.observe_agent_report(report, now);
+            view.is_report_backlog = is_backlog;
         }
         let Some(key) = self.keys_by_name.get(name).copied() else {
             return;
@@ -795,6 +801,7 @@
                 namespace,
                 version,
                 status,
+                confirmed_at: self.targets_confirmed.at(),
             };
             PartSources::find(prompt, salted, store, engines, now)
         });
--- a/src/core/fleet/routing/fetch_plan.rs
+++ b/src/core/fleet/routing/fetch_plan.rs
@@ -33,6 +33,8 @@
     pub version: WeightsVersion,
     /// How the version compares with the target versions.
     pub status: VersionStatus,
+    /// When the known target versions were last the newest.
+    pub confirmed_at: Option<MonotonicTime>,
 }
 
 /// Origin of a prompt's tokens at one engine.
@@ -110,7 +112,7 @@
                         address: view.member.address,
                         part_count: parts,
                         load: view.load.estimate_calls(now),
-                        order_in: find_earliest_order(view, salted.status, now),
+                        order_in: find_earliest_order(view, salted, now),
                     });
                 }
             }
@@ -128,7 +130,7 @@
             stored_count,
             preferred: preferred.map(|(_, address)| address),
             store: store.map(|(address, _)| address),
-            store_order_in: predict_earliest_order(salted.status, now),
+            store_order_in: predict_earliest_order(salted.status, salted.confirmed_at, now),
             holders,
             computed_count,
         }
@@ -220,22 +222,39 @@
 /// if none is expected.
 fn find_earliest_order(
     view: &BackendView,
-    status: VersionStatus,
+    salted: VersionedNamespace,
     now: MonotonicTime,
 ) -> Option<Duration> {
-    if !view.has_recent_agent_report(now) {
+    let Some(vouched_at) = view.vouched_at(now) else {
         // Another process may order the engine without telling this one.
-        return (status != VersionStatus::Current).then_some(Duration::ZERO);
-    }
-    view.time_until_order(now)
-        .or_else(|| predict_earliest_order(status, now))
+        return match salted.status {
+            VersionStatus::Current => {
+                predict_earliest_order(salted.status, salted.confirmed_at, now)
+            }
+            VersionStatus::Outdated(_) => Some(Duration::ZERO),
+        };
+    };
+    // An agent that announces no order knew of no newer version.
+    view.time_until_order(now).or_else(|| {
+        let known_at = salted.confirmed_at.max(Some(vouched_at));
+        predict_earliest_order(salted.status, known_at, now)
+    })
 }
 
 /// Returns the time until the earliest order to any engine whose weights have a version of
-/// this status; `None` if none is expected.
-fn predict_earliest_order(status: VersionStatus, now: MonotonicTime) -> Option<Duration> {
+/// this status; `None` if none is expected. No newer version than the known ones was
+/// named before `known_at`.
+fn predict_earliest_order(
+    status: VersionStatus,
+    known_at: Option<MonotonicTime>,
+    now: MonotonicTime,
+) -> Option<Duration> {
     match status {
-        VersionStatus::Current => None,
+        VersionStatus::Current => {
+            // One that was named since may have been ordered by now.
+            let is_safe = known_at.is_some_and(|at| now < at + FIRST_BATCH_DELAY);
+            (!is_safe).then_some(Duration::ZERO)
+        }
         VersionStatus::Outdated(None) => Some(Duration::ZERO),
         VersionStatus::Outdated(Some(since)) => Some((since + FIRST_BATCH_DELAY).since(now)),
     }
--- a/src/core/fleet/weights/targets_confirmed.rs
+++ b/src/core/fleet/weights/targets_confirmed.rs
@@ -1,7 +1,16 @@
 //! When the known target versions were last known to be the newest.
 
+use std::time::Duration;
+
 use crate::core::MonotonicTime;
 
+/// Time without any sign that this process runs from which it counts as having stood
+/// still.
+const MIN_STANDSTILL: Duration = Duration::from_millis(250);
+
+/// Time within which the news that came during a standstill is read.
+const BACKLOG_TIME: Duration = Duration::from_millis(250);
+
 /// Last time at which the target versions that an entry knows were the newest.
 ///
 /// A newer version that the entry learns of, by whatever way, was named after this time.
@@ -13,6 +22,10 @@
     at: Option<MonotonicTime>,
     /// Whether changes of the records may have been missed.
     is_lost: bool,
+    /// When this process was last known to run.
+    ran_at: Option<MonotonicTime>,
+    /// Until when news may be as old as the last standstill.
+    backlog_until: Option<MonotonicTime>,
 }
 
 impl TargetsConfirmed {
@@ -21,9 +34,27 @@
         self.at
     }
 
+    /// Records that this process runs; to be called at intervals well below
+    /// [`MIN_STANDSTILL`], and before news is applied.
+    pub fn record_run(&mut self, now: MonotonicTime) {
+        let stood_still = |at| now.since(at) >= MIN_STANDSTILL;
+        if self.ran_at.is_some_and(stood_still) {
+            self.backlog_until = Some(now + BACKLOG_TIME);
+        }
+        self.ran_at = Some(now);
+    }
+
+    /// Returns whether news that is read now may have come while this process stood still,
+    /// so that it says nothing of the present.
+    pub fn is_reading_backlog(&self, now: MonotonicTime) -> bool {
+        self.backlog_until.is_some_and(|until| now < until)
+    }
+
     /// Records that all records in the store were read and applied.
     pub fn record_read(&mut self, now: MonotonicTime) {
-        self.at = Some(now);
+        if self.at.is_none() || !self.is_reading_backlog(now) {
+            self.at = Some(now);
+        }
         self.is_lost = false;
     }
 
@@ -33,10 +64,11 @@
         self.is_lost = true;
     }
 
-    /// Records that the store answers, so that a pending watch has delivered all changes.
-    pub fn record_ping(&mut self, now: MonotonicTime) {
+    /// Records that the store has answered a ping sent at `sent_at`, so that a pending
+    /// watch has delivered all changes before. The answer may have waited since.
+    pub fn record_ping(&mut self, sent_at: MonotonicTime) {
         if !self.is_lost {
-            self.confirm(now);
+            self.confirm(sent_at);
         }
     }
 
@@ -44,10 +76,12 @@
     /// peer that an entry hears may itself be behind, so this has no effect before the
     /// entry has read the records.
     pub fn record_peer(&mut self, now: MonotonicTime) {
-        self.confirm(now);
+        if !self.is_reading_backlog(now) {
+            self.confirm(now);
+        }
     }
 
-    fn confirm(&mut self, now: MonotonicTime) {
-        self.at = self.at.map(|_| now);
+    fn confirm(&mut self, at: MonotonicTime) {
+        self.at = self.at.map(|before| before.max(at));
     }
 }
--- a/src/gateway/follow_store.rs
+++ b/src/gateway/follow_store.rs
@@ -217,8 +217,9 @@
             PING_INTERVAL.max(pace_over_entries(&cx, MAX_FLEET_PINGS_PER_S))
         };
         sleep(interval).await;
+        let sent_at = cx.now();
         match cx.ports.source.ping().await {
-            Ok(()) => cx.lock().record_ping_answer(cx.now()),
+            Ok(()) => cx.lock().record_ping_answer(sent_at, cx.now()),
             Err(e) => {
                 log::info!("store: ping failed reason=\"{e}\"");
                 if e == PortError::StoreRestored {
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -58,6 +58,9 @@
 /// Interval between maintenance runs.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Interval at which the process notes that it runs.
+const RUN_NOTE_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Interval between checks for changed settings.
 const RELOAD_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -164,6 +167,7 @@
     tokio::spawn(lead_rollouts(Arc::clone(&cx)));
     tokio::spawn(plan_zone_exchanges(Arc::clone(&cx)));
     tokio::spawn(run_maintenance(Arc::clone(&cx)));
+    tokio::spawn(note_run(Arc::clone(&cx)));
     tokio::spawn(report_mesh_traffic(Arc::clone(&cx)));
     if cx.settings.has_admission() {
         tokio::spawn(look_at_waiting_calls(Arc::clone(&cx)));
@@ -280,6 +284,15 @@
     CallerLimits::default()
 }
 
+/// Notes that the process runs. News that came while it stood still, as when its host was
+/// suspended, looks new when it is read.
+async fn note_run(cx: Arc<GatewayContext>) {
+    loop {
+        sleep(RUN_NOTE_INTERVAL).await;
+        cx.lock().record_run(cx.now());
+    }
+}
+
 /// Regularly removes expected cached parts that did not appear in time, and
 /// members whose removal was deferred.
 async fn run_maintenance(cx: Arc<GatewayContext>) {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -28,7 +28,6 @@
 use crate::core::fleet::StreamOrigins;
 use crate::core::fleet::Suspect;
 use crate::core::fleet::TargetVersion;
-use crate::core::fleet::TargetsConfirmed;
 use crate::core::fleet::TrialRequest;
 use crate::metrics::GatewayGauges;
 use crate::settings::GatewaySettings;
@@ -70,8 +69,6 @@
     pub has_members: bool,
     /// How far each area was read, from the store or a peer, by `Area::index`.
     pub progress: [AreaProgress; 2],
-    /// When the known target versions were last the newest.
-    targets_confirmed: TargetsConfirmed,
 }
 
 /// How far an area was read, from the store or a peer.
@@ -118,7 +115,6 @@
             retries,
             has_members: false,
             progress: [AreaProgress::default(); 2],
-            targets_confirmed: TargetsConfirmed::default(),
         }
     }
 
@@ -135,6 +131,7 @@
         now: MonotonicTime,
     ) -> Result<BackendChoice, DispatchError> {
         self.check_quarantine(req, digest, now)?;
+        self.record_run(now);
         let choice = self.dispatcher.choose(req, now)?;
         if let Some(digest) = digest {
             self.quarantine.record_send(digest, now);
@@ -286,7 +283,8 @@
         source: impl Display,
         now: MonotonicTime,
     ) {
-        let named_after = self.targets_confirmed.at();
+        self.record_run(now);
+        let named_after = self.dispatcher.targets_confirmed.at();
         for target in targets {
             if !self.dispatcher.observe_target_version(target, named_after) {
                 continue;
@@ -302,28 +300,35 @@
         }
     }
 
+    /// Records that this process runs, so that a standstill is noticed.
+    pub fn record_run(&mut self, now: MonotonicTime) {
+        self.dispatcher.targets_confirmed.record_run(now);
+    }
+
     /// Records that all of the operator's records in the store were read, and what is new
     /// among them was applied.
     pub fn record_operator_records_read(&mut self, now: MonotonicTime) {
-        self.targets_confirmed.record_read(now);
+        self.record_run(now);
+        self.dispatcher.targets_confirmed.record_read(now);
     }
 
     /// Records that changes of the operator's records may have been missed, until they
     /// are read again.
     pub fn record_operator_records_lost(&mut self) {
-        self.targets_confirmed.record_lost();
+        self.dispatcher.targets_confirmed.record_lost();
     }
 
-    /// Records that the store has answered a ping.
-    pub fn record_ping_answer(&mut self, now: MonotonicTime) {
+    /// Records that the store has answered a ping sent at `sent_at`.
+    pub fn record_ping_answer(&mut self, sent_at: MonotonicTime, now: MonotonicTime) {
         self.record_store_answer(now);
-        self.targets_confirmed.record_ping(now);
+        self.dispatcher.targets_confirmed.record_ping(sent_at);
     }
 
     /// Records that a peer which has read the operator's records knows no newer target
     /// versions.
     pub fn record_peer_targets(&mut self, now: MonotonicTime) {
-        self.targets_confirmed.record_peer(now);
+        self.record_run(now);
+        self.dispatcher.targets_confirmed.record_peer(now);
     }
 
     /// Logs changes of the members and passes them on to the dispatcher.
--- a/tests/fleet_dispatch.rs
+++ b/tests/fleet_dispatch.rs
@@ -54,6 +54,7 @@
     for number in 0..count {
         dispatcher.upsert_member(engine(number, 1));
     }
+    dispatcher.targets_confirmed.record_read(at(0));
     dispatcher
 }
 
@@ -608,6 +609,7 @@
     let store = address(200);
     dispatcher.set_kv_cache_stores(&[store]);
     dispatcher.observe_kv_cache_store(store, &cached_changes(1, "a"), false);
+    dispatcher.targets_confirmed.record_ping(at(1_200));
     if let Some(named_ms) = named_ms {
         dispatcher.observe_target_version(&target(2), Some(at(named_ms)));
     }
--- a/tests/fleet_targets_confirmed.rs
+++ b/tests/fleet_targets_confirmed.rs
@@ -45,3 +45,32 @@
     confirmed.record_peer(at(2));
     assert_eq!(confirmed.at(), Some(at(2)));
 }
+
+/// Guards against news that came while this process stood still, and passes for new when
+/// it is read: a newer version may have been named since. Review case 11.
+#[test]
+fn record_after_standstill_confirms_nothing_until_news_is_read() {
+    let mut confirmed = TargetsConfirmed::default();
+    for ms in [1, 100, 200] {
+        confirmed.record_run(at(ms));
+        confirmed.record_read(at(ms));
+    }
+    confirmed.record_run(at(3_100));
+    confirmed.record_peer(at(3_100));
+    confirmed.record_read(at(3_101));
+    assert_eq!(confirmed.at(), Some(at(200)));
+    for ms in [3_200, 3_300, 3_400] {
+        confirmed.record_run(at(ms));
+    }
+    confirmed.record_peer(at(3_400));
+    assert_eq!(confirmed.at(), Some(at(3_400)));
+}
+
+/// Guards against an answer to an old ping that takes back what was learned since.
+#[test]
+fn record_ping_sent_before_last_news_changes_nothing() {
+    let mut confirmed = TargetsConfirmed::default();
+    confirmed.record_read(at(10));
+    confirmed.record_ping(at(5));
+    assert_eq!(confirmed.at(), Some(at(10)));
+}
