Fetch parts only for calls that begin before a first order could come

Cause: while no newer version was known, a fetch was planned however long the call was predicted to wait. The source could change its weights meanwhile and compute the part again for a call that went on.

Change: without a newer version, a fetch has to begin within 500 ms, the least time from the naming of a version to the first order, after the last moment at which none was named: by the report of the source's agent or the confirmation of the known versions. It holds for KV cache stores, too. Known orders keep their margin of 300 ms.

Evidence: on the code of the commit before, 4 of 7 new cases of tests/fleet_stale_sources.rs failed (choose_fetches_only_if_call_begins_before_first_order 3 to 5, choose_fetches_from_store_only_if_call_begins_before_first_order 2); all 17 of the file pass now, as do the tests of dispatch, change of weights, isolation, rollouts and platform_adapter outdated_weights.

--- a/src/core/fleet/routing/fetch_plan.rs
+++ b/src/core/fleet/routing/fetch_plan.rs
@@ -16,8 +16,8 @@
 use crate::core::fleet::weights::FIRST_BATCH_DELAY;
 use crate::core::fleet::weights::VersionStatus;
 
-/// Minimum time from the predicted start of a fetch to the next order to its source, after
-/// which parts of newer weights may appear there.
+/// Minimum time from the predicted start of a fetch to the next order to its source, if a
+/// newer version is known. Parts of newer weights may appear there after the order.
 const FETCH_MARGIN: Duration = Duration::from_millis(300);
 
 /// Namespace of cached parts, and the weights that its salt stands for.
@@ -60,8 +60,8 @@
     address: SocketAddr,
     part_count: usize,
     load: f64,
-    /// Time until the earliest order to change its weights; `None` if none is expected.
-    order_in: Option<Duration>,
+    /// Time within which a fetch must begin.
+    fetch_within: Duration,
 }
 
 /// Locations of one prompt's shared parts, over all engines and the KV cache
@@ -75,8 +75,8 @@
     /// Engine that every entry prefers for parts that no engine has computed.
     preferred: Option<SocketAddr>,
     store: Option<SocketAddr>,
-    /// Time until the earliest order to any engine that saves parts to the store.
-    store_order_in: Option<Duration>,
+    /// Time within which a fetch from the store must begin.
+    store_fetch_within: Duration,
     holders: Vec<PartHolder>,
     /// Number of leading shared parts that any engine or the store has or is
     /// expected to have.
@@ -112,7 +112,7 @@
                         address: view.member.address,
                         part_count: parts,
                         load: view.load.estimate_calls(now),
-                        order_in: find_earliest_order(view, salted, now),
+                        fetch_within: limit_fetch_start(view, salted, now),
                     });
                 }
             }
@@ -130,7 +130,7 @@
             stored_count,
             preferred: preferred.map(|(_, address)| address),
             store: store.map(|(address, _)| address),
-            store_order_in: predict_earliest_order(salted.status, salted.confirmed_at, now),
+            store_fetch_within: predict_fetch_limit(salted.status, salted.confirmed_at, now),
             holders,
             computed_count,
         }
@@ -159,7 +159,7 @@
         self.holders
             .iter()
             .filter(|holder| holder.address != view.member.address)
-            .filter(|holder| allows_fetch(holder.order_in, start_in))
+            .filter(|holder| start_in < holder.fetch_within)
             .max_by(|a, b| {
                 let by_part_count = a.part_count.cmp(&b.part_count);
                 by_part_count.then_with(|| b.load.total_cmp(&a.load))
@@ -178,9 +178,7 @@
         let cached_count = count_leading_parts(shared, |part| {
             view.has_or_expects_part(self.salted.namespace, part, now)
         });
-        let store = self
-            .store
-            .filter(|_| allows_fetch(self.store_order_in, start_in));
+        let store = self.store.filter(|_| start_in < self.store_fetch_within);
         let stored_count = store.map_or(0, |_| self.stored_count);
         let (source, fetched_count) = match (store, self.find_holder(view, start_in)) {
             (Some(store), Some(holder)) if stored_count > holder.part_count => {
@@ -212,51 +210,47 @@
     }
 }
 
-/// Returns whether a source whose engines are ordered after `order_in` can serve a fetch
-/// that begins within `start_in`.
-fn allows_fetch(order_in: Option<Duration>, start_in: Duration) -> bool {
-    order_in.is_none_or(|order_in| order_in > start_in + FETCH_MARGIN)
-}
-
-/// Returns the time until the earliest order to an engine to change its weights; `None`
-/// if none is expected.
-fn find_earliest_order(
+/// Returns the time within which a fetch from an engine must begin, so that its parts are
+/// of the weights that their salt names.
+fn limit_fetch_start(
     view: &BackendView,
     salted: VersionedNamespace,
     now: MonotonicTime,
-) -> Option<Duration> {
+) -> Duration {
     let Some(vouched_at) = view.vouched_at(now) else {
         // Another process may order the engine without telling this one.
         return match salted.status {
-            VersionStatus::Current => {
-                predict_earliest_order(salted.status, salted.confirmed_at, now)
-            }
-            VersionStatus::Outdated(_) => Some(Duration::ZERO),
+            VersionStatus::Current => predict_fetch_limit(salted.status, salted.confirmed_at, now),
+            VersionStatus::Outdated(_) => Duration::ZERO,
         };
     };
+    if let Some(order_in) = view.time_until_order(now) {
+        return order_in.saturating_sub(FETCH_MARGIN);
+    }
     // An agent that announces no order knew of no newer version.
-    view.time_until_order(now).or_else(|| {
-        let known_at = salted.confirmed_at.max(Some(vouched_at));
-        predict_earliest_order(salted.status, known_at, now)
-    })
+    let known_at = salted.confirmed_at.max(Some(vouched_at));
+    predict_fetch_limit(salted.status, known_at, now)
 }
 
-/// Returns the time until the earliest order to any engine whose weights have a version of
-/// this status; `None` if none is expected. No newer version than the known ones was
-/// named before `known_at`.
-fn predict_earliest_order(
+/// Returns the time within which a fetch must begin if its source may get the first order
+/// after a newer version was named. None that this process does not know was named before
+/// `known_at`.
+fn predict_fetch_limit(
     status: VersionStatus,
     known_at: Option<MonotonicTime>,
     now: MonotonicTime,
-) -> Option<Duration> {
+) -> Duration {
     match status {
+        // A version may be named at any moment, also while the call waits at its engine.
+        // No margin: a source reads nothing while it loads what was named since.
         VersionStatus::Current => {
-            // One that was named since may have been ordered by now.
-            let is_safe = known_at.is_some_and(|at| now < at + FIRST_BATCH_DELAY);
-            (!is_safe).then_some(Duration::ZERO)
+            known_at.map_or(Duration::ZERO, |at| (at + FIRST_BATCH_DELAY).since(now))
+        }
+        VersionStatus::Outdated(None) => Duration::ZERO,
+        VersionStatus::Outdated(Some(since)) => {
+            let order_in = (since + FIRST_BATCH_DELAY).since(now);
+            order_in.saturating_sub(FETCH_MARGIN)
         }
-        VersionStatus::Outdated(None) => Some(Duration::ZERO),
-        VersionStatus::Outdated(Some(since)) => Some((since + FIRST_BATCH_DELAY).since(now)),
     }
 }
 
--- a/tests/fleet_stale_sources.rs
+++ b/tests/fleet_stale_sources.rs
@@ -23,6 +23,7 @@
 
 const MODEL: &str = "m";
 const HOLDER: &str = "i-0";
+const OTHER: &str = "i-1";
 
 fn at(ms: u64) -> MonotonicTime {
     MonotonicTime::ZERO + Duration::from_millis(ms)
@@ -172,3 +173,45 @@
     let source = find_source(&mut dispatcher, at(now_ms));
     assert_eq!(source, is_source.then(|| address(0)));
 }
+
+/// Guards against a call that waits at its engine while a newer version is named and its
+/// source loads it, and then fetches what the source has made since. Review case 12.
+#[rstest]
+#[case::begins_at_once(0, 0, true)]
+#[case::begins_soon(250, 0, true)]
+#[case::begins_soon_news_is_old(250, 300, false)]
+#[case::begins_after_first_order(600, 0, false)]
+#[case::waits_for_a_whole_change(3_000, 0, false)]
+fn choose_fetches_only_if_call_begins_before_first_order(
+    #[case] wait_ms: u32,
+    #[case] news_age_ms: u64,
+    #[case] is_source: bool,
+) {
+    let mut dispatcher = dispatcher();
+    let (holder, other) = (ServerName::from(HOLDER), ServerName::from(OTHER));
+    dispatcher.targets_confirmed.record_read(at(1_000));
+    dispatcher.observe_agent_report(&holder, report(0), at(1_000));
+    let now = at(1_000 + news_age_ms);
+    dispatcher.observe_agent_report(&other, report(wait_ms), now);
+    let source = find_source(&mut dispatcher, now);
+    assert_eq!(source, is_source.then(|| address(0)));
+}
+
+/// Guards against the same with a KV cache store as the source.
+#[rstest]
+#[case::begins_soon(250, true)]
+#[case::begins_after_first_order(600, false)]
+fn choose_fetches_from_store_only_if_call_begins_before_first_order(
+    #[case] wait_ms: u32,
+    #[case] is_source: bool,
+) {
+    let mut dispatcher = dispatcher();
+    let store = address(200);
+    dispatcher.set_kv_cache_stores(&[store]);
+    dispatcher.observe_kv_cache_store(store, &[shared_part()], true);
+    dispatcher.observe_cached_parts(&ServerName::from(HOLDER), &[], true);
+    dispatcher.targets_confirmed.record_read(at(1_000));
+    dispatcher.observe_agent_report(&ServerName::from(OTHER), report(wait_ms), at(1_000));
+    let source = find_source(&mut dispatcher, at(1_000));
+    assert_eq!(source, is_source.then_some(store));
+}
