--- a/src/core/fleet/weights/targets_confirmed.rs
+++ b/src/core/fleet/weights/targets_confirmed.rs
@@ -34,8 +34,8 @@
         self.at
     }
 
-    /// Records that this process runs; to be called at intervals well below
-    /// [`MIN_STANDSTILL`], and before news is applied.
+    /// Records that this process runs; to be called every 100 ms or more often, and before
+    /// news is applied. A pause of 250 ms counts as a standstill.
     pub fn record_run(&mut self, now: MonotonicTime) {
         let stood_still = |at| now.since(at) >= MIN_STANDSTILL;
         if self.ran_at.is_some_and(stood_still) {
