Share what was written twice, and say what had to be read twice

No behaviour changes.

- Two places noticed that the process had stood still, each with its own fields: core::StallDetector does it for the zone relays and the confirmed targets, with the times that each had.
- The id of an attempt was formatted by the entry and by the agent: Envelope::attempt_id.
- A client connection passed on two methods of its history, which is public in the module now.
What a connection is used for had the name of another type of core: ConnectionPurpose.
- The set-up of a dispatcher with a store stood twice in a test file.

--- a/src/agent/canceller.rs
+++ b/src/agent/canceller.rs
@@ -10,7 +10,6 @@
 use tokio::time::sleep;
 
 use super::AgentContext;
-use super::engine_stream::format_attempt_id;
 use crate::core::Envelope;
 use crate::core::RequestId;
 use crate::http::Client;
@@ -41,7 +40,7 @@
             cx,
             client,
             attempt,
-            attempt_id: format_attempt_id(envelope),
+            attempt_id: envelope.attempt_id(),
         }
     }
 
--- a/src/agent/engine_stream.rs
+++ b/src/agent/engine_stream.rs
@@ -56,7 +56,7 @@
         Self {
             cx,
             client,
-            attempt_id: format_attempt_id(envelope),
+            attempt_id: envelope.attempt_id(),
             events: EventStream::new(exchange),
             next_number,
             generation: None,
@@ -165,8 +165,3 @@
     .body(empty_body())
     .ok()
 }
-
-/// Formats the id by which the engine knows an attempt.
-pub fn format_attempt_id(envelope: &Envelope) -> String {
-    format!("{}-{}", envelope.request, envelope.attempt)
-}
--- a/src/agent/server_call.rs
+++ b/src/agent/server_call.rs
@@ -17,7 +17,6 @@
 use super::engine_stream::EngineStream;
 use super::engine_stream::REQUEST_ID_HEADER;
 use super::engine_stream::build_resume_request;
-use super::engine_stream::format_attempt_id;
 use crate::core::AttemptRefusal;
 use crate::core::Envelope;
 use crate::core::Outcome;
@@ -145,13 +144,13 @@
     /// attempt. A response without the header is accepted.
     fn names_other_attempt(&self, exchange: &Exchange) -> bool {
         let response_id = exchange.headers().get(REQUEST_ID_HEADER);
-        response_id.is_some_and(|id| id.as_bytes() != format_attempt_id(&self.envelope).as_bytes())
+        response_id.is_some_and(|id| id.as_bytes() != self.envelope.attempt_id().as_bytes())
     }
 
     fn build_server_request(&mut self) -> Option<Request<HttpBody>> {
         if let Some(last) = self.envelope.resume_after {
             let host = self.cx.settings.server.to_string();
-            return build_resume_request(&format_attempt_id(&self.envelope), last, &host);
+            return build_resume_request(&self.envelope.attempt_id(), last, &host);
         }
         let body = std::mem::take(&mut self.body);
         let mut server_request = Request::builder()
@@ -164,10 +163,7 @@
         headers.remove(ENVELOPE_HEADER);
         let host = self.cx.settings.server.to_string();
         headers.insert(HOST, host.parse().ok()?);
-        headers.insert(
-            REQUEST_ID_HEADER,
-            format_attempt_id(&self.envelope).parse().ok()?,
-        );
+        headers.insert(REQUEST_ID_HEADER, self.envelope.attempt_id().parse().ok()?);
         Some(server_request)
     }
 
--- a/src/core/envelope.rs
+++ b/src/core/envelope.rs
@@ -55,3 +55,10 @@
     #[serde(default)]
     pub resume_after: Option<u64>,
 }
+
+impl Envelope {
+    /// Returns the id of the attempt, by which connections and the engine know it.
+    pub fn attempt_id(&self) -> String {
+        format!("{}-{}", self.request, self.attempt)
+    }
+}
--- a/src/core/fleet/routing/fetch_plan.rs
+++ b/src/core/fleet/routing/fetch_plan.rs
@@ -218,11 +218,11 @@
     now: MonotonicTime,
 ) -> Duration {
     let Some(vouched_at) = view.vouched_at(now) else {
+        if salted.status == VersionStatus::Current {
+            return predict_fetch_limit(salted.status, salted.confirmed_at, now);
+        }
         // Another process may order the engine without telling this one.
-        return match salted.status {
-            VersionStatus::Current => predict_fetch_limit(salted.status, salted.confirmed_at, now),
-            VersionStatus::Outdated(_) => Duration::ZERO,
-        };
+        return Duration::ZERO;
     };
     if let Some(order_in) = view.time_until_order(now) {
         return order_in.saturating_sub(FETCH_MARGIN);
--- a/src/core/fleet/weights/targets_confirmed.rs
+++ b/src/core/fleet/weights/targets_confirmed.rs
@@ -3,29 +3,25 @@
 use std::time::Duration;
 
 use crate::core::MonotonicTime;
+use crate::core::StallDetector;
 
-/// Time without any sign that this process runs from which it counts as having stood
-/// still.
-const MIN_STANDSTILL: Duration = Duration::from_millis(250);
-
-/// Time within which the news that came during a standstill is read.
-const BACKLOG_TIME: Duration = Duration::from_millis(250);
+/// Time without any sign that this process runs from which it has stood still, and time
+/// after that in which the news that came meanwhile is read.
+const MIN_STALL: Duration = Duration::from_millis(250);
+const STALL_GRACE: Duration = Duration::from_millis(250);
 
 /// Last time at which the target versions that an entry knows were the newest.
 ///
 /// A newer version that the entry learns of, by whatever way, was named after this time.
 /// The time at which it is learned says nothing: an entry that has just started, or was
 /// cut off, learns late.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct TargetsConfirmed {
     /// `None` before the operator's records have been read once.
     at: Option<MonotonicTime>,
     /// Whether changes of the records may have been missed.
     is_lost: bool,
-    /// When this process was last known to run.
-    ran_at: Option<MonotonicTime>,
-    /// Until when news may be as old as the last standstill.
-    backlog_until: Option<MonotonicTime>,
+    stalls: StallDetector,
 }
 
 impl TargetsConfirmed {
@@ -35,19 +31,15 @@
     }
 
     /// Records that this process runs; to be called every 100 ms or more often, and before
-    /// news is applied. A pause of 250 ms counts as a standstill.
+    /// news is applied.
     pub fn record_run(&mut self, now: MonotonicTime) {
-        let stood_still = |at| now.since(at) >= MIN_STANDSTILL;
-        if self.ran_at.is_some_and(stood_still) {
-            self.backlog_until = Some(now + BACKLOG_TIME);
-        }
-        self.ran_at = Some(now);
+        self.stalls.record_run(now);
     }
 
     /// Returns whether news that is read now may have come while this process stood still,
     /// so that it says nothing of the present.
     pub fn is_reading_backlog(&self, now: MonotonicTime) -> bool {
-        self.backlog_until.is_some_and(|until| now < until)
+        self.stalls.is_catching_up(now)
     }
 
     /// Records that all records in the store were read and applied.
@@ -85,3 +77,13 @@
         self.at = self.at.map(|before| before.max(at));
     }
 }
+
+impl Default for TargetsConfirmed {
+    fn default() -> Self {
+        Self {
+            at: None,
+            is_lost: false,
+            stalls: StallDetector::new(MIN_STALL, STALL_GRACE),
+        }
+    }
+}
--- a/src/core/fleet/zone_relays/relay_choice.rs
+++ b/src/core/fleet/zone_relays/relay_choice.rs
@@ -11,6 +11,7 @@
 use super::ExchangePlan;
 use super::HeardEntry;
 use crate::core::MonotonicTime;
+use crate::core::StallDetector;
 
 /// Number of entries up to which all exchange directly, which is faster by two hops.
 pub const MAX_DIRECT_ENTRIES: usize = 8;
@@ -83,9 +84,7 @@
     entries: HashMap<String, Entry>,
     /// Interval of exchanges with relays, as of the last plan.
     interval: Duration,
-    planned_at: Option<MonotonicTime>,
-    /// The plan does not change until then.
-    held_until: MonotonicTime,
+    stalls: StallDetector,
     last_plan: ExchangePlan,
 }
 
@@ -98,8 +97,7 @@
             is_leaving: false,
             entries: HashMap::new(),
             interval: RELAY_INTERVAL,
-            planned_at: None,
-            held_until: MonotonicTime::ZERO,
+            stalls: StallDetector::new(MIN_STALL, STALL_GRACE),
             last_plan: ExchangePlan::default(),
         }
     }
@@ -180,11 +178,8 @@
     /// Forgets entries that were not heard for long, and decides how the state is
     /// exchanged with each of the others.
     pub fn plan(&mut self, now: MonotonicTime) -> ExchangePlan {
-        let planned_at = self.planned_at.replace(now);
-        if planned_at.is_some_and(|at| now.since(at) >= MIN_STALL) {
-            self.held_until = now + STALL_GRACE;
-        }
-        if now >= self.held_until {
+        self.stalls.record_run(now);
+        if !self.stalls.is_catching_up(now) {
             self.last_plan = self.make_plan(now);
         }
         self.last_plan.clone()
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -30,6 +30,7 @@
 pub mod retry;
 mod revision;
 mod server_name;
+mod stall_detector;
 mod weights_version;
 
 pub use account_name::AccountName;
@@ -49,4 +50,5 @@
 pub use response_report::ResponseReport;
 pub use revision::Revision;
 pub use server_name::ServerName;
+pub use stall_detector::StallDetector;
 pub use weights_version::WeightsVersion;
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -88,7 +88,7 @@
     let message = build_message(envelope, req)?;
     let is_first_attempt = envelope.attempt == 1 && envelope.resume_after.is_none();
     let response = if is_first_attempt && !envelope.once {
-        let name = format!("{}-{}", envelope.request, envelope.attempt);
+        let name = envelope.attempt_id();
         let build = || message.clone().map(full_body);
         client
             .send_named(server.address, name.as_bytes(), build)
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -26,7 +26,7 @@
 use super::client_connection::ClientConnection;
 use super::set_socket_options;
 
-/// Idle connections kept for one address and use. Beyond that, the one that went
+/// Idle connections kept for one address and purpose. Beyond that, the one that went
 /// back to the pool earliest is closed.
 const MAX_IDLE_PER_ADDRESS: usize = 64;
 
@@ -75,18 +75,18 @@
     idle_connections: Arc<Mutex<HashMap<PoolKey, Vec<IdleConnection>>>>,
 }
 
-/// Connections that may carry each other's requests: those to one address for one use.
+/// Connections that may carry each other's requests: those to one address for one purpose.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub(super) struct PoolKey {
     /// Address of the server.
     pub address: SocketAddr,
     /// What the connections are used for.
-    pub connection_use: ConnectionUse,
+    pub purpose: ConnectionPurpose,
 }
 
 /// What a connection is used for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub(super) enum ConnectionUse {
+pub(super) enum ConnectionPurpose {
     /// One exchange.
     Single,
     /// Requests whose responses bear their names.
@@ -138,7 +138,7 @@
         let connection = self.connect(address).await?;
         let key = PoolKey {
             address,
-            connection_use: ConnectionUse::Single,
+            purpose: ConnectionPurpose::Single,
         };
         self.send_on_connection(connection, key, None, req).await
     }
@@ -158,7 +158,7 @@
     ) -> Result<Exchange, ClientError> {
         let key = PoolKey {
             address,
-            connection_use: ConnectionUse::Named,
+            purpose: ConnectionPurpose::Named,
         };
         let name_hash = self.name_hasher.hash_one(name);
         self.send_pooled(key, Some(name_hash), build).await
@@ -179,7 +179,7 @@
     ) -> Result<Exchange, ClientError> {
         let key = PoolKey {
             address,
-            connection_use: ConnectionUse::Poll(topic),
+            purpose: ConnectionPurpose::Poll(topic),
         };
         self.send_pooled(key, None, build).await
     }
@@ -270,7 +270,7 @@
         let connections = idle_connections.get_mut(&key)?;
         let now = Instant::now();
         connections.retain(|idle| now < idle.expires_at && idle.connection.sender.is_ready());
-        let may_carry = |idle: &IdleConnection| idle.connection.history().allows(name_hash);
+        let may_carry = |idle: &IdleConnection| idle.connection.history.allows(name_hash);
         let index = connections.iter().rposition(may_carry);
         let taken = index.map(|index| connections.remove(index).connection);
         if connections.is_empty() {
@@ -288,7 +288,7 @@
         connection: ClientConnection,
         server_idle_time: Option<Duration>,
     ) {
-        if key.connection_use == ConnectionUse::Single || !connection.history().allows(None) {
+        if key.purpose == ConnectionPurpose::Single || !connection.history.allows(None) {
             return;
         }
         let usable_idle_time = server_idle_time.map(|idle| idle.mul_f64(USABLE_IDLE_FRACTION));
--- a/src/http/client_connection.rs
+++ b/src/http/client_connection.rs
@@ -40,7 +40,8 @@
     pub sender: SendRequest<HttpBody>,
     /// Number of the connection in this process, for logs.
     number: u64,
-    history: ConnectionHistory,
+    /// Requests that the connection has carried.
+    pub history: ConnectionHistory,
     has_request: Arc<AtomicBool>,
     /// Whether no byte of the current request was written.
     is_unwritten: Arc<AtomicBool>,
@@ -118,17 +119,6 @@
         self.number
     }
 
-    /// Returns the requests that the connection has carried.
-    pub fn history(&self) -> &ConnectionHistory {
-        &self.history
-    }
-
-    /// Records the number of the state that a response states, as
-    /// [`ConnectionHistory::advance_state`] does.
-    pub fn advance_state(&mut self, number: u64) -> bool {
-        self.history.advance_state(number)
-    }
-
     /// Returns whether no byte of the current request was written.
     pub fn is_request_unwritten(&self) -> bool {
         self.is_unwritten.load(Ordering::Acquire)
--- a/src/http/exchange.rs
+++ b/src/http/exchange.rs
@@ -68,7 +68,7 @@
     /// response may be a late one to them.
     pub fn has_reused_connection(&self) -> bool {
         let connection = self.connection.as_ref();
-        connection.is_some_and(|connection| connection.history().requests() > 1)
+        connection.is_some_and(|connection| connection.history.requests() > 1)
     }
 
     /// Returns the number of the connection in this process, for logs; `None` after the
@@ -101,7 +101,7 @@
     /// connection has brought a newer state before, so that the response is a late one.
     pub fn advance_state(&mut self, number: u64) -> bool {
         let connection = self.connection.as_mut();
-        connection.is_none_or(|connection| connection.advance_state(number))
+        connection.is_none_or(|connection| connection.history.advance_state(number))
     }
 
     /// Sets the timeout between two chunks of the body.
--- a/tests/fleet_stale_sources.rs
+++ b/tests/fleet_stale_sources.rs
@@ -77,6 +77,16 @@
     dispatcher
 }
 
+/// Two engines and a KV cache store, which alone holds the shared part of the prompt.
+fn dispatcher_with_store() -> (Dispatcher, SocketAddr) {
+    let mut dispatcher = dispatcher();
+    let store = address(200);
+    dispatcher.set_kv_cache_stores(&[store]);
+    dispatcher.observe_kv_cache_store(store, &[shared_part()], true);
+    dispatcher.observe_cached_parts(&ServerName::from(HOLDER), &[], true);
+    (dispatcher, store)
+}
+
 /// Returns from where the second engine would fetch the shared part.
 fn find_source(dispatcher: &mut Dispatcher, now: MonotonicTime) -> Option<SocketAddr> {
     let holder = dispatcher.upsert_member(engine(0));
@@ -141,11 +151,7 @@
     #[case] confirmed_ms: u64,
     #[case] is_source: bool,
 ) {
-    let mut dispatcher = dispatcher();
-    let store = address(200);
-    dispatcher.set_kv_cache_stores(&[store]);
-    dispatcher.observe_kv_cache_store(store, &[shared_part()], true);
-    dispatcher.observe_cached_parts(&ServerName::from(HOLDER), &[], true);
+    let (mut dispatcher, store) = dispatcher_with_store();
     dispatcher.targets_confirmed.record_read(at(confirmed_ms));
     let source = find_source(&mut dispatcher, at(3_000));
     assert_eq!(source, is_source.then_some(store));
@@ -205,11 +211,7 @@
     #[case] wait_ms: u32,
     #[case] is_source: bool,
 ) {
-    let mut dispatcher = dispatcher();
-    let store = address(200);
-    dispatcher.set_kv_cache_stores(&[store]);
-    dispatcher.observe_kv_cache_store(store, &[shared_part()], true);
-    dispatcher.observe_cached_parts(&ServerName::from(HOLDER), &[], true);
+    let (mut dispatcher, store) = dispatcher_with_store();
     dispatcher.targets_confirmed.record_read(at(1_000));
     dispatcher.observe_agent_report(&ServerName::from(OTHER), report(wait_ms), at(1_000));
     let source = find_source(&mut dispatcher, at(1_000));
