Give each server of a test an address that no other test uses

What callers saw: nothing; tests of the platform adapter fail now and then with requests too many at a server, or a connection that is refused.

Cause, suspected: servers, stores and gateways of the tests took any free port of one address. A port that a server has left is given to another test, while gateways of the first one still send to it; and a port that is only looked up may be taken before its gateway listens on it.

Change: all of them take their address from loopback::allocate_address, which returns none twice in a process. Its ports differ as well, since tests tell connections and names of gateways apart by port. Nothing that the tests check has changed.

--- a/lab/tests/drain.rs
+++ b/lab/tests/drain.rs
@@ -4,7 +4,6 @@
 use std::io::BufRead;
 use std::io::BufReader;
 use std::net::SocketAddr;
-use std::net::TcpListener;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
@@ -21,6 +20,7 @@
 use serde_json::json;
 use teaseldrum_lab::engine::EngineSettings;
 use teaseldrum_lab::engine::start_model_engine;
+use teaseldrum_lab::loopback::allocate_address;
 
 const RULES: &str = "pool drafting model cedar # asked by the desk\n\
     route /v1/ pool drafting open # asked by the desk\n";
@@ -91,12 +91,6 @@
     "127.0.0.1:0".parse().expect("the address is valid")
 }
 
-/// Returns an address with a port that was free a moment ago.
-fn find_free_port() -> SocketAddr {
-    let listener = TcpListener::bind(loopback_any_port()).expect("a port is free");
-    listener.local_addr().expect("the listener has an address")
-}
-
 fn start_agent(name: &str, address: SocketAddr, engine: SocketAddr) -> Process {
     let settings = json!({
         "name": name, "zone": "a", "pool": "drafting", "server": engine,
@@ -232,10 +226,10 @@
 fn drain_agent_fails_no_request() {
     let engines =
         [(); 2].map(|()| start_model_engine(loopback_any_port(), EngineSettings::default()));
-    let agents = [find_free_port(), find_free_port()];
+    let agents = [allocate_address(), allocate_address()];
     let mut first = start_agent("s0", agents[0], engines[0].address());
     let _second = start_agent("s1", agents[1], engines[1].address());
-    let entry_address = find_free_port();
+    let entry_address = allocate_address();
     let _entry = start_entry("e1", entry_address, &agents);
     for address in [agents[0], agents[1], entry_address] {
         wait_for_listener(address);
@@ -251,9 +245,9 @@
 #[test]
 fn drain_entry_fails_no_request() {
     let engine = start_model_engine(loopback_any_port(), EngineSettings::default());
-    let agent = find_free_port();
+    let agent = allocate_address();
     let _agent = start_agent("s2", agent, engine.address());
-    let entry_address = find_free_port();
+    let entry_address = allocate_address();
     let mut entry = start_entry("e2", entry_address, &[agent]);
     wait_for_listener(agent);
     wait_for_listener(entry_address);
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -3,7 +3,6 @@
 
 use std::fs;
 use std::net::SocketAddr;
-use std::net::TcpListener;
 use std::net::TcpStream;
 use std::process::Child;
 use std::process::Command;
@@ -31,6 +30,7 @@
 use teaseldrum_lab::engine::EngineSettings;
 use teaseldrum_lab::engine::start_model_engine;
 use teaseldrum_lab::engine::start_scripted_engine;
+use teaseldrum_lab::loopback::allocate_address;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
@@ -59,7 +59,7 @@
 impl Process {
     /// Starts a role and waits until its traffic port accepts connections.
     fn start(role: &str, mut settings: Value) -> Self {
-        let address = pick_free_address();
+        let address = allocate_address();
         settings["listen"] = json!({"traffic": address});
         let name = settings["name"].as_str().expect("name in the settings");
         let file_name = format!("teaseldrum-{}-{name}.json", std::process::id());
@@ -148,13 +148,6 @@
     "127.0.0.1:0".parse().expect("valid address")
 }
 
-fn pick_free_address() -> SocketAddr {
-    let listener = TcpListener::bind(any_local_address()).expect("bind a free port");
-    listener
-        .local_addr()
-        .expect("local address of the listener")
-}
-
 fn make_client() -> Client {
     Client::new(ClientTimeouts {
         connect: WAIT_TIMEOUT,
