Take what a server answers for the run that was asked

What callers saw: 503 no-server or servers-paused for as long as the answer of an earlier run of a server had asked for, up to 60 s in the test, although the server had started again and takes calls.

Pauses, "another server answers here", load, weights version and failures were recorded by the key of a server's record, which stays when the server starts again under its name, maybe at another address. Limits and leaving were already compared with the run.

Change: what an answer says of a server is recorded only while its record is that of the run to which the call was sent. What it says of that run still counts: the pause and the end of a suspected crash are kept by run.

Evidence: both cases of server_started_again_is_used_after_answer_of_earlier_run got 503 in place of 200 before. Times that calls took are still counted for the record, at most one for each call that was under way.

--- a/src/core/fleet/routing/dispatcher.rs
+++ b/src/core/fleet/routing/dispatcher.rs
@@ -664,11 +664,19 @@
     /// Records that a run wants no calls for a time.
     pub fn record_pause(&mut self, choice: &BackendChoice, pause: Duration, now: MonotonicTime) {
         let until = self.run_limits.record_pause(choice.run, pause, now);
-        if let Some(view) = self.backends.get_mut(choice.key) {
+        let view = self.backends.get_mut(choice.key);
+        if let Some(view) = view.filter(|view| view.run() == choice.run) {
             view.paused_until = Some(until);
         }
     }
 
+    /// Returns whether the record of a server is still that of the run to which a call was
+    /// sent. What an earlier run answers says nothing of a later one.
+    pub fn lists_run(&self, choice: &BackendChoice) -> bool {
+        let view = self.backends.get(choice.key);
+        view.is_some_and(|view| view.run() == choice.run)
+    }
+
     /// Records that the listed run of a server wants no requests for a time.
     pub fn record_engine_pause(&mut self, name: &ServerName, pause: Duration, now: MonotonicTime) {
         let Some(run) = self.find_backend(name).map(BackendView::run) else {
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -266,6 +266,9 @@
     }
     let now = cx.now();
     let mut state = cx.lock();
+    if !state.dispatcher.lists_run(&sent_to) {
+        return outcome;
+    }
     match &outcome {
         AttemptOutcome::Answered(response) => {
             let is_failure = response.status.is_server_error();
@@ -472,7 +475,10 @@
         metadata.server
     );
     let now = cx.now();
-    cx.lock().dispatcher.mark_replaced(choice.key, now);
+    let mut state = cx.lock();
+    if state.dispatcher.lists_run(choice) {
+        state.dispatcher.mark_replaced(choice.key, now);
+    }
     "misdirected"
 }
 
@@ -508,7 +514,7 @@
 }
 
 /// Records that the server responded, and its load and weights version if it
-/// stated them. Whether the call succeeded is recorded by [`attempt_call`].
+/// stated them, unless it has started again since the call was sent. Whether the call succeeded is recorded by [`attempt_call`].
 fn record_response_metadata(
     cx: &GatewayContext,
     call: &Call,
@@ -518,6 +524,9 @@
     let now = cx.now();
     let mut state = cx.lock();
     state.record_answer(choice, now);
+    if !state.dispatcher.lists_run(choice) {
+        return;
+    }
     if let Some(load) = metadata.load {
         state.dispatcher.observe_load(choice.key, load, now);
     }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -192,7 +192,9 @@
 
     /// Records that a server has answered, with whatever status.
     pub fn record_answer(&mut self, choice: &BackendChoice, now: MonotonicTime) {
-        self.dispatcher.record_answer(choice.key, now);
+        if self.dispatcher.lists_run(choice) {
+            self.dispatcher.record_answer(choice.key, now);
+        }
         self.quarantine.record_answer(choice.run, now);
     }
 
--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -281,13 +281,15 @@
 
     fn close_upstream(&mut self, is_failure: bool) {
         if let Some((_, in_flight)) = self.upstream.take() {
-            let key = in_flight.choice().key;
-            record_end(&self.cx, &self.call, in_flight.choice(), is_failure);
+            let choice = in_flight.choice();
+            record_end(&self.cx, &self.call, choice, is_failure);
             let now = self.cx.now();
             let mut state = self.cx.lock();
-            state.dispatcher.record_outcome(key, is_failure);
-            if is_failure {
-                state.dispatcher.record_unreachable(key, now);
+            if state.dispatcher.lists_run(choice) {
+                state.dispatcher.record_outcome(choice.key, is_failure);
+                if is_failure {
+                    state.dispatcher.record_unreachable(choice.key, now);
+                }
             }
         }
         self.buffer.clear();
