Keep a claim to lead a rollout that was granted after a restore

What operators saw: once the store had been restored from a copy, a rollout could go without a leader for as long as the gateways ran.

Hypotheses: (1) restores follow each other faster than an entry can write; (2) the lease of a lost claim keeps others from claiming; (3) a claim is taken for one of before the restore.

Cause: when a claim was granted, the follower of a rollout replaced its OrderClaim by a new one, without the time of the last restore. Its next step compared that time with zero, took the restore for a new one and dropped the claim. The lease stayed in the store for 4 s, so that no other gateway could claim. Even with the time kept, a gateway's tasks notice one restore up to a ping apart, and each notice would have dropped a claim that was granted in between.

Change: a claim is compared with the restore by its revision, which holds the era (docs/design/0013), not by when the restore was noticed. The adapter already does so for renewals; the port offers it as predates_restore.

The random histories with restores (tests/fleet_version_rollout.rs) claim in their own model and could not show it.

--- a/src/gateway/lead_rollouts/claim_lead.rs
+++ b/src/gateway/lead_rollouts/claim_lead.rs
@@ -47,17 +47,20 @@
 const END_CHECK_DELAY: Duration = Duration::from_secs(2);
 
 impl Follower {
+    /// Gives up a claim that a restore of the store may have lost. One that was granted
+    /// since is kept: the tasks that read the store notice the same restore at different
+    /// times.
     pub(super) fn drop_claim_after_restore(&mut self) {
-        if let Some(restored_at) = self.cx.lock().store_restored_at {
-            let was_held = !self.claim.is_idle();
-            self.claim.record_restore(restored_at);
-            if was_held && self.claim.is_idle() {
-                log::info!(
-                    "rollouts: claim lost service={} reason=restored",
-                    self.service
-                );
-                self.record_revision = None;
-            }
+        let Some(grant) = self.claim.held_grant(self.cx.now()) else {
+            return;
+        };
+        if self.cx.ports.claims.predates_restore(grant) {
+            log::info!(
+                "rollouts: claim lost service={} reason=restored",
+                self.service
+            );
+            self.claim = OrderClaim::default();
+            self.record_revision = None;
         }
     }
 
--- a/src/ports/order_claims.rs
+++ b/src/ports/order_claims.rs
@@ -36,6 +36,10 @@
     /// Renews the lease of the claim `held` and returns whether it still existed.
     fn renew(&self, held: ClaimGrant) -> BoxFuture<'_, Result<bool, PortError>>;
 
+    /// Returns whether the claim was granted before the newest restore of the store that
+    /// is known, which may have lost it.
+    fn predates_restore(&self, held: ClaimGrant) -> bool;
+
     /// Ends a lease and with it the claim.
     fn release(&self, lease: u64) -> BoxFuture<'_, Result<(), PortError>>;
 }
