Confirm target versions as of when the records were asked for

Parts of newer weights could be fetched for older ones (STALE).

Cause: a list of all records confirmed the known versions as of the time at which it was applied: after its body, further pages and the wait for peers at the start. A version that was named meanwhile, and its first order, may be older than that.

Change: a read of all records confirms as of the time at which it was sent, and takes back no later confirmation. Watches deliver changes as they come and confirm as before.

Evidence: record_full_read_confirms_when_it_was_asked_for; the method is new, and before it the time of processing was recorded.

--- a/src/core/fleet/weights/targets_confirmed.rs
+++ b/src/core/fleet/weights/targets_confirmed.rs
@@ -42,10 +42,16 @@
         self.stalls.is_catching_up(now)
     }
 
-    /// Records that all records in the store were read and applied.
+    /// Records that all changes of the records in the store were applied as they came.
     pub fn record_read(&mut self, now: MonotonicTime) {
+        self.record_full_read(now, now);
+    }
+
+    /// Records that all records in the store, as they were at `asked_at` or later, were
+    /// applied. The response may have taken or waited long.
+    pub fn record_full_read(&mut self, asked_at: MonotonicTime, now: MonotonicTime) {
         if self.at.is_none() || !self.is_reading_backlog(now) {
-            self.at = Some(now);
+            self.at = Some(self.at.map_or(asked_at, |before| before.max(asked_at)));
         }
         self.is_lost = false;
     }
--- a/src/gateway/follow_store.rs
+++ b/src/gateway/follow_store.rs
@@ -10,6 +10,7 @@
 use super::follow_members::follow_peer_members;
 use super::follow_members::is_member_reader;
 use super::lead_rollouts::observe_rollout_order;
+use crate::core::MonotonicTime;
 use crate::core::fleet::MemberChange;
 use crate::ports::Area;
 use crate::ports::PortError;
@@ -62,6 +63,7 @@
             revision = None;
             continue;
         }
+        let asked_at = cx.now();
         let result = match revision {
             None => cx.ports.source.read_all(area).await,
             Some(after_revision) => {
@@ -96,7 +98,7 @@
                 cx.lock().record_store_answer(cx.now());
                 revision = Some(update.revision);
                 let has_changes = !update.changes.is_empty();
-                apply_update(&cx, area, update, is_full_read);
+                apply_update(&cx, area, update, is_full_read.then_some(asked_at));
                 if has_changes && area == Area::Members {
                     sleep(MEMBERS_BATCH_INTERVAL).await;
                 }
@@ -131,8 +133,15 @@
     }
 }
 
-fn apply_update(cx: &GatewayContext, area: Area, update: SourceUpdate, is_full_read: bool) {
+/// Applies what was read or watched; `asked_at` is when a read of the whole area began.
+fn apply_update(
+    cx: &GatewayContext,
+    area: Area,
+    update: SourceUpdate,
+    asked_at: Option<MonotonicTime>,
+) {
     let now = cx.now();
+    let is_full_read = asked_at.is_some();
     let mut state = cx.lock();
     let progress = &mut state.progress[area.index()];
     progress.newest_revision = progress.newest_revision.max(update.newest_revision);
@@ -189,7 +198,7 @@
         }
     }
     if area == Area::Operator {
-        state.record_operator_records_read(now);
+        state.record_operator_records_read(asked_at.unwrap_or(now), now);
     }
     if is_full_read && area == Area::Members {
         let changes = state.directory.replace(members, now);
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -307,11 +307,12 @@
         self.dispatcher.targets_confirmed.record_run(now);
     }
 
-    /// Records that all of the operator's records in the store were read, and what is new
-    /// among them was applied.
-    pub fn record_operator_records_read(&mut self, now: MonotonicTime) {
+    /// Records that all of the operator's records in the store were read, as they were at
+    /// `read_at` or later, and what is new among them was applied.
+    pub fn record_operator_records_read(&mut self, read_at: MonotonicTime, now: MonotonicTime) {
         self.record_run(now);
-        self.dispatcher.targets_confirmed.record_read(now);
+        let confirmed = &mut self.dispatcher.targets_confirmed;
+        confirmed.record_full_read(read_at, now);
     }
 
     /// Records that changes of the operator's records may have been missed, until they
--- a/tests/fleet_targets_confirmed.rs
+++ b/tests/fleet_targets_confirmed.rs
@@ -21,6 +21,18 @@
     assert_eq!(confirmed.at(), Some(at(3)));
 }
 
+/// Guards against a list of the store that was long on its way and passes for the present:
+/// a newer version may have been named since it was read.
+#[test]
+fn record_full_read_confirms_when_it_was_asked_for() {
+    let mut confirmed = TargetsConfirmed::default();
+    confirmed.record_full_read(at(1), at(900));
+    assert_eq!(confirmed.at(), Some(at(1)));
+    confirmed.record_peer(at(1_000));
+    confirmed.record_full_read(at(950), at(1_100));
+    assert_eq!(confirmed.at(), Some(at(1_000)));
+}
+
 /// Guards against a store that answers again before the changes that were missed have
 /// been read.
 #[test]
