--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -66,7 +66,9 @@
 ///
 /// The last two return a connection to the pool once the receiver of the response has told
 /// that it belongs to the request ([`Exchange::allow_reuse`]) and its body was read to its
-/// end. Cheap to clone; all clones share the pool and must be used on one runtime.
+/// end. Cheap to clone; all clones share the pool and must be used on one runtime of one
+/// thread: whether a request was written is read once the task of its connection has
+/// stopped writing.
 #[derive(Clone)]
 pub struct Client {
     timeouts: Arc<ClientTimeouts>,
--- a/src/http/exchange.rs
+++ b/src/http/exchange.rs
@@ -88,8 +88,9 @@
     }
 
     /// Tells that the response belongs to the request, so that other requests may go over
-    /// the connection, unless it was opened for this exchange only. Without that, it is closed: the own response may still come, and
-    /// would be taken for that to the next request.
+    /// the connection, unless it was opened for this exchange only. Without that, it is
+    /// closed: the own response may still come, and would be taken for that to the next
+    /// request.
     pub fn allow_reuse(&mut self) {
         self.is_reusable = true;
         if self.is_read {
