Count a response toward its server's share only while the server sends it

Cause: the share of a server (half of what stays free) also counted responses that had arrived whole and were held only because their callers did not read. Slow readers of two accounts filled it; freed room went to their own waiting calls, and the other account waited until its deadline.

Evidence, from a trace of two runs of the test, one of which failed: the head of each response came within 35 ms, the call then waited for room. At each of the 353 checks of a waiting call the server's share was full (17,000,000 bytes); of a budget of 53.8 MB 17.0 to 19.7 MB were held, 10.0 to 13.7 MB and 5.0 to 7.8 MB of them for the two slow accounts, none for the third. No account had reached its share. Excluded by the same trace: time until the head (connection, slot, server stand-in), reading of the body, the test's thread.

Change: once the body has been read, its bytes leave the server's share and stay in those of account and connection. A response that finds no room until its deadline is logged, which the reason answer-silent did not tell.

The test without network fails with `Wait` when `end_receipt` does not end the count.

--- a/src/core/fleet/held_bytes/held_bytes.rs
+++ b/src/core/fleet/held_bytes/held_bytes.rs
@@ -16,9 +16,9 @@
 const PURPOSE_FRACTION: f64 = 0.75;
 
 /// An account and a connection may hold as much as is free, divided by these numbers; the
-/// responses of a server count like those of an account. With 1 for accounts, six of them
-/// that fill their shares one after another left a 64th of the budget to the next one;
-/// with 2 it is an eleventh.
+/// responses that a server still sends count like those of an account. With 1 for accounts,
+/// six of them that fill their shares one after another left a 64th of the budget to the
+/// next one; with 2 it is an eleventh.
 const ACCOUNT_DIVISOR: usize = 2;
 const CONNECTION_DIVISOR: usize = 3;
 
@@ -34,8 +34,8 @@
 /// more.
 ///
 /// With shares, an account may hold at most half of the bytes that stay free and a
-/// connection at most a third, of bodies of requests and again of responses. The responses
-/// of one server have a share like those of an account. One account thus takes at most a
+/// connection at most a third, of bodies of requests and again of responses. Responses that
+/// have not arrived whole also have a share by server, like that of an account. One account thus takes at most a
 /// third of the budget for responses, whatever its servers send, and still finds room for
 /// its requests, and another account finds a share of the rest. A body that is the only
 /// thing held may take half of the budget.
@@ -219,8 +219,19 @@
         }
     }
 
+    /// Ends the part of a server in bytes that have all arrived: only the caller can release
+    /// them now, so they count toward the shares of its account and connection alone.
+    pub fn end_receipt(&mut self, holder: &mut Holder, bytes: usize) {
+        if let Some(server) = holder.server.take()
+            && self.has_shares
+            && bytes > 0
+        {
+            subtract(self.responses_by_server.entry(server), bytes);
+        }
+    }
+
     /// Returns the number of accounts and connections for which bytes are held, and of
-    /// servers whose responses are held. An account or a connection counts once for each
+    /// servers whose responses have not arrived whole. An account or a connection counts once for each
     /// purpose.
     pub fn count_holders(&self) -> (usize, usize, usize) {
         let purposes = [&self.bodies, &self.responses];
--- a/src/core/fleet/held_bytes/holder.rs
+++ b/src/core/fleet/held_bytes/holder.rs
@@ -11,6 +11,6 @@
     pub account: Option<AccountName>,
     /// Address of the caller, which identifies the connection while it is open.
     pub connection: Option<SocketAddr>,
-    /// Address of the server whose response is held, if it is that.
+    /// Address of the server that still sends the response, if it is one.
     pub server: Option<SocketAddr>,
 }
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -372,11 +372,15 @@
     match timeout_at(call.deadline, reservation.grow_to(declared_len)).await {
         Ok(true) => {}
         Ok(false) => return AttemptOutcome::Unknown(ANSWER_BROKEN),
-        Err(_) => return AttemptOutcome::Unknown("answer-silent"),
+        Err(_) => {
+            log_missing_room(cx, call, &choice, declared_len);
+            return AttemptOutcome::Unknown("answer-silent");
+        }
     }
     let body_read = exchange.read_rest_in_budget(MAX_RESPONSE_BYTES, &mut reservation);
     match wait_while_alive(cx, choice.key, may_run_again, call.deadline, body_read).await {
         Some(Ok(body)) => {
+            reservation.end_receipt();
             record_full_response(cx, call, &mut in_flight, status);
             AttemptOutcome::Answered(FullResponse {
                 status,
@@ -389,6 +393,17 @@
     }
 }
 
+/// Logs a response that waited for room until the deadline of its call.
+fn log_missing_room(cx: &GatewayContext, call: &Call, choice: &BackendChoice, bytes: usize) {
+    log::info!(
+        "memory: no room for response id={} account={} server={} bytes={bytes} held_bytes={}",
+        call.id_text(),
+        call.account.as_ref().map_or("-", |name| name.as_str()),
+        choice.name,
+        cx.byte_budget.held()
+    );
+}
+
 /// Logs a response that may be taken for a promise that the call did not run, or that
 /// names another call.
 fn log_unusual_response(
--- a/src/http/byte_budget.rs
+++ b/src/http/byte_budget.rs
@@ -130,6 +130,11 @@
         self.released.notify_waiters();
     }
 
+    pub(super) fn end_receipt(&self, holder: &mut Holder, bytes: usize) {
+        self.lock().end_receipt(holder, bytes);
+        self.released.notify_waiters();
+    }
+
     fn count_refusal(&self, decision: HoldDecision) -> bool {
         let is_held = decision == HoldDecision::Held;
         if !is_held {
--- a/src/http/byte_reservation.rs
+++ b/src/http/byte_reservation.rs
@@ -84,6 +84,12 @@
         self.bytes = bytes;
     }
 
+    /// Tells that the response has arrived whole, so that its bytes no longer count toward
+    /// the share of its server.
+    pub fn end_receipt(&mut self) {
+        self.budget.end_receipt(&mut self.holder, self.bytes);
+    }
+
     /// Moves the reservation of `content` into it, so that its bytes are released when
     /// the last clone is dropped.
     pub fn attach_part(&mut self, content: Bytes) -> Bytes {
--- a/tests/fleet_held_bytes.rs
+++ b/tests/fleet_held_bytes.rs
@@ -126,6 +126,26 @@
     assert_eq!(other, HoldDecision::Held);
 }
 
+/// Guards against accounts that read slowly and keep the responses of the same server to
+/// another account waiting: what has arrived whole counts toward its account alone.
+#[test]
+fn reserve_responses_to_slow_readers_leave_room_at_their_server() {
+    let mut held = HeldBytes::with_shares(54 * MB);
+    for port in 1..=200 {
+        let account = ["slow-0", "slow-1"][usize::from(port) % 2];
+        let mut own = response_holder(account, port, 1);
+        if held.reserve(&own, MB, HoldPurpose::RunningCall) == HoldDecision::Held {
+            held.end_receipt(&mut own, MB);
+        }
+    }
+    for port in 1..=5 {
+        let own = response_holder("reads-at-once", port, 1);
+        let decision = held.reserve(&own, MB, HoldPurpose::RunningCall);
+        assert_eq!(decision, HoldDecision::Held, "{port}");
+    }
+    assert!(held.total() > 18 * MB, "{} bytes", held.total());
+}
+
 /// Guards against running calls of an account over its share that never end: a small
 /// chunk for a connection that holds none is always held within the budget.
 #[test]
@@ -197,18 +217,21 @@
     /// in any order of reservations and releases.
     #[test]
     fn reserve_and_release_any_order(
-        steps in prop::collection::vec((0_u16..5, 1_u16..9, 1_usize..200_000, any::<bool>(), any::<bool>()), 1..300),
+        steps in prop::collection::vec((0_u16..5, 1_u16..9, 1_usize..200_000, any::<[bool; 3]>()), 1..300),
     ) {
         let mut held = HeldBytes::with_shares(MB);
         let mut open: Vec<(Holder, usize, HoldPurpose)> = Vec::new();
-        for (account, port, bytes, is_new, releases) in steps {
+        for (account, port, bytes, [is_new, releases, ends_receipt]) in steps {
             if releases && !open.is_empty() {
                 let (holder, bytes, purpose) = open.swap_remove(bytes % open.len());
                 held.release(&holder, bytes, purpose);
             }
-            let own = response_holder(&account.to_string(), port, port as u8 % 3);
+            let mut own = response_holder(&account.to_string(), port, port as u8 % 3);
             let purpose = if is_new { HoldPurpose::NewBody } else { HoldPurpose::RunningCall };
             if held.reserve(&own, bytes, purpose) == HoldDecision::Held {
+                if !is_new && ends_receipt {
+                    held.end_receipt(&mut own, bytes);
+                }
                 open.push((own, bytes, purpose));
             }
             let sum: usize = open.iter().map(|(_, bytes, _)| bytes).sum();
