Keep room for responses of accounts that read at once

Responses may take three quarters of the budget, but the share of an account was half of all that stays free. Callers of four accounts that read slowly so took all that responses may have, and responses above 32 KB to any further account waited until the deadline (504 answer-silent).

Change: for an account, free is what is left of both the budget and the part for responses, as it was for bodies already. An account alone gets a quarter of the budget in place of a third. The largest response that is ever held, a quarter, is the same.

--- a/src/core/fleet/held_bytes/held_bytes.rs
+++ b/src/core/fleet/held_bytes/held_bytes.rs
@@ -35,10 +35,10 @@
 ///
 /// With shares, an account may hold at most half of the bytes that stay free and a
 /// connection at most a third, of bodies of requests and again of responses. Responses that
-/// have not arrived whole also have a share by server, like that of an account. One account thus takes at most a
-/// third of the budget for responses, whatever its servers send, and still finds room for
-/// its requests, and another account finds a share of the rest. A body that is the only
-/// thing held may take half of the budget.
+/// have not arrived whole also have a share by server, like that of an account. One account thus takes at most a quarter of the
+/// budget for responses, whatever its servers send, and still finds room for its requests,
+/// and another account finds a share of the rest. A body that is the only thing held may
+/// take half of the budget.
 #[derive(Debug)]
 pub struct HeldBytes {
     limit: usize,
@@ -62,6 +62,12 @@
         by_account.copied().unwrap_or(0)
     }
 
+    /// Returns whether `bytes` more are within the share of an account, if `free` bytes stay
+    /// free.
+    fn fits_account(&self, holder: &Holder, bytes: usize, free: usize) -> bool {
+        self.of_account(holder).saturating_add(bytes) <= free / ACCOUNT_DIVISOR
+    }
+
     fn of_connection(&self, holder: &Holder) -> usize {
         look_up(&self.by_connection, holder.connection)
     }
@@ -133,7 +139,9 @@
         let free = self.limit.checked_sub(total);
         let free_for_bodies = self.purpose_limit().checked_sub(body_total);
         let fits = free.zip(free_for_bodies).is_some_and(|(free, for_bodies)| {
-            self.fits_shares(&self.bodies, holder, bytes, free.min(for_bodies))
+            let free = free.min(for_bodies);
+            self.bodies.fits_account(holder, bytes, free)
+                && self.fits_connection(holder, bytes, free)
         });
         // In calm, so that the largest body that is allowed passes on a small host.
         let is_only_body = self.connection_bytes_with(holder, bytes) == total
@@ -147,14 +155,19 @@
 
     fn check_response(&self, holder: &Holder, bytes: usize) -> HoldDecision {
         let total = self.total().saturating_add(bytes);
-        let is_within_purpose = self.responses.total.saturating_add(bytes) <= self.purpose_limit();
+        let response_total = self.responses.total.saturating_add(bytes);
         let server_bytes = look_up(&self.responses_by_server, holder.server).saturating_add(bytes);
+        let free_for_responses = self.purpose_limit().checked_sub(response_total);
         let is_small =
             self.responses.of_connection(holder).saturating_add(bytes) <= MIN_CONNECTION_BYTES;
         let fits = self.limit.checked_sub(total).is_some_and(|free| {
-            let is_within_shares = self.fits_shares(&self.responses, holder, bytes, free)
-                && server_bytes <= free / ACCOUNT_DIVISOR;
-            is_small || (is_within_purpose && is_within_shares)
+            let is_within_shares = |for_responses| {
+                self.responses
+                    .fits_account(holder, bytes, free.min(for_responses))
+                    && self.fits_connection(holder, bytes, free)
+                    && server_bytes <= free / ACCOUNT_DIVISOR
+            };
+            is_small || free_for_responses.is_some_and(is_within_shares)
         });
         // With nothing else held, a connection gets `limit / (divisor + 1)`.
         let can_ever_fit =
@@ -168,11 +181,10 @@
         }
     }
 
-    /// Returns whether `bytes` more are within the shares of an account and a connection,
-    /// if `free` bytes stay free.
-    fn fits_shares(&self, held: &PurposeBytes, holder: &Holder, bytes: usize, free: usize) -> bool {
-        held.of_account(holder).saturating_add(bytes) <= free / ACCOUNT_DIVISOR
-            && self.connection_bytes_with(holder, bytes) <= free / CONNECTION_DIVISOR
+    /// Returns whether `bytes` more are within the share of a connection, if `free` bytes
+    /// stay free.
+    fn fits_connection(&self, holder: &Holder, bytes: usize, free: usize) -> bool {
+        self.connection_bytes_with(holder, bytes) <= free / CONNECTION_DIVISOR
     }
 
     fn connection_bytes_with(&self, holder: &Holder, bytes: usize) -> usize {
--- a/tests/fleet_held_bytes.rs
+++ b/tests/fleet_held_bytes.rs
@@ -146,6 +146,31 @@
     assert!(held.total() > 18 * MB, "{} bytes", held.total());
 }
 
+/// Guards against several accounts that read slowly and take all that responses may have.
+#[rstest]
+#[case::one_account(1)]
+#[case::several_accounts(6)]
+fn reserve_responses_of_slow_accounts_leave_room_for_others(#[case] hogs: usize) {
+    let mut held = HeldBytes::with_shares(80 * MB);
+    for hog in 0..hogs {
+        let account = format!("hog-{hog}");
+        fill(&mut held, &account, MB / 4, HoldPurpose::RunningCall);
+    }
+    let response = held.reserve(&holder("other", 1), MB, HoldPurpose::RunningCall);
+    assert_eq!(response, HoldDecision::Held);
+}
+
+/// Guards against a response that is allowed in calm and waits for ever.
+#[test]
+fn reserve_largest_response_alone() {
+    let mut held = HeldBytes::with_shares(80 * MB);
+    let own = response_holder("a", 1, 1);
+    let more = held.reserve(&own, 20 * MB + 1, HoldPurpose::RunningCall);
+    assert_eq!(more, HoldDecision::Refuse);
+    let response = held.reserve(&own, 20 * MB, HoldPurpose::RunningCall);
+    assert_eq!(response, HoldDecision::Held);
+}
+
 /// Guards against running calls of an account over its share that never end: a small
 /// chunk for a connection that holds none is always held within the budget.
 #[test]
