Keep room at a server for accounts whose responses have to wait

The share of a server for responses that it still sends had no parts for accounts. One account whose responses come slowly, for instance because they are long to compute, filled it, and responses above 32 KB of the same server to all other accounts waited until the deadline (504 answer-silent). Found by reading the decision after the trace of slow_readers_leave_memory_to_others; not seen in a run of processes.

Change: an account may hold as much of a server's share as stays free, but always one response, so that the largest one still fits. The counts are a type of their own, `ArrivingResponses`.

--- a/src/core/fleet/held_bytes/held_bytes.rs
+++ b/src/core/fleet/held_bytes/held_bytes.rs
@@ -5,6 +5,7 @@
 use std::hash::Hash;
 use std::net::SocketAddr;
 
+use super::ArrivingResponses;
 use super::HoldDecision;
 use super::HoldPurpose;
 use super::Holder;
@@ -35,7 +36,8 @@
 ///
 /// With shares, an account may hold at most half of the bytes that stay free and a
 /// connection at most a third, of bodies of requests and again of responses. Responses that
-/// have not arrived whole also have a share by server, like that of an account. One account thus takes at most a quarter of the
+/// have not arrived whole also have a share by server, like that of an account, of which an
+/// account may hold as much as stays free. One account thus takes at most a quarter of the
 /// budget for responses, whatever its servers send, and still finds room for its requests,
 /// and another account finds a share of the rest. A body that is the only thing held may
 /// take half of the budget.
@@ -45,7 +47,7 @@
     has_shares: bool,
     bodies: PurposeBytes,
     responses: PurposeBytes,
-    responses_by_server: HashMap<SocketAddr, usize>,
+    arriving: ArrivingResponses,
 }
 
 /// Bytes that are held for one purpose.
@@ -81,7 +83,7 @@
             has_shares: false,
             bodies: PurposeBytes::default(),
             responses: PurposeBytes::default(),
-            responses_by_server: HashMap::new(),
+            arriving: ArrivingResponses::default(),
         }
     }
 
@@ -156,7 +158,6 @@
     fn check_response(&self, holder: &Holder, bytes: usize) -> HoldDecision {
         let total = self.total().saturating_add(bytes);
         let response_total = self.responses.total.saturating_add(bytes);
-        let server_bytes = look_up(&self.responses_by_server, holder.server).saturating_add(bytes);
         let free_for_responses = self.purpose_limit().checked_sub(response_total);
         let is_small =
             self.responses.of_connection(holder).saturating_add(bytes) <= MIN_CONNECTION_BYTES;
@@ -165,7 +166,7 @@
                 self.responses
                     .fits_account(holder, bytes, free.min(for_responses))
                     && self.fits_connection(holder, bytes, free)
-                    && server_bytes <= free / ACCOUNT_DIVISOR
+                    && self.arriving.fits(holder, bytes, free / ACCOUNT_DIVISOR)
             };
             is_small || free_for_responses.is_some_and(is_within_shares)
         });
@@ -209,8 +210,8 @@
         if let Some(connection) = holder.connection {
             *held.by_connection.entry(connection).or_default() += bytes;
         }
-        if let (Some(server), HoldPurpose::RunningCall) = (holder.server, purpose) {
-            *self.responses_by_server.entry(server).or_default() += bytes;
+        if purpose == HoldPurpose::RunningCall {
+            self.arriving.add(holder, bytes);
         }
     }
 
@@ -226,31 +227,29 @@
         if let Some(connection) = holder.connection {
             subtract(held.by_connection.entry(connection), bytes);
         }
-        if let (Some(server), HoldPurpose::RunningCall) = (holder.server, purpose) {
-            subtract(self.responses_by_server.entry(server), bytes);
+        if purpose == HoldPurpose::RunningCall {
+            self.arriving.subtract(holder, bytes);
         }
     }
 
     /// Ends the part of a server in bytes that have all arrived: only the caller can release
     /// them now, so they count toward the shares of its account and connection alone.
     pub fn end_receipt(&mut self, holder: &mut Holder, bytes: usize) {
-        if let Some(server) = holder.server.take()
-            && self.has_shares
-            && bytes > 0
-        {
-            subtract(self.responses_by_server.entry(server), bytes);
+        if self.has_shares && bytes > 0 {
+            self.arriving.subtract(holder, bytes);
         }
+        holder.server = None;
     }
 
     /// Returns the number of accounts and connections for which bytes are held, and of
-    /// servers whose responses have not arrived whole. An account or a connection counts once for each
-    /// purpose.
+    /// servers whose responses have not arrived whole. An account or a connection counts
+    /// once for each purpose.
     pub fn count_holders(&self) -> (usize, usize, usize) {
         let purposes = [&self.bodies, &self.responses];
         (
             purposes.iter().map(|held| held.by_account.len()).sum(),
             purposes.iter().map(|held| held.by_connection.len()).sum(),
-            self.responses_by_server.len(),
+            self.arriving.count_servers(),
         )
     }
 
@@ -268,7 +267,7 @@
 }
 
 /// Subtracts from a count and removes it at zero, so that the table does not grow.
-fn subtract<K: Eq + Hash>(entry: Entry<'_, K, usize>, bytes: usize) {
+pub(super) fn subtract<K: Eq + Hash>(entry: Entry<'_, K, usize>, bytes: usize) {
     if let Entry::Occupied(mut count) = entry {
         *count.get_mut() = count.get().saturating_sub(bytes);
         if *count.get() == 0 {
--- a/tests/fleet_held_bytes.rs
+++ b/tests/fleet_held_bytes.rs
@@ -160,6 +160,20 @@
     assert_eq!(response, HoldDecision::Held);
 }
 
+/// Guards against one account whose unfinished responses keep those of the same server to
+/// others waiting.
+#[test]
+fn reserve_unfinished_responses_of_account_leave_room_at_their_server() {
+    let mut held = HeldBytes::with_shares(80 * MB);
+    for port in 1..=200 {
+        let own = response_holder("hog", port, 1);
+        held.reserve(&own, MB / 4, HoldPurpose::RunningCall);
+    }
+    let other = response_holder("other", 1, 1);
+    let response = held.reserve(&other, MB, HoldPurpose::RunningCall);
+    assert_eq!(response, HoldDecision::Held);
+}
+
 /// Guards against a response that is allowed in calm and waits for ever.
 #[test]
 fn reserve_largest_response_alone() {
