Send no call that the next evaluation may quarantine

Evidence of crashed servers is evaluated every 50 ms, and a crash counts 300 ms after it. A call with crashes at three moments, which the next evaluation quarantines, could be sent in between: an entry draws 0.3 s to 2.3 s for its next trial, so that the first trials come due while the evaluation does.

Quarantine::find_trial_delay now withholds such a call until its crashes are evaluated. It is then quarantined, or tried at the drawn time as before.

find_trial_delay_before_evaluation fails before: after the third crash and the longest drawn time, without an evaluation, the call was let through.

The histories of tests/fleet_quarantine.rs pass with this change.

--- a/src/core/fleet/quarantine/crash.rs
+++ b/src/core/fleet/quarantine/crash.rs
@@ -40,6 +40,8 @@
     pub is_timed: bool,
     /// When the run was found to be alive.
     pub alive_at: Option<MonotonicTime>,
+    /// Whether it was evaluated, confirmed and with all its suspects.
+    pub is_evaluated: bool,
 }
 
 impl Crash {
@@ -51,6 +53,7 @@
             is_told: false,
             is_timed: false,
             alive_at: None,
+            is_evaluated: false,
         }
     }
 
@@ -87,6 +90,7 @@
                 was_answered: suspect.was_answered,
             }
         });
+        self.is_evaluated &= !is_new;
         run.sent_at = run.sent_at.min(sent_at);
         run.was_answered &= suspect.was_answered;
         is_new
--- a/src/core/fleet/quarantine/suspect_quarantine.rs
+++ b/src/core/fleet/quarantine/suspect_quarantine.rs
@@ -210,8 +210,7 @@
                 Duration::ZERO
             }
         } else {
-            let next_trial = self.next_trials.get(&req.call).copied();
-            let until_trial = next_trial.map_or(Duration::ZERO, |at| at.since(now));
+            let until_trial = self.time_until_trial(req.call, &suspicion, now);
             let no_trial_time = NO_TRIAL_TIME.saturating_sub(since_crash);
             if self.lacks_contrast(req.call, &suspicion) {
                 until_trial.max(no_trial_time)
@@ -224,6 +223,22 @@
         (!delay.is_zero()).then_some(delay)
     }
 
+    /// Returns the time until this process may try a call, as far as its own trials and the
+    /// evidence matter.
+    fn time_until_trial(
+        &self,
+        call: CallDigest,
+        suspicion: &Suspicion,
+        now: MonotonicTime,
+    ) -> Duration {
+        // The evaluation, which comes at intervals, may be about to quarantine it.
+        if suspicion.moments >= MIN_CRASHES && !suspicion.is_evaluated {
+            return CONFIRM_TIME;
+        }
+        let next_trial = self.next_trials.get(&call).copied();
+        next_trial.map_or(Duration::ZERO, |at| at.since(now))
+    }
+
     /// Returns whether a call would be quarantined if other calls had been answered
     /// meanwhile.
     fn lacks_contrast(&self, call: CallDigest, suspicion: &Suspicion) -> bool {
@@ -259,6 +274,7 @@
             moments: list_moments(suspect, &crashes).len(),
             first_at,
             last_at,
+            is_evaluated: crashes.iter().all(|crash| crash.is_evaluated),
         })
     }
 
@@ -458,6 +474,9 @@
             culprits.insert(culprit.suspect);
             found.push(culprit);
         }
+        for crash in self.crashes.values_mut() {
+            crash.is_evaluated |= crash.is_confirmed(now);
+        }
         for culprit in &found {
             let period = self
                 .periods
--- a/src/core/fleet/quarantine/suspicion.rs
+++ b/src/core/fleet/quarantine/suspicion.rs
@@ -13,4 +13,6 @@
     pub first_at: MonotonicTime,
     /// When the last one crashed.
     pub last_at: MonotonicTime,
+    /// Whether all of them were evaluated.
+    pub is_evaluated: bool,
 }
--- a/tests/fleet_quarantine.rs
+++ b/tests/fleet_quarantine.rs
@@ -758,6 +758,35 @@
     CrashSuspect::list(CallDigest(call), &ids, Duration::from_millis(100), false)
 }
 
+/// Guards against a call that has just crashed a server once more being sent before the
+/// crashes are evaluated, which comes at intervals.
+#[test]
+fn find_trial_delay_before_evaluation() {
+    let mut quarantine = Quarantine::for_process("entry-0");
+    let call = CallDigest(7);
+    let at = |ms| MonotonicTime::ZERO + Duration::from_millis(ms);
+    for run in 1..=3 {
+        quarantine.record_break(
+            run_key(0, run),
+            &list_suspects(call.0, &[]),
+            at(3_000 * run),
+        );
+        for other in 0..5 {
+            quarantine.record_completion(&[], CallDigest(100 + other), at(3_000 * run + 10));
+        }
+    }
+    let trial = TrialRequest {
+        call,
+        is_resend: false,
+        usable_servers: ENGINES,
+        crashed_servers: 0,
+    };
+    // After the latest time that an entry draws for a trial.
+    assert!(quarantine.find_trial_delay(&trial, at(11_400)).is_some());
+    assert_eq!(quarantine.evaluate(at(11_401)).len(), 1);
+    assert!(quarantine.find_quarantined(&[], call, at(11_402)).is_some());
+}
+
 /// A part that was quarantined wrongly is released by a call that ends whole.
 #[test]
 fn record_completion_quarantined_part_is_released() {
