--- a/lab/src/loopback.rs
+++ b/lab/src/loopback.rs
@@ -12,11 +12,11 @@
 
 static ALLOCATED: AtomicU32 = AtomicU32::new(0);
 
-/// Returns an address that no other call in this process has returned, nor its port. What
-/// still sends to a server that has ended reaches no other test. The
-/// process id selects the second and third octet within 127.0.0.0/8, so that
-/// concurrent test processes rarely collide. 127.0.0.1 is left out because the
-/// system assigns ephemeral ports there.
+/// Returns an address whose port no other call in this process has returned: tests tell
+/// servers apart by port, and what still sends to a server that has ended reaches no other
+/// test. The process id selects the second and third octet within 127.0.0.0/8, so that
+/// concurrent test processes rarely collide. 127.0.0.1 is left out because the system
+/// assigns ephemeral ports there.
 ///
 /// # Panics
 ///
--- a/src/core/fleet/held_bytes/held_bytes.rs
+++ b/src/core/fleet/held_bytes/held_bytes.rs
@@ -18,8 +18,8 @@
 
 /// An account and a connection may hold as much as is free, divided by these numbers; the
 /// responses that a server still sends count like those of an account. With 1 for accounts,
-/// six of them that fill their shares one after another left a 64th of the budget to the
-/// next one; with 2 it is an eleventh.
+/// six of them that fill their shares one after another would leave an 85th of the budget
+/// for their purpose; with 2 they leave a fifteenth.
 const ACCOUNT_DIVISOR: usize = 2;
 const CONNECTION_DIVISOR: usize = 3;
 
