Hold an engine's weights while a call is to fetch parts from it

What callers saw: answers computed on prompt parts of other weights (STALE). With the links to three engines held for 3 s and let go, calls that had been sent with fresh news began 3 s later and fetched parts that their source had computed under newer weights, under the older salt.

Cause: a source was safe only by a prediction, at the send, of when the fetch begins. Nobody who acted later checked it: the agent of the source ordered when its batch was due, and let running calls go on under newer weights.

Change: a gateway asks the agent of the source, directly or through its collector, for a hold on the weights before the call is sent, and ends it when the call has begun, was refused or was given up. Held weights put the order off; after half of the time allowed it is given in the mode in which running calls finish first. Agents that have started again, and gateways that order in place of agents, do not know all holds and let calls finish.

--- a/src/core/fleet/mod.rs
+++ b/src/core/fleet/mod.rs
@@ -173,6 +173,7 @@
 pub use weights::TargetsConfirmed;
 pub use weights::WeightsChange;
 pub use weights::WeightsChangeStep;
+pub use weights::WeightsHold;
 pub use zone_balance::BalanceInput;
 pub use zone_balance::ServiceBalance;
 pub use zone_balance::ZoneLoad;
--- a/src/core/fleet/routing/backend_view.rs
+++ b/src/core/fleet/routing/backend_view.rs
@@ -260,21 +260,26 @@
         model: &ModelName,
         now: MonotonicTime,
     ) -> Option<WeightsVersion> {
-        let find = |versions: &[(ModelName, WeightsVersion)]| {
-            let found = versions.iter().find(|(name, _)| name == model);
-            found.map(|(_, version)| *version)
-        };
-        if let Some(version) = self
-            .recent_agent_report(now)
-            .and_then(|report| find(&report.versions))
-        {
+        if let Some(version) = self.reported_version(model, now) {
             return Some(version);
         }
-        let registered = find(&self.member.models);
+        let registered = self.member.models.iter().find(|(name, _)| name == model);
+        let registered = registered.map(|(_, version)| *version);
         let observed = self.observed_versions.get(model).copied();
         registered.max(observed)
     }
 
+    /// Returns the server's weights version according to a recent report of its agent.
+    pub fn reported_version(
+        &self,
+        model: &ModelName,
+        now: MonotonicTime,
+    ) -> Option<WeightsVersion> {
+        let report = self.recent_agent_report(now)?;
+        let found = report.versions.iter().find(|(name, _)| name == model);
+        found.map(|(_, version)| *version)
+    }
+
     /// Keeps the highest weights version seen in a response.
     pub(super) fn observe_version(&mut self, model: &ModelName, version: WeightsVersion) {
         let observed = self
--- a/src/core/fleet/routing/dispatcher.rs
+++ b/src/core/fleet/routing/dispatcher.rs
@@ -320,6 +320,14 @@
         self.cache_isolation = isolation;
     }
 
+    /// Returns the engine that serves as a source of parts at an address; `None` for a KV
+    /// cache store.
+    pub fn find_source_engine(&self, address: SocketAddr) -> Option<&ServerName> {
+        let mut used = self.backends.values().filter(|view| view.is_used());
+        let view = used.find(|view| view.member.address == address)?;
+        Some(&view.member.name)
+    }
+
     /// Returns the addresses of the KV cache stores.
     pub fn list_kv_cache_stores(&self) -> Vec<SocketAddr> {
         self.kv_cache_stores.addresses()
--- a/src/core/fleet/weights/mod.rs
+++ b/src/core/fleet/weights/mod.rs
@@ -4,6 +4,8 @@
 mod target_version;
 mod targets_confirmed;
 mod weights_change;
+mod weights_hold;
+mod weights_holds;
 
 pub(super) use target_history::TargetHistory;
 pub(super) use target_history::VersionStatus;
@@ -16,3 +18,5 @@
 pub use weights_change::RunningCalls;
 pub use weights_change::WeightsChange;
 pub use weights_change::WeightsChangeStep;
+pub use weights_hold::WeightsHold;
+use weights_holds::WeightsHolds;
--- a/src/core/fleet/weights/weights_change.rs
+++ b/src/core/fleet/weights/weights_change.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 
 use super::TargetVersion;
+use super::WeightsHold;
+use super::WeightsHolds;
 use super::target_history::TargetHistory;
 use super::target_history::VersionStatus;
 use crate::core::MonotonicTime;
@@ -38,6 +40,13 @@
 /// The rest is left for its load, for orders without answer and for absent agents.
 const LAST_BATCH_SHARE: u32 = 3;
 
+/// Part of the time allowed for a new version for which held weights delay the order of the
+/// engine's batch. Batches stay apart from each other if none is released.
+const MAX_HOLD_SHARE: u32 = 2;
+
+/// Minimum time from a new hold to the order that it would delay.
+const MIN_TIME_FROM_HOLD: Duration = Duration::from_millis(300);
+
 /// Time allowed for a new version unless the settings name another.
 pub const DEFAULT_VERSION_TIME: Duration = Duration::from_secs(6);
 
@@ -84,6 +93,16 @@
     Continue,
 }
 
+impl RunningCalls {
+    /// Returns the name used in logs.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Finish => "finish",
+            Self::Continue => "continue",
+        }
+    }
+}
+
 /// Result of an order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum OrderOutcome {
@@ -119,9 +138,22 @@
     Ordered { at: MonotonicTime },
 }
 
+/// Change of weights that an engine needs.
+#[derive(Debug)]
+struct DueChange {
+    target: TargetVersion,
+    /// When the engine's batch is ordered.
+    batch_at: MonotonicTime,
+    /// When this process may order it.
+    order_at: MonotonicTime,
+}
+
 /// Brings one engine to the newest weights: waits for its batch, while entries
 /// avoid it for calls that would not end in time, stops new calls, gives the
 /// order and resumes when the version is loaded.
+///
+/// Running calls continue with the new weights unless a call holds the old ones; then they
+/// finish first.
 #[derive(Debug)]
 pub struct WeightsChange {
     targets: HashMap<ModelName, TargetHistory>,
@@ -133,6 +165,12 @@
     version_time: Duration,
     /// Time from the last order of this engine until its version was loaded.
     load_time: Option<Duration>,
+    holds: WeightsHolds,
+    /// Whether other processes grant holds that this one does not hear of.
+    has_other_holders: bool,
+    /// Model and version that the engine served when an order was sent that lets calls
+    /// continue. It may take effect until the engine serves another version.
+    open_order: Option<(ModelName, WeightsVersion)>,
 }
 
 impl WeightsChange {
@@ -145,6 +183,9 @@
             earliest_order: Some(MonotonicTime::ZERO),
             version_time: DEFAULT_VERSION_TIME,
             load_time: None,
+            holds: WeightsHolds::default(),
+            has_other_holders: false,
+            open_order: None,
         }
     }
 
@@ -157,6 +198,34 @@
         }
     }
 
+    /// Sets that other processes grant holds on the engine's weights, of which this one does
+    /// not hear. Running calls always finish.
+    pub fn set_other_holders(&mut self) {
+        self.has_other_holders = true;
+    }
+
+    /// Records that an earlier process may have granted holds on what the engine serves.
+    pub fn record_predecessor(&mut self) {
+        self.holds.record_predecessor();
+    }
+
+    /// Grants a call a hold on the weights that the engine has last reported. Returns false
+    /// if the engine serves others, or is soon ordered to.
+    pub fn grant_hold(&mut self, hold: &WeightsHold, now: MonotonicTime) -> bool {
+        if self.phase != Phase::Accepting || self.open_order.is_some() {
+            return false;
+        }
+        let outdated_since = self.find_outdated_since(&hold.model, hold.version);
+        let batch_at = outdated_since.map(|since| self.find_batch_time(since));
+        let is_order_near = batch_at.is_some_and(|at| at < now + MIN_TIME_FROM_HOLD);
+        !is_order_near && self.holds.add(hold)
+    }
+
+    /// Ends a hold on the engine's weights.
+    pub fn end_hold(&mut self, id: u64) {
+        self.holds.remove(id);
+    }
+
     /// Returns the time between the orders of two batches. It is the engine's own load
     /// time, since loads of several batches at once take longer and leave too few
     /// engines for calls; before the first load, as much as the allowed time permits.
@@ -205,19 +274,21 @@
     /// process may order them.
     pub fn time_until_order(&self, status: &EngineStatus, now: MonotonicTime) -> Option<Duration> {
         self.earliest_order?;
-        let (_, order_at) = self.find_target_and_order_time(status)?;
-        Some(order_at.since(now))
+        Some(self.find_due_change(status)?.order_at.since(now))
     }
 
     /// Returns whether the engine has reported an older version than the target.
     pub fn is_outdated(&self, status: &EngineStatus) -> bool {
-        self.find_target_and_order_time(status).is_some()
+        self.find_due_change(status).is_some()
     }
 
     /// Advances the change by the engine's status and returns the next action.
     pub fn advance(&mut self, status: &EngineStatus, now: MonotonicTime) -> WeightsChangeStep {
         let is_permitted = self.earliest_order.is_some();
-        match (self.phase, self.find_target_and_order_time(status)) {
+        self.holds.observe_versions(&status.versions);
+        self.open_order
+            .take_if(|order| !status.versions.contains(order));
+        match (self.phase, self.find_due_change(status)) {
             (Phase::Accepting, Some(_)) if !is_permitted => WeightsChangeStep::Wait,
             // Another process may order the engine now, at a time unknown here.
             (Phase::Stopping { .. } | Phase::Ordered { .. }, Some(_)) if !is_permitted => {
@@ -227,26 +298,26 @@
                 self.phase = Phase::Accepting;
                 WeightsChangeStep::ResumeAccepting
             }
-            (Phase::Accepting, Some((_, order_at))) if !status.is_busy => {
-                if now + MIN_TIME_BEFORE_ORDER < order_at {
+            (Phase::Accepting, Some(due)) if !status.is_busy => {
+                if now + MIN_TIME_BEFORE_ORDER < due.order_at || self.is_delayed(&due, now) {
                     return WeightsChangeStep::Wait;
                 }
                 self.phase = Phase::Stopping { since: now };
                 WeightsChangeStep::StopAccepting
             }
-            (Phase::Stopping { since }, Some((target, _))) => {
+            (Phase::Stopping { since }, Some(due)) => {
                 let elapsed = now.since(since);
                 let is_drained = status.waiting == 0 && elapsed >= MIN_TIME_BEFORE_ORDER;
                 if status.is_busy || !(is_drained || elapsed >= MAX_TIME_BEFORE_ORDER) {
                     return WeightsChangeStep::Wait;
                 }
-                self.give_order(target, status, now)
+                self.give_order(due.target, status, now)
             }
-            (Phase::Ordered { at }, Some((target, _))) => {
+            (Phase::Ordered { at }, Some(due)) => {
                 if status.is_busy || now.since(at) < ORDER_RETRY_INTERVAL {
                     return WeightsChangeStep::Wait;
                 }
-                self.give_order(target, status, now)
+                self.give_order(due.target, status, now)
             }
             (Phase::Stopping { .. } | Phase::Ordered { .. }, None) if !status.is_busy => {
                 if let Phase::Ordered { at } = self.phase {
@@ -259,6 +330,18 @@
         }
     }
 
+    /// Returns whether calls that hold the weights delay the order.
+    fn is_delayed(&self, due: &DueChange, now: MonotonicTime) -> bool {
+        let model = &due.target.model;
+        let has_delaying_holds = !self.must_finish(model) && self.holds.count(model) > 0;
+        has_delaying_holds && now < due.batch_at + self.version_time / MAX_HOLD_SHARE
+    }
+
+    /// Returns whether running calls have to finish whatever the known holds are.
+    fn must_finish(&self, model: &ModelName) -> bool {
+        self.has_other_holders || self.holds.has_unknown(model)
+    }
+
     fn give_order(
         &mut self,
         target: TargetVersion,
@@ -266,9 +349,18 @@
         now: MonotonicTime,
     ) -> WeightsChangeStep {
         self.phase = Phase::Ordered { at: now };
+        let is_held = self.must_finish(&target.model) || self.holds.count(&target.model) > 0;
+        let running = if is_held {
+            RunningCalls::Finish
+        } else {
+            let mut served = status.versions.iter();
+            let order = served.find(|(model, _)| *model == target.model);
+            self.open_order = order.cloned();
+            RunningCalls::Continue
+        };
         WeightsChangeStep::Order {
             target,
-            running: RunningCalls::Continue,
+            running,
             accepted_orders: status.accepted_orders,
         }
     }
@@ -283,27 +375,41 @@
         }
     }
 
-    /// Returns the newest version of a model whose weights are outdated, and
-    /// the time of the order. The time depends on the engine's batch and on
-    /// when the agent learned of the first version that the engine lacks.
-    fn find_target_and_order_time(
-        &self,
-        status: &EngineStatus,
-    ) -> Option<(TargetVersion, MonotonicTime)> {
-        let (index, count) = self.batch_position;
-        let batch = u32::try_from(index * BATCH_COUNT / count).unwrap_or(0);
+    /// Returns the change that is due if a model's weights are outdated.
+    fn find_due_change(&self, status: &EngineStatus) -> Option<DueChange> {
         status.versions.iter().find_map(|(model, version)| {
-            let history = self.targets.get(model)?;
-            let VersionStatus::Outdated(since) = history.status_of(*version) else {
-                return None;
-            };
+            let since = self.find_outdated_since(model, *version)?;
+            let target = self.targets.get(model)?.newest()?.clone();
+            let batch_at = self.find_batch_time(since);
+            Some(DueChange {
+                target,
+                batch_at,
+                order_at: batch_at.max(self.earliest_order.unwrap_or(MonotonicTime::ZERO)),
+            })
+        })
+    }
+
+    /// Returns when the agent learned of the first version of a model that an engine on
+    /// `version` lacks.
+    fn find_outdated_since(
+        &self,
+        model: &ModelName,
+        version: WeightsVersion,
+    ) -> Option<MonotonicTime> {
+        match self.targets.get(model)?.status_of(version) {
+            VersionStatus::Current => None,
             // An unknown time counts as the clock's origin, so that the order is
             // normally due at once.
-            let since = since.unwrap_or(MonotonicTime::ZERO);
-            let order_at = since + FIRST_BATCH_DELAY + self.batch_interval() * batch;
-            let earliest_order = self.earliest_order.unwrap_or(MonotonicTime::ZERO);
-            Some((history.newest()?.clone(), order_at.max(earliest_order)))
-        })
+            VersionStatus::Outdated(since) => Some(since.unwrap_or(MonotonicTime::ZERO)),
+        }
+    }
+
+    /// Returns the time of the order of the engine's batch, for weights that are outdated
+    /// since `since`.
+    fn find_batch_time(&self, since: MonotonicTime) -> MonotonicTime {
+        let (index, count) = self.batch_position;
+        let batch = u32::try_from(index * BATCH_COUNT / count).unwrap_or(0);
+        since + FIRST_BATCH_DELAY + self.batch_interval() * batch
     }
 }
 
--- a/src/gateway/agent_connections.rs
+++ b/src/gateway/agent_connections.rs
@@ -7,6 +7,7 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use crate::core::MonotonicTime;
 use crate::core::ServerName;
 use crate::core::fleet::BackendChoice;
 use crate::mesh::AnnouncementReceiver;
@@ -23,6 +24,8 @@
 #[derive(Debug, Default)]
 pub struct AgentConnections {
     connections: Mutex<HashMap<ServerName, AgentConnection>>,
+    /// Until when the processes at these addresses are not asked for holds.
+    excluded_from_holds: Mutex<HashMap<SocketAddr, MonotonicTime>>,
 }
 
 /// Connection over which an agent is reached.
@@ -64,6 +67,35 @@
         clients.into_values().collect()
     }
 
+    /// Returns the connection to a server's agent.
+    pub fn find(&self, server: &ServerName) -> Option<AgentConnection> {
+        self.lock().get(server).cloned()
+    }
+
+    /// Returns the connection over which a server's agent is asked for a hold on the
+    /// engine's weights; `None` if it is excluded.
+    pub fn find_for_holds(
+        &self,
+        server: &ServerName,
+        now: MonotonicTime,
+    ) -> Option<AgentConnection> {
+        let connection = self.find(server)?;
+        let excluded = self.lock_excluded();
+        let until = excluded.get(&connection.address).copied();
+        until.is_none_or(|until| until <= now).then_some(connection)
+    }
+
+    /// Excludes the process at an address from requests for holds.
+    pub fn exclude_from_holds(&self, address: SocketAddr, until: MonotonicTime) {
+        self.lock_excluded().insert(address, until);
+    }
+
+    fn lock_excluded(&self) -> MutexGuard<'_, HashMap<SocketAddr, MonotonicTime>> {
+        self.excluded_from_holds
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Announces a call with a long prompt to the agent of its engine. The
     /// agent immediately tells the other entries, which would otherwise send
     /// calls that queue behind it.
@@ -71,7 +103,7 @@
         if choice.prefill_time < MIN_ANNOUNCED_PREFILL {
             return;
         }
-        let Some(connection) = self.lock().get(&choice.name).cloned() else {
+        let Some(connection) = self.find(&choice.name) else {
             return;
         };
         announce_call(
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -19,6 +19,7 @@
 use super::permit_builds::record_outcome;
 use super::read_call::Call;
 use super::report_break::report_break;
+use super::weights_holds::HeldWeights;
 use crate::core::MonotonicTime;
 use crate::core::ServerName;
 use crate::core::fleet::BackendChoice;
@@ -126,6 +127,8 @@
     choice: BackendChoice,
     sent_at: MonotonicTime,
     is_prefilling: bool,
+    /// Hold on the weights of the engine that the call gets parts from, until it begins.
+    hold: Option<HeldWeights>,
     /// When the first event arrived, and how many have arrived since.
     first_event_at: MonotonicTime,
     later_events: u32,
@@ -148,6 +151,7 @@
             choice,
             sent_at: now,
             is_prefilling: true,
+            hold: None,
             first_event_at: now,
             later_events: 0,
         }
@@ -163,6 +167,31 @@
         self.sent_at
     }
 
+    /// Holds the weights of the engine that the call gets parts from. Without the hold, the
+    /// call computes the parts.
+    async fn hold_weights(&mut self, call: &Call) {
+        let (Some(prompt), Some(version)) = (&call.head.prompt, self.choice.version) else {
+            return;
+        };
+        let source = self.choice.fetch_from.and_then(|address| {
+            let state = self.cx.lock();
+            state.dispatcher.find_source_engine(address).cloned()
+        });
+        if let Some(source) = source {
+            self.hold = HeldWeights::request(&self.cx, &source, &prompt.model, version).await;
+            if self.hold.is_none() {
+                self.choice.fetch_from = None;
+            }
+        }
+    }
+
+    /// Ends the hold, since the call has begun or will not.
+    fn release_weights(&mut self) {
+        if let Some(hold) = self.hold.take() {
+            hold.release();
+        }
+    }
+
     /// Records that `events` arrived. The first one ends the prefill.
     pub fn record_events(&mut self, call: &Call, events: u32) {
         if self.is_prefilling {
@@ -197,6 +226,7 @@
         if !self.is_prefilling {
             return;
         }
+        self.release_weights();
         let predicted = self.choice.predicted_ttft;
         observe_start(&self.cx, call, predicted, self.sent_at);
         if let Some(prompt) = &call.head.prompt {
@@ -243,7 +273,8 @@
     last_event_id: Option<&str>,
     may_run_again: bool,
 ) -> AttemptOutcome {
-    let in_flight = InFlightGuard::start(cx, call, choice);
+    let mut in_flight = InFlightGuard::start(cx, call, choice);
+    in_flight.hold_weights(call).await;
     let sent_to = in_flight.choice().clone();
     let key = sent_to.key;
     let sent_at = in_flight.sent_at();
@@ -301,6 +332,7 @@
     let mut exchange = match sent {
         None => return AttemptOutcome::Unknown("silent"),
         Some(Err(e)) if e.is_certainly_unsent() => {
+            in_flight.release_weights();
             forget_expected_parts(cx, call, &choice);
             return AttemptOutcome::NotRun(UNREACHABLE);
         }
@@ -342,6 +374,7 @@
         state.dispatcher.observe_first_answer(choice.key, elapsed);
     }
     if metadata.is_not_run {
+        in_flight.release_weights();
         forget_expected_parts(cx, call, &choice);
         // The body is read only so that the connection can be reused.
         let _ = timeout(REFUSAL_BODY_TIMEOUT, exchange.read_rest(MAX_REFUSAL_BYTES)).await;
@@ -381,6 +414,7 @@
     match wait_while_alive(cx, choice.key, may_run_again, call.deadline, body_read).await {
         Some(Ok(body)) => {
             reservation.end_receipt();
+            in_flight.release_weights();
             record_full_response(cx, call, &mut in_flight, status);
             AttemptOutcome::Answered(FullResponse {
                 status,
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -22,6 +22,7 @@
 use super::start_inquiry::StartInquiry;
 use super::state::GatewayState;
 use super::stream_keepers::StreamKeepers;
+use super::weights_holds::UnendedHolds;
 use super::zone_relaying::ZoneRelaying;
 use crate::clock::Clock;
 use crate::core::MonotonicTime;
@@ -84,6 +85,8 @@
     pub peer_fetch: tokio::sync::Mutex<()>,
     /// Open connections to agents.
     pub agent_connections: AgentConnections,
+    /// Holds on the weights of engines that are still to be ended.
+    pub unended_holds: UnendedHolds,
     /// KV cache stores that collectors follow.
     pub collected_stores: watch::Sender<HashSet<SocketAddr>>,
     /// Seeds that are asked before the state of the store is used.
@@ -131,6 +134,7 @@
             news_count: watch::channel(0).0,
             peer_fetch: tokio::sync::Mutex::default(),
             agent_connections: AgentConnections::default(),
+            unended_holds: UnendedHolds::default(),
             collected_stores: watch::channel(HashSet::new()).0,
             start_inquiry: StartInquiry::new(&settings.seeds, settings.listen.peers),
             known_entries: KnownEntries::default(),
--- a/src/gateway/exchange_peer_state.rs
+++ b/src/gateway/exchange_peer_state.rs
@@ -47,6 +47,7 @@
 use crate::core::fleet::StreamKey;
 use crate::core::fleet::StreamOrigin;
 use crate::core::fleet::UsageQuery;
+use crate::core::fleet::WeightsHold;
 use crate::mesh::CollectRequest;
 use crate::mesh::CollectResponse;
 use crate::mesh::EngineUpdate;
@@ -213,6 +214,12 @@
 
     async fn grant_orders(self, _: Context, _: u64, _: u64) {}
 
+    async fn hold_weights(self, _: Context, _: WeightsHold) -> bool {
+        false
+    }
+
+    async fn release_weights(self, _: Context, _: ServerName, _: u64) {}
+
     async fn exchange(self, _: Context, peer_state: PeerState) -> Option<PeerState> {
         Some(self.answer_exchange(peer_state, None))
     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -47,6 +47,7 @@
 mod substitute_agents;
 mod substitute_right;
 mod unread_call;
+mod weights_holds;
 mod zone_relaying;
 
 pub use context::GatewayPorts;
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -31,6 +31,7 @@
 use super::status_pages::serve_status_page;
 use super::stream_keepers::tell_stream_keepers;
 use super::substitute_agents::substitute_agents;
+use super::weights_holds::end_holds;
 use super::zone_relaying::plan_zone_exchanges;
 use crate::core::ServerName;
 use crate::core::fleet::CallerLimits;
@@ -161,6 +162,7 @@
     tokio::spawn(follow_agents(Arc::clone(&cx)));
     tokio::spawn(substitute_agents(Arc::clone(&cx)));
     tokio::spawn(grant_orders(Arc::clone(&cx)));
+    tokio::spawn(end_holds(Arc::clone(&cx)));
     tokio::spawn(follow_kv_cache_stores(Arc::clone(&cx)));
     tokio::spawn(tell_stream_keepers(Arc::clone(&cx)));
     tokio::spawn(quarantine_culprits(Arc::clone(&cx)));
--- a/src/gateway/substitute_agents.rs
+++ b/src/gateway/substitute_agents.rs
@@ -345,6 +345,7 @@
         metrics: None,
         engine: absent.address,
         version_time: cx.settings.bounds.version_time,
+        is_first_start: false,
         options: Vec::new(),
         memory: cx.settings.memory.clone(),
         log: cx.settings.log,
--- a/src/mesh/message_kind.rs
+++ b/src/mesh/message_kind.rs
@@ -8,7 +8,7 @@
 
 /// Names of the kinds: the methods of [`Mesh`](super::Mesh), and all else (cancelled
 /// requests, errors).
-pub(super) const KIND_NAMES: [&str; 16] = [
+pub(super) const KIND_NAMES: [&str; 18] = [
     "observe",
     "announce",
     "exchange",
@@ -24,6 +24,8 @@
     "report_rollout",
     "exchange_zones",
     "grant_orders",
+    "hold_weights",
+    "release_weights",
     "other",
 ];
 
@@ -57,6 +59,8 @@
             MeshRequest::ReportRollout { .. } => 12,
             MeshRequest::ExchangeZones { .. } => 13,
             MeshRequest::GrantOrders { .. } => 14,
+            MeshRequest::HoldWeights { .. } => 15,
+            MeshRequest::ReleaseWeights { .. } => 16,
         }
     }
 }
@@ -82,6 +86,8 @@
             MeshResponse::ReportRollout(_) => 12,
             MeshResponse::ExchangeZones(_) => 13,
             MeshResponse::GrantOrders(()) => 14,
+            MeshResponse::HoldWeights(_) => 15,
+            MeshResponse::ReleaseWeights(()) => 16,
         }
     }
 }
--- a/src/mesh/service.rs
+++ b/src/mesh/service.rs
@@ -25,6 +25,7 @@
 use crate::core::fleet::RolloutReport;
 use crate::core::fleet::StreamKey;
 use crate::core::fleet::StreamOrigin;
+use crate::core::fleet::WeightsHold;
 
 /// Requests between the processes of a fleet. A process that does not serve a
 /// request returns `None` or an empty list.
@@ -83,4 +84,11 @@
     /// Passes an agent a fencing token that the store gave out after the agent had
     /// asked for one, in its term `term`.
     async fn grant_orders(term: u64, fence: u64);
+
+    /// Asks the agent of an engine, or a collector that follows it, for a hold on the
+    /// engine's weights. Returns whether it is granted.
+    async fn hold_weights(hold: WeightsHold) -> bool;
+
+    /// Ends a hold on the weights of the engine `server`.
+    async fn release_weights(server: ServerName, hold: u64);
 }
--- a/src/settings/sidecar.rs
+++ b/src/settings/sidecar.rs
@@ -31,6 +31,9 @@
     pub engine: SocketAddr,
     /// Time within which all engines have to be at a new weights version.
     pub version_time: Duration,
+    /// Whether no earlier process can have ordered the engine, or granted calls holds on its
+    /// weights.
+    pub is_first_start: bool,
     /// Names of the optional features of the deployment; unknown names are ignored.
     pub options: Vec<String>,
     /// Whether readers that stop reading are disconnected, and when.
@@ -71,6 +74,7 @@
             metrics: section.take_optional("metrics"),
             engine: section.take_required("engine", ListenSettings::placeholder_address()),
             version_time: read_version_time(section),
+            is_first_start: section.take("first_start", true),
             options: section.take("options", Vec::new()),
             memory: section.take_section("memory", MemorySettings::read),
             log: section.take_section("log", LogSettings::read),
--- a/src/sidecar/collector.rs
+++ b/src/sidecar/collector.rs
@@ -119,14 +119,15 @@
         targets
     }
 
+    /// Returns a client of the agent of a followed engine, if it is connected.
+    pub fn find_client(&self, server: &ServerName) -> Option<MeshClient> {
+        let state = self.lock();
+        state.followed.get(server)?.client.clone()
+    }
+
     /// Announces a call to the agent of a followed engine.
     pub fn announce(&self, server: &ServerName, prefill_time: Duration) {
-        let client = self
-            .lock()
-            .followed
-            .get(server)
-            .and_then(|followed| followed.client.clone());
-        let Some(client) = client else {
+        let Some(client) = self.find_client(server) else {
             log::debug!("agents: not told of a call server={server} reason=\"not followed\"");
             return;
         };
--- a/src/sidecar/context.rs
+++ b/src/sidecar/context.rs
@@ -99,8 +99,12 @@
     /// Creates the context of a sidecar that has received no report and no
     /// request yet.
     pub fn new(settings: SidecarSettings, ports: SidecarPorts) -> Self {
+        let mut weights_change = WeightsChange::within(settings.version_time);
+        if !settings.is_first_start {
+            weights_change.record_predecessor();
+        }
         let state = SidecarState {
-            weights_change: WeightsChange::within(settings.version_time),
+            weights_change,
             ..SidecarState::default()
         };
         let incarnation = rand::random();
@@ -130,11 +134,14 @@
         report_interval: Duration,
         pause: Box<dyn EnginePause>,
     ) -> Self {
+        let cx = Self::new(settings, ports);
+        // The agent grants holds while it lives.
+        cx.lock().weights_change.set_other_holders();
         Self {
             order_right,
             report_interval,
             pause,
-            ..Self::new(settings, ports)
+            ..cx
         }
     }
 
--- a/src/sidecar/reconcile_engine.rs
+++ b/src/sidecar/reconcile_engine.rs
@@ -220,12 +220,13 @@
         }
     };
     log::info!(
-        "weights: ordered model={} version={} fence={} accepted_before={} running={} outcome={}",
+        "weights: ordered model={} version={} fence={} accepted_before={} running={} calls={} outcome={}",
         order.target.model,
         order.target.version,
         order.fence,
         order.accepted_orders,
         reported_load.running,
+        order.running_calls.label(),
         outcome.label()
     );
     cx.metrics.count_order(outcome.label());
--- a/src/sidecar/sidecar_service.rs
+++ b/src/sidecar/sidecar_service.rs
@@ -21,6 +21,7 @@
 use crate::core::fleet::StreamKey;
 use crate::core::fleet::StreamOrigin;
 use crate::core::fleet::TargetVersion;
+use crate::core::fleet::WeightsHold;
 use crate::mesh::CollectRequest;
 use crate::mesh::CollectResponse;
 use crate::mesh::EngineUpdate;
@@ -30,6 +31,8 @@
 use crate::mesh::ObserveRequest;
 use crate::mesh::PeerState;
 use crate::mesh::ZoneExchange;
+use crate::mesh::release_hold;
+use crate::mesh::request_hold;
 
 /// Maximum wait for a change before a request is answered. It is shorter than
 /// the silence after which an entry stops trusting the last update.
@@ -96,6 +99,34 @@
         self.cx.agent_right.record_fence(term, fence);
     }
 
+    async fn hold_weights(self, _: Context, hold: WeightsHold) -> bool {
+        if self.is_own_engine(&hold.server) {
+            let now = self.cx.now();
+            let is_granted = self.cx.lock().weights_change.grant_hold(&hold, now);
+            if !is_granted {
+                log::info!(
+                    "weights: hold refused id={:x} model={} version={}",
+                    hold.id,
+                    hold.model,
+                    hold.version
+                );
+            }
+            return is_granted;
+        }
+        match self.cx.collector.find_client(&hold.server) {
+            Some(client) => request_hold(&client, hold).await.unwrap_or(false),
+            None => false,
+        }
+    }
+
+    async fn release_weights(self, _: Context, server: ServerName, hold: u64) {
+        if self.is_own_engine(&server) {
+            self.cx.lock().weights_change.end_hold(hold);
+        } else if let Some(client) = self.cx.collector.find_client(&server) {
+            release_hold(&client, server, hold).await;
+        }
+    }
+
     async fn keep_streams(self, _: Context, origins: Vec<StreamOrigin>) {
         let now = self.cx.now();
         let mut state = self.cx.lock();
@@ -163,6 +194,10 @@
         }
     }
 
+    fn is_own_engine(&self, server: &ServerName) -> bool {
+        self.cx.lock().engine_run.as_deref() == Some(server.as_str())
+    }
+
     fn apply_request(&self, req: &ObserveRequest) {
         self.cx.agent_right.record_contact();
         let now = self.cx.now();
@@ -170,6 +205,10 @@
         state
             .weights_change
             .set_batch_position(req.batch_position.0, req.batch_position.1);
+        // Only an earlier process can have told another number.
+        if req.incarnation != 0 && req.incarnation != self.cx.incarnation {
+            state.weights_change.record_predecessor();
+        }
         if state.engine_run.as_ref() != Some(&req.engine_run) {
             // The entry names the engine's current run as listed in the store.
             log::info!("engine: named server={}", req.engine_run);
