--- a/src/core/fleet/routing/dispatcher.rs
+++ b/src/core/fleet/routing/dispatcher.rs
@@ -320,9 +320,13 @@
         self.cache_isolation = isolation;
     }
 
-    /// Returns the engine that serves as a source of parts at an address; `None` for a KV
-    /// cache store.
-    pub fn find_source_engine(&self, address: SocketAddr) -> Option<&ServerName> {
+    /// Returns whether a KV cache store has this address.
+    pub fn is_kv_cache_store(&self, address: SocketAddr) -> bool {
+        self.kv_cache_stores.contains(address)
+    }
+
+    /// Returns the name of the server that is used at an address.
+    pub fn find_name_at(&self, address: SocketAddr) -> Option<&ServerName> {
         let mut used = self.backends.values().filter(|view| view.is_used());
         let view = used.find(|view| view.member.address == address)?;
         Some(&view.member.name)
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -173,15 +173,21 @@
         let (Some(prompt), Some(version)) = (&call.head.prompt, self.choice.version) else {
             return;
         };
-        let source = self.choice.fetch_from.and_then(|address| {
+        let Some(address) = self.choice.fetch_from else {
+            return;
+        };
+        let source = {
             let state = self.cx.lock();
-            state.dispatcher.find_source_engine(address).cloned()
-        });
+            if state.dispatcher.is_kv_cache_store(address) {
+                return;
+            }
+            state.dispatcher.find_name_at(address).cloned()
+        };
         if let Some(source) = source {
             self.hold = HeldWeights::request(&self.cx, &source, &prompt.model, version).await;
-            if self.hold.is_none() {
-                self.choice.fetch_from = None;
-            }
+        }
+        if self.hold.is_none() {
+            self.choice.fetch_from = None;
         }
     }
 
