Give the hold of a call and the unended holds a file each

Read once more as a newcomer: a file of the gateway had the name of one in the core and two types. A call that is not held because its agent is not reached left no log line; it has one.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -14,12 +14,12 @@
 
 use super::admission::observe_start;
 use super::context::GatewayContext;
+use super::held_weights::HeldWeights;
 use super::liveness_check::wait_while_alive;
 use super::outstanding_bytes::OutstandingBytes;
 use super::permit_builds::record_outcome;
 use super::read_call::Call;
 use super::report_break::report_break;
-use super::weights_holds::HeldWeights;
 use crate::core::MonotonicTime;
 use crate::core::ServerName;
 use crate::core::fleet::BackendChoice;
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -22,7 +22,7 @@
 use super::start_inquiry::StartInquiry;
 use super::state::GatewayState;
 use super::stream_keepers::StreamKeepers;
-use super::weights_holds::UnendedHolds;
+use super::unended_holds::UnendedHolds;
 use super::zone_relaying::ZoneRelaying;
 use crate::clock::Clock;
 use crate::core::MonotonicTime;
--- a/src/gateway/weights_holds.rs
+++ b/src/gateway/held_weights.rs
@@ -1,32 +1,19 @@
-//! Holds on the weights of engines that calls of this gateway get parts from.
+//! Hold of one call of this gateway on the weights of the engine that it gets parts from.
 
-use std::collections::VecDeque;
-use std::mem::take;
 use std::sync::Arc;
-use std::sync::Mutex;
-use std::sync::MutexGuard;
-use std::sync::PoisonError;
 use std::time::Duration;
 
 use tarpc::client::RpcError;
-use tokio::time::sleep;
 
 use super::context::GatewayContext;
-use crate::core::MonotonicTime;
+use super::unended_holds::UnendedHold;
+use super::unended_holds::end_hold;
 use crate::core::ServerName;
 use crate::core::WeightsVersion;
 use crate::core::fleet::ModelName;
 use crate::core::fleet::WeightsHold;
-use crate::mesh::release_hold;
 use crate::mesh::request_hold;
 
-/// Interval between checks for holds that can end.
-const CHECK_INTERVAL: Duration = Duration::from_millis(200);
-
-/// Maximum number of holds that are still to be ended. The oldest are left to end with
-/// their version.
-const MAX_UNENDED_HOLDS: usize = 4_096;
-
 /// Time without requests to an agent that did not answer one in time.
 const TIMEOUT_BACKOFF: Duration = Duration::from_millis(500);
 
@@ -38,34 +25,6 @@
 /// what the server's host has not taken is dropped, and the server drops the call.
 const GIVEN_UP_TIME: Duration = Duration::from_millis(500);
 
-/// Hold that is still to be ended.
-#[derive(Debug)]
-struct UnendedHold {
-    hold: WeightsHold,
-    /// From when the call certainly does not use the weights any more.
-    ends_at: MonotonicTime,
-}
-
-/// Holds that are still to be ended.
-#[derive(Debug, Default)]
-pub struct UnendedHolds {
-    holds: Mutex<VecDeque<UnendedHold>>,
-}
-
-impl UnendedHolds {
-    fn push(&self, hold: UnendedHold) {
-        let mut holds = self.lock();
-        if holds.len() >= MAX_UNENDED_HOLDS {
-            holds.pop_front();
-        }
-        holds.push_back(hold);
-    }
-
-    fn lock(&self) -> MutexGuard<'_, VecDeque<UnendedHold>> {
-        self.holds.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
-
 /// Hold on an engine's weights, for one call. If it is dropped, the call was given up.
 #[derive(Debug)]
 pub struct HeldWeights {
@@ -81,7 +40,10 @@
         model: &ModelName,
         version: WeightsVersion,
     ) -> Option<Self> {
-        let connection = cx.agent_connections.find_for_holds(engine, cx.now())?;
+        let Some(connection) = cx.agent_connections.find_for_holds(engine, cx.now()) else {
+            log::info!("weights: not held engine={engine} version={version} reason=\"no agent\"");
+            return None;
+        };
         let hold = WeightsHold {
             id: rand::random(),
             server: engine.clone(),
@@ -135,43 +97,3 @@
         }
     }
 }
-
-/// Ends the holds of calls that were given up, and those of which an agent could not be told,
-/// for as long as the gateway runs.
-pub async fn end_holds(cx: Arc<GatewayContext>) {
-    loop {
-        sleep(CHECK_INTERVAL).await;
-        let now = cx.now();
-        let unended = take(&mut *cx.unended_holds.lock());
-        for hold in unended.into_iter().filter(|hold| is_kept(&cx, &hold.hold)) {
-            if hold.ends_at <= now {
-                tokio::spawn(end_hold(Arc::clone(&cx), hold));
-            } else {
-                cx.unended_holds.push(hold);
-            }
-        }
-    }
-}
-
-async fn end_hold(cx: Arc<GatewayContext>, unended: UnendedHold) {
-    let engine = unended.hold.server.clone();
-    let is_ended = match cx.agent_connections.find(&engine) {
-        Some(connection) => release_hold(&connection.client, engine, unended.hold.id).await,
-        None => false,
-    };
-    if !is_ended {
-        cx.unended_holds.push(unended);
-    }
-}
-
-/// Returns whether the agent of an engine may still have a hold. It drops all when the engine
-/// serves other weights.
-fn is_kept(cx: &GatewayContext, hold: &WeightsHold) -> bool {
-    let now = cx.now();
-    let state = cx.lock();
-    let Some(view) = state.dispatcher.find_backend(&hold.server) else {
-        return false;
-    };
-    let version = view.reported_version(&hold.model, now);
-    version.is_none_or(|version| version <= hold.version)
-}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -25,6 +25,7 @@
 mod follow_store;
 mod grant_orders;
 mod hedged_attempt;
+mod held_weights;
 mod known_entries;
 mod lead_rollouts;
 mod led_rollouts;
@@ -46,8 +47,8 @@
 mod stream_relay;
 mod substitute_agents;
 mod substitute_right;
+mod unended_holds;
 mod unread_call;
-mod weights_holds;
 mod zone_relaying;
 
 pub use context::GatewayPorts;
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -31,7 +31,7 @@
 use super::status_pages::serve_status_page;
 use super::stream_keepers::tell_stream_keepers;
 use super::substitute_agents::substitute_agents;
-use super::weights_holds::end_holds;
+use super::unended_holds::end_holds;
 use super::zone_relaying::plan_zone_exchanges;
 use crate::core::ServerName;
 use crate::core::fleet::CallerLimits;
