Log how long callers of ended calls would still have waited, and stays at silent servers

A stream that a gateway gave up early looked in the log like one that ended at its caller's deadline: `call: ended` has left_ms. `call: kept` says why a call stays at a silent server. Needed to tell the hypotheses on the streams cut around stops apart; no decision has changed.

--- a/src/gateway/call_log.rs
+++ b/src/gateway/call_log.rs
@@ -27,11 +27,14 @@
     caller: Option<SocketAddr>,
     received_at: Instant,
     read_at: Instant,
+    deadline: Instant,
     attempts: u32,
     sent: Option<SentAttempt>,
     /// Bytes of events that are not complete, and so not passed on yet.
     held_bytes: usize,
     first_event_at: Option<Instant>,
+    /// Why the call last stayed at a silent server; empty if it did not.
+    kept_why: &'static str,
     is_ended: bool,
 }
 
@@ -65,10 +68,12 @@
             caller: call.holder.connection,
             received_at: call.received_at,
             read_at: call.read_at,
+            deadline: call.deadline,
             attempts: 0,
             sent: None,
             held_bytes: 0,
             first_event_at: None,
+            kept_why: "",
             is_ended: false,
         }
     }
@@ -117,6 +122,20 @@
         let _ = write!(self.failures, "{separator}{reason}");
     }
 
+    /// Logs that the call stays at a silent server, since it can go on at no other one now;
+    /// once for each reason.
+    pub fn log_kept(&mut self, server: &ServerName, why: &'static str) {
+        if self.kept_why == why {
+            return;
+        }
+        self.kept_why = why;
+        log::info!(
+            "call: kept id={} server={server} why={why} left_ms={}",
+            self.id,
+            self.left_ms(),
+        );
+    }
+
     /// Records that the server of the last send has sent something, of which `held_bytes`
     /// are not passed on yet.
     pub fn record_server_act(&mut self, act: &'static str, held_bytes: usize) {
@@ -155,15 +174,22 @@
             at.duration_since(self.received_at).as_millis() as i64
         });
         log::info!(
-            "call: ended id={}{}{} attempts={} outcome={outcome} status={status} first_ms={first_ms} ms={}",
+            "call: ended id={}{}{} attempts={} outcome={outcome} status={status} first_ms={first_ms} ms={} left_ms={}",
             self.id,
             take(&mut self.unlogged_fields),
             self.failures,
             self.attempts,
             elapsed.as_millis(),
+            self.left_ms(),
         );
     }
 
+    /// Returns the milliseconds until the deadline of the call.
+    fn left_ms(&self) -> u128 {
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        left.as_millis()
+    }
+
     /// Logs what is known of a call that the end of a drain cuts. Its times count from the
     /// begin of the drain.
     fn log_cut(&self) {
--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -195,7 +195,10 @@
                 // The server may only be slow, as long as no other one can go on.
                 match self.choose_next() {
                     Ok(choice) => next = Some(choice),
-                    Err(_) => continue,
+                    Err(why) => {
+                        self.call_log.log_kept(&choice.name, why);
+                        continue;
+                    }
                 }
             }
             self.report_break(problem);
