Keep a call at its silent server until another one has accepted it

Callers of streams got no end, and others 502, seconds before their deadline, although their first server would have answered: a server that was silent for 0.7 s was left as soon as another one could be chosen. If that one turned the call away, was silent as well, or the retry budget was used up, nothing was left.

Cause: what is held was let go before its replacement was got. Class: release before acquire.

The attempts of a call are now kept together and run at the same time: the silent server keeps the call until another one has a response or accepts the stream, and its exchange is dropped then. If it answers first, the other attempts end. Plain calls (serve_call), late second sends and streams use the same set of attempts; a stalled stream is left in the same way.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -15,11 +15,11 @@
 use super::admission::observe_start;
 use super::context::GatewayContext;
 use super::held_weights::HeldWeights;
-use super::liveness_check::wait_while_alive;
 use super::outstanding_bytes::OutstandingBytes;
 use super::permit_builds::record_outcome;
 use super::read_call::Call;
 use super::report_break::report_break;
+use super::server_wait::ServerWait;
 use crate::core::MonotonicTime;
 use crate::core::ServerName;
 use crate::core::fleet::BackendChoice;
@@ -51,6 +51,9 @@
 /// the attempt does not count against the retry budget.
 pub const UNREACHABLE: &str = "unreachable";
 
+/// Reason of attempts whose response has not begun before the deadline.
+pub const SILENT: &str = "silent";
+
 /// Reasons of attempts whose connection failed before the head and in the body of
 /// the response.
 const BROKEN: &str = "broken";
@@ -60,7 +63,7 @@
 ///
 /// - `unreachable`: no byte was sent.
 /// - `silent`, `answer-silent`: the head or the body of the response did not
-///   arrive before the deadline, or before the server was suspected dead.
+///   arrive before the deadline, or before another server had a response.
 /// - `broken`, `answer-broken`: the connection failed before the head or in the
 ///   body.
 /// - `turned-away`: the server did not run the call.
@@ -94,6 +97,14 @@
             Self::NotRun(reason) | Self::Unknown(reason) => reason,
         }
     }
+
+    /// Returns why the attempt got no response; `None` if it got one.
+    pub fn failure(&self) -> Option<&'static str> {
+        match self {
+            Self::Answered(_) | Self::Streaming(_) => None,
+            Self::NotRun(reason) | Self::Unknown(reason) => Some(reason),
+        }
+    }
 }
 
 /// Complete response of a server.
@@ -269,28 +280,39 @@
     }
 }
 
-/// Sends a call to a server and waits for the response, or for the head of a
-/// stream. With `may_run_again`, which means that the call can be retried on
-/// another server, the wait ends early if the server is suspected dead.
+/// Sends a call to a server and waits for the response, or for the head of a stream,
+/// until the deadline of the call. `wait` tells meanwhile for how long the server has sent
+/// nothing.
 pub async fn attempt_call(
     cx: &Arc<GatewayContext>,
     call: &Call,
     choice: BackendChoice,
     last_event_id: Option<&str>,
-    may_run_again: bool,
+    wait: &ServerWait,
 ) -> AttemptOutcome {
     let mut in_flight = InFlightGuard::start(cx, call, choice);
     in_flight.hold_weights(call).await;
     let sent_to = in_flight.choice().clone();
-    let key = sent_to.key;
     let sent_at = in_flight.sent_at();
-    let outcome = send_and_read(cx, call, in_flight, last_event_id, may_run_again).await;
+    let outcome = send_and_read(cx, call, in_flight, last_event_id, wait).await;
+    record_attempt(cx, call, &sent_to, sent_at, &outcome);
+    outcome
+}
+
+/// Records the outcome of an attempt at a server, to which it was sent at `sent_at`.
+pub fn record_attempt(
+    cx: &GatewayContext,
+    call: &Call,
+    sent_to: &BackendChoice,
+    sent_at: MonotonicTime,
+    outcome: &AttemptOutcome,
+) {
     cx.metrics.count_attempt(outcome.label());
     if let AttemptOutcome::Unknown(BROKEN | ANSWER_BROKEN) = outcome {
-        report_break(cx, call, &sent_to, sent_at, None);
+        report_break(cx, call, sent_to, sent_at, None);
     }
-    record_outcome(cx, call, &sent_to, sent_at, &outcome);
-    if let AttemptOutcome::Answered(response) = &outcome
+    record_outcome(cx, call, sent_to, sent_at, outcome);
+    if let AttemptOutcome::Answered(response) = outcome
         && response.status.is_success()
     {
         // The time until a plain call begins is not seen; its own work counts as lateness.
@@ -301,12 +323,12 @@
         };
         observe_start(cx, call, predicted, sent_at);
     }
-    let now = cx.now();
+    let (key, now) = (sent_to.key, cx.now());
     let mut state = cx.lock();
-    if !state.dispatcher.lists_run(&sent_to) {
-        return outcome;
+    if !state.dispatcher.lists_run(sent_to) {
+        return;
     }
-    match &outcome {
+    match outcome {
         AttemptOutcome::Answered(response) => {
             let is_failure = response.status.is_server_error();
             state.dispatcher.record_outcome(key, is_failure);
@@ -320,7 +342,6 @@
         }
         AttemptOutcome::Unknown(_) => state.dispatcher.record_outcome(key, true),
     }
-    outcome
 }
 
 async fn send_and_read(
@@ -328,25 +349,27 @@
     call: &Call,
     mut in_flight: InFlightGuard,
     last_event_id: Option<&str>,
-    may_run_again: bool,
+    wait: &ServerWait,
 ) -> AttemptOutcome {
     let choice = in_flight.choice().clone();
     let sent_at = in_flight.sent_at;
     let build = || build_forward_request(cx, call, &choice, last_event_id);
     let send = cx.client.send_named(choice.address, &call.head.id, build);
-    let sent = wait_while_alive(cx, choice.key, may_run_again, call.deadline, send).await;
+    wait.begin();
+    let sent = timeout_at(call.deadline, send).await;
+    wait.end();
     let mut exchange = match sent {
-        None => return AttemptOutcome::Unknown("silent"),
-        Some(Err(e)) if e.is_certainly_unsent() => {
+        Err(_) => return AttemptOutcome::Unknown(SILENT),
+        Ok(Err(e)) if e.is_certainly_unsent() => {
             in_flight.release_weights();
             forget_expected_parts(cx, call, &choice);
             return AttemptOutcome::NotRun(UNREACHABLE);
         }
-        Some(Err(e)) => {
+        Ok(Err(e)) => {
             log::debug!("call: broken id={} reason=\"{e}\"", call.id_text());
             return AttemptOutcome::Unknown(BROKEN);
         }
-        Some(Ok(exchange)) => exchange,
+        Ok(Ok(exchange)) => exchange,
     };
     let metadata = cx
         .ports
@@ -417,8 +440,9 @@
         }
     }
     let body_read = exchange.read_rest_in_budget(MAX_RESPONSE_BYTES, &mut reservation);
-    match wait_while_alive(cx, choice.key, may_run_again, call.deadline, body_read).await {
-        Some(Ok(body)) => {
+    wait.begin();
+    match timeout_at(call.deadline, body_read).await {
+        Ok(Ok(body)) => {
             reservation.end_receipt();
             in_flight.release_weights();
             record_full_response(cx, call, &mut in_flight, status);
@@ -428,8 +452,8 @@
                 body: reservation.attach(body),
             })
         }
-        Some(Err(_)) => AttemptOutcome::Unknown(ANSWER_BROKEN),
-        None => AttemptOutcome::Unknown("answer-silent"),
+        Ok(Err(_)) => AttemptOutcome::Unknown(ANSWER_BROKEN),
+        Err(_) => AttemptOutcome::Unknown("answer-silent"),
     }
 }
 
--- a/src/gateway/hedged_attempt.rs
+++ b/src/gateway/hedged_attempt.rs
@@ -1,22 +1,26 @@
-//! Sends a call to a second server if the response of the first one is late.
+//! Sends a call to further servers if the response of the first one is late, or if it is
+//! silent.
 
-use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
-use futures::future::Either;
-use futures::future::select;
-use tokio::time::timeout;
+use tokio::time::Instant;
+use tokio::time::sleep_until;
 
 use super::attempt::AttemptOutcome;
-use super::attempt::attempt_call;
+use super::attempt::SILENT;
 use super::call_log::CallLog;
 use super::call_progress::CallProgress;
 use super::choose_with_room::choose_with_room;
 use super::context::GatewayContext;
 use super::read_call::Call;
+use super::running_attempts::LIVENESS_CHECK_INTERVAL;
+use super::running_attempts::REPLACEMENT_INTERVAL;
+use super::running_attempts::RunningAttempts;
 use super::serve_call::MAX_SENDS_PER_CALL;
+use super::serve_call::choose_unless_stopping;
 use crate::core::fleet::BackendChoice;
+use crate::core::fleet::BackendKey;
 use crate::core::fleet::CallKind;
 
 /// Minimum time before a second send, as a share of the route's latency objective. A
@@ -27,59 +31,94 @@
 /// that its response can still arrive.
 const MAX_DELAY_SHARE: f64 = 0.5;
 
-/// Sends a call to the chosen server like [`attempt_call`]. If the call may run twice,
-/// goes to a service without models and is answered later than most calls of its route,
-/// it is also sent to a second server with a free slot. The first response that is no
-/// server error wins; the exchange with the other server is dropped, which closes its
-/// connection.
+/// Server that an attempt has ended at, and its outcome.
+type Ended = (BackendKey, AttemptOutcome);
+
+/// Sends a call to the chosen server, and counts its runs. If the call may run twice, it
+/// is also sent to a second server with a free slot once it is answered later than most
+/// calls of its route, if that goes to a service without models; and to another server
+/// once its servers are silent. The first response that is no server error wins, and the
+/// exchanges with other servers are dropped, which closes their connections. Until then
+/// the call stays at all of them: the others may refuse it, and a silent one may answer.
 pub async fn attempt_hedged(
     cx: &Arc<GatewayContext>,
-    call: &Call,
+    call: &Arc<Call>,
     choice: BackendChoice,
     progress: &mut CallProgress,
     call_log: &mut CallLog,
 ) -> AttemptOutcome {
-    let may_run_again = call.may_run_again(progress.runs);
-    let delay = find_delay(cx, call).filter(|_| may_run_again);
-    let sent_at = cx.now();
-    let first = attempt_call(cx, call, choice.clone(), None, may_run_again);
-    let Some(delay) = delay else {
-        return first.await;
-    };
-    let mut first = pin!(first);
-    if let Ok(outcome) = timeout(delay, &mut first).await {
-        return outcome;
-    }
-    let Some(second_choice) = choose_second(cx, call, progress) else {
-        return first.await;
-    };
-    call_log.log_send(&second_choice, "late");
-    progress.tried.push(second_choice.key);
     progress.runs += 1;
-    let second_server = second_choice.name.clone();
-    let may_run_again = call.may_run_again(progress.runs);
-    let second = pin!(attempt_call(cx, call, second_choice, None, may_run_again));
-    let (earlier, later) = match select(first, second).await {
-        Either::Left((outcome, _)) if is_response(&outcome) => {
-            log_winner(cx, call, "lost", choice.name.as_str());
+    let (sent_at, now) = (cx.now(), Instant::now());
+    let delay = find_delay(cx, call).filter(|_| call.may_run_again(progress.runs));
+    let mut hedge_at = delay.map(|delay| now + delay);
+    let mut hedge: Option<BackendChoice> = None;
+    let mut look_at = now + LIVENESS_CHECK_INTERVAL;
+    let mut kept: Option<AttemptOutcome> = None;
+    let mut attempts = RunningAttempts::new(cx, call);
+    attempts.start(choice.clone(), None);
+    loop {
+        let wake_at = hedge_at.map_or(look_at, |at| at.min(look_at));
+        let mut ended: Option<Ended> = tokio::select! {
+            biased;
+            ended = attempts.next_outcome() => Some(ended),
+            () = sleep_until(wake_at), if call.may_run_again(progress.runs) => None,
+        };
+        let now = Instant::now();
+        if ended.is_none() && hedge_at.take_if(|at| *at <= now).is_some() {
+            hedge = start_hedge(cx, call, &mut attempts, progress, call_log);
+        } else if ended.is_none() && look_at <= now {
+            look_at = now + LIVENESS_CHECK_INTERVAL;
+            if attempts.are_silent() {
+                ended = start_replacement(cx, call, &mut attempts, progress, call_log).await;
+                look_at = Instant::now() + REPLACEMENT_INTERVAL;
+            }
+        }
+        let Some((server, outcome)) = ended else {
+            continue;
+        };
+        if is_response(&outcome) {
+            if let Some(reason) = kept.as_ref().and_then(AttemptOutcome::failure) {
+                call_log.record_failure(reason);
+            }
+            if let Some(hedge) = &hedge {
+                log_winner(cx, call, server, &choice, hedge);
+                if attempts.contains(choice.key) {
+                    record_overtaken(cx, call, &choice, cx.now().since(sent_at));
+                }
+            }
+            attempts.abandon();
             return outcome;
         }
-        Either::Right((outcome, _)) if is_response(&outcome) => {
-            record_overtaken(cx, call, &choice, cx.now().since(sent_at));
-            log_winner(cx, call, "won", second_server.as_str());
+        if matches!(outcome, AttemptOutcome::NotRun(_)) {
+            progress.runs -= 1;
+        }
+        let outcome = match kept.take() {
+            Some(before) => keep_better(before, outcome, call_log),
+            None => outcome,
+        };
+        if attempts.is_empty() {
+            if hedge.is_some() {
+                cx.metrics.count_hedge("failed");
+            }
             return outcome;
         }
-        Either::Left((outcome, second)) => (outcome, second.await),
-        Either::Right((outcome, first)) => (outcome, first.await),
-    };
-    cx.metrics.count_hedge("failed");
-    let (kept, other) = if rank(&earlier) > rank(&later) {
-        (earlier, later)
+        kept = Some(outcome);
+    }
+}
+
+/// Returns the outcome that tells the caller more, and logs why the other attempt failed.
+fn keep_better(
+    before: AttemptOutcome,
+    outcome: AttemptOutcome,
+    call_log: &mut CallLog,
+) -> AttemptOutcome {
+    let (kept, other) = if rank(&before) > rank(&outcome) {
+        (before, outcome)
     } else {
-        (later, earlier)
+        (outcome, before)
     };
-    if matches!(other, AttemptOutcome::NotRun(_)) {
-        progress.runs -= 1;
+    if let Some(reason) = other.failure() {
+        call_log.record_failure(reason);
     }
     kept
 }
@@ -99,6 +138,56 @@
     (delay <= call.time_left().mul_f64(MAX_DELAY_SHARE)).then_some(delay)
 }
 
+/// Sends a call whose response is late to a second server, if there is one, and returns
+/// that.
+fn start_hedge(
+    cx: &GatewayContext,
+    call: &Call,
+    attempts: &mut RunningAttempts,
+    progress: &mut CallProgress,
+    call_log: &mut CallLog,
+) -> Option<BackendChoice> {
+    let choice = choose_second(cx, call, progress)?;
+    call_log.log_send(&choice, "late");
+    progress.tried.push(choice.key);
+    progress.runs += 1;
+    attempts.start(choice.clone(), None);
+    Some(choice)
+}
+
+/// Sends a call whose servers are silent to another one as well, if that can be done.
+/// Returns the outcome of an attempt that ends before.
+async fn start_replacement(
+    cx: &GatewayContext,
+    call: &Call,
+    attempts: &mut RunningAttempts,
+    progress: &mut CallProgress,
+    call_log: &mut CallLog,
+) -> Option<Ended> {
+    let silent = attempts.first_server()?.clone();
+    if progress.tried.len() >= MAX_SENDS_PER_CALL {
+        call_log.log_kept(&silent, "no-attempts-left");
+        return None;
+    }
+    let chosen = tokio::select! {
+        biased;
+        ended = attempts.next_outcome() => return Some(ended),
+        chosen = choose_unless_stopping(cx, call, progress) => chosen,
+    };
+    match chosen {
+        Err(refusal) => call_log.log_kept(&silent, refusal.code()),
+        Ok(_) if !cx.take_retry(&call.service) => call_log.log_kept(&silent, "no-repeats-left"),
+        Ok(choice) => {
+            call_log.record_failure(SILENT);
+            call_log.log_send(&choice, SILENT);
+            progress.tried.push(choice.key);
+            progress.runs += 1;
+            attempts.start(choice, None);
+        }
+    }
+    None
+}
+
 /// Chooses the second server; `None` if the service has no free slot or the retry budget
 /// has none to spare.
 fn choose_second(
@@ -137,7 +226,20 @@
         .observe_overtaken(choice, route, elapsed, now);
 }
 
-fn log_winner(cx: &GatewayContext, call: &Call, outcome: &'static str, server: &str) {
+fn log_winner(
+    cx: &GatewayContext,
+    call: &Call,
+    winner: BackendKey,
+    first: &BackendChoice,
+    hedge: &BackendChoice,
+) {
+    let (outcome, server) = if winner == first.key {
+        ("lost", &first.name)
+    } else if winner == hedge.key {
+        ("won", &hedge.name)
+    } else {
+        return cx.metrics.count_hedge("failed");
+    };
     cx.metrics.count_hedge(outcome);
     log::info!("call: hedged id={} answered_by={server}", call.id_text());
 }
--- a/src/gateway/serve_call.rs
+++ b/src/gateway/serve_call.rs
@@ -102,6 +102,7 @@
 }
 
 async fn dispatch_call(cx: &Arc<GatewayContext>, call: Call) -> Response<HttpBody> {
+    let call = Arc::new(call);
     let mut call_log = CallLog::new(cx, &call);
     let now = cx.now();
     {
@@ -143,7 +144,6 @@
         };
         call_log.log_send(&choice, reason);
         progress.tried.push(choice.key);
-        progress.runs += 1;
         let outcome = attempt_hedged(cx, &call, choice, &mut progress, &mut call_log).await;
         let may_run_again = call.may_run_again(progress.runs);
         match outcome {
@@ -160,7 +160,6 @@
                 return start_stream(cx, call, *head, progress, call_log).await;
             }
             AttemptOutcome::NotRun(why) => {
-                progress.runs -= 1;
                 reason = why;
                 if !matches!(failure, CallFailure::Unknown(_)) {
                     failure = CallFailure::Refused(CallRefusal::NotAccepted(REJECTED_RETRY_AFTER));
@@ -191,7 +190,7 @@
 
 /// Chooses the server of a call like [`wait_for_server`], unless the gateway stops and
 /// the call may outlast it.
-async fn choose_unless_stopping(
+pub(super) async fn choose_unless_stopping(
     cx: &GatewayContext,
     call: &Call,
     progress: &mut CallProgress,
@@ -254,7 +253,7 @@
 /// Returns a streaming response once its first events have arrived.
 async fn start_stream(
     cx: &Arc<GatewayContext>,
-    call: Call,
+    call: Arc<Call>,
     head: StreamingResponse,
     progress: CallProgress,
     mut call_log: CallLog,
--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -1,5 +1,6 @@
 //! Relays the events of a stream from servers to the caller.
 
+use std::future::pending;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,30 +11,34 @@
 use http::header::CONTENT_TYPE;
 use http::header::TRANSFER_ENCODING;
 use tokio::time::Instant;
+use tokio::time::sleep_until;
 use tokio::time::timeout_at;
 
 use super::attempt::AttemptOutcome;
 use super::attempt::InFlightGuard;
-use super::attempt::attempt_call;
 use super::call_log::CallLog;
 use super::call_progress::CallProgress;
 use super::choose_with_room::choose_with_room;
 use super::context::GatewayContext;
-use super::liveness_check::wait_while_alive;
 use super::permit_builds::record_end;
 use super::permit_builds::record_first_event;
 use super::read_call::Call;
 use super::report_break::report_break;
+use super::running_attempts::LIVENESS_CHECK_INTERVAL;
+use super::running_attempts::REPLACEMENT_INTERVAL;
+use super::running_attempts::RunningAttempts;
 use super::serve_call::MAX_SENDS_PER_CALL;
 use super::share_quarantine::record_completion;
 use super::stream_keepers::record_stream_start;
 use crate::core::fleet::BackendChoice;
+use crate::core::fleet::BackendKey;
 use crate::core::fleet::EventProgress;
 use crate::core::fleet::HoldPurpose;
 use crate::core::fleet::StreamKey;
 use crate::core::fleet::StreamOrigin;
 use crate::http::BodyAborted;
 use crate::http::ByteReservation;
+use crate::http::ClientError;
 use crate::http::Exchange;
 
 /// Problem of a stream whose server is suspected dead.
@@ -65,16 +70,29 @@
 /// Bytes that end an event.
 const EVENT_TERMINATOR: &[u8] = b"\n\n";
 
+/// Outcome of attempts to go on elsewhere that are not needed, since the server has sent an
+/// event again.
+const RECOVERED: &str = "recovered";
+
 /// Start of the line with an event's id.
 const ID_FIELD_PREFIX: &[u8] = b"id:";
 
 /// Relays the events of a stream to the caller. Only complete events are passed
-/// on, so that a broken stream can be resumed at another server.
+/// on, so that a broken stream can be resumed at another server. A stream whose server is
+/// silent stays there until another server has accepted it.
 #[derive(Debug)]
 pub struct StreamRelay {
     cx: Arc<GatewayContext>,
-    call: Call,
+    call: Arc<Call>,
     upstream: Option<(Exchange, InFlightGuard)>,
+    /// Attempts to go on at another server.
+    successors: RunningAttempts,
+    /// Why the last server was left; empty while none was.
+    left_why: &'static str,
+    /// Since when the relay waits for bytes of `upstream`.
+    waiting_since: Instant,
+    /// When another server is looked for next, if that is needed.
+    look_at: Instant,
     /// Media type that the first server has stated, and the caller was told.
     media_type: Option<String>,
     buffer: BytesMut,
@@ -90,22 +108,39 @@
     call_log: CallLog,
 }
 
+/// What happens next to a stream.
+enum Step {
+    /// The server has sent a chunk, or the end of the stream.
+    Read(Result<Option<Bytes>, ClientError>),
+    /// An attempt to go on at another server has ended.
+    Attempted(AttemptOutcome),
+    /// It is time to check whether the server is alive.
+    Check,
+    /// The deadline of the call has passed.
+    TimedOut,
+}
+
 impl StreamRelay {
     /// Creates the relay of a stream whose head has arrived.
     pub fn new(
         cx: &Arc<GatewayContext>,
-        call: Call,
+        call: Arc<Call>,
         upstream: (Exchange, InFlightGuard),
         progress: CallProgress,
         call_log: CallLog,
     ) -> Self {
+        let now = Instant::now();
         Self {
             cx: Arc::clone(cx),
             reservation: cx
                 .byte_budget
                 .reserve_for(call.holder.clone(), HoldPurpose::RunningCall),
-            wanted_at: Instant::now(),
-            delivered_at: Instant::now(),
+            successors: RunningAttempts::new(cx, &call),
+            left_why: "",
+            waiting_since: now,
+            look_at: now,
+            wanted_at: now,
+            delivered_at: now,
             call,
             media_type: read_media_type(&upstream.0),
             upstream: Some(upstream),
@@ -126,88 +161,231 @@
     /// The stream broke and could not be resumed.
     pub async fn next_events(&mut self) -> Result<Option<Bytes>, BodyAborted> {
         self.wanted_at = Instant::now();
+        self.waiting_since = self.wanted_at;
         loop {
             if let Some(events) = self.take_events() {
                 if has_data(&events) {
                     let now = self.cx.now();
                     self.event_progress.record_event(now, self.call.time_left());
                     self.record_events(&events);
+                    self.drop_successors();
                 }
                 self.delivered_at = Instant::now();
                 return Ok(Some(events));
             }
+            if self.upstream.is_none() && self.successors.is_empty() {
+                return Ok(None);
+            }
             if !self.reserve_chunk().await {
-                self.close_upstream(false);
-                self.call_log.log_end(NO_MEMORY, 502);
-                return Err(BodyAborted);
+                return Err(self.abort(NO_MEMORY));
             }
-            let may_run_again = self.call.may_run_again(self.progress.runs);
-            let Some((exchange, in_flight)) = &mut self.upstream else {
-                return Ok(None);
-            };
-            let choice = in_flight.choice().clone();
-            let server = choice.key;
-            let deadline = self.call.deadline;
-            // Its end may be that of the connection to a server that crashed.
-            let is_unframed_start = self.progress.build.is_none() && is_unframed(exchange);
-            let chunk_read = exchange.next_chunk();
-            let problem =
-                match wait_while_alive(&self.cx, server, may_run_again, deadline, chunk_read).await
-                {
-                    Some(Ok(Some(chunk))) => {
-                        let now = self.cx.now();
-                        self.cx.lock().record_answer(&choice, now);
-                        self.buffer.extend_from_slice(&chunk);
-                        self.call_log.record_server_act("body", self.buffer.len());
-                        self.reservation.set_held(self.buffer.len());
-                        if self.buffer.len() > MAX_EVENT_BYTES && !self.has_event() {
-                            EVENT_TOO_LARGE
-                        } else if may_run_again
-                            && self.event_progress.is_stalled(now)
-                            && !has_data(&self.buffer)
-                        {
-                            STREAM_STALLED
-                        } else {
-                            continue;
-                        }
-                    }
-                    Some(Ok(None)) if is_unframed_start => "ended-before-event",
-                    Some(Ok(None)) if self.buffer.is_empty() => {
-                        if let Some((_, in_flight)) = &mut self.upstream {
-                            in_flight.record_complete();
-                        }
-                        self.close_upstream(false);
-                        record_completion(&self.cx, &self.call, StatusCode::OK);
-                        self.call_log.log_end("complete", 200);
-                        return Ok(None);
-                    }
-                    Some(Ok(None)) => "ended-within-event",
-                    Some(Err(_)) => "stream-broken",
-                    None => STREAM_SILENT,
-                };
-            if self.is_reader_slow(problem) {
-                self.close_upstream(false);
-                self.call_log.log_end(READER_SLOW, 502);
-                return Err(BodyAborted);
+            match self.next_step().await {
+                Step::Read(Ok(Some(chunk))) => self.accept_chunk(&chunk)?,
+                Step::Read(Ok(None)) if self.is_unframed_start() => {
+                    self.leave_broken("ended-before-event")?;
+                }
+                Step::Read(Ok(None)) if self.buffer.is_empty() => {
+                    self.complete();
+                    return Ok(None);
+                }
+                Step::Read(Ok(None)) => self.leave_broken("ended-within-event")?,
+                Step::Read(Err(_)) => self.leave_broken("stream-broken")?,
+                Step::Attempted(outcome) => self.accept_outcome(outcome)?,
+                Step::Check if self.is_silent() => self.look_for_successor(STREAM_SILENT),
+                Step::Check => {}
+                Step::TimedOut => return Err(self.abort(STREAM_SILENT)),
+            }
+        }
+    }
+
+    /// Waits for bytes of the server, the outcome of an attempt at another one, or the next
+    /// check. An attempt goes first: once its server has begun, the other one must end.
+    async fn next_step(&mut self) -> Step {
+        let deadline = self.call.deadline;
+        let may_go_on = self.call.may_run_again(self.progress.runs) || !self.successors.is_empty();
+        let check_at = (Instant::now() + LIVENESS_CHECK_INTERVAL).min(deadline);
+        let wake_at = if may_go_on { check_at } else { deadline };
+        let upstream = &mut self.upstream;
+        let chunk = async {
+            match upstream {
+                Some((exchange, _)) => exchange.next_chunk().await,
+                None => pending().await,
             }
-            let mut next = None;
-            if problem == STREAM_SILENT && !self.call.time_left().is_zero() {
-                // The server may only be slow, as long as no other one can go on.
-                match self.choose_next() {
-                    Ok(choice) => next = Some(choice),
-                    Err(why) => {
-                        self.call_log.log_kept(&choice.name, why);
-                        continue;
-                    }
+        };
+        tokio::select! {
+            biased;
+            (_, outcome) = self.successors.next_outcome() => Step::Attempted(outcome),
+            chunk = chunk => Step::Read(chunk),
+            () = sleep_until(wake_at) => {
+                if Instant::now() >= deadline {
+                    Step::TimedOut
+                } else {
+                    Step::Check
                 }
             }
-            self.report_break(problem);
-            self.close_upstream(true);
-            if !self.resume(problem, next).await {
-                self.call_log.log_end(problem, 502);
-                return Err(BodyAborted);
+        }
+    }
+
+    /// Appends a chunk of the server.
+    fn accept_chunk(&mut self, chunk: &[u8]) -> Result<(), BodyAborted> {
+        self.waiting_since = Instant::now();
+        let now = self.cx.now();
+        if let Some((_, in_flight)) = &self.upstream {
+            self.cx.lock().record_answer(in_flight.choice(), now);
+        }
+        self.buffer.extend_from_slice(chunk);
+        self.call_log.record_server_act("body", self.buffer.len());
+        self.reservation.set_held(self.buffer.len());
+        if self.buffer.len() > MAX_EVENT_BYTES && !self.has_event() {
+            return self.leave_broken(EVENT_TOO_LARGE);
+        }
+        let may_go_on = self.call.may_run_again(self.progress.runs);
+        if may_go_on && self.event_progress.is_stalled(now) && !has_data(&self.buffer) {
+            if self.is_reader_slow(STREAM_STALLED) {
+                return Err(self.abort(READER_SLOW));
             }
+            self.look_for_successor(STREAM_STALLED);
         }
+        Ok(())
+    }
+
+    /// Goes on with the stream of an attempt that another server has accepted; else stays at
+    /// the server, or tries the next one if that is lost.
+    fn accept_outcome(&mut self, outcome: AttemptOutcome) -> Result<(), BodyAborted> {
+        let (problem, may_retry) = match outcome {
+            // Such as the text of an error, under a status of success.
+            AttemptOutcome::Streaming(head)
+                if read_media_type(&head.exchange) != self.media_type =>
+            {
+                ("not-a-stream", false)
+            }
+            AttemptOutcome::Streaming(head) => {
+                self.close_upstream(true);
+                self.successors.abandon();
+                self.event_progress.restart();
+                self.waiting_since = Instant::now();
+                self.upstream = Some((head.exchange, head.in_flight));
+                return Ok(());
+            }
+            // The server ran the call but did not send a stream.
+            AttemptOutcome::Answered(_) => ("not-a-stream", false),
+            AttemptOutcome::NotRun(why) => {
+                self.progress.runs -= 1;
+                (why, true)
+            }
+            AttemptOutcome::Unknown(why) => (why, true),
+        };
+        self.call_log.record_failure(problem);
+        if self.upstream.is_some() || !self.successors.is_empty() {
+            return Ok(());
+        }
+        if may_retry {
+            self.start_successor_or_abort(problem)
+        } else {
+            Err(self.abort(self.left_why))
+        }
+    }
+
+    /// Leaves a server that cannot go on with the stream. Goes on at another one, or ends
+    /// the stream.
+    fn leave_broken(&mut self, problem: &'static str) -> Result<(), BodyAborted> {
+        if self.is_reader_slow(problem) {
+            return Err(self.abort(READER_SLOW));
+        }
+        self.report_break();
+        self.close_upstream(true);
+        self.left_why = problem;
+        if !self.successors.is_empty() {
+            return Ok(());
+        }
+        self.start_successor_or_abort(problem)
+    }
+
+    /// Tries to go on at another server in place of one that was left; ends the stream if
+    /// there is none.
+    fn start_successor_or_abort(&mut self, reason: &'static str) -> Result<(), BodyAborted> {
+        self.start_successor(reason).map_err(|why| {
+            self.call_log.record_failure(why);
+            self.abort(self.left_why)
+        })
+    }
+
+    /// Tries to go on at another server as well, if it is time for that.
+    fn look_for_successor(&mut self, reason: &'static str) {
+        let now = Instant::now();
+        if now < self.look_at || !self.successors.are_silent() {
+            return;
+        }
+        self.look_at = now + REPLACEMENT_INTERVAL;
+        if let Err(why) = self.start_successor(reason)
+            && let Some((_, in_flight)) = &self.upstream
+        {
+            self.call_log.log_kept(&in_flight.choice().name, why);
+        }
+    }
+
+    /// Sends the stream to another server, to go on after the last event that was taken.
+    ///
+    /// # Errors
+    ///
+    /// The stream can go on at no other server; holds the reason.
+    fn start_successor(&mut self, reason: &'static str) -> Result<(), &'static str> {
+        let choice = self.choose_next()?;
+        self.call_log.log_send(&choice, reason);
+        self.progress.tried.push(choice.key);
+        self.progress.runs += 1;
+        self.successors.start(choice, self.last_event_id.clone());
+        Ok(())
+    }
+
+    /// Ends attempts to go on elsewhere, since the server has sent an event.
+    fn drop_successors(&mut self) {
+        if !self.successors.is_empty() {
+            self.call_log.record_failure(RECOVERED);
+            self.successors.abandon();
+        }
+    }
+
+    /// Ends the stream early.
+    fn abort(&mut self, problem: &'static str) -> BodyAborted {
+        self.close_upstream(problem == STREAM_SILENT);
+        self.successors.abandon();
+        self.call_log.log_end(problem, 502);
+        BodyAborted
+    }
+
+    /// Ends the stream in order.
+    fn complete(&mut self) {
+        if let Some((_, in_flight)) = &mut self.upstream {
+            in_flight.record_complete();
+        }
+        self.close_upstream(false);
+        self.drop_successors();
+        record_completion(&self.cx, &self.call, StatusCode::OK);
+        self.call_log.log_end("complete", 200);
+    }
+
+    /// Returns whether nothing was received of a body that may end with the connection to a
+    /// server that crashed.
+    fn is_unframed_start(&self) -> bool {
+        let exchange = self.upstream.as_ref().map(|(exchange, _)| exchange);
+        self.progress.build.is_none() && exchange.is_some_and(is_unframed)
+    }
+
+    /// Returns whether the server is suspected dead; true if it is lost.
+    fn is_silent(&self) -> bool {
+        let Some(server) = self.current_server() else {
+            return true;
+        };
+        let waited = self.waiting_since.elapsed();
+        let now = self.cx.now();
+        let state = self.cx.lock();
+        state.dispatcher.is_suspected_dead(server, waited, now)
+    }
+
+    fn current_server(&self) -> Option<BackendKey> {
+        let (_, in_flight) = self.upstream.as_ref()?;
+        Some(in_flight.choice().key)
     }
 
     /// Records the build of the server that sent the stream's first event: the
@@ -250,12 +428,9 @@
             && self.wanted_at.duration_since(self.delivered_at) >= MIN_READER_LAG
     }
 
-    /// Reports the connection as broken, unless the server only fell silent or stalled.
-    fn report_break(&self, problem: &str) {
-        if problem != STREAM_SILENT
-            && problem != STREAM_STALLED
-            && let Some((_, in_flight)) = &self.upstream
-        {
+    /// Reports the connection to the server as broken.
+    fn report_break(&self) {
+        if let Some((_, in_flight)) = &self.upstream {
             report_break(
                 &self.cx,
                 &self.call,
@@ -319,57 +494,6 @@
             Err("no-repeats-left")
         }
     }
-
-    /// Resumes the stream at another server after the last event that was
-    /// taken: first at `next`, if it was chosen already. Returns whether that worked.
-    async fn resume(&mut self, problem: &'static str, next: Option<BackendChoice>) -> bool {
-        let mut reason = problem;
-        let mut next = next;
-        loop {
-            let choice = match next.take().map_or_else(|| self.choose_next(), Ok) {
-                Ok(choice) => choice,
-                Err(why) => {
-                    self.call_log.record_failure(why);
-                    return false;
-                }
-            };
-            self.call_log.log_send(&choice, reason);
-            self.progress.tried.push(choice.key);
-            let may_run_again = self.call.may_run_again(self.progress.runs + 1);
-            let last_event_id = self.last_event_id.clone();
-            match attempt_call(
-                &self.cx,
-                &self.call,
-                choice,
-                last_event_id.as_deref(),
-                may_run_again,
-            )
-            .await
-            {
-                // Such as the text of an error, under a status of success.
-                AttemptOutcome::Streaming(head)
-                    if read_media_type(&head.exchange) != self.media_type =>
-                {
-                    self.call_log.record_failure("not-a-stream");
-                    return false;
-                }
-                AttemptOutcome::Streaming(head) => {
-                    self.progress.runs += 1;
-                    self.event_progress.restart();
-                    self.upstream = Some((head.exchange, head.in_flight));
-                    return true;
-                }
-                AttemptOutcome::NotRun(why) => reason = why,
-                AttemptOutcome::Unknown(why) => {
-                    self.progress.runs += 1;
-                    reason = why;
-                }
-                // The server ran the call but did not send a stream.
-                AttemptOutcome::Answered(_) => return false,
-            }
-            self.call_log.record_failure(reason);
-        }
-    }
 }
 
 /// Returns whether a body has neither a length nor chunks and ends with its
