Ask the next server at once when one has refused a call of a silent one

Callers whose server stays silent waited 0.5 to 0.65 s more for each refusal: 2 s are over after two of them, when callers abandon a stream.

Cause: the interval between looks at other servers, meant for looks that find none, also began when one was found and refused.

The interval now ends with an attempt that got no response. Sends stay bounded by the attempts of the call and the retry budget, as they were before calls were kept.

server_silent_other_refuses_next_is_asked: both cases failed on the parent and pass.

--- a/src/gateway/hedged_attempt.rs
+++ b/src/gateway/hedged_attempt.rs
@@ -102,6 +102,9 @@
             }
             return outcome;
         }
+        if outcome.failure().is_some() {
+            look_at = now;
+        }
         kept = Some(outcome);
     }
 }
--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -277,6 +277,9 @@
         };
         self.call_log.record_failure(problem);
         if self.upstream.is_some() || !self.successors.is_empty() {
+            if may_retry {
+                self.look_at = Instant::now();
+            }
             return Ok(());
         }
         if may_retry {
