Take no retry for a call whose deadline has passed

Calls that stay at a silent server up to their deadline each took one from the retry budget of their service, which all gateways share, and sent nothing. Other calls lacked it, and the line of their end said no-repeats-left.

Cause: the retry was taken before the check whether time is left to use it.

server_silent_until_deadline_takes_no_retry: both cases failed on the parent (a count of 1) and pass.

--- a/src/gateway/serve_call.rs
+++ b/src/gateway/serve_call.rs
@@ -174,6 +174,9 @@
             }
         }
         call_log.record_failure(reason);
+        if call.time_left().is_zero() {
+            break;
+        }
         // An unreachable server got no byte of the call, so the next attempt takes
         // nothing from the retry budget.
         if reason != UNREACHABLE && !cx.take_retry(&call.service) {
