Attribute bytes to the server that sent them in the trace of a cut call

The trace named the server that was asked last with what another one did, such as one that had refused the call. Operators would look at the wrong server, and the time of the send was wrong.

Cause: a call log knew only its last send, but several may be at work at the same time since calls are kept at their silent server.

Each send now has its own trace, and the line names the one whose server acted last.

stop_cut_call_names_server_at_work: failed on the parent and passes.

--- a/src/gateway/call_log.rs
+++ b/src/gateway/call_log.rs
@@ -29,7 +29,8 @@
     read_at: Instant,
     deadline: Instant,
     attempts: u32,
-    sent: Option<SentAttempt>,
+    /// Sends, of which several may be at work at the same time.
+    sent: Vec<SentAttempt>,
     /// Bytes of events that are not complete, and so not passed on yet.
     held_bytes: usize,
     first_event_at: Option<Instant>,
@@ -38,7 +39,7 @@
     is_ended: bool,
 }
 
-/// The last send of a call, and what its server did since.
+/// Send of a call, and what its server did since.
 #[derive(Debug)]
 struct SentAttempt {
     server: ServerName,
@@ -70,7 +71,7 @@
             read_at: call.read_at,
             deadline: call.deadline,
             attempts: 0,
-            sent: None,
+            sent: Vec::new(),
             held_bytes: 0,
             first_event_at: None,
             kept_why: "",
@@ -83,7 +84,7 @@
     pub fn log_send(&mut self, choice: &BackendChoice, reason: &str) {
         self.attempts += 1;
         let now = Instant::now();
-        self.sent = Some(SentAttempt {
+        self.sent.push(SentAttempt {
             server: choice.name.clone(),
             sent_at: now,
             last_act: "none",
@@ -136,11 +137,11 @@
         );
     }
 
-    /// Records that the server of the last send has sent something, of which `held_bytes`
-    /// are not passed on yet.
-    pub fn record_server_act(&mut self, act: &'static str, held_bytes: usize) {
+    /// Records that a server has sent something, of which `held_bytes` are not passed on yet.
+    pub fn record_server_act(&mut self, server: &ServerName, act: &'static str, held_bytes: usize) {
         self.held_bytes = held_bytes;
-        if let Some(sent) = &mut self.sent {
+        let mut sent = self.sent.iter_mut();
+        if let Some(sent) = sent.find(|sent| sent.server == *server) {
             sent.last_act = act;
             sent.acted_at = Instant::now();
         }
@@ -190,11 +191,11 @@
         left.as_millis()
     }
 
-    /// Logs what is known of a call that the end of a drain cuts. Its times count from the
-    /// begin of the drain.
+    /// Logs what is known of a call that the end of a drain cuts: of its sends, the one whose
+    /// server acted last. Its times count from the begin of the drain.
     fn log_cut(&self) {
         let drain = &self.cx.drain;
-        let sent = self.sent.as_ref();
+        let sent = self.sent.iter().max_by_key(|sent| sent.acted_at);
         log::warn!(
             "call: cut id={} caller={} head_ms={} body_ms={} sent_ms={} server={} server_did={} did_ms={} held_bytes={}",
             self.id,
--- a/src/gateway/serve_call.rs
+++ b/src/gateway/serve_call.rs
@@ -269,7 +269,7 @@
         exchange,
         in_flight,
     } = head;
-    call_log.record_server_act("head", 0);
+    call_log.record_server_act(&in_flight.choice().name, "head", 0);
     let mut relay = StreamRelay::new(cx, call, (exchange, in_flight), progress, call_log);
     let first_events = match relay.next_events().await {
         Ok(first_events) => first_events,
--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -230,11 +230,13 @@
     fn accept_chunk(&mut self, chunk: &[u8]) -> Result<(), BodyAborted> {
         self.waiting_since = Instant::now();
         let now = self.cx.now();
+        self.buffer.extend_from_slice(chunk);
         if let Some((_, in_flight)) = &self.upstream {
-            self.cx.lock().record_answer(in_flight.choice(), now);
+            let choice = in_flight.choice();
+            self.cx.lock().record_answer(choice, now);
+            self.call_log
+                .record_server_act(&choice.name, "body", self.buffer.len());
         }
-        self.buffer.extend_from_slice(chunk);
-        self.call_log.record_server_act("body", self.buffer.len());
         self.reservation.set_held(self.buffer.len());
         if self.buffer.len() > MAX_EVENT_BYTES && !self.has_event() {
             return self.leave_broken(EVENT_TOO_LARGE);
