--- a/src/gateway/serve_call.rs
+++ b/src/gateway/serve_call.rs
@@ -174,6 +174,9 @@
             }
         }
         call_log.record_failure(reason);
+        if call.time_left().is_zero() {
+            break;
+        }
         // An unreachable server got no byte of the call, so the next attempt takes
         // nothing from the retry budget.
         if reason != UNREACHABLE && !cx.take_retry(&call.service) {
@@ -266,7 +269,7 @@
         exchange,
         in_flight,
     } = head;
-    call_log.record_server_act("head", 0);
+    call_log.record_server_act(&in_flight.choice().name, "head", 0);
     let mut relay = StreamRelay::new(cx, call, (exchange, in_flight), progress, call_log);
     let first_events = match relay.next_events().await {
         Ok(first_events) => first_events,
