Log for how long a stop signal may have waited unseen

Callers saw: nothing. The record of streams that were cut around stops cannot tell whether a gateway saw SIGTERM late, since `gateway: draining` says only when it was seen.

Change: the line has `unseen_ms=`, the time since the last look that found no signal. The handlers are installed before the first listener is opened; a signal that comes while the gateway starts drains it in place of killing it.

--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -43,11 +43,11 @@
 use crate::http::status_page_limits;
 use crate::ports::Area;
 use crate::settings::GatewaySettings;
+use crate::stop_signals::StopSignals;
 use crate::threads::StartError;
 use crate::threads::build_runtime;
 use crate::threads::open_tokio_listener;
 use crate::threads::run_reload_loop;
-use crate::threads::wait_for_stop;
 
 /// Interval between checks for the first configuration.
 const FIRST_CONFIGURATION_POLL: Duration = Duration::from_millis(20);
@@ -135,6 +135,8 @@
     settings_file: PathBuf,
     stop_request: watch::Receiver<bool>,
 ) -> Result<(), GatewayError> {
+    let installed_at = cx.now();
+    let mut stop_signals = StopSignals::install(stop_request);
     tokio::spawn(reload_settings(Arc::clone(&cx), settings_file));
     let listen = cx.settings.listen.clone();
     log::info!(
@@ -176,12 +178,17 @@
     }
     let traffic = open_tokio_listener(listen.traffic)?;
     let mut traffic_server = tokio::spawn(serve_traffic(Arc::clone(&cx), traffic, stop.clone()));
-    wait_for_stop(stop_request).await;
+    let requested_at = stop_signals.wait_since(cx.clock(), installed_at).await;
+    let unseen = cx.now().since(requested_at);
     let answers_for = cx.settings.stop_timeout;
     let answers_for = answers_for.saturating_sub(SHUTDOWN_MARGIN + LAST_ANSWERS_TIME);
     let answers_until = Instant::now() + answers_for;
     cx.start_drain(DRAIN_LINGER, answers_for);
-    log::info!("gateway: draining name={}", cx.settings.name);
+    log::info!(
+        "gateway: draining name={} unseen_ms={}",
+        cx.settings.name,
+        unseen.as_millis()
+    );
     sleep(DRAIN_LINGER).await;
     stop_tx.send_replace(true);
     let ended = match timeout_at(answers_until, &mut traffic_server).await {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -31,5 +31,6 @@
 pub mod rules;
 pub mod settings;
 pub mod sidecar;
+pub mod stop_signals;
 pub mod threads;
 pub mod timeline;
--- a/src/threads.rs
+++ b/src/threads.rs
@@ -21,6 +21,8 @@
 use tokio::sync::watch;
 use tokio::time::timeout;
 
+use crate::stop_signals::StopSignals;
+
 /// Completed connections that the kernel queues until they are accepted.
 const LISTEN_BACKLOG: i32 = 1024;
 
@@ -136,21 +138,8 @@
 /// Waits for SIGTERM or SIGINT, or until `stop` becomes true or its sender is
 /// dropped. If the signal handlers cannot be installed, only `stop` ends the
 /// wait.
-pub async fn wait_for_stop(mut stop: watch::Receiver<bool>) {
-    let signals = (
-        signal(SignalKind::terminate()),
-        signal(SignalKind::interrupt()),
-    );
-    let (Ok(mut terminate), Ok(mut interrupt)) = signals else {
-        log::error!("threads: Cannot install handlers for SIGTERM and SIGINT.");
-        let _ = stop.wait_for(|stopped| *stopped).await;
-        return;
-    };
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-        _ = stop.wait_for(|stopped| *stopped) => {}
-    }
+pub async fn wait_for_stop(stop: watch::Receiver<bool>) {
+    StopSignals::install(stop).wait().await;
 }
 
 /// Calls `reload` on each SIGHUP, and after each `interval` without one because
