Count a gateway's stop from when the signal may have been sent

Callers saw: streams that began 2.4 to 5.5 s after SIGTERM were cut when the process was killed, at a gateway that had stood still when SIGTERM was sent.

Cause: the grace runs from when SIGTERM is sent, but the last streams, the last answers and the exit counted from when the process saw it. A standstill of 0.35 s or more moved the exit beyond the grace.

Change: StopPlan::new derives all times from the earliest moment at which the signal may have been sent (`unseen_ms` of `gateway: draining`). Only the listener stays open for 2.4 s after the signal was seen, at most until the last answers: that is when the load balancer can notice. The times are waited for on the clock that counts suspensions. The exit has a time of its own (7.6 s), in place of one that follows from the close of the listener (7.65 s). Times in `call: cut` count from the same moment.

--- a/src/clock.rs
+++ b/src/clock.rs
@@ -6,9 +6,13 @@
 
 use rustix::time::ClockId;
 use rustix::time::clock_gettime;
+use tokio::time::sleep;
 
 use crate::core::MonotonicTime;
 
+/// Longest sleep between two looks at the clock.
+const MAX_SLEEP: Duration = Duration::from_millis(100);
+
 /// Monotonic clock whose origin is the call of [`Clock::start`]. Its times are
 /// not comparable between clocks. It counts time for which the host was suspended:
 /// leases and callers' deadlines run on meanwhile.
@@ -30,6 +34,17 @@
         let elapsed = read_boot_time().saturating_sub(self.started_at);
         MonotonicTime::from_micros(u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX))
     }
+
+    /// Waits until `at`. Timers do not count time for which the host was suspended.
+    pub async fn sleep_until(self, at: MonotonicTime) {
+        loop {
+            let left = at.since(self.now());
+            if left.is_zero() {
+                return;
+            }
+            sleep(left.min(MAX_SLEEP)).await;
+        }
+    }
 }
 
 /// Returns the time since the boot of the host, suspensions included.
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -8,7 +8,6 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
-use std::time::Duration;
 
 use tokio::sync::watch;
 
@@ -215,15 +214,10 @@
         self.drain.plan().is_some()
     }
 
-    /// Starts to drain: the gateway is no longer ready and closes connections
-    /// after the next response. Calls that wait are refused. Streams are sent on for
-    /// `streams_for`, and all calls have their answers after `answers_for`.
-    pub fn start_drain(&self, streams_for: Duration, answers_for: Duration) {
-        let now = self.now();
-        self.drain.begin(StopPlan {
-            streams_until: now + streams_for,
-            ends_at: now + answers_for,
-        });
+    /// Starts to drain: the gateway is no longer ready and closes connections after the
+    /// next response. Calls that wait are refused, and others are sent on by the plan.
+    pub fn start_drain(&self, plan: StopPlan, now: MonotonicTime) {
+        self.drain.begin(plan, now);
         if let Some(admission) = &mut self.lock().admission {
             admission.stop(now);
         }
--- a/src/gateway/drain.rs
+++ b/src/gateway/drain.rs
@@ -5,19 +5,24 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+use crate::core::MonotonicTime;
 use crate::core::fleet::StopPlan;
 
 /// Course of a gateway's drain.
 #[derive(Debug, Default)]
 pub struct Drain {
+    /// When the stop was requested, and its plan.
     begun: OnceLock<(Instant, StopPlan)>,
     is_over: watch::Sender<bool>,
 }
 
 impl Drain {
-    /// Begins the drain; later calls change nothing.
-    pub fn begin(&self, plan: StopPlan) {
-        self.begun.get_or_init(|| (Instant::now(), plan));
+    /// Begins the drain at `now`; later calls change nothing.
+    pub fn begin(&self, plan: StopPlan, now: MonotonicTime) {
+        let unseen = now.since(plan.requested_at);
+        let seen_at = Instant::now();
+        let requested_at = seen_at.checked_sub(unseen).unwrap_or(seen_at);
+        self.begun.get_or_init(|| (requested_at, plan));
     }
 
     /// Returns which calls are still sent on; `None` without a drain.
@@ -41,14 +46,14 @@
         let _ = self.is_over.subscribe().wait_for(|is_over| *is_over).await;
     }
 
-    /// Returns the milliseconds from the begin of the drain to `at`, negative before it;
-    /// 0 without a drain.
+    /// Returns the milliseconds from the request to stop to `at`, negative before it; 0
+    /// without a drain.
     pub fn offset_ms(&self, at: Instant) -> i64 {
-        let Some(&(began_at, _)) = self.begun.get() else {
+        let Some(&(requested_at, _)) = self.begun.get() else {
             return 0;
         };
-        let after = at.saturating_duration_since(began_at).as_millis() as i64;
-        let before = began_at.saturating_duration_since(at).as_millis() as i64;
+        let after = at.saturating_duration_since(requested_at).as_millis() as i64;
+        let before = requested_at.saturating_duration_since(at).as_millis() as i64;
         after - before
     }
 }
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -12,7 +12,6 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 use tokio::time::sleep;
-use tokio::time::timeout_at;
 
 use super::admission::look_at_waiting_calls;
 use super::context::GatewayContext;
@@ -37,6 +36,7 @@
 use crate::core::fleet::CallerLimits;
 use crate::core::fleet::RecordUse;
 use crate::core::fleet::SpeedChange;
+use crate::core::fleet::StopPlan;
 use crate::core::fleet::ZoneShare;
 use crate::http::ServerLimits;
 use crate::http::serve;
@@ -69,16 +69,6 @@
 /// still.
 const MIN_LOGGED_STALL: Duration = Duration::from_millis(300);
 
-/// Time for which a draining gateway still accepts connections: the load
-/// balancer checks readiness once a second and needs two failed checks.
-const DRAIN_LINGER: Duration = Duration::from_millis(2_400);
-
-/// Part of the stop timeout that is reserved for the exit itself.
-const SHUTDOWN_MARGIN: Duration = Duration::from_millis(400);
-
-/// Time to write the answers of the calls that still run at the end of a drain.
-const LAST_ANSWERS_TIME: Duration = Duration::from_millis(200);
-
 /// Reason why a gateway cannot run.
 #[derive(Debug)]
 pub enum GatewayError {
@@ -179,26 +169,20 @@
     let traffic = open_tokio_listener(listen.traffic)?;
     let mut traffic_server = tokio::spawn(serve_traffic(Arc::clone(&cx), traffic, stop.clone()));
     let requested_at = stop_signals.wait_since(cx.clock(), installed_at).await;
-    let unseen = cx.now().since(requested_at);
-    let answers_for = cx.settings.stop_timeout;
-    let answers_for = answers_for.saturating_sub(SHUTDOWN_MARGIN + LAST_ANSWERS_TIME);
-    let answers_until = Instant::now() + answers_for;
-    cx.start_drain(DRAIN_LINGER, answers_for);
+    let now = cx.now();
+    let plan = StopPlan::new(requested_at, now, cx.settings.stop_timeout);
+    cx.start_drain(plan, now);
     log::info!(
         "gateway: draining name={} unseen_ms={}",
         cx.settings.name,
-        unseen.as_millis()
+        now.since(requested_at).as_millis()
     );
-    sleep(DRAIN_LINGER).await;
+    cx.clock().sleep_until(plan.accepts_until).await;
     stop_tx.send_replace(true);
-    let ended = match timeout_at(answers_until, &mut traffic_server).await {
-        Ok(ended) => ended,
-        Err(_) => {
-            cx.drain.end();
-            traffic_server.await
-        }
+    let all_calls_ended = tokio::select! {
+        ended = &mut traffic_server => ended.unwrap_or(false),
+        () = end_drain(&cx, &plan) => false,
     };
-    let all_calls_ended = ended.unwrap_or(false);
     log::info!(
         "gateway: stopped name={} all_calls_ended={all_calls_ended}",
         cx.settings.name
@@ -206,6 +190,14 @@
     Ok(())
 }
 
+/// Lets calls that still run end with their last answers, and returns when the process
+/// must exit.
+async fn end_drain(cx: &GatewayContext, plan: &StopPlan) {
+    cx.clock().sleep_until(plan.ends_at).await;
+    cx.drain.end();
+    cx.clock().sleep_until(plan.exits_at).await;
+}
+
 fn spawn_status_pages(
     cx: &Arc<GatewayContext>,
     address: SocketAddr,
@@ -235,10 +227,8 @@
         // hyper counts the idle time before a head as part of the head's time.
         head_timeout: limits.idle_timeout,
         dead_peer_timeout: limits.idle_timeout,
-        drain_timeout: cx
-            .settings
-            .stop_timeout
-            .saturating_sub(DRAIN_LINGER + SHUTDOWN_MARGIN),
+        // The exit of the process ends it sooner.
+        drain_timeout: cx.settings.stop_timeout,
         reader: Some(cx.settings.reader_limits(&cx.byte_budget)),
     };
     let handle = move |mut req: Request<Incoming>, caller| {
--- a/tests/fleet_stop_plan.rs
+++ b/tests/fleet_stop_plan.rs
@@ -10,14 +10,54 @@
     Duration::from_millis(ms)
 }
 
-/// A stop that began at 10 s, whose listener closes at 12.4 s.
+const GRACE: Duration = ms(8_000);
+
+fn at(millis: u64) -> MonotonicTime {
+    MonotonicTime::ZERO + ms(millis)
+}
+
+/// A stop that was requested at 10 s, and seen at once.
 fn allows(at_ms: u64, is_stream: bool, time_left_ms: u64, predicted_ms: u64) -> bool {
-    let at = |millis| MonotonicTime::ZERO + ms(millis);
-    let plan = StopPlan {
+    let plan = StopPlan::new(at(10_000), at(10_000), GRACE);
+    plan.allows_send(is_stream, ms(time_left_ms), ms(predicted_ms), at(at_ms))
+}
+
+/// Guards against times that count from when a stop was seen: a gateway that stood still
+/// sent streams on that could not end before it was killed, and was killed before its exit.
+/// Only the load balancer learns of the stop no sooner.
+#[rstest]
+#[case::at_once(10_000, 12_400)]
+#[case::late(11_200, 13_600)]
+#[case::after_last_streams(13_000, 15_400)]
+#[case::shortly_before_end(16_000, 17_400)]
+#[case::after_exit(19_000, 17_400)]
+fn new_seen_late_counts_from_request(#[case] seen_ms: u64, #[case] accepts_until_ms: u64) {
+    let plan = StopPlan::new(at(10_000), at(seen_ms), GRACE);
+    let expected = StopPlan {
+        requested_at: at(10_000),
         streams_until: at(12_400),
+        accepts_until: at(accepts_until_ms),
         ends_at: at(17_400),
+        exits_at: at(17_600),
     };
-    plan.allows_send(is_stream, ms(time_left_ms), ms(predicted_ms), at(at_ms))
+    assert_eq!(plan, expected);
+}
+
+/// Whatever is seen after the end is refused, since it could only be cut.
+#[rstest]
+#[case::stream(true)]
+#[case::call(false)]
+fn allows_send_stop_seen_after_end(#[case] is_stream: bool) {
+    let plan = StopPlan::new(at(10_000), at(18_000), GRACE);
+    assert!(!plan.allows_send(is_stream, ms(1), Duration::ZERO, at(18_000)));
+}
+
+#[test]
+fn new_grace_shorter_than_linger_accepts_until_end() {
+    let plan = StopPlan::new(at(10_000), at(10_000), ms(1_000));
+    assert_eq!(plan.accepts_until, at(10_400));
+    assert_eq!(plan.ends_at, at(10_400));
+    assert_eq!(plan.exits_at, at(10_600));
 }
 
 /// Bodies that arrive slowly after the stop signal: a stream that is whole after the
