Give a call up at half of its time if no other server can be had, and look before a choice

Half of the time is left to their callers' own repeats. Answers that have begun stay.

The retry budget is asked before a server is chosen, since a choice counts as a send for a rollout. A stream does not move to another server late in a stop while its own one is silent. While a stream waits for memory, other servers' acceptance is noticed, and its server does not count as silent. A stalled stream of a caller that reads slowly stays.

--- a/src/core/fleet/fleet_retry_budget.rs
+++ b/src/core/fleet/fleet_retry_budget.rs
@@ -117,11 +117,16 @@
         self.current_step(service, now).requests += 1;
     }
 
+    /// Returns whether the budget has a retry left.
+    pub fn has_left(&mut self, service: &str, now: MonotonicTime) -> bool {
+        let usage = self.usage(service, now);
+        f64::from(usage.retries) + 1.0 <= usage.max_retries
+    }
+
     /// Consumes one retry and returns true, or returns false if the budget is
     /// used up.
     pub fn take_retry(&mut self, service: &str, now: MonotonicTime) -> bool {
-        let usage = self.usage(service, now);
-        if f64::from(usage.retries) + 1.0 > usage.max_retries {
+        if !self.has_left(service, now) {
             return false;
         }
         self.current_step(service, now).retries += 1;
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -198,6 +198,12 @@
         false
     }
 
+    /// Returns whether the operator's budget has a retry left for a service.
+    pub fn has_retry(&self, service: &str) -> bool {
+        let now = self.now();
+        self.lock().retries.has_left(service, now)
+    }
+
     /// Cancels the running watch of an area, so that the whole area is read
     /// again.
     pub fn request_resync(&self, area: Area) {
--- a/src/gateway/hedged_attempt.rs
+++ b/src/gateway/hedged_attempt.rs
@@ -31,6 +31,10 @@
 /// that its response can still arrive.
 const MAX_DELAY_SHARE: f64 = 0.5;
 
+/// Share of the time left at the first send after which a call whose servers are silent is
+/// given up if it can be sent to no other one: its caller may still repeat it elsewhere.
+const MAX_SILENT_SHARE: f64 = 0.5;
+
 /// Server that an attempt has ended at, and its outcome.
 type Ended = (BackendKey, AttemptOutcome);
 
@@ -53,6 +57,7 @@
     let mut hedge_at = delay.map(|delay| now + delay);
     let mut hedge: Option<BackendChoice> = None;
     let mut look_at = now + LIVENESS_CHECK_INTERVAL;
+    let give_up_at = now + call.time_left().mul_f64(MAX_SILENT_SHARE);
     let mut kept: Option<AttemptOutcome> = None;
     let mut attempts = RunningAttempts::new(cx, call);
     attempts.start(choice.clone(), None);
@@ -71,6 +76,14 @@
             if attempts.are_silent() {
                 ended = start_replacement(cx, call, &mut attempts, progress, call_log).await;
                 look_at = Instant::now() + REPLACEMENT_INTERVAL;
+                if ended.is_none() && now >= give_up_at && attempts.are_silent() {
+                    attempts.abandon();
+                    let silent = AttemptOutcome::Unknown(SILENT);
+                    return match kept {
+                        Some(before) => keep_better(before, silent, call_log),
+                        None => silent,
+                    };
+                }
             }
         }
         let Some((server, outcome)) = ended else {
@@ -172,6 +185,11 @@
         call_log.log_kept(&silent, "no-attempts-left");
         return None;
     }
+    // A choice counts as a send for the rollout of its service.
+    if !cx.has_retry(&call.service) {
+        call_log.log_kept(&silent, "no-repeats-left");
+        return None;
+    }
     let chosen = tokio::select! {
         biased;
         ended = attempts.next_outcome() => return Some(ended),
--- a/src/gateway/serve_call.rs
+++ b/src/gateway/serve_call.rs
@@ -21,6 +21,7 @@
 use super::admission::wait_for_server;
 use super::attempt::AttemptOutcome;
 use super::attempt::FullResponse;
+use super::attempt::SILENT;
 use super::attempt::StreamingResponse;
 use super::attempt::UNREACHABLE;
 use super::call_log::CallLog;
@@ -174,7 +175,8 @@
             }
         }
         call_log.record_failure(reason);
-        if call.time_left().is_zero() {
+        // A silent server is left only if no other one can be had.
+        if reason == SILENT || call.time_left().is_zero() {
             break;
         }
         // An unreachable server got no byte of the call, so the next attempt takes
@@ -205,7 +207,13 @@
     Ok(choice)
 }
 
-fn check_stop(
+/// Checks that a gateway that stops may still send on a call whose response is expected to
+/// be whole after `predicted_end`.
+///
+/// # Errors
+///
+/// The call may outlast the stop.
+pub(super) fn check_stop(
     cx: &GatewayContext,
     call: &Call,
     predicted_end: Duration,
--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -28,6 +28,7 @@
 use super::running_attempts::REPLACEMENT_INTERVAL;
 use super::running_attempts::RunningAttempts;
 use super::serve_call::MAX_SENDS_PER_CALL;
+use super::serve_call::check_stop;
 use super::share_quarantine::record_completion;
 use super::stream_keepers::record_stream_start;
 use crate::core::fleet::BackendChoice;
@@ -70,6 +71,9 @@
 /// Bytes that end an event.
 const EVENT_TERMINATOR: &[u8] = b"\n\n";
 
+/// Why a stream does not go on elsewhere while its gateway stops.
+const STOPPING: &str = "stopping";
+
 /// Outcome of attempts to go on elsewhere that are not needed, since the server has sent an
 /// event again.
 const RECOVERED: &str = "recovered";
@@ -176,9 +180,23 @@
             if self.upstream.is_none() && self.successors.is_empty() {
                 return Ok(None);
             }
-            if !self.reserve_chunk().await {
+            let waits_from = Instant::now();
+            let held_bytes = self.buffer.len();
+            let is_reserved = tokio::select! {
+                biased;
+                (_, outcome) = self.successors.next_outcome() => {
+                    self.accept_outcome(outcome)?;
+                    continue;
+                }
+                is_reserved = reserve_chunk(&mut self.reservation, held_bytes, &self.call) => {
+                    is_reserved
+                }
+            };
+            if !is_reserved {
                 return Err(self.abort(NO_MEMORY));
             }
+            // The server is not at fault meanwhile.
+            self.waiting_since += waits_from.elapsed();
             match self.next_step().await {
                 Step::Read(Ok(Some(chunk))) => self.accept_chunk(&chunk)?,
                 Step::Read(Ok(None)) if self.is_unframed_start() => {
@@ -242,10 +260,8 @@
             return self.leave_broken(EVENT_TOO_LARGE);
         }
         let may_go_on = self.call.may_run_again(self.progress.runs);
-        if may_go_on && self.event_progress.is_stalled(now) && !has_data(&self.buffer) {
-            if self.is_reader_slow(STREAM_STALLED) {
-                return Err(self.abort(READER_SLOW));
-            }
+        let is_stalled = self.event_progress.is_stalled(now) && !has_data(&self.buffer);
+        if may_go_on && is_stalled && !self.is_reader_slow() {
             self.look_for_successor(STREAM_STALLED);
         }
         Ok(())
@@ -294,7 +310,7 @@
     /// Leaves a server that cannot go on with the stream. Goes on at another one, or ends
     /// the stream.
     fn leave_broken(&mut self, problem: &'static str) -> Result<(), BodyAborted> {
-        if self.is_reader_slow(problem) {
+        if self.is_reader_slow() {
             return Err(self.abort(READER_SLOW));
         }
         self.report_break();
@@ -335,6 +351,9 @@
     ///
     /// The stream can go on at no other server; holds the reason.
     fn start_successor(&mut self, reason: &'static str) -> Result<(), &'static str> {
+        if self.upstream.is_some() && check_stop(&self.cx, &self.call, Duration::ZERO).is_err() {
+            return Err(STOPPING);
+        }
         let choice = self.choose_next()?;
         self.call_log.log_send(&choice, reason);
         self.progress.tried.push(choice.key);
@@ -416,21 +435,11 @@
         record_stream_start(&self.cx, origin);
     }
 
-    /// Reserves bytes for the next chunk, so that nothing is read ahead without them.
-    /// Returns false if there are none before the deadline of the call.
-    async fn reserve_chunk(&mut self) -> bool {
-        let bytes = self.buffer.len() + CHUNK_BYTES;
-        timeout_at(self.call.deadline, self.reservation.grow_to(bytes))
-            .await
-            .unwrap_or(false)
-    }
-
-    /// Returns whether a stream broke because its caller read slowly: servers cut off
-    /// what is not read. It is not resumed then, since that would take from the retry
-    /// budget of all callers, and the server is not at fault.
-    fn is_reader_slow(&self, problem: &str) -> bool {
-        problem != STREAM_SILENT
-            && self.wanted_at.duration_since(self.delivered_at) >= MIN_READER_LAG
+    /// Returns whether the caller read slowly before it wanted the next events. A stream
+    /// that breaks then is not resumed: servers cut off what is not read, so the server is
+    /// not at fault, and a retry would be taken from the budget of all callers.
+    fn is_reader_slow(&self) -> bool {
+        self.wanted_at.duration_since(self.delivered_at) >= MIN_READER_LAG
     }
 
     /// Reports the connection to the server as broken.
@@ -491,6 +500,10 @@
         {
             return Err("no-attempts-left");
         }
+        // A choice counts as a send for the rollout of its service.
+        if !self.cx.has_retry(&self.call.service) {
+            return Err("no-repeats-left");
+        }
         let choice = choose_with_room(&self.cx, &self.call, &self.progress, &[]);
         let choice = choice.map_err(|_| "no-server")?;
         if self.cx.take_retry(&self.call.service) {
@@ -501,6 +514,13 @@
     }
 }
 
+/// Reserves bytes for what is held of a stream and its next chunk, so that nothing is read
+/// ahead without them. Returns false if there are none before the deadline of the call.
+async fn reserve_chunk(reservation: &mut ByteReservation, held_bytes: usize, call: &Call) -> bool {
+    let reserved = reservation.grow_to(held_bytes + CHUNK_BYTES);
+    timeout_at(call.deadline, reserved).await.unwrap_or(false)
+}
+
 /// Returns whether a body has neither a length nor chunks and ends with its
 /// connection.
 fn is_unframed(exchange: &Exchange) -> bool {
