Keep the known hosts when the platform lists none

Entries and agents lost all listed peers when the platform's host list came back empty, as from a platform that has just started: no rules were exchanged, and the limiter took itself for the only entry.

Cause: the table of hosts took any list that was read; the table of servers ignores an empty one since long.

An empty list is ignored in both.

set_hosts_empty_list_changes_nothing failed before (0 peers in place of 1).

--- a/src/peer/host_table.rs
+++ b/src/peer/host_table.rs
@@ -57,9 +57,12 @@
         self.hosts.load_full()
     }
 
-    /// Replaces the host list.
+    /// Replaces the host list. An empty list is ignored, because a platform that has just
+    /// started returns one.
     pub fn set_hosts(&self, hosts: Vec<Host>) {
-        self.hosts.store(Arc::new(hosts));
+        if !hosts.is_empty() {
+            self.hosts.store(Arc::new(hosts));
+        }
     }
 
     /// Returns the peer address of a listed host; `None` if the host is not listed
@@ -154,6 +157,19 @@
         assert_eq!(table.sample_peers(2).len(), 2);
     }
 
+    /// Guards against a fleet that loses its peers, and the shares of their limits, since a
+    /// platform that has just started lists no host yet.
+    #[test]
+    fn set_hosts_empty_list_changes_nothing() {
+        let table = HostTable::new(Vec::new());
+        table.set_hosts(vec![make_host("e", 1)]);
+        table.set_hosts(Vec::new());
+        assert_eq!(table.peer_addresses().len(), 1);
+        assert_eq!(table.entry_names(), ["e"]);
+        table.set_hosts(vec![make_host("f", 2)]);
+        assert_eq!(table.entry_names(), ["f"]);
+    }
+
     #[test]
     fn compute_read_interval_keeps_bytes_near_target() {
         assert_eq!(compute_read_interval(21), MIN_READ_INTERVAL);
