Suspect no server that still sends of being dead

A stream was sent to another server, which cost a retry and ended the sound exchange once the other one had accepted it, if its own server had left the list, was superseded by another writer's record, or was said to be down by its agent while it went on sending. Its events only had to be more than 150 ms apart. A server that has left goes on serving for a time, and checks of health may fail by themselves.

Cause: is_suspected_dead was true for such servers whatever the call had got of them. What they held was let go for a replacement that was not needed.

A server that is removed, superseded or replaced is suspected once the call has got nothing for the usual time; answers at its address do not count then, as they may be another server's. One that its agent says is down is suspected once the call has got nothing since the agent first said so.

--- a/src/core/fleet/routing/backend_view.rs
+++ b/src/core/fleet/routing/backend_view.rs
@@ -141,6 +141,8 @@
     backoff: Duration,
     answered_at: Option<MonotonicTime>,
     agent_report: Option<(AgentReport, MonotonicTime)>,
+    /// Since when the agent has said that the server is down; `None` if it does not say so.
+    reported_down_since: Option<MonotonicTime>,
     /// Whether the report may have come while this process stood still.
     pub(super) is_report_backlog: bool,
     observed_versions: HashMap<ModelName, WeightsVersion>,
@@ -172,6 +174,7 @@
             backoff: MIN_BACKOFF,
             answered_at: None,
             agent_report: None,
+            reported_down_since: None,
             is_report_backlog: false,
             observed_versions: HashMap::new(),
             cached_parts: PartTable::default(),
@@ -186,6 +189,7 @@
     pub(super) fn update(&mut self, member: Member) {
         if self.member.started_at_ms != member.started_at_ms {
             self.agent_report = None;
+            self.reported_down_since = None;
             self.observed_versions.clear();
             self.cached_parts.clear();
             self.expected_parts.clear();
@@ -300,6 +304,11 @@
         }
         let prefill_time = Duration::from_millis(u64::from(report.prefill_ms));
         self.load.observe_prefill(prefill_time, now);
+        self.reported_down_since = if report.is_alive {
+            None
+        } else {
+            self.reported_down_since.or(Some(now))
+        };
         self.agent_report = Some((report, now));
     }
 
@@ -390,27 +399,31 @@
         Some(now.since(heard_at))
     }
 
-    /// Returns whether a call that has waited for `waited` should treat the
-    /// server as dead: the agent says so, or the call has waited for
-    /// [`LIVENESS_TIMEOUT`] and the server has answered no call in that time. The time
-    /// is longer by the factor `slowness` of a server that works slowly.
+    /// Returns whether a call that has waited for `waited` should treat the server as dead.
+    /// Either its agent has said that it is down, and the call has got nothing since; an
+    /// agent may be wrong about a server that still sends. Or the call has waited for
+    /// [`LIVENESS_TIMEOUT`] and the server has answered no call in that time. The time is
+    /// longer by the factor `slowness` of a server that works slowly.
     pub(super) fn is_suspected_dead(
         &self,
         waited: Duration,
         slowness: f64,
         now: MonotonicTime,
     ) -> bool {
-        let liveness_timeout = LIVENESS_TIMEOUT.mul_f64(slowness.clamp(1.0, MAX_LIVENESS_FACTOR));
-        if self
+        let is_reported_down = self
             .recent_agent_report(now)
-            .is_some_and(|report| !report.is_alive)
-        {
+            .is_some_and(|report| !report.is_alive);
+        let is_down_since = |since| waited >= now.since(since);
+        if is_reported_down && self.reported_down_since.is_some_and(is_down_since) {
             return true;
         }
+        let liveness_timeout = liveness_timeout(slowness);
+        // What answers at the address of an earlier run is another server.
+        let is_other_run = self.is_superseded || self.replaced_until.is_some();
         let is_silent = self
             .answered_at
             .is_none_or(|at| now.since(at) >= liveness_timeout);
-        waited >= liveness_timeout && is_silent
+        waited >= liveness_timeout && (is_silent || is_other_run)
     }
 
     /// Excludes the server for the backoff period after a failed connection,
@@ -445,3 +458,9 @@
             .map(|(report, _)| report)
     }
 }
+
+/// Returns the time without an answer after which a server is suspected dead that is
+/// slower than usual by the factor `slowness`.
+pub(super) fn liveness_timeout(slowness: f64) -> Duration {
+    LIVENESS_TIMEOUT.mul_f64(slowness.clamp(1.0, MAX_LIVENESS_FACTOR))
+}
--- a/src/core/fleet/routing/dispatcher.rs
+++ b/src/core/fleet/routing/dispatcher.rs
@@ -14,6 +14,7 @@
 use super::CachedPartChange;
 use super::ReportedLoad;
 use super::VersionedSalt;
+use super::backend_view::liveness_timeout;
 use super::call_costs;
 use super::fetch_plan::PartSources;
 use super::fetch_plan::VersionedNamespace;
@@ -644,14 +645,14 @@
         }
     }
 
-    /// Returns whether a call that has waited for `waited` should treat the
-    /// server as dead. True for servers that were removed, superseded or replaced.
+    /// Returns whether a call that has waited for `waited` should treat the server as dead.
+    /// A server that was removed, superseded or replaced may go on with its calls, so those
+    /// that get something of it stay.
     pub fn is_suspected_dead(&self, key: BackendKey, waited: Duration, now: MonotonicTime) -> bool {
-        self.backends.get(key).is_none_or(|view| {
-            let slowness = self.pace_of(view, now).slowest();
-            let is_other_run = view.is_superseded || view.replaced_until.is_some();
-            is_other_run || view.is_suspected_dead(waited, slowness, now)
-        })
+        let Some(view) = self.backends.get(key) else {
+            return waited >= liveness_timeout(1.0);
+        };
+        view.is_suspected_dead(waited, self.pace_of(view, now).slowest(), now)
     }
 
     /// Updates a server's failure ratio by the outcome of a call.
--- a/tests/fleet_server_speed.rs
+++ b/tests/fleet_server_speed.rs
@@ -504,6 +504,60 @@
     assert!(dispatcher.is_suspected_dead(choice.key, ms(1_800.0), at(1_800)));
 }
 
+/// Which server is listed at the address of a call's server, or is not any more.
+#[derive(Debug, Clone, Copy)]
+enum Unlisted {
+    Removed,
+    Superseded,
+    Replaced,
+}
+
+/// Guards against calls that leave a server that still sends, since it is not listed any
+/// more: it goes on serving for a time.
+#[rstest]
+fn is_suspected_dead_unlisted_server_only_if_silent(
+    #[values(Unlisted::Removed, Unlisted::Superseded, Unlisted::Replaced)] unlisted: Unlisted,
+) {
+    let mut dispatcher = dispatcher(2, false);
+    let choice = choose_plain(&dispatcher, at(0));
+    dispatcher.begin_call(&choice, None, at(0));
+    match unlisted {
+        Unlisted::Removed => dispatcher.remove_member(&choice.name),
+        Unlisted::Superseded => {
+            let number = (0..2).find(|number| name(*number) == choice.name);
+            let later = Member {
+                name: ServerName::from("later"),
+                started_at_ms: Some(2),
+                ..member(number.expect("the server is listed"), false)
+            };
+            dispatcher.upsert_member(later);
+        }
+        Unlisted::Replaced => dispatcher.mark_replaced(choice.key, at(400)),
+    }
+    assert!(!dispatcher.is_suspected_dead(choice.key, ms(300.0), at(500)));
+    dispatcher.record_answer(choice.key, at(600));
+    assert!(dispatcher.is_suspected_dead(choice.key, ms(800.0), at(1_000)));
+}
+
+/// Guards against calls that leave an engine that still sends, since its agent says that
+/// it is down: checks of health may fail by themselves.
+#[test]
+fn is_suspected_dead_reported_down_only_if_nothing_came_since() {
+    let mut dispatcher = dispatcher(1, true);
+    let down = AgentReport {
+        is_alive: false,
+        ..agent_report(load(1, 0, None))
+    };
+    let key = choose_plain(&dispatcher, at(0)).key;
+    for report_at in [100, 400] {
+        dispatcher.observe_agent_report(&name(0), down.clone(), at(report_at));
+    }
+    assert!(!dispatcher.is_suspected_dead(key, ms(200.0), at(500)));
+    assert!(dispatcher.is_suspected_dead(key, ms(400.0), at(500)));
+    dispatcher.observe_agent_report(&name(0), agent_report(load(1, 0, None)), at(600));
+    assert!(!dispatcher.is_suspected_dead(key, ms(600.0), at(600)));
+}
+
 /// Load: an overloaded engine that starts nothing. Guards against the fault seen on a
 /// hard day: sent at 7.6 s with a small prediction, not begun at 10.8 s, while the
 /// queue counted as run empty.
