Keep the connection of a call to a server that stands still

A call whose server took nothing of it for 3 s got 502 "broken", however long its caller still waited, and was reported as one that may have crashed a server: a server process that stands still within a long request, and any whose host stands still, since it acknowledges nothing. Both may go on. Streams at such a host were cut in the same way.

Cause: the kernel ends connections of the client after 3 s without an acknowledgement (TCP user timeout), or with a full window, although nothing has replaced the server by then. Class: release before acquire.

Connections of calls from a gateway to its servers and from an agent to its engine last as long as the longest call; silence is seen by the call, which may go on at another server and keeps its own until that has accepted it. Other clients keep the 3 s. Idle connections are probed each second as before, so that a new host at an address still ends those to the one before.

server_stopped_within_request_call_waits failed before (502 "broken" in place of 200) and passes now. A host that stands still cannot be played on loopback without more rights; that part rests on the same option.

--- a/src/agent/run.rs
+++ b/src/agent/run.rs
@@ -100,7 +100,8 @@
                 client: Client::new(ClientTimeouts {
                     head: MAX_HEAD_TIMEOUT,
                     ..cx.settings.traffic.client_timeouts()
-                }),
+                })
+                .with_dead_server_timeout(MAX_HEAD_TIMEOUT),
                 calls: TaskTracker::new(),
             };
             let calls = thread_cx.calls.clone();
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -124,6 +124,7 @@
         }
         Self {
             client: Client::new(settings.client_timeouts())
+                .with_dead_server_timeout(settings.client_timeouts().read)
                 .with_receive_buffer(Some(settings.receive_buffer_bytes())),
             byte_budget: Arc::new(ByteBudget::with_shares(settings.max_buffered_bytes())),
             server_bytes: Mutex::new(ServerBytes::new(settings.memory.server_mb * 1_000_000)),
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -24,13 +24,14 @@
 use super::Exchange;
 use super::HttpBody;
 use super::client_connection::ClientConnection;
-use super::set_socket_options;
+use super::set_client_socket_options;
 
 /// Idle connections kept for one address and purpose. Beyond that, the one that went
 /// back to the pool earliest is closed.
 const MAX_IDLE_PER_ADDRESS: usize = 64;
 
-/// Time after which a server that acknowledges nothing is considered dead.
+/// Default time after which a server that acknowledges nothing, or takes nothing of a
+/// request, is considered dead.
 const DEAD_SERVER_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Cap on the idle time derived from the keep-alive timeout that a server states.
@@ -73,6 +74,7 @@
 pub struct Client {
     timeouts: Arc<ClientTimeouts>,
     receive_buffer_bytes: Option<u32>,
+    dead_server_timeout: Duration,
     name_hasher: RandomState,
     idle_connections: Arc<Mutex<HashMap<PoolKey, Vec<IdleConnection>>>>,
 }
@@ -109,6 +111,7 @@
         Self {
             timeouts: Arc::new(timeouts),
             receive_buffer_bytes: None,
+            dead_server_timeout: DEAD_SERVER_TIMEOUT,
             name_hasher: RandomState::new(),
             idle_connections: Arc::default(),
         }
@@ -124,6 +127,17 @@
         }
     }
 
+    /// Sets the time after which the connection to a server that acknowledges nothing, or
+    /// takes nothing of a request, fails. The host of a server may stand still and go on
+    /// later, so the connection should last as long as the response is waited for.
+    #[must_use]
+    pub fn with_dead_server_timeout(self, dead_server_timeout: Duration) -> Self {
+        Self {
+            dead_server_timeout,
+            ..self
+        }
+    }
+
     /// Sends a request over a connection of its own and waits for the head of its
     /// response. If the returned future is dropped, the connection is reset.
     ///
@@ -242,7 +256,7 @@
             .await
             .map_err(|_| ClientError::Connect("timeout".into()))?
             .map_err(|e| ClientError::Connect(e.to_string()))?;
-        set_socket_options(&stream, DEAD_SERVER_TIMEOUT)
+        set_client_socket_options(&stream, self.dead_server_timeout)
             .map_err(|e| ClientError::Connect(e.to_string()))?;
         ClientConnection::start(stream)
             .await
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -53,4 +53,5 @@
 pub use serve::serve;
 pub use server_limits::ServerLimits;
 pub use server_limits::status_page_limits;
+pub(crate) use socket_options::set_client_socket_options;
 pub use socket_options::set_socket_options;
