Keep a request at its silent agent until another one has answered

Callers of an entry got server-failed after some seconds, or a stream that ended with answer-cut, if the host of an agent stood still for longer than traffic.answer_timeout_ms or traffic.gap_timeout_ms, although their deadline was far and the agent would have gone on. A request that must run once got "unknown" in the same way.

Cause: the connection to a silent agent was closed before another attempt, or the attempt to resume the stream, had succeeded; there was nothing to go back to.

Attempts of a request run at the same time now. Once an agent has been silent for the time in the settings, another server is tried as well, within the same number of attempts and the same retry budget; the first one that answers is taken and the others are cancelled. A stream whose agent does not answer an attempt to resume it goes on with the connection that it has, until the deadline of the request.

Both of stream_agent_host_stands_still_* failed before (answer-cut after 3.2 s; no event). They pass now, as do the other tests of streams, once, drain, first_event, late_frames, membership and whole_path.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -2,10 +2,13 @@
 //! for the head of its response.
 
 use std::fmt;
+use std::pin::pin;
 
 use bytes::Bytes;
 use http::Request;
 use http::StatusCode;
+use tokio::sync::Notify;
+use tokio::time::timeout;
 
 use super::EntryContext;
 use super::caller_request::CallerRequest;
@@ -70,10 +73,12 @@
     pub frames: FrameReader,
 }
 
-/// Sends one attempt and waits for the head of its response. Only the first
-/// attempt of an idempotent request uses a pooled connection; retries,
-/// resumptions and at-most-once requests open a new one. Nothing in the response counts
-/// before an agent's report names the attempt.
+/// Sends one attempt and waits for the head of its response, as long as the returned future
+/// is polled. `silence` is notified whenever the agent has sent nothing for the time that
+/// the settings allow: its host may only stand still, and go on later. Only the first
+/// attempt of an idempotent request uses a pooled connection; retries, resumptions and
+/// at-most-once requests open a new one. Nothing in the response counts before an agent's
+/// report names the attempt.
 ///
 /// # Errors
 ///
@@ -84,19 +89,33 @@
     server: &ChosenServer,
     envelope: &Envelope,
     req: &CallerRequest,
+    silence: &Notify,
 ) -> Result<AgentResponse, AttemptError> {
     let message = build_message(envelope, req)?;
     let is_first_attempt = envelope.attempt == 1 && envelope.resume_after.is_none();
-    let response = if is_first_attempt && !envelope.once {
-        let name = envelope.attempt_id();
-        let build = || message.clone().map(full_body);
-        client
-            .send_named(server.address, name.as_bytes(), build)
-            .await
-    } else {
-        client.send(server.address, message.map(full_body)).await
+    let send = async {
+        if is_first_attempt && !envelope.once {
+            let name = envelope.attempt_id();
+            let build = || message.clone().map(full_body);
+            client
+                .send_named(server.address, name.as_bytes(), build)
+                .await
+        } else {
+            client
+                .send(server.address, message.clone().map(full_body))
+                .await
+        }
+    };
+    let mut send = pin!(send);
+    let answer_timeout = cx.settings.traffic.response_timeout;
+    let response = loop {
+        if let Ok(response) = timeout(answer_timeout, &mut send).await {
+            break response.map_err(classify_client_error)?;
+        }
+        // The same fault may affect all of them.
+        client.drop_idle_connections(server.address);
+        silence.notify_one();
     };
-    let response = response.map_err(classify_client_error)?;
     if response.status() != StatusCode::OK {
         let reason = format!("agent responded with {}", response.status());
         return Err(AttemptError::Unknown(reason));
@@ -104,7 +123,14 @@
     let mut frames = FrameReader::new(response);
     let mut is_accepted = false;
     loop {
-        match frames.next().await.map_err(classify_reader_error)? {
+        let frame = match frames.next().await {
+            Err(e) if e.is_silence() => {
+                silence.notify_one();
+                continue;
+            }
+            frame => frame.map_err(classify_reader_error)?,
+        };
+        match frame {
             Frame::Accepted(report) => {
                 check_report(envelope, &report)?;
                 is_accepted = true;
--- a/src/entry/once.rs
+++ b/src/entry/once.rs
@@ -5,6 +5,7 @@
 use bytes::BytesMut;
 use http::header::CONTENT_TYPE;
 use hyper::Response;
+use tokio::sync::Notify;
 use tokio::sync::oneshot;
 use tokio::time::sleep;
 
@@ -186,7 +187,7 @@
         };
         let response = self
             .dispatcher
-            .run_attempt(attempt, &server, &self.req)
+            .run_attempt(attempt, &server, &self.req, &Notify::new())
             .await;
         let e = match response {
             Ok(response) => return self.read_response(response, server).await,
--- a/src/entry/relay_response.rs
+++ b/src/entry/relay_response.rs
@@ -79,6 +79,8 @@
 pub struct RelayContext {
     /// When the head of the request arrived.
     pub received_at: Instant,
+    /// Until when a silent agent is waited for.
+    pub deadline: Instant,
     /// Ends the response when the API key of the request is withdrawn.
     pub key: KeyWatch,
     /// Charge of the request; `None` if it runs for no account.
@@ -120,6 +122,10 @@
                         frames = resumed;
                         RelayStep::Continue
                     }
+                    // The agent's host may only stand still; its connection is kept.
+                    None if e.is_silence() && Instant::now() < self.context.deadline => {
+                        RelayStep::Continue
+                    }
                     None => RelayStep::Fail(e.to_string()),
                 },
             };
--- a/src/entry/request_dispatcher.rs
+++ b/src/entry/request_dispatcher.rs
@@ -4,7 +4,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
 use hyper::Response;
+use tokio::sync::Notify;
 use tokio::time::Instant;
 use tokio::time::timeout_at;
 
@@ -91,14 +94,15 @@
         let received_at = self.received_at;
         let context = RelayContext {
             received_at,
+            deadline: self.deadline,
             key,
             meter,
         };
         Ok(relay_response(cx, resumer, response, context))
     }
 
-    /// Sends attempts until one gets a response. Also returns what resumes its
-    /// stream.
+    /// Sends attempts until one gets a response, also while the agents of others are
+    /// silent. Also returns what resumes its stream.
     async fn try_servers(
         &self,
         req: &CallerRequest,
@@ -106,29 +110,36 @@
         let mut tried = Vec::new();
         let mut attempt = 1;
         let mut may_have_run = false;
-        let mut last_may_have_run = false;
+        let silence = Notify::new();
+        let mut running = FuturesUnordered::new();
+        let mut key = self.key.clone();
+        let mut next = self.choose_server(req, &mut tried);
         loop {
             if self.key.is_withdrawn() {
-                return Err(key_withdrawn_error(Outcome::NotRun).mark_unknown_if(may_have_run));
+                let error = key_withdrawn_error(Outcome::NotRun);
+                return Err(error.mark_unknown_if(may_have_run || !running.is_empty()));
             }
-            let mut server = self.choose_server(req, &mut tried);
-            if server.is_none() && last_may_have_run {
-                tried.clear();
-                server = self.choose_server(req, &mut tried);
+            if let Some(server) = next.take() {
+                running.push(self.run_numbered_attempt(attempt, server, req, &silence));
             }
-            let Some(server) = server else {
-                return Err(no_server_error().mark_unknown_if(may_have_run));
-            };
-            let mut key = self.key.clone();
-            let result = tokio::select! {
-                result = self.run_attempt(attempt, &server, req) => result,
+            let ended = tokio::select! {
+                biased;
                 () = key.withdrawn() => return Err(key_withdrawn_error(Outcome::Unknown)),
+                ended = running.next() => ended,
+                () = silence.notified() => {
+                    next = self.choose_beside_silent(attempt, req, &mut tried);
+                    attempt += u32::from(next.is_some());
+                    continue;
+                }
+            };
+            let Some((number, server, result)) = ended else {
+                return Err(no_server_error().mark_unknown_if(may_have_run));
             };
             let e = match result {
                 Ok(response) => {
                     let resumer = StreamResumer {
                         client: self.client.clone(),
-                        envelope: self.build_envelope(attempt, &server),
+                        envelope: self.build_envelope(number, &server),
                         server,
                         resume_count: 0,
                     };
@@ -136,14 +147,70 @@
                 }
                 Err(e) => e,
             };
-            last_may_have_run = !e.failure().is_not_run();
+            let last_may_have_run = !e.failure().is_not_run();
             may_have_run |= last_may_have_run;
-            self.check_retry(attempt, &server.name, &e, &mut tried)
-                .map_err(|error| error.mark_unknown_if(may_have_run))?;
-            attempt += 1;
+            let retry = self.check_retry(attempt, &server.name, &e, &mut tried);
+            drop(server);
+            match retry {
+                Ok(()) => {
+                    next = self.choose_again(req, &mut tried, last_may_have_run);
+                    attempt += u32::from(next.is_some());
+                }
+                Err(error) if running.is_empty() => {
+                    return Err(error.mark_unknown_if(may_have_run));
+                }
+                // Another attempt, at a silent agent, may still get a response.
+                Err(_) => {}
+            }
         }
     }
 
+    /// Runs an attempt like [`Self::run_attempt`]. Also returns its number and its server.
+    async fn run_numbered_attempt(
+        &self,
+        attempt: u32,
+        server: ChosenServer,
+        req: &CallerRequest,
+        silence: &Notify,
+    ) -> (u32, ChosenServer, Result<AgentResponse, AttemptError>) {
+        let result = self.run_attempt(attempt, &server, req, silence).await;
+        (attempt, server, result)
+    }
+
+    /// Chooses the server of the next attempt after the last one has failed; any server if
+    /// all were tried and the last attempt may have run.
+    fn choose_again(
+        &self,
+        req: &CallerRequest,
+        tried: &mut Vec<ServerName>,
+        last_may_have_run: bool,
+    ) -> Option<ChosenServer> {
+        let server = self.choose_server(req, tried);
+        if server.is_some() || !last_may_have_run {
+            return server;
+        }
+        tried.clear();
+        self.choose_server(req, tried)
+    }
+
+    /// Chooses the server of an attempt beside those whose agents are silent, which keep
+    /// theirs until another one has a response. Returns `None` if no retry is allowed.
+    fn choose_beside_silent(
+        &self,
+        attempt: u32,
+        req: &CallerRequest,
+        tried: &mut Vec<ServerName>,
+    ) -> Option<ChosenServer> {
+        let server = self.choose_again(req, tried, true)?;
+        let silent = AttemptError::Unknown("agent is silent".into());
+        let retry = self.check_retry(attempt, &server.name, &silent, tried);
+        if retry.is_err() {
+            tried.pop();
+            return None;
+        }
+        Some(server)
+    }
+
     /// Chooses a server that is not in `tried`, adds it there, and counts the
     /// request as in flight at the server. Returns `None` if no server is left.
     pub fn choose_server(
@@ -158,7 +225,7 @@
     }
 
     /// Sends one attempt and waits for its response until the deadline. Logs
-    /// and records a failure.
+    /// and records a failure. `silence` is notified whenever the agent was silent for a time.
     ///
     /// # Errors
     ///
@@ -168,15 +235,25 @@
         attempt: u32,
         server: &ChosenServer,
         req: &CallerRequest,
+        silence: &Notify,
     ) -> Result<AgentResponse, AttemptError> {
         let envelope = self.build_envelope(attempt, server);
         self.record_event(EventKind::Sent(server.name.clone()));
-        let response = send_attempt(&self.cx, &self.client, server, &envelope, req);
+        let response = send_attempt(&self.cx, &self.client, server, &envelope, req, silence);
         let result = timeout_at(self.deadline, response).await;
-        let result = result.unwrap_or(Err(AttemptError::Deadline));
-        if let Err(e) = &result {
-            server.record_failure(e.failure());
-            self.report_failure(&server.name, e);
+        let mut result = result.unwrap_or(Err(AttemptError::Deadline));
+        match &mut result {
+            // Nothing but a stream can be resumed, so a silent agent is waited for.
+            Ok(response) if !response.head.streamed || self.route.once => {
+                let time_left = self.deadline.saturating_duration_since(Instant::now());
+                let gap_timeout = self.cx.settings.traffic.read_timeout;
+                response.frames.set_read_timeout(gap_timeout.max(time_left));
+            }
+            Ok(_) => {}
+            Err(e) => {
+                server.record_failure(e.failure());
+                self.report_failure(&server.name, e);
+            }
         }
         result
     }
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use tokio::sync::watch;
 use tokio::time::sleep;
@@ -18,6 +19,7 @@
 use super::slot_lease::hand_over_slots;
 use crate::core::Revision;
 use crate::http::Client;
+use crate::http::ClientTimeouts;
 use crate::http::serve;
 use crate::operator::OperatorServer;
 use crate::operator::RoleStatus;
@@ -33,6 +35,10 @@
 use crate::threads::wait_for_stop;
 use crate::timeline::EventKind;
 
+/// Longest time for which an agent may be silent: that of the longest deadline. Attempts
+/// end with their own deadlines.
+const MAX_AGENT_SILENCE: Duration = Duration::from_secs(600);
+
 /// Why an entry could not start.
 #[derive(Debug)]
 pub enum RunError {
@@ -130,7 +136,12 @@
         let cx = Arc::clone(&cx);
         let drain = drain.clone();
         async move {
-            let agents = Client::new(cx.settings.traffic.client_timeouts());
+            // An agent that is silent keeps its attempts until their deadlines.
+            let agents = Client::new(ClientTimeouts {
+                head: MAX_AGENT_SILENCE,
+                ..cx.settings.traffic.client_timeouts()
+            })
+            .with_dead_server_timeout(MAX_AGENT_SILENCE);
             let limits = cx.settings.traffic.server_limits();
             let clients = OutboundClients {
                 agents,
--- a/src/entry/stream_resumer.rs
+++ b/src/entry/stream_resumer.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use http::HeaderMap;
 use http::Method;
+use tokio::sync::Notify;
 use tokio::time::timeout;
 
 use super::EntryContext;
@@ -51,7 +52,9 @@
             body: Bytes::new(),
             prompt_prefix: None,
         };
-        let attempt = send_attempt(cx, &self.client, &self.server, &self.envelope, &req);
+        let silence = Notify::new();
+        let envelope = &self.envelope;
+        let attempt = send_attempt(cx, &self.client, &self.server, envelope, &req, &silence);
         let response = timeout(RESUME_TIMEOUT, attempt).await.ok()?;
         match response {
             Ok(response) if response.head.streamed && response.head.status == 200 => {
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -322,7 +322,7 @@
 
     /// Drops all idle connections to an address after one timed out, since the
     /// same fault may affect all of them.
-    pub(super) fn drop_idle_connections(&self, address: SocketAddr) {
+    pub fn drop_idle_connections(&self, address: SocketAddr) {
         self.lock_idle_connections()
             .retain(|key, _| key.address != address);
     }
--- a/src/relay/frame_reader.rs
+++ b/src/relay/frame_reader.rs
@@ -1,6 +1,7 @@
 //! Reader of the frames that an agent sends in one HTTP response.
 
 use std::fmt;
+use std::time::Duration;
 
 use super::DecodeError;
 use super::Frame;
@@ -19,6 +20,13 @@
     Incomplete,
 }
 
+impl FrameReaderError {
+    /// Returns whether only nothing arrived for a time. The response may still go on.
+    pub fn is_silence(&self) -> bool {
+        matches!(self, Self::Connection(ClientError::TimedOut))
+    }
+}
+
 impl fmt::Display for FrameReaderError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
@@ -51,7 +59,8 @@
     /// # Errors
     ///
     /// The connection broke, nothing arrived within the timeout, the response
-    /// ended before its last frame, or its bytes are not valid frames.
+    /// ended before its last frame, or its bytes are not valid frames. Nothing is lost
+    /// after a timeout, so that the next frame can be waited for once more.
     pub async fn next(&mut self) -> Result<Frame, FrameReaderError> {
         loop {
             match self.codec.pop_frame().map_err(FrameReaderError::Decode)? {
@@ -62,6 +71,11 @@
         }
     }
 
+    /// Sets the time without any bytes after which [`Self::next`] fails.
+    pub fn set_read_timeout(&mut self, read_timeout: Duration) {
+        self.exchange.set_read_timeout(read_timeout);
+    }
+
     /// Tells that the response belongs to the attempt, so that the connection can be
     /// reused after its end.
     pub fn allow_reuse(&mut self) {
