Drop the idle connections to a server that stayed silent

After a call had found its server silent, the next ones were sent over the other idle connections to it, which may be those to a host that stood still or is another one now: each of them was silent in turn and cost its caller a deadline, or a retry.

Cause: idle connections were dropped only after ten minutes, the client's own limit, or by the kernel after 3 s without an acknowledgement, which ends no connection of a call any more.

server_silent_on_idle_connections_next_call_opens_one failed before, in 2 of 2 runs (504 in place of 200), and passed in 3 of 3 with the other tests of silent_servers and stream_liveness.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -311,6 +311,10 @@
     if let AttemptOutcome::Unknown(BROKEN | ANSWER_BROKEN) = outcome {
         report_break(cx, call, sent_to, sent_at, None);
     }
+    if let AttemptOutcome::Unknown(SILENT) = outcome {
+        // What keeps one connection silent may affect all of them.
+        cx.client.drop_idle_connections(sent_to.address);
+    }
     record_outcome(cx, call, sent_to, sent_at, outcome);
     if let AttemptOutcome::Answered(response) = outcome
         && response.status.is_success()
