Keep the stream of a silent engine until it has been resumed

A stream ended with answer-cut if its engine was silent for longer than the agent's traffic.gap_timeout_ms and the attempt to resume it failed, or if the engine numbers no events, however far the deadline was.

Cause: the connection was dropped at the timeout, before the stream had been resumed over another one. Class: release before acquire. The attempt to resume it had no time limit of its own either.

The connection is kept after a timeout, and read on if the engine does not resume the stream within 2 s, until the deadline of the attempt.

--- a/lab/tests/streams.rs
+++ b/lab/tests/streams.rs
@@ -31,11 +31,12 @@
 /// Tokens of a response that is still streaming while a test causes a fault.
 const LONG_TOKENS: u64 = 400;
 
-/// One entry, one agent and one engine, with a link between entry and agent
-/// whose connections a test can cut or freeze.
+/// One entry, one agent and one engine, with links between entry and agent and between
+/// agent and engine whose connections a test can cut or freeze.
 struct Deployment {
     entry: BackgroundServer,
     link: Link,
+    engine_link: Link,
     _agent: BackgroundServer,
     engine: EngineHandle,
 }
@@ -52,7 +53,8 @@
 }
 
 fn start_deployment_with(name: &str, engine: EngineHandle) -> Deployment {
-    let agent = start_agent(engine.address());
+    let engine_link = start_link(engine.address());
+    let agent = start_agent(engine_link.address());
     let link = start_link(agent.address);
     let path = std::env::temp_dir().join(format!("streams-{}-{name}.rules", std::process::id()));
     std::fs::write(&path, RULES).expect("the rules file is written");
@@ -72,6 +74,7 @@
     Deployment {
         entry,
         link,
+        engine_link,
         _agent: agent,
         engine,
     }
@@ -186,6 +189,20 @@
     assert_eq!(deployment.engine.counts().began, 1);
 }
 
+/// Guards against a stream that ends since its engine is silent and answers no attempt to
+/// resume it, although it goes on later over the connection that it has.
+#[test]
+fn stream_engine_stands_still_goes_on() {
+    let deployment = start_deployment("engine-still");
+    let lines = stream_while(&deployment, || {
+        deployment.engine_link.pause();
+        thread::sleep(Duration::from_millis(1_500));
+        deployment.engine_link.resume();
+    });
+    assert_complete(&lines, LONG_TOKENS);
+    assert_eq!(deployment.engine.counts().began, 1);
+}
+
 /// Guards against a request that is given up since the agent's host stands still before its
 /// response has begun, although no other server is left to try.
 #[test]
--- a/src/agent/engine_stream.rs
+++ b/src/agent/engine_stream.rs
@@ -2,6 +2,7 @@
 //! connection loss.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use eventsource_stream::Event;
@@ -9,6 +10,8 @@
 use http::StatusCode;
 use http::header::HOST;
 use serde::Deserialize;
+use tokio::time::Instant;
+use tokio::time::timeout;
 
 use super::AgentContext;
 use crate::core::Envelope;
@@ -27,6 +30,9 @@
 
 const MAX_RESUMES: u32 = 3;
 
+/// Time in which an engine must answer an attempt to resume a stream.
+const RESUME_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Stream of the events of one generation, in order and without gaps. After a
 /// connection loss, it asks the engine to resume after the last event, at most
 /// [`MAX_RESUMES`] times. It rejects events of another generation.
@@ -41,6 +47,8 @@
     can_resume: bool,
     resumes: u32,
     has_ended: bool,
+    /// Until when a silent engine is waited for.
+    deadline: Instant,
 }
 
 impl EngineStream {
@@ -63,10 +71,12 @@
             can_resume: false,
             resumes: 0,
             has_ended: false,
+            deadline: Instant::now() + Duration::from_millis(envelope.deadline_ms),
         }
     }
 
-    /// Waits for the data of the next event; `None` after the last one.
+    /// Waits for the data of the next event; `None` after the last one. An engine that is
+    /// only silent keeps its connection until it has resumed the stream over another one.
     ///
     /// # Errors
     ///
@@ -74,13 +84,20 @@
     /// or belongs to another generation.
     pub async fn next(&mut self) -> Result<Option<Bytes>, String> {
         loop {
+            let mut may_go_on = false;
             let reason = match self.events.next().await {
                 Ok(Some(event)) => return self.check_event(event).map(Some),
                 Ok(None) if self.has_ended || !self.can_resume => return Ok(None),
                 Ok(None) => String::from("stream ended without [DONE]"),
-                Err(e) => e.to_string(),
+                Err(e) => {
+                    may_go_on = e.is_silence() && Instant::now() < self.deadline;
+                    e.to_string()
+                }
             };
             if !self.can_resume || self.resumes == MAX_RESUMES {
+                if may_go_on {
+                    continue;
+                }
                 return Err(reason);
             }
             log::info!(
@@ -88,7 +105,11 @@
                 self.next_number
             );
             self.resumes += 1;
-            self.resume().await?;
+            match self.resume().await {
+                Err(e) if !may_go_on => return Err(e),
+                Err(e) => log::info!("agent: Stream not resumed: {e}; waiting for the engine."),
+                Ok(()) => {}
+            }
         }
     }
 
@@ -138,7 +159,8 @@
         let last_number = self.next_number.saturating_sub(1);
         let request = build_resume_request(&self.attempt_id, last_number, &address.to_string());
         let request = request.ok_or("cannot build the resume request")?;
-        let sent = self.client.send(address, request).await;
+        let sent = timeout(RESUME_TIMEOUT, self.client.send(address, request)).await;
+        let sent = sent.map_err(|_| "engine did not answer")?;
         let exchange = sent.map_err(|e| e.to_string())?;
         if exchange.status() != StatusCode::OK {
             return Err(format!(
--- a/src/http/event_stream.rs
+++ b/src/http/event_stream.rs
@@ -24,6 +24,13 @@
     Malformed,
 }
 
+impl EventStreamError {
+    /// Returns whether only nothing arrived for a time. The stream may still go on.
+    pub fn is_silence(&self) -> bool {
+        matches!(self, Self::Connection(ClientError::TimedOut))
+    }
+}
+
 impl fmt::Display for EventStreamError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
@@ -52,7 +59,8 @@
     ///
     /// # Errors
     ///
-    /// The connection broke or timed out, or the body is malformed.
+    /// The connection broke or timed out, or the body is malformed. Nothing is lost after a
+    /// timeout, so that the next event can be waited for once more.
     pub async fn next(&mut self) -> Result<Option<Event>, EventStreamError> {
         match self.events.next().await {
             None => Ok(None),
@@ -79,6 +87,7 @@
             exchange.reset_read_timeout();
             Some((Ok(chunk), Some(exchange)))
         }
+        Err(ClientError::TimedOut) => Some((Err(ClientError::TimedOut), Some(exchange))),
         Err(e) => Some((Err(e), None)),
     }
 }
