Try another server only while all agents of a request are silent

An entry that keeps a request at its silent agent tried a further server at each interval of that silence, although the server that it had tried meanwhile was at work: needless runs, and retries out of the budget. Found by reading.

No test plays two agents of which one is silent and one slow.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -7,10 +7,10 @@
 use bytes::Bytes;
 use http::Request;
 use http::StatusCode;
-use tokio::sync::Notify;
 use tokio::time::timeout;
 
 use super::EntryContext;
+use super::agent_silence::AgentSilence;
 use super::caller_request::CallerRequest;
 use super::chosen_server::ChosenServer;
 
@@ -74,7 +74,7 @@
 }
 
 /// Sends one attempt and waits for the head of its response, as long as the returned future
-/// is polled. `silence` is notified whenever the agent has sent nothing for the time that
+/// is polled. `silence` is recorded whenever the agent has sent nothing for the time that
 /// the settings allow: its host may only stand still, and go on later. Only the first
 /// attempt of an idempotent request uses a pooled connection; retries, resumptions and
 /// at-most-once requests open a new one. Nothing in the response counts before an agent's
@@ -89,7 +89,7 @@
     server: &ChosenServer,
     envelope: &Envelope,
     req: &CallerRequest,
-    silence: &Notify,
+    silence: &AgentSilence,
 ) -> Result<AgentResponse, AttemptError> {
     let message = build_message(envelope, req)?;
     let is_first_attempt = envelope.attempt == 1 && envelope.resume_after.is_none();
@@ -114,7 +114,7 @@
         }
         // The same fault may affect all of them.
         client.drop_idle_connections(server.address);
-        silence.notify_one();
+        silence.record();
     };
     if response.status() != StatusCode::OK {
         let reason = format!("agent responded with {}", response.status());
@@ -125,7 +125,7 @@
     loop {
         let frame = match frames.next().await {
             Err(e) if e.is_silence() => {
-                silence.notify_one();
+                silence.record();
                 continue;
             }
             frame => frame.map_err(classify_reader_error)?,
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -6,6 +6,7 @@
 //! entry holds *slots*, equal parts of every account's rate. The *agent* of a
 //! backend server runs beside it and passes requests on to it.
 
+mod agent_silence;
 mod attempt;
 mod authenticate;
 mod caller_request;
--- a/src/entry/once.rs
+++ b/src/entry/once.rs
@@ -5,12 +5,12 @@
 use bytes::BytesMut;
 use http::header::CONTENT_TYPE;
 use hyper::Response;
-use tokio::sync::Notify;
 use tokio::sync::oneshot;
 use tokio::time::sleep;
 
 use super::ErrorCode;
 use super::ErrorResponse;
+use super::agent_silence::AgentSilence;
 use super::attempt::AgentResponse;
 use super::caller_request::CallerRequest;
 use super::chosen_server::ChosenServer;
@@ -187,7 +187,7 @@
         };
         let response = self
             .dispatcher
-            .run_attempt(attempt, &server, &self.req, &Notify::new())
+            .run_attempt(attempt, &server, &self.req, &AgentSilence::default())
             .await;
         let e = match response {
             Ok(response) => return self.read_response(response, server).await,
--- a/src/entry/request_dispatcher.rs
+++ b/src/entry/request_dispatcher.rs
@@ -14,6 +14,7 @@
 use super::EntryContext;
 use super::ErrorCode;
 use super::ErrorResponse;
+use super::agent_silence::AgentSilence;
 use super::attempt::AgentResponse;
 use super::attempt::AttemptError;
 use super::attempt::send_attempt;
@@ -110,7 +111,8 @@
         let mut tried = Vec::new();
         let mut attempt = 1;
         let mut may_have_run = false;
-        let silence = Notify::new();
+        let silence = Arc::new(Notify::new());
+        let mut silences: Vec<(u32, Arc<AgentSilence>)> = Vec::new();
         let mut running = FuturesUnordered::new();
         let mut key = self.key.clone();
         let mut next = self.choose_server(req, &mut tried);
@@ -120,13 +122,18 @@
                 return Err(error.mark_unknown_if(may_have_run || !running.is_empty()));
             }
             if let Some(server) = next.take() {
-                running.push(self.run_numbered_attempt(attempt, server, req, &silence));
+                let own_silence = Arc::new(AgentSilence::new(&silence));
+                silences.push((attempt, Arc::clone(&own_silence)));
+                running.push(self.run_numbered_attempt(attempt, server, req, own_silence));
             }
             let ended = tokio::select! {
                 biased;
                 () = key.withdrawn() => return Err(key_withdrawn_error(Outcome::Unknown)),
                 ended = running.next() => ended,
                 () = silence.notified() => {
+                    if !silences.iter().all(|(_, silence)| self.is_lasting(silence)) {
+                        continue;
+                    }
                     next = self.choose_beside_silent(attempt, req, &mut tried);
                     attempt += u32::from(next.is_some());
                     continue;
@@ -135,6 +142,7 @@
             let Some((number, server, result)) = ended else {
                 return Err(no_server_error().mark_unknown_if(may_have_run));
             };
+            silences.retain(|(attempt, _)| *attempt != number);
             let e = match result {
                 Ok(response) => {
                     let resumer = StreamResumer {
@@ -171,12 +179,17 @@
         attempt: u32,
         server: ChosenServer,
         req: &CallerRequest,
-        silence: &Notify,
+        silence: Arc<AgentSilence>,
     ) -> (u32, ChosenServer, Result<AgentResponse, AttemptError>) {
-        let result = self.run_attempt(attempt, &server, req, silence).await;
+        let result = self.run_attempt(attempt, &server, req, &silence).await;
         (attempt, server, result)
     }
 
+    fn is_lasting(&self, silence: &AgentSilence) -> bool {
+        let traffic = &self.cx.settings.traffic;
+        silence.is_lasting(traffic.response_timeout.max(traffic.read_timeout))
+    }
+
     /// Chooses the server of the next attempt after the last one has failed; any server if
     /// all were tried and the last attempt may have run.
     fn choose_again(
@@ -225,7 +238,7 @@
     }
 
     /// Sends one attempt and waits for its response until the deadline. Logs
-    /// and records a failure. `silence` is notified whenever the agent was silent for a time.
+    /// and records a failure. `silence` is recorded whenever the agent was silent for a time.
     ///
     /// # Errors
     ///
@@ -235,7 +248,7 @@
         attempt: u32,
         server: &ChosenServer,
         req: &CallerRequest,
-        silence: &Notify,
+        silence: &AgentSilence,
     ) -> Result<AgentResponse, AttemptError> {
         let envelope = self.build_envelope(attempt, server);
         self.record_event(EventKind::Sent(server.name.clone()));
--- a/src/entry/stream_resumer.rs
+++ b/src/entry/stream_resumer.rs
@@ -6,10 +6,10 @@
 use bytes::Bytes;
 use http::HeaderMap;
 use http::Method;
-use tokio::sync::Notify;
 use tokio::time::timeout;
 
 use super::EntryContext;
+use super::agent_silence::AgentSilence;
 use super::attempt::send_attempt;
 use super::caller_request::CallerRequest;
 use super::chosen_server::ChosenServer;
@@ -52,7 +52,7 @@
             body: Bytes::new(),
             prompt_prefix: None,
         };
-        let silence = Notify::new();
+        let silence = AgentSilence::default();
         let envelope = &self.envelope;
         let attempt = send_attempt(cx, &self.client, &self.server, envelope, &req, &silence);
         let response = timeout(RESUME_TIMEOUT, attempt).await.ok()?;
