--- a/src/entry/once.rs
+++ b/src/entry/once.rs
@@ -10,6 +10,7 @@
 
 use super::ErrorCode;
 use super::ErrorResponse;
+use super::agent_silence::AgentSilence;
 use super::attempt::AgentResponse;
 use super::caller_request::CallerRequest;
 use super::chosen_server::ChosenServer;
@@ -186,7 +187,7 @@
         };
         let response = self
             .dispatcher
-            .run_attempt(attempt, &server, &self.req)
+            .run_attempt(attempt, &server, &self.req, &AgentSilence::default())
             .await;
         let e = match response {
             Ok(response) => return self.read_response(response, server).await,
--- a/src/entry/stream_resumer.rs
+++ b/src/entry/stream_resumer.rs
@@ -9,6 +9,7 @@
 use tokio::time::timeout;
 
 use super::EntryContext;
+use super::agent_silence::AgentSilence;
 use super::attempt::send_attempt;
 use super::caller_request::CallerRequest;
 use super::chosen_server::ChosenServer;
@@ -51,7 +52,9 @@
             body: Bytes::new(),
             prompt_prefix: None,
         };
-        let attempt = send_attempt(cx, &self.client, &self.server, &self.envelope, &req);
+        let silence = AgentSilence::default();
+        let envelope = &self.envelope;
+        let attempt = send_attempt(cx, &self.client, &self.server, envelope, &req, &silence);
         let response = timeout(RESUME_TIMEOUT, attempt).await.ok()?;
         match response {
             Ok(response) if response.head.streamed && response.head.status == 200 => {
