Keep a connection within a head while a response waits on it

Callers that had begun to send their next head and still read a response lost the rest of it: 4 s after SIGTERM the gateway closed the connection, and its log said `gateway: stopped ... all_calls_ended=true`.

Cause: a request counts as handled until its body is taken, which for a whole response is before its first byte is written. From then on, bytes of the next head made the connection one within a head, which is closed 1.5 s after the listener.

Change: a connection on which bytes of a response wait for the caller is not within a head. It is still closed after the response, before any next request.

Evidence: stop_response_before_begun_head_is_whole failed before: 8 of 8 responses ended after 55,154 of 560,000 bytes, with the process at 3.96 s. With the change, 8 of 8 are whole.

--- a/src/http/caller_activity.rs
+++ b/src/http/caller_activity.rs
@@ -142,10 +142,11 @@
         is_new || state.unhandled_bytes_at.is_some_and(has_lately)
     }
 
-    /// Returns whether a part of a head may have arrived, and no request is handled.
+    /// Returns whether a part of a head may have arrived, no request is handled, and no
+    /// bytes of a response wait for the caller.
     pub(super) fn is_within_head(&self) -> bool {
         let state = self.lock();
-        !state.is_handling && state.unhandled_bytes_at.is_some()
+        !state.is_handling && state.unhandled_bytes_at.is_some() && state.blocked_since.is_none()
     }
 
     fn lock(&self) -> MutexGuard<'_, ActivityState> {
