Close connections in order, so that none is reset over a response

Callers that still read a response when their connection was closed lost all of it but what their own host held (3,936 of 40,000 bytes), if they had sent more than the gateway read: further requests, or the rest of a body that was answered before it was whole.

Cause: the kernel resets a connection that is closed with unread bytes, or that gets bytes after it was closed, and drops what it has not delivered.

All connections, those that the end of the process cuts too, drop what has arrived before they are closed.

Short responses are not lost over loopback, since they reach the caller's buffer before the reset.

--- a/src/http/caller_activity.rs
+++ b/src/http/caller_activity.rs
@@ -22,6 +22,9 @@
 /// has arrived of it. The running ones need the rest of the drain.
 pub(super) const LAST_REQUEST_TIME: Duration = Duration::from_millis(1_500);
 
+/// Size of a response that the host of its caller takes at once, in bytes.
+const MAX_SHORT_RESPONSE_BYTES: usize = 4 * 1024;
+
 /// Tells whether a request is to be expected on a connection. Clones share it.
 #[derive(Debug, Clone)]
 pub struct CallerActivity {
@@ -46,6 +49,10 @@
     has_had_message: bool,
     /// Since when the kernel has taken no bytes of a response that wait for the caller.
     blocked_since: Option<Instant>,
+    /// Whether that was so since the last request began.
+    has_blocked: bool,
+    /// Bytes written since then.
+    written: usize,
 }
 
 impl CallerActivity {
@@ -76,6 +83,8 @@
         state.changed_at = Some(Instant::now());
         state.unhandled_bytes_at = None;
         state.head_began_at = None;
+        state.has_blocked = false;
+        state.written = 0;
     }
 
     /// Records that the whole body of the request has arrived.
@@ -98,10 +107,13 @@
         state.changed_at = Some(Instant::now());
     }
 
-    /// Records whether bytes wait for the caller that the kernel does not take.
-    pub(super) fn record_write(&self, is_blocked: bool) {
+    /// Records a write of bytes for the caller; `None` if the kernel does not take them.
+    pub(super) fn record_write(&self, written: Option<usize>) {
+        let is_blocked = written.is_none();
         let mut state = self.lock();
+        state.written = state.written.saturating_add(written.unwrap_or(0));
         state.blocked_since = is_blocked.then(|| state.blocked_since.unwrap_or_else(Instant::now));
+        state.has_blocked |= is_blocked;
     }
 
     /// Returns whether a request is handled, and for how long the caller has taken nothing
@@ -112,6 +124,16 @@
         (state.is_handling, blocked)
     }
 
+    /// Returns whether the caller may still send bytes that no request takes, or may not
+    /// have taken the whole of a response that ended less than `last_time` ago.
+    pub(super) fn needs_ordered_end(&self, last_time: Duration) -> bool {
+        let state = self.lock();
+        let is_recent = state.changed_at.is_some_and(|at| at.elapsed() < last_time);
+        let is_within_body = state.has_had_request && !state.has_whole_body;
+        let is_long = state.written > MAX_SHORT_RESPONSE_BYTES && is_recent;
+        is_within_body || state.unhandled_bytes_at.is_some() || state.has_blocked || is_long
+    }
+
     /// Returns what the connection is used for, and for how long.
     pub(super) fn current_use(&self) -> (ConnectionUse, Duration) {
         let state = self.lock();
--- a/src/http/caller_stream.rs
+++ b/src/http/caller_stream.rs
@@ -3,6 +3,7 @@
 
 use std::future::Future;
 use std::io;
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::task::Context;
@@ -25,6 +26,8 @@
 use super::ReaderLimits;
 use super::caller_activity::CallerActivity;
 use super::caller_presence::CallerPresence;
+use super::last_reads::LAST_READS_TIME;
+use super::last_reads::LastReads;
 use crate::clock::Clock;
 use crate::core::fleet::ReaderProgress;
 
@@ -43,6 +46,7 @@
     presence: CallerPresence,
     activity: CallerActivity,
     reader: Option<WatchedReader>,
+    last_reads: LastReads,
 }
 
 /// Reader of a connection that is disconnected if it stops reading.
@@ -68,6 +72,7 @@
             presence: presence.clone(),
             activity: activity.clone(),
             reader: reader.map(|limits| WatchedReader::new(limits, caller)),
+            last_reads: LastReads::new(),
         };
         (stream, presence, activity)
     }
@@ -79,6 +84,22 @@
         matches!(ready.now_or_never(), Some(Ok(ready)) if ready.is_read_closed())
     }
 
+    /// Returns whether bytes of the caller may be left unread when the connection is closed.
+    fn needs_last_reads(&self) -> bool {
+        if self.last_reads.have_begun() {
+            return true;
+        }
+        let mut byte = [MaybeUninit::uninit()];
+        let unread = SockRef::from(self.stream.inner()).peek(&mut byte);
+        match unread {
+            Ok(count) => count > 0,
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
+                self.activity.needs_ordered_end(LAST_READS_TIME)
+            }
+            Err(_) => false,
+        }
+    }
+
     /// Follows up on a write of `buf`. While the reader takes nothing, the write is tried
     /// again from time to time, until the reader is seen as stopped.
     fn check_reader(
@@ -112,6 +133,12 @@
     }
 }
 
+impl Drop for CallerStream {
+    fn drop(&mut self) {
+        self.last_reads.drop_arrived(self.stream.inner());
+    }
+}
+
 impl WatchedReader {
     fn new(limits: ReaderLimits, caller: SocketAddr) -> Self {
         Self {
@@ -152,6 +179,15 @@
     }
 }
 
+/// Returns the bytes that were written; `None` if the write has to wait.
+fn count_written(written: &Poll<io::Result<usize>>) -> Option<usize> {
+    match written {
+        Poll::Ready(Ok(count)) => Some(*count),
+        Poll::Ready(Err(_)) => Some(0),
+        Poll::Pending => None,
+    }
+}
+
 impl Read for CallerStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -177,7 +213,7 @@
     ) -> Poll<io::Result<usize>> {
         let written = Pin::new(&mut self.stream).poll_write(cx, buf);
         let written = self.check_reader(cx, buf, written);
-        self.activity.record_write(written.is_pending());
+        self.activity.record_write(count_written(&written));
         written
     }
 
@@ -186,7 +222,12 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+        ready!(Pin::new(&mut self.stream).poll_shutdown(cx))?;
+        if self.needs_last_reads() {
+            let this = &mut *self;
+            ready!(this.last_reads.poll_end(cx, this.stream.inner()));
+        }
+        Poll::Ready(Ok(()))
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -202,7 +243,7 @@
         let first = bufs.iter().find(|buf| !buf.is_empty());
         let first = first.map_or(&[][..], |buf| &**buf);
         let written = self.check_reader(cx, first, written);
-        self.activity.record_write(written.is_pending());
+        self.activity.record_write(count_written(&written));
         written
     }
 }
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -19,6 +19,7 @@
 mod exchange;
 mod handled_body;
 mod hop_by_hop_headers;
+mod last_reads;
 mod open_connection;
 mod open_connections;
 mod reader_limits;
