Give the kernel what slow readers have not taken when a gateway stops

Callers that read long responses slowly lost the rest when a gateway ended, also of responses that it had whole and had logged as ended: streams of 560 KB, read at 40 KB/s, were cut by every stop.

Cause: a gateway reads on from a server only as fast as the caller takes, waits for slow readers until its own end only, and bounds what the kernel may hold for each to 64 KB, although that outlives the process.

Change: once the listener is closed, a write that has to wait makes the send buffer of its connection larger, 64 KB at a time and only when it is full, so that the relay reads on from the server. What it grows by is held in the budget of the process, under a purpose of its own: half of the budget, shares by account, so that no call waits for it. A slow reader's connection is then closed in order, and kept until the caller has ended its side or the drain ends. Outside a stop nothing changes, nor for callers that keep up. What the kernel (net.core.wmem_max) or the budget does not hold is still cut.

reserve_send_buffers_leave_room_for_calls bounds what the buffers take.

--- a/src/core/fleet/held_bytes/held_bytes.rs
+++ b/src/core/fleet/held_bytes/held_bytes.rs
@@ -16,6 +16,10 @@
 /// that need no long response.
 const PURPOSE_FRACTION: f64 = 0.75;
 
+/// Fraction of the budget that send buffers of slow readers may take at the end of a
+/// process. The rest is left to the calls that still run.
+const SEND_BUFFER_FRACTION: f64 = 0.5;
+
 /// An account and a connection may hold as much as is free, divided by these numbers; the
 /// responses that a server still sends count like those of an account. With 1 for accounts,
 /// six of them that fill their shares one after another would leave an 85th of the budget
@@ -37,7 +41,8 @@
 /// With shares, an account may hold at most half of the bytes that stay free and a
 /// connection at most a third, of bodies of requests and again of responses. Responses that
 /// have not arrived whole also have a share by server, like that of an account, of which an
-/// account may hold as much as stays free. One account thus takes at most a quarter of the
+/// account may hold as much as stays free. Send buffers have a part and shares of their own,
+/// so that no call waits for them. One account thus takes at most a quarter of the
 /// budget for responses, whatever its servers send, and still finds room for its requests,
 /// and another account finds a share of the rest. A body that is the only thing held may
 /// take half of the budget.
@@ -47,6 +52,7 @@
     has_shares: bool,
     bodies: PurposeBytes,
     responses: PurposeBytes,
+    send_buffers: PurposeBytes,
     arriving: ArrivingResponses,
 }
 
@@ -83,6 +89,7 @@
             has_shares: false,
             bodies: PurposeBytes::default(),
             responses: PurposeBytes::default(),
+            send_buffers: PurposeBytes::default(),
             arriving: ArrivingResponses::default(),
         }
     }
@@ -107,7 +114,7 @@
 
     /// Returns the number of bytes that are held.
     pub fn total(&self) -> usize {
-        self.bodies.total + self.responses.total
+        self.bodies.total + self.responses.total + self.send_buffers.total
     }
 
     /// Counts `bytes` as held if the budget and the shares allow it.
@@ -132,6 +139,25 @@
         match purpose {
             HoldPurpose::NewBody => self.check_body(holder, bytes),
             HoldPurpose::RunningCall => self.check_response(holder, bytes),
+            HoldPurpose::SendBuffer => self.check_send_buffer(holder, bytes),
+        }
+    }
+
+    fn check_send_buffer(&self, holder: &Holder, bytes: usize) -> HoldDecision {
+        let for_buffers = (self.limit as f64 * SEND_BUFFER_FRACTION) as usize;
+        let buffer_total = self.send_buffers.total.saturating_add(bytes);
+        let free = self.limit.checked_sub(self.total().saturating_add(bytes));
+        let free_for_buffers = for_buffers.checked_sub(buffer_total);
+        let fits = free
+            .zip(free_for_buffers)
+            .is_some_and(|(free, for_buffers)| {
+                let free = free.min(for_buffers);
+                self.send_buffers.fits_account(holder, bytes, free)
+            });
+        if fits {
+            HoldDecision::Held
+        } else {
+            HoldDecision::Refuse
         }
     }
 
@@ -245,7 +271,7 @@
     /// servers whose responses have not arrived whole. An account or a connection counts
     /// once for each purpose.
     pub fn count_holders(&self) -> (usize, usize, usize) {
-        let purposes = [&self.bodies, &self.responses];
+        let purposes = [&self.bodies, &self.responses, &self.send_buffers];
         (
             purposes.iter().map(|held| held.by_account.len()).sum(),
             purposes.iter().map(|held| held.by_connection.len()).sum(),
@@ -257,6 +283,7 @@
         match purpose {
             HoldPurpose::NewBody => &mut self.bodies,
             HoldPurpose::RunningCall => &mut self.responses,
+            HoldPurpose::SendBuffer => &mut self.send_buffers,
         }
     }
 }
--- a/src/core/fleet/held_bytes/hold_purpose.rs
+++ b/src/core/fleet/held_bytes/hold_purpose.rs
@@ -7,4 +7,6 @@
     NewBody,
     /// Response of a call that was sent. It waits rather than fails.
     RunningCall,
+    /// Larger send buffer of a connection whose caller reads slowly. It is not needed.
+    SendBuffer,
 }
--- a/src/gateway/read_call.rs
+++ b/src/gateway/read_call.rs
@@ -34,6 +34,7 @@
 use crate::core::fleet::RouteTable;
 use crate::http::BodyReadError;
 use crate::http::read_body_in_budget;
+use crate::http::record_account;
 use crate::http::record_whole_body;
 use crate::http::strip_hop_by_hop_headers;
 
@@ -167,6 +168,7 @@
             .map(|caller| caller.0),
         server: None,
     };
+    record_account(&parts.extensions, holder.account.clone());
     let mut body_reservation = cx
         .byte_budget
         .reserve_for(holder.clone(), HoldPurpose::NewBody);
--- a/src/http/byte_budget.rs
+++ b/src/http/byte_budget.rs
@@ -98,6 +98,16 @@
         self.count_refusal(decision)
     }
 
+    /// Reserves bytes that are not needed, so that they do not count as refused.
+    pub(super) fn reserve_unneeded(
+        &self,
+        holder: &Holder,
+        bytes: usize,
+        purpose: HoldPurpose,
+    ) -> bool {
+        self.lock().reserve(holder, bytes, purpose) == HoldDecision::Held
+    }
+
     /// Reserves bytes for a running call once there is room. Returns false if there
     /// never is.
     pub(super) async fn reserve(
--- a/src/http/byte_reservation.rs
+++ b/src/http/byte_reservation.rs
@@ -56,6 +56,21 @@
         is_held
     }
 
+    /// Reserves `bytes` more like [`Self::try_grow`], without which its user goes on.
+    pub fn grow_if_free(&mut self, bytes: usize) -> bool {
+        let budget = &self.budget;
+        let is_held = budget.reserve_unneeded(&self.holder, bytes, self.purpose);
+        if is_held {
+            self.bytes += bytes;
+        }
+        is_held
+    }
+
+    /// Gives `bytes` back.
+    pub fn shrink(&mut self, bytes: usize) {
+        self.set_held(self.bytes.saturating_sub(bytes));
+    }
+
     /// Reserves `bytes` more like [`Self::try_grow`], but for a running call waits for room
     /// if the budget has shares. Returns false and reserves nothing if there never is room.
     pub async fn grow(&mut self, bytes: usize) -> bool {
--- a/src/http/caller_activity.rs
+++ b/src/http/caller_activity.rs
@@ -9,6 +9,7 @@
 use http::Extensions;
 use tokio::time::Instant;
 
+use crate::core::AccountName;
 use crate::core::ConnectionUse;
 
 /// Time after a connection was accepted in which its first request is expected. Callers
@@ -53,6 +54,10 @@
     has_blocked: bool,
     /// Bytes written since then.
     written: usize,
+    /// Whether the process is about to end.
+    is_stopping: bool,
+    /// Account of the last request, if it has one.
+    account: Option<AccountName>,
 }
 
 impl CallerActivity {
@@ -85,6 +90,40 @@
         state.head_began_at = None;
         state.has_blocked = false;
         state.written = 0;
+        state.account = None;
+    }
+
+    /// Records the account of the request.
+    fn record_account(&self, account: Option<AccountName>) {
+        self.lock().account = account;
+    }
+
+    /// Returns the account of the last request, if it has one.
+    pub(super) fn account(&self) -> Option<AccountName> {
+        self.lock().account.clone()
+    }
+
+    /// Records that the process is about to end.
+    pub(super) fn begin_stop(&self) {
+        self.lock().is_stopping = true;
+    }
+
+    /// Returns whether the process is about to end.
+    pub(super) fn is_stopping(&self) -> bool {
+        self.lock().is_stopping
+    }
+
+    /// Returns whether a response is not written whole.
+    pub(super) fn has_unwritten_response(&self) -> bool {
+        let (is_handling, blocked) = self.describe_response();
+        is_handling || blocked.is_some()
+    }
+
+    /// Returns whether the process is about to end while a caller that reads slowly has not
+    /// taken the whole of its response.
+    pub(super) fn has_slow_reader_at_stop(&self) -> bool {
+        let state = self.lock();
+        state.is_stopping && state.has_blocked
     }
 
     /// Records that the whole body of the request has arrived.
@@ -183,3 +222,11 @@
         activity.record_whole_body();
     }
 }
+
+/// Records the account of the request with these extensions, to which bytes count that the
+/// kernel holds for its caller.
+pub fn record_account(extensions: &Extensions, account: Option<AccountName>) {
+    if let Some(activity) = extensions.get::<CallerActivity>() {
+        activity.record_account(account);
+    }
+}
--- a/src/http/caller_stream.rs
+++ b/src/http/caller_stream.rs
@@ -28,6 +28,7 @@
 use super::caller_presence::CallerPresence;
 use super::last_reads::LAST_READS_TIME;
 use super::last_reads::LastReads;
+use super::send_buffer::SendBuffer;
 use crate::clock::Clock;
 use crate::core::fleet::ReaderProgress;
 
@@ -54,6 +55,7 @@
     limits: ReaderLimits,
     caller: SocketAddr,
     clock: Clock,
+    send_buffer: SendBuffer,
     progress: ReaderProgress,
     next_check: Pin<Box<Sleep>>,
 }
@@ -116,14 +118,23 @@
             return written;
         }
         reader.record_blocked();
+        let stream = self.stream.inner();
         loop {
-            ready!(reader.next_check.as_mut().poll(cx));
-            match SockRef::from(self.stream.inner()).send(buf) {
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                result => {
+            // The kernel delivers what it holds when the process has ended. What is free is
+            // used first, since tokio learns of it later.
+            while self.activity.is_stopping() {
+                if let Some(result) = try_send(stream, buf) {
                     reader.progress.record_progress();
                     return Poll::Ready(result);
                 }
+                if !reader.send_buffer.grow(stream, &self.activity) {
+                    break;
+                }
+            }
+            ready!(reader.next_check.as_mut().poll(cx));
+            if let Some(result) = try_send(stream, buf) {
+                reader.progress.record_progress();
+                return Poll::Ready(result);
             }
             if reader.has_stopped() {
                 return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
@@ -143,6 +154,7 @@
     fn new(limits: ReaderLimits, caller: SocketAddr) -> Self {
         Self {
             progress: ReaderProgress::new(limits.timeout),
+            send_buffer: SendBuffer::new(&limits.budget, caller),
             limits,
             caller,
             clock: Clock::start(),
@@ -179,6 +191,14 @@
     }
 }
 
+/// Sends bytes whether the kernel has announced room or not; `None` if there is none.
+fn try_send(stream: &TcpStream, buf: &[u8]) -> Option<io::Result<usize>> {
+    match SockRef::from(stream).send(buf) {
+        Err(e) if e.kind() == io::ErrorKind::WouldBlock => None,
+        result => Some(result),
+    }
+}
+
 /// Returns the bytes that were written; `None` if the write has to wait.
 fn count_written(written: &Poll<io::Result<usize>>) -> Option<usize> {
     match written {
@@ -225,7 +245,9 @@
         ready!(Pin::new(&mut self.stream).poll_shutdown(cx))?;
         if self.needs_last_reads() {
             let this = &mut *self;
-            ready!(this.last_reads.poll_end(cx, this.stream.inner()));
+            let has_time_limit = !this.activity.has_slow_reader_at_stop();
+            let stream = this.stream.inner();
+            ready!(this.last_reads.poll_end(cx, stream, has_time_limit));
         }
         Poll::Ready(Ok(()))
     }
--- a/src/http/last_reads.rs
+++ b/src/http/last_reads.rs
@@ -43,12 +43,18 @@
         self.ends_at.is_some()
     }
 
-    /// Reads and drops bytes until the end of the caller's side, or a limit.
-    pub fn poll_end(&mut self, cx: &mut Context<'_>, stream: &TcpStream) -> Poll<()> {
+    /// Reads and drops bytes until the end of the caller's side, or a limit. Without
+    /// `has_time_limit`, that of the time is left to the owner of the connection.
+    pub fn poll_end(
+        &mut self,
+        cx: &mut Context<'_>,
+        stream: &TcpStream,
+        has_time_limit: bool,
+    ) -> Poll<()> {
         let ends_at = self
             .ends_at
             .get_or_insert_with(|| Box::pin(sleep(LAST_READS_TIME)));
-        if ends_at.as_mut().poll(cx).is_ready() {
+        if has_time_limit && ends_at.as_mut().poll(cx).is_ready() {
             return Poll::Ready(());
         }
         loop {
--- a/src/http/open_connections.rs
+++ b/src/http/open_connections.rs
@@ -98,6 +98,13 @@
         self.lock().connections.remove(key);
     }
 
+    /// Returns whether a response is not written whole on some connection.
+    pub fn has_unwritten_response(&self) -> bool {
+        let state = self.lock();
+        let mut entries = state.connections.values();
+        entries.any(|entry| entry.activity.has_unwritten_response())
+    }
+
     /// Closes the least useful connection in favour of a new one, unless all are needed.
     pub fn close_least_useful(&self) {
         let mut state = self.lock();
--- a/src/http/serve.rs
+++ b/src/http/serve.rs
@@ -64,8 +64,8 @@
 
 /// Serves connections of `listener` until `drain` becomes true, then accepts
 /// those that the kernel has already completed, up to the connection limit, and
-/// waits for running requests. Returns whether all of them ended within
-/// `limits.drain_timeout`.
+/// waits for running requests, and for slow readers of what the kernel holds. Returns
+/// whether all responses were written within `limits.drain_timeout`.
 ///
 /// `handle` receives each request and the address of its caller. If the caller
 /// disconnects, the future or the body that it returned is dropped.
@@ -117,9 +117,8 @@
     sleep(FIRST_REQUEST_GRACE).await;
     connections.is_closing.send_replace(true);
     connections.tasks.close();
-    timeout(limits.drain_timeout, connections.tasks.wait())
-        .await
-        .is_ok()
+    let ended = timeout(limits.drain_timeout, connections.tasks.wait()).await;
+    ended.is_ok() || !connections.open.has_unwritten_response()
 }
 
 /// Accepts a connection. At the connection limit, closes the least useful one for it, or
@@ -255,6 +254,7 @@
     // An error means that the server has ended, which closes connections as well.
     let _ = closing.wait_for(|is_closing| *is_closing).await;
     let drained_from = Instant::now();
+    activity.begin_stop();
     while activity.expects_request(drained_from) {
         sleep(IDLE_CHECK_INTERVAL).await;
     }
--- a/tests/fleet_held_bytes.rs
+++ b/tests/fleet_held_bytes.rs
@@ -73,6 +73,30 @@
     assert_eq!(response, HoldDecision::Held);
 }
 
+/// Guards against send buffers of slow readers that take the memory of running calls, or
+/// those of one account that take the buffers of the others.
+#[rstest]
+#[case::one_account(1)]
+#[case::several_accounts(6)]
+fn reserve_send_buffers_leave_room_for_calls(#[case] hogs: usize) {
+    let mut held = HeldBytes::with_shares(80 * MB);
+    let mut own = 0;
+    for hog in 0..hogs {
+        let hog = format!("hog-{hog}");
+        own += fill(&mut held, &hog, MB / 8, HoldPurpose::SendBuffer);
+    }
+    assert!(own <= 40 * MB, "{own} bytes of send buffers");
+    for (account, port) in [("other", 1), ("hog-0", 1)] {
+        let own = holder(account, port);
+        for purpose in [HoldPurpose::RunningCall, HoldPurpose::NewBody] {
+            let decision = held.reserve(&own, MB, purpose);
+            assert_eq!(decision, HoldDecision::Held, "{account} {purpose:?}");
+        }
+    }
+    let other = held.reserve(&holder("other", 2), MB, HoldPurpose::SendBuffer);
+    assert_eq!(other, HoldDecision::Held);
+}
+
 /// Guards against running calls that fail because new bodies took the whole budget.
 #[test]
 fn reserve_new_bodies_leave_room_for_running_calls() {
