--- a/src/http/caller_stream.rs
+++ b/src/http/caller_stream.rs
@@ -3,6 +3,7 @@
 
 use std::future::Future;
 use std::io;
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::task::Context;
@@ -25,6 +26,9 @@
 use super::ReaderLimits;
 use super::caller_activity::CallerActivity;
 use super::caller_presence::CallerPresence;
+use super::last_reads::LAST_READS_TIME;
+use super::last_reads::LastReads;
+use super::send_buffer::SendBuffer;
 use crate::clock::Clock;
 use crate::core::fleet::ReaderProgress;
 
@@ -43,6 +47,7 @@
     presence: CallerPresence,
     activity: CallerActivity,
     reader: Option<WatchedReader>,
+    last_reads: LastReads,
 }
 
 /// Reader of a connection that is disconnected if it stops reading.
@@ -50,6 +55,7 @@
     limits: ReaderLimits,
     caller: SocketAddr,
     clock: Clock,
+    send_buffer: SendBuffer,
     progress: ReaderProgress,
     next_check: Pin<Box<Sleep>>,
 }
@@ -68,6 +74,7 @@
             presence: presence.clone(),
             activity: activity.clone(),
             reader: reader.map(|limits| WatchedReader::new(limits, caller)),
+            last_reads: LastReads::new(),
         };
         (stream, presence, activity)
     }
@@ -79,6 +86,22 @@
         matches!(ready.now_or_never(), Some(Ok(ready)) if ready.is_read_closed())
     }
 
+    /// Returns whether bytes of the caller may be left unread when the connection is closed.
+    fn needs_last_reads(&self) -> bool {
+        if self.last_reads.have_begun() {
+            return true;
+        }
+        let mut byte = [MaybeUninit::uninit()];
+        let unread = SockRef::from(self.stream.inner()).peek(&mut byte);
+        match unread {
+            Ok(count) => count > 0,
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
+                self.activity.needs_ordered_end(LAST_READS_TIME)
+            }
+            Err(_) => false,
+        }
+    }
+
     /// Follows up on a write of `buf`. While the reader takes nothing, the write is tried
     /// again from time to time, until the reader is seen as stopped.
     fn check_reader(
@@ -95,14 +118,23 @@
             return written;
         }
         reader.record_blocked();
+        let stream = self.stream.inner();
         loop {
-            ready!(reader.next_check.as_mut().poll(cx));
-            match SockRef::from(self.stream.inner()).send(buf) {
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                result => {
+            // The kernel delivers what it holds when the process has ended. What is free is
+            // used first, since tokio learns of it later.
+            while self.activity.is_stopping() {
+                if let Some(result) = try_send(stream, buf) {
                     reader.progress.record_progress();
                     return Poll::Ready(result);
                 }
+                if !reader.send_buffer.grow(stream, &self.activity) {
+                    break;
+                }
+            }
+            ready!(reader.next_check.as_mut().poll(cx));
+            if let Some(result) = try_send(stream, buf) {
+                reader.progress.record_progress();
+                return Poll::Ready(result);
             }
             if reader.has_stopped() {
                 return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
@@ -112,10 +144,17 @@
     }
 }
 
+impl Drop for CallerStream {
+    fn drop(&mut self) {
+        self.last_reads.drop_arrived(self.stream.inner());
+    }
+}
+
 impl WatchedReader {
     fn new(limits: ReaderLimits, caller: SocketAddr) -> Self {
         Self {
             progress: ReaderProgress::new(limits.timeout),
+            send_buffer: SendBuffer::new(&limits.budget, caller),
             limits,
             caller,
             clock: Clock::start(),
@@ -152,6 +191,23 @@
     }
 }
 
+/// Sends bytes whether the kernel has announced room or not; `None` if there is none.
+fn try_send(stream: &TcpStream, buf: &[u8]) -> Option<io::Result<usize>> {
+    match SockRef::from(stream).send(buf) {
+        Err(e) if e.kind() == io::ErrorKind::WouldBlock => None,
+        result => Some(result),
+    }
+}
+
+/// Returns the bytes that were written; `None` if the write has to wait.
+fn count_written(written: &Poll<io::Result<usize>>) -> Option<usize> {
+    match written {
+        Poll::Ready(Ok(count)) => Some(*count),
+        Poll::Ready(Err(_)) => Some(0),
+        Poll::Pending => None,
+    }
+}
+
 impl Read for CallerStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -177,7 +233,7 @@
     ) -> Poll<io::Result<usize>> {
         let written = Pin::new(&mut self.stream).poll_write(cx, buf);
         let written = self.check_reader(cx, buf, written);
-        self.activity.record_write(written.is_pending());
+        self.activity.record_write(count_written(&written));
         written
     }
 
@@ -186,7 +242,14 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+        ready!(Pin::new(&mut self.stream).poll_shutdown(cx))?;
+        if self.needs_last_reads() {
+            let this = &mut *self;
+            let has_time_limit = !this.activity.has_slow_reader_at_stop();
+            let stream = this.stream.inner();
+            ready!(this.last_reads.poll_end(cx, stream, has_time_limit));
+        }
+        Poll::Ready(Ok(()))
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -202,7 +265,7 @@
         let first = bufs.iter().find(|buf| !buf.is_empty());
         let first = first.map_or(&[][..], |buf| &**buf);
         let written = self.check_reader(cx, first, written);
-        self.activity.record_write(written.is_pending());
+        self.activity.record_write(count_written(&written));
         written
     }
 }
