Let the servers of the soak stand still within a response

The soak did not find calls that are cut because their server is silent for a second: its servers stood still only before they read a request, and nothing checked that calls at them end. A server now stands still in the middle of its work as well. At the end, with no other fault, each server stands still for 1.5 s while the others turn away what has run elsewhere, and calls that ran and end within that time must end whole (CutBySilence).

--- a/lab/src/soak/check.rs
+++ b/lab/src/soak/check.rs
@@ -67,6 +67,9 @@
     /// Gateways and the times, in milliseconds since the start of the soak, in
     /// which they drained and restarted while no other fault was active.
     pub undisturbed_drains: Vec<(usize, (u64, u64))>,
+    /// Time, in milliseconds since the start of the soak, in which servers stood still and
+    /// went on, and turned repeats away, while no other fault was active.
+    pub undisturbed_freezes: Option<(u64, u64)>,
     /// The rollout that was ordered, if one was.
     pub rollout: Option<ObservedRollout>,
 }
@@ -94,6 +97,9 @@
     /// A call that a server ran got no response from a gateway that drained while
     /// no other fault was active.
     CutByDrain(String),
+    /// A call that a server ran got no whole response, although its server only stood
+    /// still for a time and no other fault was active.
+    CutBySilence(String),
     /// The gateway with this index did not serve again after the last fault.
     #[serde(rename = "NotBack")]
     GatewayNotRecovered(usize),
@@ -123,6 +129,11 @@
             count,
             &observations.undisturbed_drains,
         ));
+        violations.extend(find_cut_by_silence(
+            call,
+            count,
+            observations.undisturbed_freezes,
+        ));
     }
     // The runs that remain belong to no call.
     violations.extend(
@@ -172,6 +183,20 @@
     violations
 }
 
+/// A call that began and ended while servers only stood still must end whole.
+fn find_cut_by_silence(
+    call: &CallRecord,
+    runs: u32,
+    freezes: Option<(u64, u64)>,
+) -> Option<Violation> {
+    let is_within = freezes.is_some_and(|(from, to)| {
+        let (sent_at, ended_at) = call.span_ms;
+        from <= sent_at && ended_at <= to
+    });
+    let is_cut = !call.is_complete || matches!(call.status, 502 | 504);
+    (is_within && is_cut && runs > 0).then(|| Violation::CutBySilence(call.id.clone()))
+}
+
 /// Tells whether the body of a success is the expected one, or a prefix of it if
 /// the response was cut off. All other statuses pass.
 fn is_correct_response(call: &CallRecord) -> bool {
--- a/lab/src/soak/run.rs
+++ b/lab/src/soak/run.rs
@@ -67,6 +67,12 @@
 /// Time for each caller to end its last call.
 const LAST_CALL_TIMEOUT: Duration = Duration::from_secs(9);
 
+/// Time for which each server stands still, less than the deadline of calls.
+const FREEZE_TIME: Duration = Duration::from_millis(1_500);
+
+/// Time for traces of earlier faults to vanish, and for calls to end after the last freeze.
+const SETTLE_TIME: Duration = Duration::from_millis(500);
+
 /// Callers that do not read.
 const SLOW_READERS: usize = 40;
 
@@ -286,6 +292,7 @@
         let peaks =
             (0..self.processes.len()).filter_map(|gateway| self.process(gateway).peak_memory_kb());
         let peak_memory_kb = peaks.max().unwrap_or(0);
+        let undisturbed_freezes = Some(self.freeze_each_undisturbed().await);
         let undisturbed_drains = self.drain_each_undisturbed().await?;
         self.traffic.is_stopped.store(true, Ordering::Relaxed);
         for caller in callers {
@@ -306,6 +313,7 @@
             forwarded_keys: u32::try_from(forwarded_keys.count()).unwrap_or(u32::MAX),
             not_recovered,
             undisturbed_drains,
+            undisturbed_freezes,
             rollout: Some(rollout),
         };
         let is_success = |call: &&CallRecord| call.status == 200 && call.is_complete;
@@ -514,6 +522,21 @@
         Ok(spans)
     }
 
+    /// Lets servers stand still one after the other, while repeats are turned away and no
+    /// other fault is active. Returns when that began and ended, in milliseconds since the
+    /// start of the soak.
+    async fn freeze_each_undisturbed(&self) -> (u64, u64) {
+        self.fault_injector.refuse_repeats();
+        sleep(SETTLE_TIME).await;
+        let from = self.traffic.now_ms();
+        for server in 0..self.backends.len() {
+            let trouble = ServerTrouble::Frozen;
+            self.trouble_server(server, trouble, FREEZE_TIME).await;
+        }
+        sleep(SETTLE_TIME).await;
+        (from, self.traffic.now_ms())
+    }
+
     /// Starts the gateways that do not run and waits until each serves. Returns
     /// those that do not serve within [`RECOVERY_TIMEOUT`].
     async fn await_recovery(&self) -> Vec<usize> {
--- a/lab/tests/soak_check.rs
+++ b/lab/tests/soak_check.rs
@@ -185,6 +185,34 @@
     );
 }
 
+/// Guards against a checker that misses calls which are cut, or fail, while servers only
+/// stand still, or that reports others.
+#[rstest]
+#[case::cut((50, 250), 1, 0, true)]
+#[case::failed((50, 250), 1, 502, true)]
+#[case::failed_by_its_server((50, 250), 1, 500, false)]
+#[case::begun_before((150, 250), 1, 0, false)]
+#[case::ended_after((50, 150), 1, 0, false)]
+#[case::did_not_run((50, 250), 0, 502, false)]
+fn check_cut_by_silence(
+    #[case] span: (u64, u64),
+    #[case] runs: usize,
+    #[case] status: u16,
+    #[case] is_violation: bool,
+) {
+    let observed = Observations {
+        calls: vec![call(CallKind::NonIdempotent, status, "", status != 0)],
+        runs: vec![call_id(); runs],
+        undisturbed_freezes: Some(span),
+        ..Observations::default()
+    };
+    let violations = check_guarantees(&observed);
+    assert_eq!(
+        violations == [Violation::CutBySilence(call_id())],
+        is_violation
+    );
+}
+
 fn check_rollout(is_bad: bool, states: &[&str], sent_to_new: u64) -> Vec<Violation> {
     check_guarantees(&Observations {
         rollout: Some(ObservedRollout {
