Answer waiting calls when a stop is seen after its end

Callers saw: at a gateway that had stood still for longer than its grace and got SIGTERM as it ran again, calls that waited got no answer. Only since the stop counts from when the signal may have been sent.

Cause: the end of such a stop lies in the past, so that the process exited before it read what had arrived.

Change: at least 0.4 s are left once a stop is seen. A process that runs has not been killed yet, and the signal may be younger than supposed.

--- a/src/core/fleet/stop_plan.rs
+++ b/src/core/fleet/stop_plan.rs
@@ -14,6 +14,10 @@
 /// Time to write the answers of the calls that still run at the end.
 const LAST_ANSWERS_TIME: Duration = Duration::from_millis(200);
 
+/// Time that is left at least once a stop was seen, for answers to the calls that wait: a
+/// process that runs has not been killed yet.
+const MIN_TIME_LEFT: Duration = Duration::from_millis(400);
+
 /// Times of an entry's stop, and which calls it still sends on.
 ///
 /// A response that is a stream can only be cut once it has begun, so that a stream which
@@ -40,14 +44,15 @@
     /// Only the load balancer's time runs from when the stop was seen: it notices that the
     /// entry is no longer ready.
     pub fn new(requested_at: MonotonicTime, seen_at: MonotonicTime, grace: Duration) -> Self {
-        let exits_after = grace.saturating_sub(EXIT_MARGIN);
-        let ends_at = requested_at + exits_after.saturating_sub(LAST_ANSWERS_TIME);
+        let exits_at = requested_at + grace.saturating_sub(EXIT_MARGIN);
+        let exits_at = exits_at.max(seen_at + MIN_TIME_LEFT);
+        let ends_at = exits_at.saturating_sub(LAST_ANSWERS_TIME);
         Self {
             requested_at,
             streams_until: requested_at + LINGER,
             accepts_until: ends_at.min(seen_at + LINGER),
             ends_at,
-            exits_at: requested_at + exits_after,
+            exits_at,
         }
     }
 
