--- a/src/gateway/hedged_attempt.rs
+++ b/src/gateway/hedged_attempt.rs
@@ -19,6 +19,7 @@
 use super::running_attempts::RunningAttempts;
 use super::serve_call::MAX_SENDS_PER_CALL;
 use super::serve_call::choose_unless_stopping;
+use crate::core::MonotonicTime;
 use crate::core::fleet::BackendChoice;
 use crate::core::fleet::BackendKey;
 use crate::core::fleet::CallKind;
@@ -52,91 +53,188 @@
     call_log: &mut CallLog,
 ) -> AttemptOutcome {
     progress.runs += 1;
-    let (sent_at, now) = (cx.now(), Instant::now());
-    let delay = find_delay(cx, call).filter(|_| call.may_run_again(progress.runs));
-    let mut hedge_at = delay.map(|delay| now + delay);
-    let mut hedge: Option<BackendChoice> = None;
-    let mut look_at = now + LIVENESS_CHECK_INTERVAL;
-    let give_up_at = now + call.time_left().mul_f64(MAX_SILENT_SHARE);
-    let mut kept: Option<AttemptOutcome> = None;
     let mut attempts = RunningAttempts::new(cx, call);
     attempts.start(choice.clone(), None);
-    loop {
-        let wake_at = hedge_at.map_or(look_at, |at| at.min(look_at));
-        let mut ended: Option<Ended> = tokio::select! {
-            biased;
-            ended = attempts.next_outcome() => Some(ended),
-            () = sleep_until(wake_at), if call.may_run_again(progress.runs) => None,
-        };
+    let hedged = HedgedAttempt {
+        cx,
+        call,
+        progress,
+        call_log,
+        attempts,
+        first: choice,
+        sent_at: cx.now(),
+        hedge: None,
+        kept: None,
+    };
+    hedged.run().await
+}
+
+/// Call that is at one or more servers and has no response yet.
+struct HedgedAttempt<'a> {
+    cx: &'a GatewayContext,
+    call: &'a Call,
+    progress: &'a mut CallProgress,
+    call_log: &'a mut CallLog,
+    attempts: RunningAttempts,
+    first: BackendChoice,
+    sent_at: MonotonicTime,
+    /// Second server of a call whose response is late.
+    hedge: Option<BackendChoice>,
+    /// Best outcome of the attempts that have ended.
+    kept: Option<AttemptOutcome>,
+}
+
+impl HedgedAttempt<'_> {
+    async fn run(mut self) -> AttemptOutcome {
         let now = Instant::now();
-        if ended.is_none() && hedge_at.take_if(|at| *at <= now).is_some() {
-            hedge = start_hedge(cx, call, &mut attempts, progress, call_log);
-        } else if ended.is_none() && look_at <= now {
-            look_at = now + LIVENESS_CHECK_INTERVAL;
-            if attempts.are_silent() {
-                ended = start_replacement(cx, call, &mut attempts, progress, call_log).await;
-                look_at = Instant::now() + REPLACEMENT_INTERVAL;
-                if ended.is_none() && now >= give_up_at && attempts.are_silent() {
-                    attempts.abandon();
-                    let silent = AttemptOutcome::Unknown(SILENT);
-                    return match kept {
-                        Some(before) => keep_better(before, silent, call_log),
-                        None => silent,
-                    };
+        let delay = find_delay(self.cx, self.call).filter(|_| self.may_run_again());
+        let mut hedge_at = delay.map(|delay| now + delay);
+        let give_up_at = now + self.call.time_left().mul_f64(MAX_SILENT_SHARE);
+        let mut look_at = now + LIVENESS_CHECK_INTERVAL;
+        loop {
+            let wake_at = hedge_at.map_or(look_at, |at| at.min(look_at));
+            let may_run_again = self.may_run_again();
+            let mut ended: Option<Ended> = tokio::select! {
+                biased;
+                ended = self.attempts.next_outcome() => Some(ended),
+                () = sleep_until(wake_at), if may_run_again => None,
+            };
+            let now = Instant::now();
+            if ended.is_none() && hedge_at.take_if(|at| *at <= now).is_some() {
+                self.start_hedge();
+            } else if ended.is_none() && look_at <= now {
+                look_at = now + LIVENESS_CHECK_INTERVAL;
+                if self.attempts.are_silent() {
+                    ended = self.start_replacement().await;
+                    look_at = Instant::now() + REPLACEMENT_INTERVAL;
+                    if ended.is_none() && now >= give_up_at && self.attempts.are_silent() {
+                        return self.give_up();
+                    }
                 }
             }
+            let Some((server, outcome)) = ended else {
+                continue;
+            };
+            if is_response(&outcome) {
+                self.end_others(server);
+                return outcome;
+            }
+            // After a refusal, the next server is asked at once.
+            look_at = now;
+            if let Some(outcome) = self.record_failure(outcome) {
+                return outcome;
+            }
         }
-        let Some((server, outcome)) = ended else {
-            continue;
+    }
+
+    fn may_run_again(&self) -> bool {
+        self.call.may_run_again(self.progress.runs)
+    }
+
+    /// Sends a call whose response is late to a second server, if there is one.
+    fn start_hedge(&mut self) {
+        let Some(choice) = choose_second(self.cx, self.call, self.progress) else {
+            return;
         };
-        if is_response(&outcome) {
-            if let Some(reason) = kept.as_ref().and_then(AttemptOutcome::failure) {
-                call_log.record_failure(reason);
+        self.send(choice.clone(), "late");
+        self.hedge = Some(choice);
+    }
+
+    /// Sends a call whose servers are silent to another one as well, if that can be done.
+    /// Returns the outcome of an attempt that ends before.
+    async fn start_replacement(&mut self) -> Option<Ended> {
+        let silent = self.attempts.first_server()?.clone();
+        if self.progress.tried.len() >= MAX_SENDS_PER_CALL {
+            self.call_log.log_kept(&silent, "no-attempts-left");
+            return None;
+        }
+        // A choice counts as a send for the rollout of its service.
+        if !self.cx.has_retry(&self.call.service) {
+            self.call_log.log_kept(&silent, "no-repeats-left");
+            return None;
+        }
+        let chosen = tokio::select! {
+            biased;
+            ended = self.attempts.next_outcome() => return Some(ended),
+            chosen = choose_unless_stopping(self.cx, self.call, self.progress) => chosen,
+        };
+        match chosen {
+            Err(refusal) => self.call_log.log_kept(&silent, refusal.code()),
+            Ok(_) if !self.cx.take_retry(&self.call.service) => {
+                self.call_log.log_kept(&silent, "no-repeats-left");
             }
-            if let Some(hedge) = &hedge {
-                log_winner(cx, call, server, &choice, hedge);
-                if attempts.contains(choice.key) {
-                    record_overtaken(cx, call, &choice, cx.now().since(sent_at));
-                }
+            Ok(choice) => {
+                self.call_log.record_failure(SILENT);
+                self.send(choice, SILENT);
             }
-            attempts.abandon();
-            return outcome;
         }
-        if matches!(outcome, AttemptOutcome::NotRun(_)) {
-            progress.runs -= 1;
+        None
+    }
+
+    fn send(&mut self, choice: BackendChoice, reason: &'static str) {
+        self.call_log.log_send(&choice, reason);
+        self.progress.tried.push(choice.key);
+        self.progress.runs += 1;
+        self.attempts.start(choice, None);
+    }
+
+    /// Ends the other attempts, since `winner` has responded.
+    fn end_others(mut self, winner: BackendKey) {
+        if let Some(reason) = self.kept.as_ref().and_then(AttemptOutcome::failure) {
+            self.call_log.record_failure(reason);
         }
-        let outcome = match kept.take() {
-            Some(before) => keep_better(before, outcome, call_log),
-            None => outcome,
-        };
-        if attempts.is_empty() {
-            if hedge.is_some() {
-                cx.metrics.count_hedge("failed");
+        if let Some(hedge) = &self.hedge {
+            log_winner(self.cx, self.call, winner, &self.first, hedge);
+            if self.attempts.contains(self.first.key) {
+                let elapsed = self.cx.now().since(self.sent_at);
+                record_overtaken(self.cx, self.call, &self.first, elapsed);
             }
-            return outcome;
         }
-        if outcome.failure().is_some() {
-            look_at = now;
+        self.attempts.abandon();
+    }
+
+    /// Records an attempt that got no response. Returns the outcome of the call if it was
+    /// the last one.
+    fn record_failure(&mut self, outcome: AttemptOutcome) -> Option<AttemptOutcome> {
+        if matches!(outcome, AttemptOutcome::NotRun(_)) {
+            self.progress.runs -= 1;
+        }
+        let outcome = self.keep_better(outcome);
+        if !self.attempts.is_empty() {
+            self.kept = Some(outcome);
+            return None;
+        }
+        if self.hedge.is_some() {
+            self.cx.metrics.count_hedge("failed");
         }
-        kept = Some(outcome);
+        Some(outcome)
     }
-}
 
-/// Returns the outcome that tells the caller more, and logs why the other attempt failed.
-fn keep_better(
-    before: AttemptOutcome,
-    outcome: AttemptOutcome,
-    call_log: &mut CallLog,
-) -> AttemptOutcome {
-    let (kept, other) = if rank(&before) > rank(&outcome) {
-        (before, outcome)
-    } else {
-        (outcome, before)
-    };
-    if let Some(reason) = other.failure() {
-        call_log.record_failure(reason);
+    /// Gives up attempts at silent servers. Returns the outcome of the call.
+    fn give_up(mut self) -> AttemptOutcome {
+        self.attempts.abandon();
+        if self.hedge.is_some() {
+            self.cx.metrics.count_hedge("failed");
+        }
+        self.keep_better(AttemptOutcome::Unknown(SILENT))
+    }
+
+    /// Returns the outcome that tells the caller more, this one or the one kept before, and
+    /// logs why the other attempt failed.
+    fn keep_better(&mut self, outcome: AttemptOutcome) -> AttemptOutcome {
+        let Some(before) = self.kept.take() else {
+            return outcome;
+        };
+        let (kept, other) = if rank(&before) > rank(&outcome) {
+            (before, outcome)
+        } else {
+            (outcome, before)
+        };
+        if let Some(reason) = other.failure() {
+            self.call_log.record_failure(reason);
+        }
+        kept
     }
-    kept
 }
 
 /// Returns the time after which a response is late; `None` if the call must not be sent
@@ -154,61 +252,6 @@
     (delay <= call.time_left().mul_f64(MAX_DELAY_SHARE)).then_some(delay)
 }
 
-/// Sends a call whose response is late to a second server, if there is one, and returns
-/// that.
-fn start_hedge(
-    cx: &GatewayContext,
-    call: &Call,
-    attempts: &mut RunningAttempts,
-    progress: &mut CallProgress,
-    call_log: &mut CallLog,
-) -> Option<BackendChoice> {
-    let choice = choose_second(cx, call, progress)?;
-    call_log.log_send(&choice, "late");
-    progress.tried.push(choice.key);
-    progress.runs += 1;
-    attempts.start(choice.clone(), None);
-    Some(choice)
-}
-
-/// Sends a call whose servers are silent to another one as well, if that can be done.
-/// Returns the outcome of an attempt that ends before.
-async fn start_replacement(
-    cx: &GatewayContext,
-    call: &Call,
-    attempts: &mut RunningAttempts,
-    progress: &mut CallProgress,
-    call_log: &mut CallLog,
-) -> Option<Ended> {
-    let silent = attempts.first_server()?.clone();
-    if progress.tried.len() >= MAX_SENDS_PER_CALL {
-        call_log.log_kept(&silent, "no-attempts-left");
-        return None;
-    }
-    // A choice counts as a send for the rollout of its service.
-    if !cx.has_retry(&call.service) {
-        call_log.log_kept(&silent, "no-repeats-left");
-        return None;
-    }
-    let chosen = tokio::select! {
-        biased;
-        ended = attempts.next_outcome() => return Some(ended),
-        chosen = choose_unless_stopping(cx, call, progress) => chosen,
-    };
-    match chosen {
-        Err(refusal) => call_log.log_kept(&silent, refusal.code()),
-        Ok(_) if !cx.take_retry(&call.service) => call_log.log_kept(&silent, "no-repeats-left"),
-        Ok(choice) => {
-            call_log.record_failure(SILENT);
-            call_log.log_send(&choice, SILENT);
-            progress.tried.push(choice.key);
-            progress.runs += 1;
-            attempts.start(choice, None);
-        }
-    }
-    None
-}
-
 /// Chooses the second server; `None` if the service has no free slot or the retry budget
 /// has none to spare.
 fn choose_second(
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 mod clock_offsets;
 mod context;
 mod drain;
+mod event_bytes;
 mod exchange_peer_state;
 mod follow_agents;
 mod follow_collector;
--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -20,6 +20,10 @@
 use super::call_progress::CallProgress;
 use super::choose_with_room::choose_with_room;
 use super::context::GatewayContext;
+use super::event_bytes::complete_len;
+use super::event_bytes::count_events;
+use super::event_bytes::find_last_event_id;
+use super::event_bytes::has_data;
 use super::permit_builds::record_end;
 use super::permit_builds::record_first_event;
 use super::read_call::Call;
@@ -68,9 +72,6 @@
 /// Servers cut off a response that is not read for some seconds.
 const MIN_READER_LAG: Duration = Duration::from_secs(1);
 
-/// Bytes that end an event.
-const EVENT_TERMINATOR: &[u8] = b"\n\n";
-
 /// Why a stream does not go on elsewhere while its gateway stops.
 const STOPPING: &str = "stopping";
 
@@ -78,9 +79,6 @@
 /// event again.
 const RECOVERED: &str = "recovered";
 
-/// Start of the line with an event's id.
-const ID_FIELD_PREFIX: &[u8] = b"id:";
-
 /// Relays the events of a stream to the caller. Only complete events are passed
 /// on, so that a broken stream can be resumed at another server. A stream whose server is
 /// silent stays there until another server has accepted it.
@@ -256,7 +254,7 @@
                 .record_server_act(&choice.name, "body", self.buffer.len());
         }
         self.reservation.set_held(self.buffer.len());
-        if self.buffer.len() > MAX_EVENT_BYTES && !self.has_event() {
+        if self.buffer.len() > MAX_EVENT_BYTES && complete_len(&self.buffer).is_none() {
             return self.leave_broken(EVENT_TOO_LARGE);
         }
         let may_go_on = self.call.may_run_again(self.progress.runs);
@@ -455,15 +453,10 @@
         }
     }
 
-    fn has_event(&self) -> bool {
-        find_last_match(&self.buffer, EVENT_TERMINATOR).is_some()
-    }
-
     /// Takes the complete events out of the buffer and remembers the id of the
     /// last one.
     fn take_events(&mut self) -> Option<Bytes> {
-        let end = find_last_match(&self.buffer, EVENT_TERMINATOR)? + EVENT_TERMINATOR.len();
-        let events = self.buffer.split_to(end).freeze();
+        let events = self.buffer.split_to(complete_len(&self.buffer)?).freeze();
         self.call_log.record_held(self.buffer.len());
         if let Some(id) = find_last_event_id(&events) {
             self.last_event_id = Some(id);
@@ -534,31 +527,3 @@
     let media_type = value.split(';').next().unwrap_or(value);
     Some(media_type.trim().to_ascii_lowercase())
 }
-
-fn count_events(events: &[u8]) -> u32 {
-    let ends = events.windows(EVENT_TERMINATOR.len());
-    let count = ends.filter(|window| *window == EVENT_TERMINATOR).count();
-    u32::try_from(count).unwrap_or(u32::MAX)
-}
-
-/// Returns whether there is a whole event with a field, rather than only comments.
-fn has_data(events: &[u8]) -> bool {
-    let end = find_last_match(events, EVENT_TERMINATOR).unwrap_or(0);
-    let mut lines = events[..end].split(|&byte| byte == b'\n');
-    lines.any(|line| !line.is_empty() && !line.starts_with(b":"))
-}
-
-fn find_last_match(buffer: &[u8], pattern: &[u8]) -> Option<usize> {
-    buffer
-        .windows(pattern.len())
-        .rposition(|window| window == pattern)
-}
-
-fn find_last_event_id(events: &[u8]) -> Option<String> {
-    let line = events
-        .split(|&byte| byte == b'\n')
-        .rev()
-        .find_map(|line| line.strip_prefix(ID_FIELD_PREFIX))?;
-    let id = std::str::from_utf8(line).ok()?;
-    Some(id.trim().to_owned())
-}
