--- a/src/gateway/call_log.rs
+++ b/src/gateway/call_log.rs
@@ -192,7 +192,7 @@
     }
 
     /// Logs what is known of a call that the end of a drain cuts: of its sends, the one whose
-    /// server acted last. Its times count from the begin of the drain.
+    /// server acted last. Its times count from when the stop may have been requested.
     fn log_cut(&self) {
         let drain = &self.cx.drain;
         let sent = self.sent.iter().max_by_key(|sent| sent.acted_at);
